Key-value service: the platform's calls, over a strict HTTP carrier

Cause: the client spoke another gateway's messages and went through an agent that drops bytes after a response and cannot tell "nothing was sent" from "may have been done". Ruled out: keeping both clients; two would drift. Change: carrier/ holds a strict reader (llhttp), connections that are never reused after a surprise, pools and a client with deadlines; KvHttp speaks the platform's calls with base64 values, revisions, 410 and refusals told apart from lost answers; the stand-in and its face follow. Conclusion: kept; one client of the store.

--- /dev/null
+++ b/magnolialug/carrier/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections to endpoints and to the platform's store."""
--- /dev/null
+++ b/magnolialug/carrier/client.py
@@ -0,0 +1,131 @@
+"""Whole requests and responses over pooled connections."""
+
+from collections.abc import Mapping
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTCP
+
+from magnolialug.carrier.pool import Address, Flight, Pool
+from magnolialug.carrier.reader import Head
+from magnolialug.carrier.taker import End
+
+__all__ = ["Client", "NoReply", "Reply", "address_of", "request_bytes"]
+
+_LIMIT_BYTES = 8 * 1024 * 1024
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A whole response."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class NoReply(msgspec.Struct, frozen=True):
+    """No whole response came.
+
+    Attributes:
+      end: UNSENT proves that the peer saw nothing; any other leaves it open.
+    """
+
+    end: End
+
+
+def address_of(url: str) -> Address:
+    """Returns host and port of "http://host:port"."""
+    host, _, port = url.rpartition("//")[2].rstrip("/").rpartition(":")
+    return host, int(port or 0)
+
+
+def request_bytes(
+    method: str,
+    host: str,
+    target: str,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+) -> bytes:
+    """Returns a request as it is sent."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    if body or method != "GET":
+        lines.append(f"Content-Length: {len(body)}")
+    if body:
+        lines.append("Content-Type: application/json")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class _Gather:
+    """Collects one response."""
+
+    def __init__(self, done: Deferred):
+        self._done = done
+        self._head: Head | None = None
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self.flight: Flight | None = None
+
+    def on_head(self, head: Head) -> None:
+        """Takes the head."""
+        self._head = head
+
+    def on_data(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        self._size += len(data)
+        self._pieces.append(data)
+        if self._size > _LIMIT_BYTES and self.flight is not None:
+            self.flight.drop()
+
+    def on_end(self, end: End) -> None:
+        """Hands the response over."""
+        done, self._done = self._done, None
+        if done is None:
+            return
+        if end is not End.WHOLE:
+            done.callback(NoReply(end))
+            return
+        body = b"".join(self._pieces)
+        done.callback(Reply(self._head.status, self._head.headers, body))
+
+
+class Client:
+    """Asks one peer at a time, within a deadline each.
+
+    Args:
+      limit: most connections to one address.
+    """
+
+    def __init__(self, reactor: IReactorTCP, limit: int = 64):
+        self._reactor = reactor
+        self._limit = limit
+        self._pools: dict[Address, Pool] = {}
+
+    def ask(
+        self, address: Address, request: bytes, timeout_s: float
+    ) -> Deferred[Reply | NoReply]:
+        """Returns the response, or how it failed to come in time."""
+        pool = self._pools.get(address)
+        if pool is None:
+            clock = self._reactor.seconds
+            pool = Pool(self._reactor, address, self._limit, clock)
+            self._pools[address] = pool
+        done: Deferred = Deferred(lambda _: gather.on_end(End.DROPPED))
+        gather = _Gather(done)
+        flight = pool.send(request, gather, lambda head: True)
+        gather.flight = flight
+        timer = self._reactor.callLater(timeout_s, flight.silent)
+
+        def over(result):
+            if timer.active():
+                timer.cancel()
+            flight.drop()
+            return result
+
+        return done.addCallback(over)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -8,6 +8,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import ensureDeferred
 
+from magnolialug.carrier.client import Client, address_of
 from magnolialug.cmd.flagset import (
     COMMON,
     EXIT_BAD_INPUT,
@@ -70,7 +71,9 @@
     def __init__(self, flags):
         self._flags = flags
         self._http = HttpClient(reactor, Code.KV_TIMEOUT)
-        self._kv = KvHttp(self._http, flags.kv_url, timeout_s=3.0)
+        self._kv = KvHttp(
+            Client(reactor), address_of(flags.kv_url), timeout_s=3.0
+        )
 
     async def run(self, name: str, arguments: list[str]) -> int:
         """Runs a command on the head that is in force."""
--- a/magnolialug/cmd/entry.py
+++ b/magnolialug/cmd/entry.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import reactor
 
+from magnolialug.carrier.client import Client, address_of
 from magnolialug.cmd.flagset import COMMON, Flag, Group, parse
 from magnolialug.cmd.serving import (
     SOURCE,
@@ -21,9 +22,8 @@
 from magnolialug.entry.web import EntryResource
 from magnolialug.events import setup_logging
 from magnolialug.ids import EntryId, ZoneId
-from magnolialug.platform.http import HttpClient
 from magnolialug.platform.kvhttp import KvHttp
-from magnolialug.result import Code, Failure
+from magnolialug.result import Failure
 
 __all__ = ["run"]
 
@@ -50,8 +50,7 @@
     host, port = split_address("listen", flags.listen)
 
     async def start():
-        http = HttpClient(reactor, Code.KV_TIMEOUT)
-        kv = KvHttp(http, flags.kv_url)
+        kv = KvHttp(Client(reactor), address_of(flags.kv_url))
         current = Current()
         failure = await load_current(kv, flags.config_dir, flags.peers, current)
         if isinstance(failure, Failure):
--- a/magnolialug/cmd/sidecar.py
+++ b/magnolialug/cmd/sidecar.py
@@ -6,6 +6,7 @@
 from twisted.internet import reactor
 from twisted.web.server import Site
 
+from magnolialug.carrier.client import Client, address_of
 from magnolialug.cmd.flagset import COMMON, Flag, Group, parse
 from magnolialug.cmd.serving import (
     SOURCE,
@@ -55,7 +56,7 @@
 
     async def start():
         current = Current()
-        kv = KvHttp(HttpClient(reactor, Code.KV_TIMEOUT), flags.kv_url)
+        kv = KvHttp(Client(reactor), address_of(flags.kv_url))
         failure = await load_current(kv, flags.config_dir, flags.peers, current)
         if isinstance(failure, Failure):
             return failure
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -7,16 +7,38 @@
 
 from magnolialug.result import Failure
 
-__all__ = ["VALUE_LIMIT", "Kv", "KvEntry", "Swap"]
+__all__ = ["VALUE_LIMIT", "Changes", "Kv", "KvEntry", "Snapshot", "Swap"]
 
 VALUE_LIMIT = 1024 * 1024
 
 
 class KvEntry(msgspec.Struct, frozen=True):
-    """A key's value and the revision of its last change."""
+    """A key's value and the revision of its last change.
+
+    Attributes:
+      value: None tells that the key was removed at that revision.
+    """
 
     key: str
-    value: bytes
+    value: bytes | None
+    revision: int
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The entries under a prefix, and the revision they were read at."""
+
+    entries: tuple[KvEntry, ...]
+    revision: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What has changed under a prefix, oldest first.
+
+    Attributes:
+      revision: ask on from here.
+    """
+
+    entries: tuple[KvEntry, ...]
     revision: int
 
 
@@ -37,7 +59,8 @@
 class Kv(Protocol):
     """Compare-and-swap, leases and watches.
 
-    A failure of a write leaves it open whether the write took effect.
+    A failure of a write leaves it open whether the write took effect, but
+    for the code KV_REFUSED: then nothing was done and nothing will be.
     """
 
     async def get(self, key: str) -> KvEntry | Failure | None:
@@ -46,6 +69,26 @@
     async def scan(self, prefix: str) -> list[KvEntry] | Failure:
         """Returns the entries of all keys with a prefix."""
 
+    async def snapshot(
+        self, prefix: str, stale: bool = False
+    ) -> Snapshot | Failure:
+        """Returns the entries under a prefix.
+
+        Args:
+          stale: whether an answer that is seconds old will do; it costs a
+            tenth and is not rationed.
+        """
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Changes | Failure:
+        """Waits for changes under a prefix after a revision.
+
+        Returns:
+          the changes, none if wait_s passed without any; KV_HISTORY_GONE if
+          the service no longer knows what changed since.
+        """
+
     async def put_if(
         self, key: str, value: bytes, revision: int, lease: int = 0
     ) -> Swap | Failure:
@@ -60,6 +103,9 @@
     async def keep(self, lease: int) -> float | Failure:
         """Renews a lease; returns its time to live, 0 if it has run out."""
 
+    async def revoke(self, lease: int) -> bool | Failure:
+        """Ends a lease and removes its keys; false if it had ended."""
+
     def watch(
         self,
         key: str,
@@ -67,7 +113,7 @@
         on_change: Callable[[KvEntry], None],
         on_end: Callable[[Failure], None],
     ) -> Callable[[], None]:
-        """Reports changes after a revision until the returned stop is called.
+        """Reports a key's changes after a revision until stop is called.
 
         A watch counts as a call for as long as it waits.
         """
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -1,70 +1,194 @@
-"""The key-value service over its published HTTP/JSON gateway.
+"""The platform's key-value service over HTTP.
 
-The messages are those of the etcd v3 gateway: base64 keys and values,
-numbers as strings.
+Values travel as standard base64 text with padding.
 """
 
+import binascii
 from base64 import b64decode, b64encode
 from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlencode
 
 import msgspec
+from twisted.internet.defer import ensureDeferred
 
-from magnolialug.platform.http import BodyLines, BodyReader, HttpClient
-from magnolialug.platform.kv import VALUE_LIMIT, KvEntry, Swap
+from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
+from magnolialug.carrier.pool import Address
+from magnolialug.carrier.taker import End
+from magnolialug.platform.kv import (
+    VALUE_LIMIT,
+    Changes,
+    KvEntry,
+    Snapshot,
+    Swap,
+)
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["KvHttp", "prefix_end"]
+__all__ = ["KvHttp"]
 
-_LINE_LIMIT = 2 * VALUE_LIMIT
-_STATUS = {503: Code.KV_TIMEOUT, 504: Code.KV_TIMEOUT}
+# Answers take about 4 ms; the slowest that are still of use take 60 times
+# as long while the service is slow, and a little more with a queue.
+_CALL_S = 1.0
+# Added to the time that a watch may wait at the service.
+_WATCH_SLACK_S = 1.0
+_WATCH_S = 20.0
+_PAGES = 100
 
 
-def _pack(text: str | bytes) -> str:
-    data = text.encode() if isinstance(text, str) else text
-    return b64encode(data).decode()
+class _Item(msgspec.Struct):
+    """One key as the service writes it.
 
+    Attributes:
+      tombstone: whether the key was removed; there is no value then.
+    """
+
+    key: str
+    revision: int
+    value: str = ""
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct, rename={"more": "hasMore", "as_of": "asOf"}):
+    items: list[_Item]
+    as_of: int
+    more: bool = False
+
+
+class _One(msgspec.Struct, rename={"as_of": "asOf"}):
+    key: str
+    value: str
+    revision: int
+    as_of: int = 0
+
+
+class _Events(msgspec.Struct, rename={"as_of": "asOf"}):
+    events: list[_Item]
+    as_of: int
+
+
+class _Written(msgspec.Struct):
+    revision: int = 0
+
+
+class _Lost(msgspec.Struct):
+    """The state of the keys that a condition named (status 412)."""
 
-def _entry(row: dict) -> KvEntry:
-    return KvEntry(
-        b64decode(row["key"]).decode(),
-        b64decode(row.get("value", "")),
-        int(row["mod_revision"]),
-    )
+    items: list[_Item]
 
 
-def prefix_end(prefix: str) -> str:
-    """Returns the first key after all that start with a prefix."""
-    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+class _Lease(msgspec.Struct, rename={"ttl_ms": "ttlMs"}):
+    ttl_ms: int
+    lease: int = 0
+
+
+def _entry(item: _Item | _One) -> KvEntry:
+    if isinstance(item, _Item) and (item.tombstone or item.revision == 0):
+        return KvEntry(item.key, None, item.revision)
+    value = b64decode(item.value, validate=True)
+    return KvEntry(item.key, value, item.revision)
+
+
+def _entries(items: list[_Item]) -> tuple[KvEntry, ...] | Failure:
+    """Returns typed entries, or a failure that names the key."""
+    entries = []
+    for item in items:
+        try:
+            entries.append(_entry(item))
+        except (binascii.Error, ValueError) as exc:
+            return failed(
+                Code.KV_NONSENSE, str(exc), f"value of {item.key}", item.value
+            )
+    return tuple(entries)
 
 
 class KvHttp:
     """Implements Kv over HTTP.
 
     Args:
-      base: URL of the service, without a path.
-      timeout_s: deadline of each call.
+      address: host and port of the service.
+      counted: is told the name and the outcome of each call.
     """
 
-    def __init__(self, http: HttpClient, base: str, timeout_s: float = 1.0):
-        self._http = http
-        self._base = base.rstrip("/")
+    def __init__(
+        self,
+        client: Client,
+        address: Address,
+        timeout_s: float = _CALL_S,
+        counted: Callable[[str, str], None] = lambda call, outcome: None,
+    ):
+        self._client = client
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}"
         self._timeout_s = timeout_s
+        self._counted = counted
 
     async def get(self, key: str) -> KvEntry | Failure | None:
         """Returns a key's entry, None if the key is absent."""
-        reply = await self._call("kv/range", {"key": _pack(key)})
+        reply = await self._call("GET", "kv-key", {"key": key})
         if isinstance(reply, Failure):
             return reply
-        rows = reply.get("kvs", [])
-        return _entry(rows[0]) if rows else None
+        if reply.status == 404:
+            return None
+        one = self._read(reply, _One, "kv-key")
+        if isinstance(one, Failure):
+            return one
+        found = _entries([_Item(one.key, one.revision, one.value)])
+        return found if isinstance(found, Failure) else found[0]
 
     async def scan(self, prefix: str) -> list[KvEntry] | Failure:
         """Returns the entries of all keys with a prefix."""
-        query = {"key": _pack(prefix), "range_end": _pack(prefix_end(prefix))}
-        reply = await self._call("kv/range", query)
-        if isinstance(reply, Failure):
-            return reply
-        return [_entry(row) for row in reply.get("kvs", [])]
+        found = await self.snapshot(prefix)
+        return found if isinstance(found, Failure) else list(found.entries)
+
+    async def snapshot(
+        self, prefix: str, stale: bool = False
+    ) -> Snapshot | Failure:
+        """Returns the entries under a prefix, page by page.
+
+        Pages are not one snapshot: the revision of the first one is
+        returned, so that asking for changes from there misses nothing.
+        """
+        query: dict[str, Any] = {"pathPrefix": prefix}
+        if stale:
+            query["serializable"] = 1
+        entries: list[KvEntry] = []
+        revision = 0
+        for _ in range(_PAGES):
+            reply = await self._call("GET", "kv-range", query)
+            page = self._typed(reply, _Page, "kv-range")
+            if isinstance(page, Failure):
+                return page
+            found = _entries(page.items)
+            if isinstance(found, Failure):
+                return found
+            entries += found
+            revision = revision or page.as_of
+            if not page.more or not page.items:
+                return Snapshot(tuple(entries), revision)
+            query["after"] = page.items[-1].key
+        return failed(Code.KV_NONSENSE, "pages without end", "pathPrefix")
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Changes | Failure:
+        """Waits for changes under a prefix after a revision."""
+        query = {
+            "pathPrefix": prefix,
+            "after": after,
+            "waitMs": int(wait_s * 1000),
+        }
+        reply = await self._call(
+            "GET", "kv-watch", query, timeout_s=wait_s + _WATCH_SLACK_S
+        )
+        if not isinstance(reply, Failure) and reply.status == 410:
+            return failed(Code.KV_HISTORY_GONE, field="after", value=after)
+        events = self._typed(reply, _Events, "kv-watch")
+        if isinstance(events, Failure):
+            return events
+        found = _entries(events.events)
+        if isinstance(found, Failure):
+            return found
+        return Changes(found, max(after, events.as_of))
 
     async def put_if(
         self, key: str, value: bytes, revision: int, lease: int = 0
@@ -74,45 +198,52 @@
             return failed(
                 Code.KV_ERROR, "value over a megabyte", key, len(value)
             )
-        put = {"key": _pack(key), "value": _pack(value), "lease": str(lease)}
-        txn = {
-            "compare": [
-                {
-                    "key": _pack(key),
-                    "target": "MOD",
-                    "result": "EQUAL",
-                    "mod_revision": str(revision),
-                }
-            ],
-            "success": [{"request_put": put}],
-            "failure": [{"request_range": {"key": _pack(key)}}],
-        }
-        reply = await self._call("kv/txn", txn)
-        if isinstance(reply, Failure):
-            return reply
-        if reply.get("succeeded"):
-            return Swap(True, None, int(reply["header"]["revision"]))
-        rows = reply["responses"][0]["response_range"].get("kvs", [])
-        return Swap(False, _entry(rows[0]) if rows else None)
+        write = {"key": key, "value": b64encode(value).decode()}
+        if lease:
+            write["lease"] = lease
+        return await self._txn(
+            {
+                "expected": [{"key": key, "revision": revision}],
+                "writes": [write],
+                "deletes": [],
+            }
+        )
 
     async def delete(self, key: str) -> bool | Failure:
         """Removes a key."""
-        reply = await self._call("kv/deleterange", {"key": _pack(key)})
-        if isinstance(reply, Failure):
-            return reply
-        return int(reply.get("deleted", 0)) > 0
+        found = await self.get(key)
+        if found is None or isinstance(found, Failure):
+            return found or False
+        swap = await self._txn(
+            {
+                "expected": [{"key": key, "revision": found.revision}],
+                "writes": [],
+                "deletes": [key],
+            }
+        )
+        return swap if isinstance(swap, Failure) else swap.won
 
     async def grant(self, ttl_s: float) -> int | Failure:
-        """Returns a new lease."""
-        reply = await self._call("lease/grant", {"TTL": str(int(ttl_s))})
-        return reply if isinstance(reply, Failure) else int(reply["ID"])
+        """Returns a new lease; its keys go when it runs out."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        reply = await self._call("POST", "kv-lease", body=body)
+        lease = self._typed(reply, _Lease, "kv-lease")
+        return lease if isinstance(lease, Failure) else lease.lease
 
     async def keep(self, lease: int) -> float | Failure:
         """Renews a lease; returns its time to live, 0 if it has run out."""
-        reply = await self._call("lease/keepalive", {"ID": str(lease)})
+        reply = await self._call("POST", f"kv-keep/{lease}", body={})
+        if not isinstance(reply, Failure) and reply.status == 404:
+            return 0.0
+        kept = self._typed(reply, _Lease, "kv-keep")
+        return kept if isinstance(kept, Failure) else kept.ttl_ms / 1000
+
+    async def revoke(self, lease: int) -> bool | Failure:
+        """Ends a lease and removes its keys; false if it had ended."""
+        reply = await self._call("DELETE", f"kv-lease-end/{lease}")
         if isinstance(reply, Failure):
             return reply
-        return float(reply["result"].get("TTL", 0))
+        return reply.status == 200
 
     def watch(
         self,
@@ -121,48 +252,91 @@
         on_change: Callable[[KvEntry], None],
         on_end: Callable[[Failure], None],
     ) -> Callable[[], None]:
-        """Reports changes after a revision until stop is called."""
-        create = {"key": _pack(key), "start_revision": str(after + 1)}
-        body = msgspec.json.encode({"create_request": create})
+        """Reports a key's changes after a revision until stop is called."""
         stopped = False
-        reader = None
-
-        def on_line(line: bytes) -> None:
-            for event in msgspec.json.decode(line)["result"].get("events", ()):
-                if event.get("type", "PUT") == "PUT":
-                    on_change(_entry(event["kv"]))
 
-        def end(_: object) -> None:
-            if not stopped:
-                on_end(failed(Code.KV_ERROR, "the watch ended"))
-
-        def opened(response) -> None:
-            nonlocal reader
-            lines = BodyLines(on_line, _LINE_LIMIT)
-            reader = BodyReader(lines.dataReceived, end)
-            response.deliverBody(reader)
+        async def follow() -> None:
+            revision = after
+            while not stopped:
+                found = await self.changes(key, revision, _WATCH_S)
+                if stopped:
+                    return
+                if isinstance(found, Failure):
+                    on_end(found)
+                    return
+                revision = found.revision
+                for entry in found.entries:
+                    if entry.key == key and entry.value is not None:
+                        on_change(entry)
 
         def stop() -> None:
             nonlocal stopped
             stopped = True
             fut.cancel()
-            if reader and reader.transport:
-                reader.transport.loseConnection()
 
-        fut = self._http.open("POST", f"{self._base}/v3/watch", body)
-        fut.addCallbacks(opened, end)
+        fut = ensureDeferred(follow())
+        fut.addErrback(lambda reason: None if stopped else reason)
         return stop
 
-    async def _call(self, path: str, body: dict) -> dict | Failure:
-        reply = await self._http.ask(
-            "POST",
-            f"{self._base}/v3/{path}",
-            msgspec.json.encode(body),
-            timeout_s=self._timeout_s,
-        )
+    async def _txn(self, body: dict[str, Any]) -> Swap | Failure:
+        reply = await self._call("POST", "kv-txn", body=body)
+        if not isinstance(reply, Failure) and reply.status == 412:
+            return self._lost(reply)
+        if not isinstance(reply, Failure) and reply.status == 404:
+            return failed(Code.KV_LEASE_GONE, field="lease")
+        written = self._typed(reply, _Written, "kv-txn")
+        if isinstance(written, Failure):
+            return written
+        return Swap(True, None, written.revision)
+
+    def _lost(self, reply: Reply) -> Swap | Failure:
+        lost = self._read(reply, _Lost, "kv-txn")
+        if isinstance(lost, Failure):
+            return lost
+        found = _entries(lost.items)
+        if isinstance(found, Failure):
+            return found
+        there = [entry for entry in found if entry.value is not None]
+        return Swap(False, there[0] if there else None)
+
+    def _typed(self, reply: Reply | Failure, form: type, call: str):
         if isinstance(reply, Failure):
-            return failed(Code.KV_TIMEOUT, reply.reason, path)
+            return reply
         if reply.status != 200:
-            code = _STATUS.get(reply.status, Code.KV_ERROR)
-            return failed(code, f"status {reply.status}", path, reply.body[:80])
-        return msgspec.json.decode(reply.body)
+            return failed(
+                Code.KV_ERROR, f"status {reply.status}", call, reply.body[:80]
+            )
+        return self._read(reply, form, call)
+
+    def _read(self, reply: Reply, form: type, call: str):
+        try:
+            return msgspec.json.decode(reply.body, type=form)
+        except msgspec.DecodeError as exc:
+            return failed(Code.KV_NONSENSE, str(exc), call, reply.body[:80])
+
+    async def _call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, Any] | None = None,
+        body: dict[str, Any] | None = None,
+        timeout_s: float = 0.0,
+    ) -> Reply | Failure:
+        target = f"/{call}?{urlencode(query)}" if query else f"/{call}"
+        data = b"" if body is None else msgspec.json.encode(body)
+        reply = await self._client.ask(
+            self._address,
+            request_bytes(method, self._host, target, data),
+            timeout_s or self._timeout_s,
+        )
+        name = call.partition("/")[0]
+        if isinstance(reply, NoReply):
+            self._counted(name, reply.end.value)
+            unsent = reply.end is End.UNSENT
+            code = Code.KV_REFUSED if unsent else Code.KV_TIMEOUT
+            return failed(code, f"no answer: {reply.end.value}", name)
+        self._counted(name, str(reply.status))
+        if reply.status in (429, 503):
+            reason = f"status {reply.status}"
+            return failed(Code.KV_REFUSED, reason, name)
+        return reply
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -66,6 +66,10 @@
     CONFIG_MISSING = 607
     KV_TIMEOUT = 700
     KV_ERROR = 701
+    KV_REFUSED = 702
+    KV_HISTORY_GONE = 703
+    KV_LEASE_GONE = 704
+    KV_NONSENSE = 705
     BLOCK_MISSING = 800
     BLOCK_DAMAGED = 801
     STORE_FULL = 802
@@ -193,6 +197,10 @@
         (Code.CONFIG_MISSING, 404, "No configuration has been applied."),
         (Code.KV_TIMEOUT, 504, "The key-value service did not answer."),
         (Code.KV_ERROR, 502, "The key-value service answered an error."),
+        (Code.KV_REFUSED, 503, "The key-value service did nothing."),
+        (Code.KV_HISTORY_GONE, 410, "Changes that far back are forgotten."),
+        (Code.KV_LEASE_GONE, 404, "The lease has ended."),
+        (Code.KV_NONSENSE, 502, "The key-value service's answer is malformed."),
         (Code.BLOCK_MISSING, 404, "The store has no sealed block of the id."),
         (Code.BLOCK_DAMAGED, 502, "The block's digest or length is wrong."),
         (Code.STORE_FULL, 507, "The store has no room for the block."),
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -4,9 +4,16 @@
 from collections.abc import Callable
 
 import msgspec
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from magnolialug.platform.kv import VALUE_LIMIT, KvEntry, Swap
+from magnolialug.platform.kv import (
+    VALUE_LIMIT,
+    Changes,
+    KvEntry,
+    Snapshot,
+    Swap,
+)
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["KvFaults", "KvStore"]
@@ -17,13 +24,19 @@
 
     Attributes:
       down: calls fail and have no effect.
+      refusing: calls are refused and nothing is done.
       lose_answers: how many further writes take effect unanswered.
       deaf_watches: watches stay open and report nothing.
+      reads_left: read calls until the ration is used up, None for no ration.
+      writes_left: the same for write calls.
     """
 
     down: bool = False
+    refusing: bool = False
     lose_answers: int = 0
     deaf_watches: bool = False
+    reads_left: int | None = None
+    writes_left: int | None = None
 
 
 class _Watcher(msgspec.Struct):
@@ -41,9 +54,14 @@
         self.calls: Counter[str] = Counter()
         self.revision = 0
         self._rows: dict[str, KvEntry] = {}
+        self._last_lease = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_of: dict[str, int] = {}
         self._watchers: list[_Watcher] = []
+        self._history: list[KvEntry] = []
+        self._forgotten = 0
+        self._cuts = 0
+        self._waiting: list[tuple[Deferred, IDelayedCall]] = []
 
     async def get(self, key: str) -> KvEntry | Failure | None:
         """Returns a key's entry, None if the key is absent."""
@@ -59,6 +77,41 @@
         keys = sorted(key for key in self._rows if key.startswith(prefix))
         return [self._rows[key] for key in keys]
 
+    async def snapshot(
+        self, prefix: str, stale: bool = False
+    ) -> Snapshot | Failure:
+        """Returns the entries under a prefix."""
+        rows = await self.scan(prefix)
+        if isinstance(rows, Failure):
+            return rows
+        return Snapshot(tuple(rows), self.revision)
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Changes | Failure:
+        """Waits for changes under a prefix after a revision."""
+        self._expire()
+        refusal = self._refusal("watch")
+        if refusal:
+            return refusal
+        until = self.clock.seconds() + wait_s
+        while True:
+            if after < self._forgotten:
+                return failed(Code.KV_HISTORY_GONE, field="after", value=after)
+            found = self._since(prefix, after)
+            if found or self.clock.seconds() >= until:
+                return Changes(found, self.revision)
+            cut = self._cuts
+            await self._next_change(until)
+            if self._cuts > cut:
+                return failed(Code.KV_TIMEOUT, "the service restarted")
+
+    def forget(self) -> None:
+        """Drops the history; those who ask from before it get a failure."""
+        self._history.clear()
+        self._forgotten = self.revision
+        self._wake()
+
     async def put_if(
         self, key: str, value: bytes, revision: int, lease: int = 0
     ) -> Swap | Failure:
@@ -73,7 +126,7 @@
         if (found.revision if found else 0) != revision:
             return self._answer(Swap(False, found))
         if lease and lease not in self._leases:
-            return failed(Code.KV_ERROR, "no such lease", "lease", lease)
+            return failed(Code.KV_LEASE_GONE, field="lease", value=lease)
         return self._answer(Swap(True, None, self._write(key, value, lease)))
 
     async def delete(self, key: str) -> bool | Failure:
@@ -81,15 +134,15 @@
         refusal = self._refusal("write")
         if refusal:
             return refusal
-        self.revision += 1
-        return self._answer(self._rows.pop(key, None) is not None)
+        return self._answer(self._remove(key))
 
     async def grant(self, ttl_s: float) -> int | Failure:
         """Returns a new lease."""
         refusal = self._refusal("write")
         if refusal:
             return refusal
-        lease = len(self._leases) + 1
+        self._last_lease += 1
+        lease = self._last_lease
         self._leases[lease] = (ttl_s, self.clock.seconds() + ttl_s)
         return lease
 
@@ -105,6 +158,13 @@
         self._leases[lease] = (ttl_s, self.clock.seconds() + ttl_s)
         return ttl_s
 
+    async def revoke(self, lease: int) -> bool | Failure:
+        """Ends a lease and removes its keys; false if it had ended."""
+        refusal = self._refusal("write")
+        if refusal:
+            return refusal
+        return self._answer(self._end_lease(lease))
+
     def watch(
         self,
         key: str,
@@ -125,14 +185,27 @@
 
     def end_watches(self) -> None:
         """Ends every watch, as a restart of the service does."""
+        self._cuts += 1
+        self._wake()
         watchers, self._watchers = self._watchers, []
         for watcher in watchers:
             watcher.on_end(failed(Code.KV_ERROR, "the service restarted"))
 
     def _refusal(self, call: str) -> Failure | None:
         self.calls[call] += 1
+        if self.faults.refusing or self._over_ration(call):
+            return failed(Code.KV_REFUSED)
         return failed(Code.KV_TIMEOUT) if self.faults.down else None
 
+    def _over_ration(self, call: str) -> bool:
+        faults = self.faults
+        name = "writes_left" if call == "write" else "reads_left"
+        left = getattr(faults, name)
+        if left is None:
+            return False
+        setattr(faults, name, max(0, left - 1))
+        return left <= 0
+
     def _answer(self, result):
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
@@ -145,16 +218,61 @@
         self._lease_of.pop(key, None)
         if lease:
             self._lease_of[key] = lease
+        self._record(row)
         for watcher in list(self._watchers):
             if watcher.key == key and not self.faults.deaf_watches:
                 self.clock.callLater(0, watcher.on_change, row)
         return self.revision
 
+    def _remove(self, key: str) -> bool:
+        if self._rows.pop(key, None) is None:
+            return False
+        self._lease_of.pop(key, None)
+        self.revision += 1
+        self._record(KvEntry(key, None, self.revision))
+        return True
+
+    def _record(self, row: KvEntry) -> None:
+        self._history.append(row)
+        if not self.faults.deaf_watches:
+            self._wake()
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for fut, timer in waiting:
+            if timer.active():
+                timer.cancel()
+            self.clock.callLater(0, fut.callback, None)
+
+    def _since(self, prefix: str, after: int) -> tuple[KvEntry, ...]:
+        if self.faults.deaf_watches:
+            return ()
+        return tuple(
+            row
+            for row in self._history
+            if row.revision > after and row.key.startswith(prefix)
+        )
+
+    def _next_change(self, until: float) -> Deferred:
+        fut: Deferred = Deferred()
+
+        def over() -> None:
+            self._waiting.remove((fut, timer))
+            fut.callback(None)
+
+        left = max(0.0, until - self.clock.seconds())
+        timer = self.clock.callLater(left, over)
+        self._waiting.append((fut, timer))
+        return fut
+
+    def _end_lease(self, lease: int) -> bool:
+        if self._leases.pop(lease, None) is None:
+            return False
+        for key in [k for k, n in self._lease_of.items() if n == lease]:
+            self._remove(key)
+        return True
+
     def _expire(self) -> None:
         now = self.clock.seconds()
-        over = {n for n, (_, end) in self._leases.items() if end <= now}
-        for lease in over:
-            del self._leases[lease]
-        for key in [k for k, n in self._lease_of.items() if n in over]:
-            del self._lease_of[key]
-            self._rows.pop(key, None)
+        for lease in [n for n, (_, end) in self._leases.items() if end <= now]:
+            self._end_lease(lease)
--- a/magnolialug/standin/kvface.py
+++ b/magnolialug/standin/kvface.py
@@ -1,4 +1,4 @@
-"""The key-value stand-in behind the etcd v3 JSON gateway's messages."""
+"""The key-value stand-in behind the platform's HTTP calls."""
 
 from base64 import b64decode, b64encode
 
@@ -6,22 +6,33 @@
 from twisted.web.server import Request
 
 from magnolialug.platform.kv import KvEntry
-from magnolialug.result import Failure
+from magnolialug.result import Code, Failure
 from magnolialug.standin.kv import KvStore
-from magnolialug.standin.web import Face
+from magnolialug.standin.web import Face, query
 
 __all__ = ["kv_face"]
 
-
-def _text(value: str) -> str:
-    return b64decode(value).decode()
+_STATUS = {
+    Code.KV_REFUSED: 503,
+    Code.KV_HISTORY_GONE: 410,
+    Code.KV_LEASE_GONE: 404,
+}
+_PAGE = 500
 
 
 def _row(entry: KvEntry) -> dict:
+    if entry.value is None:
+        return {
+            "key": entry.key,
+            "revision": entry.revision,
+            "tombstone": True,
+        }
     return {
-        "key": b64encode(entry.key.encode()).decode(),
+        "key": entry.key,
         "value": b64encode(entry.value).decode(),
-        "mod_revision": str(entry.revision),
+        "revision": entry.revision,
+        "created": entry.revision,
+        "lease": 0,
     }
 
 
@@ -29,83 +40,105 @@
     """Returns the HTTP resource of a store."""
 
     async def handle(method: str, parts: list[str], req: Request, data: bytes):
-        body = msgspec.json.decode(data) if data else {}
-        call = "/".join(parts[1:])
-        if call == "watch":
-            _watch(store, req, body["create_request"])
-            return None
-        reply = await _CALLS[call](store, body)
+        call = _CALLS[parts[0]]
+        reply = await call(store, parts[1:], req, data)
         if isinstance(reply, Failure):
-            return 504, {"error": reply.reason}
-        reply["header"] = {"revision": str(store.revision)}
-        return 200, reply
+            if reply.code is Code.KV_TIMEOUT:
+                req.transport.loseConnection()
+                return None
+            return _STATUS.get(reply.code, 400), {"error": reply.reason}
+        return reply
 
     return Face(handle)
 
 
-def _watch(store: KvStore, req: Request, create: dict) -> None:
-    def changed(entry: KvEntry) -> None:
-        event = {"type": "PUT", "kv": _row(entry)}
-        line = msgspec.json.encode({"result": {"events": [event]}})
-        req.write(line + b"\n")
-
-    def ended(_: Failure) -> None:
-        req.finish()
-
-    after = int(create.get("start_revision", "1")) - 1
-    req.write(msgspec.json.encode({"result": {"created": True}}) + b"\n")
-    stop = store.watch(_text(create["key"]), after, changed, ended)
-    req.notifyFinish().addBoth(lambda _: stop())
-
-
-async def _range(store: KvStore, body: dict):
-    key = _text(body["key"])
-    if "range_end" in body:
-        rows = await store.scan(key)
-    else:
-        rows = await store.get(key)
-        rows = [rows] if isinstance(rows, KvEntry) else rows or []
-    return rows if isinstance(rows, Failure) else {"kvs": list(map(_row, rows))}
+async def _key(store: KvStore, parts: list[str], req: Request, data: bytes):
+    found = await store.get(query(req, "key"))
+    if found is None:
+        return 404, {"asOf": store.revision}
+    if isinstance(found, Failure):
+        return found
+    return 200, {**_row(found), "asOf": store.revision}
+
+
+async def _range(store: KvStore, parts: list[str], req: Request, data: bytes):
+    rows = await store.scan(query(req, "pathPrefix"))
+    if isinstance(rows, Failure):
+        return rows
+    after = query(req, "after")
+    rows = [row for row in rows if row.key > after]
+    return 200, {
+        "items": [_row(row) for row in rows[:_PAGE]],
+        "hasMore": len(rows) > _PAGE,
+        "asOf": store.revision,
+    }
 
 
-async def _txn(store: KvStore, body: dict):
-    compare = body["compare"][0]
-    put = body["success"][0]["request_put"]
+async def _watch(store: KvStore, parts: list[str], req: Request, data: bytes):
+    found = await store.changes(
+        query(req, "pathPrefix"),
+        int(query(req, "after", "0")),
+        int(query(req, "waitMs", "0")) / 1000,
+    )
+    if isinstance(found, Failure):
+        return found
+    events = [_row(row) for row in found.entries]
+    return 200, {"events": events, "asOf": found.revision}
+
+
+async def _txn(store: KvStore, parts: list[str], req: Request, data: bytes):
+    body = msgspec.json.decode(data)
+    expected = body["expected"][0]
+    if body["deletes"]:
+        gone = await store.delete(body["deletes"][0])
+        if isinstance(gone, Failure):
+            return gone
+        return 200, {"revision": store.revision}
+    write = body["writes"][0]
     swap = await store.put_if(
-        _text(put["key"]),
-        b64decode(put["value"]),
-        int(compare["mod_revision"]),
-        int(put.get("lease", 0)),
+        write["key"],
+        b64decode(write["value"]),
+        expected["revision"],
+        write.get("lease", 0),
     )
     if isinstance(swap, Failure):
         return swap
     if swap.won:
-        return {"succeeded": True, "responses": [{"response_put": {}}]}
-    kvs = [_row(swap.current)] if swap.current else []
-    return {"responses": [{"response_range": {"kvs": kvs}}]}
-
+        return 200, {"revision": swap.revision}
+    nothing = KvEntry(write["key"], None, 0)
+    return 412, {"items": [_row(swap.current or nothing)]}
 
-async def _delete(store: KvStore, body: dict):
-    gone = await store.delete(_text(body["key"]))
-    return gone if isinstance(gone, Failure) else {"deleted": str(int(gone))}
 
+async def _lease(store: KvStore, parts: list[str], req: Request, data: bytes):
+    ttl_ms = msgspec.json.decode(data)["ttlMs"]
+    lease = await store.grant(ttl_ms / 1000)
+    if isinstance(lease, Failure):
+        return lease
+    return 200, {"lease": lease, "ttlMs": ttl_ms}
 
-async def _grant(store: KvStore, body: dict):
-    lease = await store.grant(float(body["TTL"]))
-    return lease if isinstance(lease, Failure) else {"ID": str(lease)}
 
-
-async def _keep(store: KvStore, body: dict):
-    left = await store.keep(int(body["ID"]))
+async def _keep(store: KvStore, parts: list[str], req: Request, data: bytes):
+    left = await store.keep(int(parts[0]))
     if isinstance(left, Failure):
         return left
-    return {"result": {"ID": body["ID"], "TTL": str(int(left))}}
+    if left <= 0:
+        return 404, {}
+    return 200, {"ttlMs": int(left * 1000)}
+
+
+async def _end(store: KvStore, parts: list[str], req: Request, data: bytes):
+    ended = await store.revoke(int(parts[0]))
+    if isinstance(ended, Failure):
+        return ended
+    return (200 if ended else 404), {}
 
 
 _CALLS = {
-    "kv/range": _range,
-    "kv/txn": _txn,
-    "kv/deleterange": _delete,
-    "lease/grant": _grant,
-    "lease/keepalive": _keep,
+    "kv-key": _key,
+    "kv-range": _range,
+    "kv-watch": _watch,
+    "kv-txn": _txn,
+    "kv-lease": _lease,
+    "kv-keep": _keep,
+    "kv-lease-end": _end,
 }
--- a/tests/platform/test_kv_contract.py
+++ b/tests/platform/test_kv_contract.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Site
 
-from magnolialug.platform.http import HttpClient
+from magnolialug.carrier.client import Client
 from magnolialug.platform.kv import VALUE_LIMIT
 from magnolialug.platform.kvhttp import KvHttp
 from magnolialug.result import Code, Failure
@@ -105,14 +105,14 @@
         port = reactor.listenTCP(
             0, Site(kv_face(self.store)), interface="127.0.0.1"
         )
-        http = HttpClient(reactor)
-        self.kv = KvHttp(http, f"http://127.0.0.1:{port.getHost().port}")
+        client = Client(reactor)
+        self.kv = KvHttp(client, ("127.0.0.1", port.getHost().port))
 
         async def whole():
             try:
                 await self.contract()
             finally:
-                await http.close()
+                client.close()
                 await port.stopListening()
 
         return ensureDeferred(whole())
