Orders: every engine takes the named weights under one fenced holder

Change: a lease with a fencing token, marked before the first order so that only a holder that was ordering makes its successor wait; orders in rounds of at most three eighths of the engines, with the number of orders the engine must have accepted; runs go on while the engine loads.

--- a/magnolialug/cmd/gateway.py
+++ b/magnolialug/cmd/gateway.py
@@ -55,11 +55,19 @@
     from magnolialug.entry.gateway import Gateway
     from magnolialug.entry.readiness import ready_factory
     from magnolialug.metrics import Metrics
+    from magnolialug.platform.enginecalls import EngineCalls
     from magnolialug.platform.kvhttp import KvHttp
 
     async def start():
-        kv = KvHttp(Client(reactor), settings.store.address)
-        gateway = Gateway(settings, reactor, kv, random.Random(), Metrics())
+        client = Client(reactor)
+        gateway = Gateway(
+            settings,
+            reactor,
+            KvHttp(client, settings.store.address),
+            random.Random(),
+            Metrics(),
+            EngineCalls(client),
+        )
         gateway.start()
         ports = [
             _listen(reactor, settings.callers, gateway.factory),
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -42,6 +42,14 @@
         peers = self._by_service.get(service, ())
         return [peer for peer in peers if not peer.leaving]
 
+    def engines_with(self, model: str) -> list[Peer]:
+        """Returns the engines that serve a model and do not leave."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if model in peer.weights and not peer.leaving
+        ]
+
     def listed(self, entry: Listed) -> None:
         """Takes a new or changed registry entry."""
         peer = self.peers.get(entry.endpoint)
--- a/magnolialug/entry/follower.py
+++ b/magnolialug/entry/follower.py
@@ -43,8 +43,8 @@
 
     Args:
       wait_s: how long one call may wait at the service for a change.
-      pace_s: pause between calls. Heartbeats change the registry many times
-        a second; taken one by one each would cost a call.
+      pace_s: pause between calls, so that changes that come together are
+        fetched together.
     """
 
     def __init__(
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -15,6 +15,8 @@
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.httpcarrier import HttpCarrier
+from magnolialug.entry.orderlease import OrderLease
+from magnolialug.entry.orders import Orders
 from magnolialug.entry.placer import Placer
 from magnolialug.entry.progress import Served
 from magnolialug.entry.registry import Registry
@@ -22,6 +24,7 @@
 from magnolialug.entry.serving import Means, Serving
 from magnolialug.events import Event, emit, explain
 from magnolialug.metrics import Metrics
+from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
 from magnolialug.platform.operator import OPERATOR_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX
@@ -38,12 +41,11 @@
 # restarted entry begins with a full share, and entries disagree for a while
 # on how many they are; half leaves room for both.
 _USED_RETRIES = 0.5
-# Watches of the operator's keys return at once when something changes.
-_OPERATOR_WAIT_S = 10.0
-# The registry changes with every heartbeat, so its changes are fetched a
-# few together; a leaving endpoint is noticed this much later at worst.
-_REGISTRY_WAIT_S = 5.0
-_REGISTRY_PACE_S = 0.8
+# Watches return at once when something changes; this long when nothing does.
+_WATCH_S = 10.0
+# Heartbeats alone change no entry, but a start of many endpoints does; what
+# changes within this pause is fetched with one call.
+_REGISTRY_PACE_S = 0.05
 # After the signal to stop, the balancer needs two misses at a second each
 # until it sends no more.
 _NOTICED_S = 2.6
@@ -62,6 +64,7 @@
     Args:
       reactor: for connections and time.
       kv: the platform's key-value service.
+      calls: reports of engines, and orders to them.
     """
 
     def __init__(
@@ -71,12 +74,13 @@
         kv: Kv,
         random: Random,
         metrics: Metrics,
+        calls: EngineCalls,
     ):
         self.settings = settings
         self.clock: Callable[[], float] = reactor.seconds
         self.metrics = metrics
         self.directory = Directory(reactor)
-        self.book = RouteBook(self._routed, self._weights_named)
+        self.book = RouteBook(self._routed)
         self.registry = Registry(self.directory, reactor)
         self.factory = GatewayFactory(
             self.handle, self._limits, reactor.seconds, reactor.callLater
@@ -95,6 +99,16 @@
             new_hex=lambda: secrets.token_hex(8),
             backoff=lambda: Backoff(base_s=0.004, limit_s=0.1),
         )
+        self._lease = OrderLease(
+            kv, settings.vm, reactor, random, settings.bounds.lease_s
+        )
+        self._orders = Orders(
+            self.directory,
+            self._lease,
+            calls,
+            reactor.seconds,
+            lambda: self.book.weights,
+        )
         self._followers = [
             Follower(
                 kv,
@@ -102,7 +116,7 @@
                 self.book,
                 reactor,
                 random,
-                _OPERATOR_WAIT_S,
+                _WATCH_S,
             ),
             Follower(
                 kv,
@@ -110,7 +124,7 @@
                 self.registry,
                 reactor,
                 random,
-                _REGISTRY_WAIT_S,
+                _WATCH_S,
                 _REGISTRY_PACE_S,
             ),
         ]
@@ -119,6 +133,7 @@
         """Begins to read routes and endpoints."""
         for follower in self._followers:
             follower.start()
+        self._lease.start()
         self._ticked()
         emit(Event.STARTED, vm=self.settings.vm, zone=self.settings.zone)
 
@@ -138,6 +153,7 @@
         """
         self._stopping_at = self.clock()
         emit(Event.DRAINING, vm=self.settings.vm, running=self.in_progress)
+        await self._lease.stop()
         end = self._stopping_at + self.settings.bounds.grace_s - _STOP_MARGIN_S
         await sleep(self._reactor, _NOTICED_S)
         while self.clock() < end:
@@ -251,9 +267,6 @@
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
 
-    def _weights_named(self, model: str, version: int) -> None:
-        """Learns that a model is to have a newer version."""
-
     def _limits(self) -> CallerLimits:
         table = self.book.table
         return table.routing.limits if table else CallerLimits()
@@ -275,6 +288,7 @@
             attempt.sweep(now)
         self.factory.sweep(now)
         self.registry.tick()
+        self._orders.tick()
         self.directory.trim()
 
 
--- a/magnolialug/entry/routebook.py
+++ b/magnolialug/entry/routebook.py
@@ -30,15 +30,10 @@
       weights: the newest version that the operator has named, by model.
     """
 
-    def __init__(
-        self,
-        on_routes: Callable[[Routing], None],
-        on_weights: Callable[[str, int], None],
-    ):
+    def __init__(self, on_routes: Callable[[Routing], None]):
         self.table: RouteTable | None = None
         self.weights: dict[str, int] = {}
         self._on_routes = on_routes
-        self._on_weights = on_weights
 
     @property
     def version(self) -> int:
@@ -92,4 +87,3 @@
             return
         self.weights[named.model] = named.version
         emit(Event.WEIGHTS_NAMED, model=named.model, version=named.version)
-        self._on_weights(named.model, named.version)
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -51,6 +51,12 @@
     ENTRY_REFUSED = 4104
     KV_LOST = 4200
     KV_BACK = 4201
+    LEASE_WON = 4300
+    LEASE_LOST = 4301
+    LEASE_UNCERTAIN = 4302
+    ORDER_GIVEN = 4310
+    ORDER_ANSWERED = 4311
+    WEIGHTS_TAKEN = 4312
     TASK_FAILED = 9000
 
 
@@ -92,6 +98,12 @@
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
+    Event.LEASE_WON: "This process gives the orders to engines from now on.",
+    Event.LEASE_LOST: "This process gives no more orders.",
+    Event.LEASE_UNCERTAIN: "A renewal had no answer; the lease runs on.",
+    Event.ORDER_GIVEN: "An engine was told to take weights.",
+    Event.ORDER_ANSWERED: "What an engine said to an order, or nothing.",
+    Event.WEIGHTS_TAKEN: "An engine has the weights that were named.",
     Event.TASK_FAILED: "A task ended with an unexpected exception.",
 }
 
--- /dev/null
+++ b/magnolialug/platform/enginecalls.py
@@ -0,0 +1,150 @@
+"""Calls to a model engine besides its requests: report and orders."""
+
+import enum
+
+import msgspec
+
+from magnolialug.carrier.client import Client, NoReply, request_bytes
+from magnolialug.ids import EndpointId
+from magnolialug.policy.listed import Listed
+from magnolialug.result import Code, Failure, failed
+
+__all__ = ["EngineCalls", "OrderReply", "Report"]
+
+# A report is answered from memory; a second without one means trouble.
+_REPORT_S = 0.8
+# An order is only accepted, not carried out, before its answer.
+_ORDER_S = 0.8
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What an engine says of itself; some hundred milliseconds old.
+
+    Attributes:
+      orders: how many orders it has accepted since its start.
+      busy: whether an order is being carried out.
+      weights: the version of each model.
+    """
+
+    orders: int
+    busy: bool
+    weights: dict[str, int]
+    waiting: int = 0
+    running: int = 0
+
+
+class OrderReply(enum.Enum):
+    """What became of an order.
+
+    UNKNOWN: no answer came; it may be carried out, even seconds later.
+    """
+
+    ACCEPTED = "accepted"
+    HOLDS = "holds"
+    BUSY = "busy"
+    FENCED = "fenced"
+    MISPLACED = "misplaced"
+    REFUSED = "refused"
+    UNSENT = "unsent"
+    UNKNOWN = "unknown"
+
+
+_REPLIES = {
+    200: OrderReply.HOLDS,
+    202: OrderReply.ACCEPTED,
+    409: OrderReply.BUSY,
+    412: OrderReply.FENCED,
+    421: OrderReply.MISPLACED,
+}
+
+
+class _WireModel(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _WireReport(msgspec.Struct):
+    """The body of `GET /report`; `sequence` counts accepted orders here."""
+
+    sequence: int
+    busy: bool = False
+    models: list[_WireModel] = []
+    waiting: int = 0
+    running: int = 0
+
+
+def _expecting(endpoint: EndpointId) -> dict[str, str]:
+    return {"X-Expect-Instance": endpoint}
+
+
+class EngineCalls:
+    """Asks and orders engines, on connections of its own."""
+
+    def __init__(self, client: Client):
+        self._client = client
+
+    async def report(self, engine: Listed) -> Report | Failure:
+        """Returns what an engine says of itself."""
+        host = engine.address[0]
+        request = request_bytes(
+            "GET", host, "/report", headers=_expecting(engine.endpoint)
+        )
+        reply = await self._client.ask(engine.address, request, _REPORT_S)
+        if isinstance(reply, NoReply):
+            return failed(Code.CONNECTION_CLOSED, reply.end.value)
+        if reply.status != 200:
+            return failed(Code.ENDPOINT_FAILED, f"status {reply.status}")
+        try:
+            row = msgspec.json.decode(reply.body, type=_WireReport)
+        except msgspec.MsgspecError as exc:
+            return failed(
+                Code.BAD_ENTRY, str(exc), engine.endpoint, reply.body[:80]
+            )
+        return Report(
+            orders=row.sequence,
+            busy=row.busy,
+            weights={model.name: model.version for model in row.models},
+            waiting=row.waiting,
+            running=row.running,
+        )
+
+    async def take_weights(
+        self,
+        engine: Listed,
+        model: str,
+        version: int,
+        mode: str,
+        holder: str,
+        fence: int,
+        after_orders: int,
+    ) -> OrderReply:
+        """Orders an engine to take a version of a model's weights.
+
+        Args:
+          mode: "wait", "truncate" or "retain": what becomes of its runs.
+          fence: the holder's fencing token.
+          after_orders: how many orders the engine must have accepted before.
+            An order whose answer was lost can be carried out seconds later;
+            this number makes the engine drop it if a newer one came first.
+        """
+        body = {
+            "operation": "version",
+            "model": model,
+            "version": version,
+            "updateMode": mode,
+            "holder": holder,
+            "fencingToken": fence,
+            "expected": after_orders,
+        }
+        request = request_bytes(
+            "POST",
+            engine.address[0],
+            "/order",
+            msgspec.json.encode(body),
+            _expecting(engine.endpoint),
+        )
+        reply = await self._client.ask(engine.address, request, _ORDER_S)
+        if isinstance(reply, NoReply):
+            unsent = reply.end.value == "unsent"
+            return OrderReply.UNSENT if unsent else OrderReply.UNKNOWN
+        return _REPLIES.get(reply.status, OrderReply.REFUSED)
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -31,7 +31,7 @@
 _CALL_S = 1.0
 # Added to the time that a watch may wait at the service.
 _WATCH_SLACK_S = 1.0
-_WATCH_S = 20.0
+_WATCH_S = 10.0
 _PAGES = 100
 
 
@@ -256,18 +256,15 @@
         stopped = False
 
         async def follow() -> None:
-            revision = after
-            while not stopped:
-                found = await self.changes(key, revision, _WATCH_S)
-                if stopped:
-                    return
-                if isinstance(found, Failure):
-                    on_end(found)
-                    return
-                revision = found.revision
+            found = await self.snapshot(key)
+            while not stopped and not isinstance(found, Failure):
                 for entry in found.entries:
-                    if entry.key == key and entry.value is not None:
+                    newer = entry.key == key and entry.revision > after
+                    if newer and entry.value is not None:
                         on_change(entry)
+                found = await self.changes(key, found.revision, _WATCH_S)
+            if not stopped:
+                on_end(found)
 
         def stop() -> None:
             nonlocal stopped
