Cache: shared parts are kept in the platform's stores and fetched from there

Change: each shared part is saved once, at a store that every entry draws alike, weighted by capacity; a part is fetched only when the store has said that it is whole, and its word counts for 1.6 s; a fetch that lasts beyond that is thrown away, and a restarted store is written to only after it, so that nothing half written is ever read. SIGHUP reads the settings again. Log lines are bounded and written without waiting for their reader.

--- a/magnolialug/cmd/entry.py
+++ b/magnolialug/cmd/entry.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 
 from magnolialug.carrier.client import Client, address_of
-from magnolialug.cmd.flagset import COMMON, Flag, Group, parse
+from magnolialug.cmd.flagset import COMMON, STDOUT, Flag, Group, parse
 from magnolialug.cmd.runner import run_until_signal
 from magnolialug.cmd.serving import (
     SOURCE,
@@ -46,7 +46,7 @@
     flags, _ = parse(
         "magnolialug-entry", "serves callers on an entry VM", _GROUPS
     )
-    setup_logging(flags.log_format, flags.log_level)
+    log = setup_logging(flags.log_format, flags.log_level, STDOUT)
     host, port = split_address("listen", flags.listen)
 
     async def start():
@@ -83,4 +83,4 @@
 
         return stop
 
-    sys.exit(run_until_signal(start))
+    sys.exit(run_until_signal(start, log=log))
--- a/magnolialug/cmd/flagset.py
+++ b/magnolialug/cmd/flagset.py
@@ -10,10 +10,19 @@
 
 from magnolialug import __version__
 
-__all__ = ["COMMON", "EXIT_BAD_INPUT", "EXIT_FAILED", "Flag", "Group", "parse"]
+__all__ = [
+    "COMMON",
+    "EXIT_BAD_INPUT",
+    "EXIT_FAILED",
+    "STDOUT",
+    "Flag",
+    "Group",
+    "parse",
+]
 
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
+STDOUT = 1
 _ENV_PREFIX = "MAGNOLIALUG_"
 
 _EXITS = """Exit codes:
--- a/magnolialug/cmd/gateway.py
+++ b/magnolialug/cmd/gateway.py
@@ -4,8 +4,16 @@
 import sys
 
 from magnolialug import bootclock
-from magnolialug.cmd.flagset import COMMON, EXIT_BAD_INPUT, Flag, Group, parse
+from magnolialug.cmd.flagset import (
+    COMMON,
+    EXIT_BAD_INPUT,
+    STDOUT,
+    Flag,
+    Group,
+    parse,
+)
 from magnolialug.events import setup_logging
+from magnolialug.logwriter import LogWriter
 from magnolialug.platform.settings import Settings, read_settings
 from magnolialug.result import Failure
 
@@ -33,7 +41,7 @@
     flags, _ = parse(
         "magnolialug-gateway", "serves callers on the platform", _GROUPS
     )
-    setup_logging(flags.log_format, flags.log_level)
+    log = setup_logging(flags.log_format, flags.log_level, STDOUT)
     settings = read_settings(flags.settings)
     if isinstance(settings, Failure):
         print(
@@ -43,10 +51,12 @@
         )
         sys.exit(EXIT_BAD_INPUT)
     bootclock.install()
-    sys.exit(_serve(settings))
+    sys.exit(_serve(settings, flags.settings, log))
 
 
-def _serve(settings: Settings) -> int:
+def _serve(
+    settings: Settings, settings_path: str, log: LogWriter | None
+) -> int:
     """Runs the gateway; imports follow the choice of the reactor."""
     from twisted.internet import reactor
 
@@ -55,19 +65,22 @@
     from magnolialug.entry.gateway import Gateway
     from magnolialug.entry.readiness import ready_factory
     from magnolialug.metrics import Metrics
+    from magnolialug.platform.cachecalls import CacheCalls
     from magnolialug.platform.enginecalls import EngineCalls
     from magnolialug.platform.kvhttp import KvHttp
 
+    client = Client(reactor)
+    gateway = Gateway(
+        settings,
+        reactor,
+        KvHttp(client, settings.store.address),
+        random.Random(),
+        Metrics(),
+        EngineCalls(client),
+        CacheCalls(client),
+    )
+
     async def start():
-        client = Client(reactor)
-        gateway = Gateway(
-            settings,
-            reactor,
-            KvHttp(client, settings.store.address),
-            random.Random(),
-            Metrics(),
-            EngineCalls(client),
-        )
         gateway.start()
         ports = [
             _listen(reactor, settings.callers, gateway.factory),
@@ -82,7 +95,10 @@
 
         return stop
 
-    return run_until_signal(start)
+    def reload() -> None:
+        gateway.reload(read_settings(settings_path))
+
+    return run_until_signal(start, reload, log)
 
 
 def _listen(reactor, address: tuple[str, int], factory):
--- a/magnolialug/cmd/runner.py
+++ b/magnolialug/cmd/runner.py
@@ -4,15 +4,20 @@
 import sys
 from collections.abc import Awaitable, Callable
 
-from twisted.internet import reactor
+from twisted.internet import reactor, task
 from twisted.internet.defer import ensureDeferred
 
 from magnolialug.cmd.flagset import EXIT_FAILED
+from magnolialug.events import tell_dropped
+from magnolialug.logwriter import LogWriter
 from magnolialug.result import Failure
 
 __all__ = ["run_until_signal"]
 
 Stop = Callable[[], Awaitable[object]]
+# Lines reach their reader this much later at worst.
+_FLUSH_S = 0.05
+_TELL_S = 1.0
 Start = Callable[[], Awaitable[Stop | Failure]]
 
 
@@ -71,7 +76,9 @@
 
 
 def run_until_signal(
-    start: Start, on_hangup: Callable[[], None] | None = None
+    start: Start,
+    on_hangup: Callable[[], None] | None = None,
+    log: LogWriter | None = None,
 ) -> int:
     """Runs the reactor until the program is told to stop.
 
@@ -82,11 +89,15 @@
       start: starts the program; returns its stop, whose result is falsy when
         nothing was left behind.
       on_hangup: is called at each SIGHUP.
+      log: is flushed while the program runs.
 
     Returns:
       the exit code.
     """
     program = _Program(start, on_hangup)
+    if log is not None:
+        task.LoopingCall(log.flush).start(_FLUSH_S)
+        task.LoopingCall(tell_dropped, log).start(_TELL_S)
     reactor.callWhenRunning(program.running)
     reactor.run(installSignalHandlers=False)
     return program.exit
--- a/magnolialug/cmd/sidecar.py
+++ b/magnolialug/cmd/sidecar.py
@@ -7,7 +7,7 @@
 from twisted.web.server import Site
 
 from magnolialug.carrier.client import Client, address_of
-from magnolialug.cmd.flagset import COMMON, Flag, Group, parse
+from magnolialug.cmd.flagset import COMMON, STDOUT, Flag, Group, parse
 from magnolialug.cmd.runner import run_until_signal
 from magnolialug.cmd.serving import (
     SOURCE,
@@ -52,7 +52,7 @@
     flags, _ = parse(
         "magnolialug-sidecar", "guards one endpoint on its VM", _GROUPS
     )
-    setup_logging(flags.log_format, flags.log_level)
+    log = setup_logging(flags.log_format, flags.log_level, STDOUT)
 
     async def start():
         current = Current()
@@ -97,4 +97,4 @@
 
         return stop
 
-    sys.exit(run_until_signal(start))
+    sys.exit(run_until_signal(start, log=log))
--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -6,7 +6,7 @@
 
 __all__ = ["explain_request"]
 
-_HIDDEN = frozenset({"event", "request", "costs"})
+_HIDDEN = frozenset({"at", "event", "name", "request", "costs"})
 
 
 def explain_request(lines: Iterable[str], request_id: str) -> list[str]:
@@ -19,28 +19,28 @@
     story = []
     for line in lines:
         record = _record(line)
-        extra = record.get("extra", {})
-        if extra.get("request") != request_id:
+        if record.get("request") != request_id:
             continue
-        story.append((record["time"]["timestamp"], _told(record, extra)))
+        story.append((record.get("at", 0.0), _told(record)))
     return [text for _, text in sorted(story)]
 
 
 def _record(line: str) -> dict:
     try:
-        return msgspec.json.decode(line)["record"]
-    except (msgspec.DecodeError, KeyError, TypeError):
+        record = msgspec.json.decode(line)
+    except msgspec.DecodeError:
         return {}
+    return record if isinstance(record, dict) else {}
 
 
-def _told(record: dict, extra: dict) -> str:
+def _told(record: dict) -> str:
     fields = ", ".join(
         f"{name}={value}"
-        for name, value in extra.items()
+        for name, value in record.items()
         if name not in _HIDDEN
     )
-    text = f"{extra['event']} {record['message']}: {fields}"
-    for endpoint, source, ttft_s, cost in extra.get("costs", ()):
+    text = f"{record.get('event')} {record.get('name')}: {fields}"
+    for endpoint, source, ttft_s, cost in record.get("costs", ()):
         text += (
             f"\n    {endpoint}: cache from {source},"
             f" first word in {ttft_s} s, cost {cost}"
--- a/magnolialug/entry/dispatch.py
+++ b/magnolialug/entry/dispatch.py
@@ -15,6 +15,11 @@
       weights: the version of the weights it must have, 0 for any.
       priority: 0 is admitted first.
       resume_after: the event to go on after, 0 for a run from the start.
+      fetch: for each part of the prompt the address of the store to read it
+        from, "" for none; no rows if nothing is fetched.
+      save: the same for the store that is to keep it.
+      fetch_until_ms: a fetch that lasts longer is thrown away; on the
+        endpoints' clock.
     """
 
     endpoint: EndpointId
@@ -22,3 +27,6 @@
     weights: int = 0
     priority: int = 0
     resume_after: int = 0
+    fetch: tuple[str, ...] = ()
+    save: tuple[str, ...] = ()
+    fetch_until_ms: int = 0
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 
 from magnolialug.config.routing import CallerLimits, RouteType, Routing
@@ -22,13 +23,16 @@
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means, Serving
+from magnolialug.entry.storewatch import StoreWatch
 from magnolialug.events import Event, emit, explain
 from magnolialug.metrics import Metrics
+from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
 from magnolialug.platform.operator import OPERATOR_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX
 from magnolialug.platform.settings import Settings
+from magnolialug.policy.cachemap import CacheMap
 from magnolialug.policy.retry import Backoff, Budget
 from magnolialug.result import Code, Executed, Failure, failed
 from magnolialug.timing import sleep
@@ -65,6 +69,7 @@
       reactor: for connections and time.
       kv: the platform's key-value service.
       calls: reports of engines, and orders to them.
+      cache_calls: what the stores of cache parts say.
     """
 
     def __init__(
@@ -75,6 +80,7 @@
         random: Random,
         metrics: Metrics,
         calls: EngineCalls,
+        cache_calls: CacheCalls,
     ):
         self.settings = settings
         self.clock: Callable[[], float] = reactor.seconds
@@ -87,7 +93,16 @@
         )
         self.in_progress = 0
         self._reactor = reactor
-        self._placer = Placer(self.directory, settings.zone, reactor.seconds)
+        self._cache = CacheMap()
+        self._stores = StoreWatch(self._cache, cache_calls, reactor, random)
+        self._placer = Placer(
+            self.directory,
+            settings.zone,
+            reactor.seconds,
+            self._cache,
+            self._stores.addresses,
+            lambda: self.book.weights,
+        )
         self._underway: set[HttpAttempt] = set()
         self._stopping_at: float | None = None
         self._tick = None
@@ -137,6 +152,27 @@
         self._ticked()
         emit(Event.STARTED, vm=self.settings.vm, zone=self.settings.zone)
 
+    def reload(self, settings: Settings | Failure) -> None:
+        """Takes changed settings; a file that is wrong changes nothing.
+
+        Addresses and the zone stay as they were at the start: a process
+        cannot move, and the platform starts a new one for that.
+        """
+        if isinstance(settings, Failure):
+            emit(
+                Event.SETTINGS_REFUSED,
+                field=settings.field,
+                **explain(settings),
+            )
+            return
+        self.settings = msgspec.structs.replace(
+            self.settings, bounds=settings.bounds
+        )
+        budget = self._new_budget()
+        self._means.budget.ratio = budget.ratio
+        self._means.budget.limit = budget.limit
+        emit(Event.RELOADED, vm=settings.vm)
+
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
         return (
@@ -163,6 +199,7 @@
             await sleep(self._reactor, _DRAIN_STEP_S)
         for follower in self._followers:
             follower.stop()
+        self._stores.stop()
         if self._tick is not None and self._tick.active():
             self._tick.cancel()
         event = Event.STOP_FORCED if self.in_progress else Event.STOPPED
@@ -266,6 +303,7 @@
 
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
+        self._stores.configure(routing)
 
     def _limits(self) -> CallerLimits:
         table = self.book.table
@@ -289,6 +327,7 @@
         self.factory.sweep(now)
         self.registry.tick()
         self._orders.tick()
+        self._cache.tick(now)
         self.directory.trim()
 
 
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -1,13 +1,17 @@
 """Chooses the endpoint for each attempt of a forwarded call."""
 
+from collections.abc import Callable, Mapping
+
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.progress import Progress
-from magnolialug.ids import EndpointId, ZoneId
+from magnolialug.ids import EndpointId, ServiceName, ZoneId
 from magnolialug.platform.requests import Answer
+from magnolialug.policy.cachemap import CacheMap
 from magnolialug.policy.choice import Candidate, choose
+from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.ring import Ring
 from magnolialug.result import Code, Failure, failed
 
@@ -29,11 +33,25 @@
 
     Args:
       zone: where this process runs.
+      cache: what the stores of cache parts hold.
+      stores: their addresses.
+      named: returns the newest version of each model's weights.
     """
 
-    def __init__(self, directory: Directory, zone: ZoneId, clock):
+    def __init__(
+        self,
+        directory: Directory,
+        zone: ZoneId,
+        clock: Callable[[], float],
+        cache: CacheMap,
+        stores: Mapping[ServiceName, str],
+        named: Callable[[], Mapping[str, int]],
+    ):
         self._directory = directory
         self._zone = zone
+        self._cache = cache
+        self._stores = stores
+        self._named = named
         self._clock = clock
         self._rings: dict[frozenset[EndpointId], Ring] = {}
 
@@ -122,11 +140,27 @@
     def _engine_cost(self, call: ForwardCall, peer: Peer, rank: int) -> float:
         load = peer.load
         salt = self._salt(call, peer.weights.get(call.prompt.model, 0))
-        cached = load.cached_tokens(salt, call.prompt)
-        unread = call.prompt.tokens_in - cached
-        cost = load.first_event_s(call.priority, unread) + rank * _RANK_S
+        unread, fetch_s = self._reading(call.prompt, salt, peer)
+        cost = load.first_event_s(call.priority, unread) + fetch_s
         room = load.room(call.prompt.tokens_in + call.prompt.tokens_out)
-        return cost + max(0.0, -room)
+        return cost + rank * _RANK_S + max(0.0, -room)
+
+    def _reading(
+        self, prompt: Prompt, salt: str, peer: Peer
+    ) -> tuple[int, float]:
+        """Returns the tokens to read and the time to fetch the others."""
+        now = self._clock()
+        held = 0
+        fetch_s = 0.0
+        for part in prompt.parts:
+            if not peer.load.has(salt, part):
+                holder = self._cache.holder((salt, part.name), now)
+                if holder is None:
+                    break
+                book = self._cache.books[holder]
+                fetch_s += book.fetch_s(part.tokens, peer.listed.zone)
+            held += part.tokens
+        return prompt.tokens_in - held, fetch_s
 
     def _plain_cost(self, peer: Peer) -> float:
         taken = peer.running * self._directory.entries
@@ -140,14 +174,45 @@
         if call.prompt is None:
             return Dispatch(endpoint, resume_after=progress.seq)
         weights = peer.weights.get(call.prompt.model, 0)
+        salt = self._salt(call, weights)
+        fetch, save, until_ms = self._cache_plan(call.prompt, salt, weights)
         return Dispatch(
             endpoint=endpoint,
-            salt=self._salt(call, weights),
+            salt=salt,
             weights=weights,
             priority=min(9, call.priority),
             resume_after=progress.seq,
+            fetch=fetch,
+            save=save,
+            fetch_until_ms=until_ms,
         )
 
+    def _cache_plan(
+        self, prompt: Prompt, salt: str, weights: int
+    ) -> tuple[tuple[str, ...], tuple[str, ...], int]:
+        """Returns where to fetch and save each part, and until when."""
+        now = self._clock()
+        newest = weights >= self._named().get(prompt.model, 0)
+        if not self._cache.books or not newest:
+            return (), (), 0
+        plans = self._cache.plan(salt, prompt.shared, now, may_save=True)
+        self._cache.saving(salt, prompt.shared, plans, now)
+        fetch = [self._address(plan.fetch) for plan in plans]
+        save = [self._address(plan.save) for plan in plans]
+        own = [""] * (len(prompt.parts) - len(plans))
+        until_ms = min(
+            (
+                self._cache.books[plan.fetch].fetch_until_ms()
+                for plan in plans
+                if plan.fetch is not None
+            ),
+            default=0,
+        )
+        return tuple(fetch + own), tuple(save + own), until_ms
+
+    def _address(self, store: ServiceName | None) -> str:
+        return "" if store is None else self._stores.get(store, "")
+
     def _salt(self, call: ForwardCall, weights: int) -> str:
         """Returns the text under which cache is shared.
 
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -1,14 +1,29 @@
 """Numbered log events; the only way this package writes to its log."""
 
+import atexit
 import enum
 import sys
+import time
 
+import msgspec
 from loguru import logger
 from twisted.logger import globalLogPublisher
 
+from magnolialug.logwriter import LogWriter
+from magnolialug.policy.logbounds import Grade, LogBounds
 from magnolialug.result import Failure
 
-__all__ = ["EVENTS", "Event", "emit", "explain", "setup_logging"]
+__all__ = [
+    "EVENTS",
+    "Event",
+    "emit",
+    "explain",
+    "grade_of",
+    "setup_logging",
+    "take_line",
+    "tell_dropped",
+    "write_line",
+]
 
 
 class Event(enum.Enum):
@@ -18,6 +33,8 @@
     DRAINING = 1001
     STOPPED = 1002
     STOP_FORCED = 1003
+    RELOADED = 1004
+    SETTINGS_REFUSED = 1005
     CONFIG_IN_FORCE = 1100
     CONFIG_REFUSED = 1101
     WEIGHTS_NAMED = 1102
@@ -28,6 +45,8 @@
     REQUEST_FAILED = 2004
     RESUMED = 2005
     CANCELLED = 2006
+    SENT = 2007
+    ANSWERED = 2008
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
     CLAIM_MOVED = 2102
@@ -51,6 +70,9 @@
     ENTRY_REFUSED = 4104
     KV_LOST = 4200
     KV_BACK = 4201
+    STORE_HEARD = 4210
+    STORE_LOST = 4211
+    STORE_LISTED = 4212
     LEASE_WON = 4300
     LEASE_LOST = 4301
     LEASE_UNCERTAIN = 4302
@@ -58,6 +80,7 @@
     ORDER_ANSWERED = 4311
     WEIGHTS_TAKEN = 4312
     TASK_FAILED = 9000
+    LINES_DROPPED = 9001
 
 
 EVENTS: dict[Event, str] = {
@@ -65,6 +88,8 @@
     Event.DRAINING: "The process takes no new work and finishes what it has.",
     Event.STOPPED: "The process has handed everything over and stops.",
     Event.STOP_FORCED: "The drain limit passed; what was left is listed.",
+    Event.RELOADED: "The settings were read again.",
+    Event.SETTINGS_REFUSED: "The settings are wrong; the old ones stay.",
     Event.CONFIG_IN_FORCE: "A configuration version is in force here.",
     Event.CONFIG_REFUSED: "A configuration version was not applied.",
     Event.WEIGHTS_NAMED: "The operator wants a model to have a version.",
@@ -75,6 +100,8 @@
     Event.REQUEST_FAILED: "A request ended without a whole answer.",
     Event.RESUMED: "An answer goes on over a new connection.",
     Event.CANCELLED: "The caller left; the endpoint's work is stopped.",
+    Event.SENT: "An attempt was sent; what its endpoint was told.",
+    Event.ANSWERED: "An attempt ended without a whole answer; how.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
     Event.CLAIM_MOVED: "A claim moved after its attempt was sealed unrun.",
@@ -98,6 +125,9 @@
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
+    Event.STORE_HEARD: "A store of cache parts answers.",
+    Event.STORE_LOST: "A store of cache parts does not answer.",
+    Event.STORE_LISTED: "A store told all the parts that it holds.",
     Event.LEASE_WON: "This process gives the orders to engines from now on.",
     Event.LEASE_LOST: "This process gives no more orders.",
     Event.LEASE_UNCERTAIN: "A renewal had no answer; the lease runs on.",
@@ -105,14 +135,61 @@
     Event.ORDER_ANSWERED: "What an engine said to an order, or nothing.",
     Event.WEIGHTS_TAKEN: "An engine has the weights that were named.",
     Event.TASK_FAILED: "A task ended with an unexpected exception.",
+    Event.LINES_DROPPED: "Log lines were left out; how many and why.",
 }
 
-_TEXT_FORMAT = "{time:HH:mm:ss.SSS} {level.name[0]} {message} {extra}"
+# Lines that come with every request; all others are kept longest.
+_DETAIL = frozenset(
+    (
+        Event.PLACED,
+        Event.SENT,
+        Event.REQUEST_DONE,
+        Event.CANCELLED,
+        Event.ATTEMPT_HANDED_OVER,
+        Event.ATTEMPT_ENDED,
+        Event.BLOCKS_IMPORTED,
+        Event.BLOCKS_EXPORTED,
+        Event.EXPORT_DECLINED,
+        Event.IMPORT_DECLINED,
+    )
+)
+_TEXT_FORMAT = "{time:HH:mm:ss.SSS} {message}"
+
+_encode = msgspec.json.Encoder(enc_hook=str).encode
+_bounds = LogBounds()
+_to_log = logger.opt(depth=1)
+
+
+def grade_of(event: Event) -> Grade:
+    """Returns how dearly a line of an event is missed."""
+    return Grade.DETAIL if event in _DETAIL else Grade.KEPT
 
 
 def emit(event: Event, **fields: object) -> None:
     """Logs one event; callers pass ids and figures, never prompts or keys."""
-    logger.bind(event=event.value, **fields).info(event.name)
+    now = time.time()
+    if _bounds.take(grade_of(event), now):
+        write_line(event, now, fields)
+
+
+def take_line(grade: Grade, now: float) -> bool:
+    """Whether a line may be written now; counts it as dropped if not."""
+    return _bounds.take(grade, now)
+
+
+def write_line(event: Event, at: float, fields: dict[str, object]) -> None:
+    """Writes one event's line; the caller has taken it from the bounds.
+
+    Args:
+      at: time of day in seconds.
+    """
+    line = {
+        "at": round(at, 4),
+        "event": event.value,
+        "name": event.name,
+        **fields,
+    }
+    _to_log.info(_encode(line).decode())
 
 
 def explain(failure: Failure) -> dict[str, object]:
@@ -125,25 +202,43 @@
     }
 
 
-def setup_logging(form: str, level: str) -> None:
-    """Sends events to standard error.
+def setup_logging(
+    form: str, level: str, fd: int | None = None
+) -> LogWriter | None:
+    """Sends events to a stream, or to standard error.
 
     Args:
       form: "json" or "text".
       level: a loguru level name.
+      fd: a stream that is written without waiting for its reader.
+
+    Returns:
+      the writer of that stream; what it holds must be flushed from time to
+      time.
     """
     logger.remove()
-    if form == "json":
-        logger.add(sys.stderr, level=level, serialize=True)
-    else:
-        logger.add(sys.stderr, level=level, format=_TEXT_FORMAT)
+    text = "{message}" if form == "json" else _TEXT_FORMAT
     globalLogPublisher.addObserver(_task_failed)
+    if fd is None:
+        logger.add(sys.stderr, level=level, format=text)
+        return None
+    writer = LogWriter(fd)
+    logger.add(writer.write, level=level, format=text, catch=False)
+    atexit.register(writer.flush)
+    return writer
+
+
+def tell_dropped(writer: LogWriter) -> int:
+    """Logs how many lines were left out since the last call; returns it."""
+    lost, writer.lost = writer.lost, 0
+    dropped = _bounds.told()
+    if dropped or lost:
+        emit(Event.LINES_DROPPED, over_bounds=dropped, not_read=lost)
+    return dropped + lost
 
 
 def _task_failed(record: dict) -> None:
     """Logs what the reactor caught, which would otherwise go unseen."""
     failure = record.get("log_failure")
     if failure is not None:
-        logger.bind(event=Event.TASK_FAILED.value).error(
-            "{}\n{}", Event.TASK_FAILED.name, failure.getTraceback()
-        )
+        emit(Event.TASK_FAILED, traceback=failure.getTraceback())
--- /dev/null
+++ b/magnolialug/platform/cachecalls.py
@@ -0,0 +1,129 @@
+"""Calls to a store of cache parts: what it holds and what has changed."""
+
+from typing import Any
+
+import msgspec
+
+from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
+from magnolialug.carrier.pool import Address
+from magnolialug.result import Code, Failure, failed
+
+__all__ = ["CacheCalls", "CacheChange", "CacheEvents", "CacheList"]
+
+_SLACK_S = 0.35
+_LIST_S = 2.0
+
+
+class CacheChange(msgspec.Struct, frozen=True):
+    """A part became whole, or is gone.
+
+    Attributes:
+      tokens: how many are stored now.
+    """
+
+    whole: bool
+    salt: str
+    part: str
+    tokens: int
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """What has changed since a number.
+
+    Attributes:
+      epoch: names one start of the store.
+      next: the number to ask from the next time.
+      gap: whether some changes are no longer known.
+      clock_ms: the time on the servers' clock, 0 if not told.
+    """
+
+    epoch: int
+    next: int
+    gap: bool
+    changes: tuple[CacheChange, ...]
+    clock_ms: float
+
+
+class CacheList(msgspec.Struct, frozen=True):
+    """All whole parts that a store holds."""
+
+    epoch: int
+    next: int
+    parts: tuple[CacheChange, ...]
+
+
+class _WireEvents(msgspec.Struct):
+    """The body of `GET /kv-events`.
+
+    Attributes:
+      events: rows of [number, sign, salt, part, tokens, model].
+      clock_ms: the servers' clock.
+    """
+
+    epoch: int
+    next: int
+    lost: bool = False
+    events: list[list[Any]] = []
+    clock_ms: float = 0.0
+
+
+class _WireList(msgspec.Struct):
+    """The body of `GET /kv-list`; a row is [salt, part, tokens, model]."""
+
+    epoch: int
+    next: int
+    held: list[list[Any]] = []
+
+
+class CacheCalls:
+    """Asks stores, on connections of its own."""
+
+    def __init__(self, client: Client):
+        self._client = client
+
+    async def events(
+        self, address: Address, since: int, wait_s: float
+    ) -> CacheEvents | Failure:
+        """Returns what has changed since a number; waits for a change."""
+        request = request_bytes(
+            "GET",
+            address[0],
+            f"/kv-events?since={since}",
+            headers={"Wait-Ms": str(int(wait_s * 1000))},
+        )
+        reply = await self._client.ask(address, request, wait_s + _SLACK_S)
+        row = _typed(reply, _WireEvents)
+        if isinstance(row, Failure):
+            return row
+        try:
+            changes = tuple(
+                CacheChange(sign == "+", salt, part, tokens)
+                for _, sign, salt, part, tokens, *_ in row.events
+            )
+        except ValueError as exc:
+            return failed(Code.BAD_ENTRY, str(exc), "kv-events")
+        return CacheEvents(row.epoch, row.next, row.lost, changes, row.clock_ms)
+
+    async def list(self, address: Address) -> CacheList | Failure:
+        """Returns all that a store holds."""
+        request = request_bytes("GET", address[0], "/kv-list")
+        reply = await self._client.ask(address, request, _LIST_S)
+        row = _typed(reply, _WireList)
+        if isinstance(row, Failure):
+            return row
+        parts = tuple(
+            CacheChange(True, salt, part, tokens)
+            for salt, part, tokens, *_ in row.held
+        )
+        return CacheList(row.epoch, row.next, parts)
+
+
+def _typed(reply: Reply | NoReply, form: type):
+    if isinstance(reply, NoReply):
+        return failed(Code.STORE_UNAVAILABLE, reply.end.value)
+    if reply.status != 200:
+        return failed(Code.STORE_UNAVAILABLE, f"status {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=form)
+    except msgspec.MsgspecError as exc:
+        return failed(Code.BAD_ENTRY, str(exc), "store", reply.body[:80])
--- a/magnolialug/platform/requests.py
+++ b/magnolialug/platform/requests.py
@@ -229,9 +229,18 @@
     ]
     if to.weights:
         lines.append(b"X-Expect-Version: %d" % to.weights)
+    if any(to.fetch):
+        lines.append(b"X-Kv-Fetch-From: " + _addresses(to.fetch))
+        lines.append(b"X-Kv-Until: %d" % to.fetch_until_ms)
+    if any(to.save):
+        lines.append(b"X-Kv-Save-To: " + _addresses(to.save))
     return lines
 
 
+def _addresses(rows: tuple[str, ...]) -> bytes:
+    return ",".join(row or "-" for row in rows).encode("latin-1")
+
+
 def read_answer(head: Head) -> Answer:
     """Returns what an endpoint's response head says."""
     dropped = _dropped(head.headers)
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -63,6 +63,10 @@
         """Own attempts under way."""
         return len(self._running)
 
+    def has(self, salt: str, part: Part) -> bool:
+        """Whether the engine is believed to hold a part."""
+        return (salt, part.name) in self._parts
+
     def cached_tokens(self, salt: str, prompt: Prompt) -> int:
         """Returns the length of the prompt's believed cached prefix."""
         tokens = 0
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -15,7 +15,7 @@
 
     def lines(self, work) -> list[str]:
         lines: list[str] = []
-        sink = logger.add(lines.append, serialize=True)
+        sink = logger.add(lines.append, format="{message}")
         try:
             work()
         finally:
@@ -42,7 +42,7 @@
             Event.ATTEMPT_HANDED_OVER,
             Event.REQUEST_DONE,
         ):
-            self.assertIn(f'"event": {event.value}', text)
+            self.assertIn(f'"event":{event.value},', text)
 
     def test_explain_tells_the_costs_compared(self):
         cluster = Cluster(bookings=0)
