Gateway: no new work later than the balancer's notice after a stop begins

Ruled out: waiting longer; the kill comes. Change: after 2.8 s requests are refused as not run; the balancer sends none by then, and callers have been told to close since the signal.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -53,8 +53,9 @@
 # After the signal to stop, the balancer needs two misses at a second each
 # until it sends no more.
 _NOTICED_S = 2.6
-# Work that is taken later than this after the signal may outlast the grace.
-_TAKES_WORK_S = 4.5
+# Work that is taken later than this after the signal may outlast the grace;
+# by then the balancer sends none, and callers were told to close.
+_TAKES_WORK_S = 2.8
 _STOP_MARGIN_S = 0.4
 _DRAIN_STEP_S = 0.05
 
