Orders: engines that are about to load are told to all entries beforehand

Ruled out: trying a second endpoint all the same; the route says one. Change: the holder writes which engines it closes and which have the version under its lease, before it orders; the write is also what its successor goes by. Entries choose others while an engine is closed.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -9,9 +9,14 @@
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.listed import Listed
+from magnolialug.policy.rollout import Rollout
 
 __all__ = ["Directory"]
 
+# An engine that is announced to load is left alone for this long at most, in
+# case the announcer dies before it says that the engine is done.
+_LOADING_S = 4.0
+
 
 class Directory:
     """Keeps one peer for each listed endpoint.
@@ -75,6 +80,17 @@
         peer.gone = True
         peer.pool.close()
 
+    def rollout(self, rollout: Rollout) -> None:
+        """Takes which engines load weights now, and which have them."""
+        now = self._reactor.seconds()
+        for endpoint in rollout.taken:
+            peer = self.peers.get(EndpointId(endpoint))
+            if peer is not None:
+                peer.heard_weights(rollout.model, rollout.version)
+        for peer in self.peers.values():
+            closed = peer.listed.endpoint in rollout.closed
+            peer.closed_until = now + _LOADING_S if closed else 0.0
+
     def replace(self, entries: Iterable[Listed]) -> None:
         """Takes the whole registry as it is now."""
         named = set()
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -116,7 +116,12 @@
             backoff=lambda: Backoff(base_s=0.004, limit_s=0.1),
         )
         self._lease = OrderLease(
-            kv, settings.vm, reactor, random, settings.bounds.lease_s
+            kv,
+            settings.vm,
+            reactor,
+            random,
+            settings.bounds.lease_s,
+            self.directory.rollout,
         )
         self._orders = Orders(
             self.directory,
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -1,6 +1,7 @@
 """The lease that lets one entry at a time give orders to engines."""
 
 import secrets
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -10,6 +11,7 @@
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
+from magnolialug.policy.rollout import Rollout
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
 
@@ -34,12 +36,12 @@
 
     Attributes:
       start: names one start of the holder's process.
-      ordering: whether it may be giving orders.
+      rollout: what it may be giving orders for, None for nothing.
     """
 
     vm: str
     start: str
-    ordering: bool = False
+    rollout: Rollout | None = None
 
 
 class OrderLease:
@@ -52,14 +54,16 @@
     asked for, and a margin less.
 
     Orders of two holders must not alternate faster than a bound. Before its
-    first order a holder writes that it gives orders, on condition that the
+    orders a holder writes what it is about to order, on condition that the
     key is still its own. Who takes over from a holder that had written so
     waits for the bound; who takes over from one that had not can begin at
-    once, since that one's next write will fail.
+    once, since that one's next write will fail. The others read it too, and
+    send no new work to an engine that is about to load.
 
     Args:
       vm: the name of this machine.
       bound_s: time that must lie between the orders of two holders.
+      on_rollout: is told what any holder is about to order.
     """
 
     def __init__(
@@ -69,6 +73,7 @@
         clock: IReactorTime,
         random: Random,
         bound_s: float,
+        on_rollout: Callable[[Rollout], None],
     ):
         self.fence = 0
         self.name = f"{vm}.{secrets.token_hex(4)}"
@@ -79,8 +84,9 @@
         self._bound_s = bound_s
         self._ttl_s = bound_s * _TTL_SHARE
         self._lease = 0
-        self._ordering = False
-        self._marking = False
+        self.announced: Rollout | None = None
+        self._on_rollout = on_rollout
+        self._writing = False
         self._from = 0.0
         self._until = 0.0
         self._ordered_at = 0.0
@@ -97,61 +103,74 @@
         if task is not None:
             task.cancel()
         held, self.fence = self.fence, 0
-        if held and not self._ordering:
+        if held and self.announced is None:
             await self._kv.revoke(self._lease)
 
     @property
     def may_order(self) -> bool:
         """Whether an order may be given at this moment."""
         now = self._clock.seconds()
-        return self._ordering and self._from <= now < self._until
+        told = self.announced is not None and not self._writing
+        return told and self._from <= now < self._until
 
     def ordered(self) -> None:
         """Learns that an order is given now."""
         self._ordered_at = self._clock.seconds()
 
-    def prepare(self) -> None:
-        """Writes that orders will be given, if this process holds the lease."""
-        if self.fence and not self._ordering and not self._marking:
-            self._marking = True
-            ensureDeferred(self._mark(ordering=True))
+    @property
+    def held(self) -> bool:
+        """Whether this process holds the lease and can write under it."""
+        return self.fence > 0 and not self._writing
+
+    def announce(self, rollout: Rollout) -> None:
+        """Writes what is about to be ordered; orders may follow it."""
+        if self.held and rollout != self.announced:
+            self._writing = True
+            ensureDeferred(self._write(rollout))
 
     def rest(self) -> None:
         """Writes that no more orders are given, once that is long true."""
         quiet = self._clock.seconds() - self._ordered_at > self._bound_s
-        if self.fence and self._ordering and quiet and not self._marking:
-            self._marking = True
-            self._ordering = False
-            ensureDeferred(self._mark(ordering=False))
+        if self.held and self.announced is not None and quiet:
+            self._writing = True
+            ensureDeferred(self._write(None))
 
     def fenced(self) -> None:
         """Learns that a higher fencing token has been used."""
         self._until = 0.0
         self.fence = 0
-        self._ordering = False
+        self.announced = None
 
-    async def _mark(self, ordering: bool) -> None:
-        value = msgspec.structs.replace(self._me, ordering=ordering)
+    async def _write(self, rollout: Rollout | None) -> None:
+        value = msgspec.structs.replace(self._me, rollout=rollout)
         swap = await self._kv.put_if(
             HOLDER_KEY, msgspec.json.encode(value), self.fence, self._lease
         )
-        self._marking = False
         if isinstance(swap, Failure):
-            await self._read_back(value)
+            await self._read_back()
         elif swap.won:
             self.fence = swap.revision
-            self._ordering = ordering
+            self._tell(rollout)
         elif swap.current is None or not self._is_mine(swap.current):
             self.fenced()
         else:
-            self.fence = swap.current.revision
+            self._found(swap.current)
+        self._writing = False
 
-    async def _read_back(self, value: Holder) -> None:
+    async def _read_back(self) -> None:
         """Finds out what a write without answer has done."""
         found = await self._kv.get(HOLDER_KEY)
         if isinstance(found, KvEntry) and self._is_mine(found):
-            self.fence = found.revision
-            self._ordering = _holder_of(found) == value and value.ordering
+            self._found(found)
+
+    def _found(self, entry: KvEntry) -> None:
+        self.fence = entry.revision
+        self._tell(_holder_of(entry).rollout)
+
+    def _tell(self, rollout: Rollout | None) -> None:
+        self.announced = rollout
+        if rollout is not None:
+            self._on_rollout(rollout)
 
     async def _run(self) -> None:
         backoff = Backoff(base_s=0.2, limit_s=1.0)
@@ -172,7 +191,7 @@
         found = await self._kv.snapshot(HOLDER_KEY)
         if isinstance(found, Failure) or not found.entries:
             return found if isinstance(found, Failure) else None
-        before = _holder_of(found.entries[-1])
+        before = self._heard(found.entries[-1], None)
         revision = found.revision
         while True:
             # From the revision of the read: that of the key may lie further
@@ -185,10 +204,17 @@
                 continue
             if changes.entries[-1].value is None:
                 break
-            before = _holder_of(changes.entries[-1]) or before
+            before = self._heard(changes.entries[-1], before)
         await sleep(self._clock, self._random.uniform(0.0, _TRY_WITHIN_S))
         return before
 
+    def _heard(self, entry: KvEntry, before: Holder | None) -> Holder | None:
+        """Takes what another holder has written."""
+        holder = _holder_of(entry)
+        if holder is not None and holder.rollout is not None:
+            self._on_rollout(holder.rollout)
+        return holder or before
+
     async def _take(self, before: Holder | None) -> Failure | None:
         """Writes the key; a lost answer is read back.
 
@@ -212,7 +238,7 @@
             revision = swap.revision
         self._lease = lease
         self.fence = revision
-        self._ordering = False
+        self.announced = None
         self._until = asked + self._ttl_s - _MARGIN_S
         self._from = self._clock.seconds() + self._bound_after(before)
         emit(
@@ -228,7 +254,8 @@
         if before is None:
             return self._bound_s
         same = before.vm == self._me.vm
-        return self._bound_s if before.ordering and not same else 0.0
+        ordering = before.rollout is not None
+        return self._bound_s if ordering and not same else 0.0
 
     async def _hold(self) -> None:
         while self.fence:
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -11,7 +11,7 @@
 from magnolialug.events import Event, emit
 from magnolialug.ids import EndpointId
 from magnolialug.platform.enginecalls import EngineCalls, OrderReply, Report
-from magnolialug.policy.rollout import Engine, due
+from magnolialug.policy.rollout import Engine, plan
 from magnolialug.result import Failure
 
 __all__ = ["Orders"]
@@ -20,7 +20,16 @@
 _AGAIN_S = 0.4
 # How often an engine that takes weights is asked whether it is done; its
 # registry entry would tell a heartbeat later.
-_ASK_S = 0.35
+_ASK_S = 0.1
+# Loading takes longer than this, so it is not asked before.
+_LOADING_S = 1.2
+# Between the announcement and the order, what waits in an engine's queue can
+# start; what has not started by then is turned away.
+_CLOSED_S = 0.12
+# An order that shows no effect for this long is given again.
+_ORDER_AGAIN_S = 5.0
+# An engine that does not answer so often makes room for the next one.
+_FAILURES = 2
 # Runs go on while the engine loads, and most of them end before it is done.
 # Waiting for them first took 3.5 s an engine in place of 1.4 s, and resetting
 # them lost more answers than it saved time.
@@ -34,13 +43,17 @@
       orders: how many it has accepted, None if it must be asked.
       calling: whether a call to it is under way.
       quiet_until: no call to it before then.
+      closed_at: when all entries had been told to send it no new work.
       ordered_at: when it accepted an order or may have.
+      failures: calls in a row that it did not answer.
     """
 
     orders: int | None = None
     calling: bool = False
     quiet_until: float = 0.0
+    closed_at: float | None = None
     ordered_at: float | None = None
+    failures: int = 0
     version: int = 0
 
 
@@ -68,41 +81,79 @@
 
     def tick(self) -> None:
         """Looks for engines that need an order or a question."""
-        named = self._named()
-        if not any(map(self._outdated, named, named.values())):
-            self._lease.rest()
+        if not self._lease.held:
             return
-        self._lease.prepare()
-        if not self._lease.may_order:
+        for model, version in self._named().items():
+            if self._outdated(model, version):
+                self._bring(model, version)
+                return
+        self._finish()
+
+    def _finish(self) -> None:
+        """Tells that all engines are open again."""
+        told = self._lease.announced
+        if told is None:
             return
-        for model, version in named.items():
-            self._bring(model, version)
+        if told.closed:
+            done = msgspec.structs.replace(
+                told, closed=(), taken=told.taken + told.closed
+            )
+            self._lease.announce(done)
+        else:
+            self._lease.rest()
 
     def _outdated(self, model: str, version: int) -> list[Peer]:
         peers = self._directory.engines_with(model)
         return [p for p in peers if p.weights.get(model, 0) < version]
 
     def _bring(self, model: str, version: int) -> None:
-        outdated = self._outdated(model, version)
-        engines = len(self._directory.engines_with(model))
+        """Closes the next engines, and orders those closed long enough."""
         now = self._clock()
-        for peer in outdated:
-            self._ask_progress(peer, model, version, now)
-        rows = [self._row(peer, version, now) for peer in outdated]
-        for endpoint in due(rows, engines, now):
-            peer = self._directory.peers[endpoint]
+        peers = self._directory.engines_with(model)
+        rows = [self._row(p, model, version, now) for p in peers]
+        rollout = plan(model, version, rows)
+        if rollout != self._lease.announced:
+            self._lease.announce(rollout)
+            return
+        if not self._lease.may_order:
+            return
+        for peer in self._outdated(model, version):
+            if peer.listed.endpoint in rollout.closed:
+                self._advance(peer, model, version, now)
+
+    def _advance(
+        self, peer: Peer, model: str, version: int, now: float
+    ) -> None:
+        state = self._state(peer)
+        if state.calling or now < state.quiet_until:
+            return
+        if state.closed_at is None:
+            state.closed_at = now
+        if state.ordered_at is not None:
+            self._start(peer, self._ask(peer))
+        elif now - state.closed_at >= _CLOSED_S:
             self._start(peer, self._order(peer, model, version))
 
-    def _row(self, peer: Peer, version: int, now: float) -> Engine:
+    def _row(self, peer: Peer, model: str, version: int, now: float) -> Engine:
         state = self._state(peer)
         if state.version != version:
             state.version = version
-            state.ordered_at = None
+            state.ordered_at = state.closed_at = None
+        given_up = (
+            state.ordered_at is not None
+            and now - state.ordered_at > _ORDER_AGAIN_S
+        )
+        if given_up:
+            state.ordered_at = state.orders = None
+        told = self._lease.announced
         return Engine(
             endpoint=peer.listed.endpoint,
             running=peer.running,
-            ordered_at=state.ordered_at,
-            paused=state.calling or now < state.quiet_until,
+            current=peer.weights.get(model, 0) >= version,
+            closed=told is not None
+            and told.version == version
+            and peer.listed.endpoint in told.closed,
+            failing=state.failures > _FAILURES,
         )
 
     def _state(self, peer: Peer) -> _Engine:
@@ -112,16 +163,6 @@
         self._state(peer).calling = True
         ensureDeferred(work)
 
-    def _ask_progress(
-        self, peer: Peer, model: str, version: int, now: float
-    ) -> None:
-        state = self._state(peer)
-        if state.ordered_at is None or state.version != version:
-            return
-        if state.calling or now < state.quiet_until:
-            return
-        self._start(peer, self._ask(peer))
-
     async def _ask(self, peer: Peer) -> Report | None:
         """Asks for a report and takes in what it says."""
         state = self._state(peer)
@@ -130,7 +171,9 @@
         state.quiet_until = self._clock() + _ASK_S
         if isinstance(report, Failure):
             state.orders = None
+            state.failures += 1
             return None
+        state.failures = 0
         state.orders = report.orders
         for model, version in report.weights.items():
             self._heard(peer, model, version)
@@ -183,6 +226,7 @@
         )
         if reply is OrderReply.ACCEPTED:
             state.orders += 1
+            state.quiet_until = self._clock() + _LOADING_S
             return
         state.orders = None
         if reply is OrderReply.HOLDS:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -15,6 +15,7 @@
       listed: its newest registry entry.
       running: attempts under way from this process.
       gone: whether the registry dropped it, or another has its address.
+      closed_until: its engine loads weights and turns new work away.
       load: what is known of its engine, None for a plain service.
     """
 
@@ -25,6 +26,7 @@
         self.health = Health()
         self.running = 0
         self.gone = False
+        self.closed_until = 0.0
         self.weights: dict[str, int] = dict(listed.weights)
 
     @property
@@ -36,6 +38,7 @@
         """Takes the version that one of its answers was made with."""
         if version > self.weights.get(model, 0):
             self.weights[model] = version
+            self.closed_until = 0.0
 
     def relist(self, listed: Listed) -> None:
         """Takes a newer registry entry."""
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -135,7 +135,8 @@
         else:
             cost += self._plain_cost(peer)
         cost *= peer.health.penalty
-        return Candidate(peer.listed.endpoint, cost, peer.health.usable(now))
+        sound = peer.health.usable(now) and now >= peer.closed_until
+        return Candidate(peer.listed.endpoint, cost, sound)
 
     def _engine_cost(self, call: ForwardCall, peer: Peer, rank: int) -> float:
         load = peer.load
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -1,35 +1,48 @@
 """Which engines take new weights next."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import msgspec
 
 from magnolialug.ids import EndpointId
 
-__all__ = ["Engine", "at_once", "due"]
+__all__ = ["Engine", "Rollout", "at_once", "plan"]
 
 # Loading slows down when more than about three eighths of a service's
 # engines load at the same time: over 2 of 6, 7 of 20, 9 of 24.
 _AT_ONCE_SHARE = 0.375
 _AT_ONCE_LEAST = 2
-# An order that shows no effect for this long is given again. Loading takes
-# 1.3 s after the runs have finished, and runs take a second or two.
-_ORDER_AGAIN_S = 5.0
 
 
 class Engine(msgspec.Struct, frozen=True):
-    """An engine that has older weights than were named.
+    """An engine of the service that is to take a version.
 
     Attributes:
       running: attempts under way there, as far as this process knows.
-      ordered_at: when it accepted the order or may have, None if not.
-      paused: whether it does not answer at the moment.
+      current: whether it has the version.
+      closed: whether it gets no new work, since it loads or soon will.
+      failing: whether it does not answer.
     """
 
     endpoint: EndpointId
     running: int
-    ordered_at: float | None
-    paused: bool
+    current: bool
+    closed: bool
+    failing: bool
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """What is about to be ordered, told to all entries beforehand.
+
+    Attributes:
+      closed: engines that get no new work, since they load or soon will.
+      taken: engines that have the version.
+    """
+
+    model: str
+    version: int
+    closed: tuple[str, ...] = ()
+    taken: tuple[str, ...] = ()
 
 
 def at_once(engines: int) -> int:
@@ -37,27 +50,22 @@
     return max(_AT_ONCE_LEAST, int(engines * _AT_ONCE_SHARE))
 
 
-def due(
-    outdated: Iterable[Engine], engines: int, now: float
-) -> list[EndpointId]:
-    """Returns the engines to be ordered now, the least busy first.
+def plan(model: str, version: int, engines: Sequence[Engine]) -> Rollout:
+    """Returns the engines to be closed now, the least busy first.
 
-    Args:
-      outdated: the engines whose weights are older than named.
-      engines: how many the service has in all.
+    An engine stays closed until it has the version. One that does not answer
+    keeps its place only while no other waits for it, so that a dead engine
+    does not hold up the rest.
     """
-    outdated = list(outdated)
-    loading = [
-        engine
-        for engine in outdated
-        if engine.ordered_at is not None
-        and now - engine.ordered_at < _ORDER_AGAIN_S
-    ]
-    free = at_once(engines) - len(loading)
-    waiting = [
-        engine
-        for engine in outdated
-        if engine not in loading and not engine.paused
-    ]
-    waiting.sort(key=lambda engine: (engine.running, engine.endpoint))
-    return [engine.endpoint for engine in waiting[: max(0, free)]]
+    outdated = [engine for engine in engines if not engine.current]
+    loading = [e for e in outdated if e.closed and not e.failing]
+    waiting = [e for e in outdated if not e.closed]
+    waiting.sort(key=lambda e: (e.failing, e.running, e.endpoint))
+    free = at_once(len(engines)) - len(loading)
+    closed = loading + waiting[: max(0, free)]
+    return Rollout(
+        model=model,
+        version=version,
+        closed=tuple(sorted(e.endpoint for e in closed)),
+        taken=tuple(sorted(e.endpoint for e in engines if e.current)),
+    )
