Logs: each request's lines, with the costs compared

Cause: a late answer could not be explained: the lines named neither the endpoint chosen nor what it was compared with. Change: RequestLog writes a line for each placement, each attempt without a whole answer, each retry and the end; over the bounds it keeps the lines back and writes them if the request fails.

--- a/magnolialug/entry/app.py
+++ b/magnolialug/entry/app.py
@@ -30,6 +30,7 @@
 from magnolialug.platform.kv import Kv
 from magnolialug.policy.admission import Admission, Limit
 from magnolialug.policy.retry import Budget
+from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
 from magnolialug.wire import messages as msg
@@ -136,7 +137,10 @@
         self._means.budget.deposit(call.service)
         try:
             result = await Serving(
-                self._means, call, self._carrier(call, sink)
+                self._means,
+                call,
+                self._carrier(call, sink),
+                RequestLog(call.name),
             ).run()
         finally:
             self.in_progress -= 1
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -34,6 +34,7 @@
 from magnolialug.platform.settings import Settings
 from magnolialug.policy.cachemap import CacheMap
 from magnolialug.policy.retry import Backoff, Budget
+from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure, failed
 from magnolialug.timing import sleep
 
@@ -220,12 +221,15 @@
             self._refused_early(req, call)
             sink.refuse(call)
             return
+        log = RequestLog(call.name)
         carrier = HttpCarrier(
-            self._placer, self._underway, self.clock, call, sink
+            self._placer, self._underway, self.clock, call, sink, log
         )
-        fut = ensureDeferred(self._serve(call, carrier))
-        req.notifyFinish().addErrback(lambda _: self._left(call, sink, fut))
-        fut.addCallback(self._ended, call, sink, carrier)
+        fut = ensureDeferred(self._serve(call, carrier, log))
+        req.notifyFinish().addErrback(
+            lambda _: self._left(call, sink, fut, log)
+        )
+        fut.addCallback(self._ended, call, sink, carrier, log)
         fut.addErrback(_broken, sink)
 
     def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
@@ -239,12 +243,12 @@
         return read_call(req, self.book.table, self.clock())
 
     async def _serve(
-        self, call: ForwardCall, carrier: HttpCarrier
+        self, call: ForwardCall, carrier: HttpCarrier, log: RequestLog
     ) -> Served | Failure:
         self.in_progress += 1
         self._means.budget.deposit(call.service)
         try:
-            return await Serving(self._means, call, carrier).run()
+            return await Serving(self._means, call, carrier, log).run()
         finally:
             self.in_progress -= 1
 
@@ -254,11 +258,12 @@
         call: ForwardCall,
         sink: GatewaySink,
         carrier: HttpCarrier,
+        log: RequestLog,
     ) -> None:
         kept = isinstance(result, Failure) and carrier.deliver_kept()
         if isinstance(result, Failure) and not kept:
             sink.refuse(self._in_time(result, call))
-        self._count(call, result, sink)
+        self._count(call, result, sink, log)
 
     def _in_time(self, failure: Failure, call: ForwardCall) -> Failure:
         """Says of a failure at the deadline that time was the cause."""
@@ -268,30 +273,37 @@
         return failure
 
     def _left(
-        self, call: ForwardCall, sink: GatewaySink, fut: Deferred
+        self,
+        call: ForwardCall,
+        sink: GatewaySink,
+        fut: Deferred,
+        log: RequestLog,
     ) -> None:
         sink.left()
         if call.route.form is not RouteType.NON_IDEMPOTENT:
-            emit(Event.CANCELLED, request=call.name, route=call.route.name)
+            log.emit(Event.CANCELLED, route=call.route.name)
             fut.cancel()
 
     def _count(
-        self, call: ForwardCall, result: Served | Failure, sink: GatewaySink
+        self,
+        call: ForwardCall,
+        result: Served | Failure,
+        sink: GatewaySink,
+        log: RequestLog,
     ) -> None:
         took_s = self.clock() - call.arrived
         if isinstance(result, Failure):
-            emit(
+            log.emit(
                 Event.REQUEST_FAILED,
-                request=call.name,
                 route=call.route.name,
                 status=sink.status,
                 took_s=round(took_s, 3),
                 **explain(result),
             )
+            log.failed()
             return
-        emit(
+        log.emit(
             Event.REQUEST_DONE,
-            request=call.name,
             route=call.route.name,
             status=sink.status,
             first_s=round(result.ttft_s, 3),
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -7,10 +7,12 @@
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.httpattempt import ForwardSink, HttpAttempt, Outcome
 from magnolialug.entry.peer import Peer
-from magnolialug.entry.placer import Placer
+from magnolialug.entry.placer import Placed, Placer
 from magnolialug.entry.progress import Ended, Progress, Served
+from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId
 from magnolialug.policy.retry import Ending
+from magnolialug.requestlog import RequestLog
 from magnolialug.result import Failure
 
 __all__ = ["HttpCarrier"]
@@ -33,7 +35,9 @@
         clock,
         call: ForwardCall,
         sink: ForwardSink,
+        log: RequestLog,
     ):
+        self._log = log
         self._placer = placer
         self._underway = underway
         self._clock = clock
@@ -48,10 +52,13 @@
         progress.seq = max(progress.seq, self._call.resume_after)
         placed = self._placer.place(self._call, progress, self._avoid)
         if isinstance(placed, Failure):
+            self._log.emit(Event.NOT_PLACED, **explain(placed))
             return self._kept_answer() or placed
-        peer, dispatch = placed
-        outcome = await self._run(peer, dispatch, progress)
+        peer, dispatch = placed.peer, placed.dispatch
+        self._log_placed(placed)
+        outcome = await self._run(placed, progress)
         self._learn(peer, dispatch, outcome)
+        self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
             return self._served(progress)
         self._avoid.add(dispatch.endpoint)
@@ -78,14 +85,47 @@
             return None
         return Served(None, 0, 0.0)
 
-    async def _run(
-        self, peer: Peer, dispatch: Dispatch, progress: Progress
-    ) -> Outcome:
+    def _log_placed(self, placed: Placed) -> None:
+        to = placed.dispatch
+        self._log.emit(
+            Event.PLACED,
+            route=self._call.route.name,
+            team=self._call.team,
+            endpoint=to.endpoint,
+            weights=to.weights,
+            priority=to.priority,
+            unread=placed.unread,
+            fetched=sum(map(bool, to.fetch)),
+            saved=sum(map(bool, to.save)),
+            after_event=to.resume_after,
+            left_s=round(self._call.deadline - self._clock(), 3),
+            costs=[
+                (row.endpoint, round(row.cost, 4), row.sound)
+                for row in placed.compared
+            ],
+        )
+
+    def _log_outcome(self, to: Dispatch, outcome: Outcome) -> None:
+        if outcome.ended is None:
+            return
+        answer = outcome.answer
+        self._log.emit(
+            Event.ANSWERED,
+            endpoint=to.endpoint,
+            ending=outcome.ended.ending.value,
+            end=outcome.end.value,
+            status=answer.status if answer else 0,
+            first_s=round(outcome.first_event_s, 4),
+            **explain(outcome.ended.failure),
+        )
+
+    async def _run(self, placed: Placed, progress: Progress) -> Outcome:
+        peer, dispatch = placed.peer, placed.dispatch
         now = self._clock()
         attempt = HttpAttempt(
             self._call, dispatch, peer, progress, self._sink, now
         )
-        self._placer.sent(self._call, peer, dispatch, now)
+        self._placer.sent(self._call, peer, dispatch, placed.unread, now)
         self._underway.add(attempt)
         try:
             attempt.start(self._clock)
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
@@ -15,7 +17,7 @@
 from magnolialug.policy.ring import Ring
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["Placer"]
+__all__ = ["Placed", "Placer"]
 
 # What a hop to another zone adds to an answer, there and back. It stands for
 # the bytes as well, which are paid for between zones.
@@ -28,6 +30,19 @@
 _RANK_S = 0.004
 
 
+class Placed(msgspec.Struct, frozen=True):
+    """A choice, what to tell the endpoint, and what it was compared with.
+
+    Attributes:
+      unread: prompt tokens that the endpoint is expected to read.
+    """
+
+    peer: Peer
+    dispatch: Dispatch
+    unread: int
+    compared: tuple[Candidate, ...]
+
+
 class Placer:
     """Compares a service's endpoints by the expected cost of an answer.
 
@@ -57,7 +72,7 @@
 
     def place(
         self, call: ForwardCall, progress: Progress, avoid: set[EndpointId]
-    ) -> tuple[Peer, Dispatch] | Failure:
+    ) -> Placed | Failure:
         """Returns an endpoint and what to tell it.
 
         A failure NO_ENDPOINT says that nothing was sent.
@@ -77,10 +92,17 @@
         if best is None:
             return failed(Code.NO_ENDPOINT, retry_after_s=1.0)
         peer = self._directory.peers[best.endpoint]
-        return peer, self._dispatch(call, peer, progress)
+        unread = self._unread(call, peer)
+        dispatch = self._dispatch(call, peer, progress)
+        return Placed(peer, dispatch, unread, tuple(candidates))
 
     def sent(
-        self, call: ForwardCall, peer: Peer, dispatch: Dispatch, now: float
+        self,
+        call: ForwardCall,
+        peer: Peer,
+        dispatch: Dispatch,
+        unread: int,
+        now: float,
     ) -> None:
         """Counts an attempt at its endpoint."""
         peer.running += 1
@@ -88,7 +110,12 @@
             peer.health.probing = True
         if peer.load is not None and call.prompt is not None:
             peer.load.sent(
-                call.name, dispatch.salt, call.prompt, dispatch.priority, now
+                call.name,
+                dispatch.salt,
+                call.prompt,
+                unread,
+                dispatch.priority,
+                now,
             )
 
     def over(self, call: ForwardCall, peer: Peer) -> None:
@@ -146,6 +173,12 @@
         room = load.room(call.prompt.tokens_in + call.prompt.tokens_out)
         return cost + rank * _RANK_S + max(0.0, -room)
 
+    def _unread(self, call: ForwardCall, peer: Peer) -> int:
+        if call.prompt is None or peer.load is None:
+            return 0
+        salt = self._salt(call, peer.weights.get(call.prompt.model, 0))
+        return self._reading(call.prompt, salt, peer)[0]
+
     def _reading(
         self, prompt: Prompt, salt: str, peer: Peer
     ) -> tuple[int, float]:
--- a/magnolialug/entry/serving.py
+++ b/magnolialug/entry/serving.py
@@ -9,9 +9,10 @@
 
 from magnolialug.entry.call import Call
 from magnolialug.entry.progress import Ended, Progress, Served
-from magnolialug.events import Event, emit, explain
+from magnolialug.events import Event, explain
 from magnolialug.metrics import Metrics
 from magnolialug.policy.retry import Backoff, Budget, Ending, may_retry
+from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure
 from magnolialug.timing import sleep
 
@@ -52,8 +53,11 @@
 class Serving:
     """Tries a call again as long as that is allowed."""
 
-    def __init__(self, means: Means, call: Call, carrier: Carrier):
+    def __init__(
+        self, means: Means, call: Call, carrier: Carrier, log: RequestLog
+    ):
         self._means = means
+        self._log = log
         self._call = call
         self._carrier = carrier
         self._progress = Progress()
@@ -104,11 +108,10 @@
 
     def _log_retry(self, end: Ended) -> None:
         self._means.metrics.retries.add(1)
-        emit(
+        self._log.emit(
             Event.RETRIED,
             team=self._call.team,
             kind=self._call.kind_name,
-            request=self._call.name,
             ending=end.ending.value,
             **explain(end.failure),
         )
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -45,7 +45,6 @@
     REQUEST_FAILED = 2004
     RESUMED = 2005
     CANCELLED = 2006
-    SENT = 2007
     ANSWERED = 2008
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
@@ -100,7 +99,6 @@
     Event.REQUEST_FAILED: "A request ended without a whole answer.",
     Event.RESUMED: "An answer goes on over a new connection.",
     Event.CANCELLED: "The caller left; the endpoint's work is stopped.",
-    Event.SENT: "An attempt was sent; what its endpoint was told.",
     Event.ANSWERED: "An attempt ended without a whole answer; how.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
@@ -142,7 +140,6 @@
 _DETAIL = frozenset(
     (
         Event.PLACED,
-        Event.SENT,
         Event.REQUEST_DONE,
         Event.CANCELLED,
         Event.ATTEMPT_HANDED_OVER,
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -96,10 +96,15 @@
         return self.ahead_s(priority) + unread / self.rate + _FIRST_EVENT_S
 
     def sent(
-        self, name: str, salt: str, prompt: Prompt, priority: int, now: float
+        self,
+        name: str,
+        salt: str,
+        prompt: Prompt,
+        unread: int,
+        priority: int,
+        now: float,
     ) -> None:
         """Counts an attempt, and its parts as cached from now on."""
-        unread = prompt.tokens_in - self.cached_tokens(salt, prompt)
         self._running[name] = Placed(
             priority=priority,
             unread=unread,
