Orders: entries cut off from the store learn of loading engines too

Ruled out: trying elsewhere; its routes allow one. Change: load reports between entries carry the newest rollout; an engine that turns work away gets none for 0.3 s; after a 421 from the very endpoint its version counts as unknown and nothing is shared until an answer tells it.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -22,6 +22,11 @@
 class Directory:
     """Keeps one peer for each listed endpoint.
 
+    Attributes:
+      entries: how many entries share the endpoints.
+      rollout: the newest that was told of weights being taken.
+      rollout_at: when it was heard.
+
     Args:
       reactor: for connections and time.
       opened: is told of each new connection to an endpoint.
@@ -30,6 +35,8 @@
     def __init__(self, reactor, opened: Callable[[], None] = lambda: None):
         self.peers: dict[EndpointId, Peer] = {}
         self.entries = 1
+        self.rollout: Rollout | None = None
+        self.rollout_at = float("-inf")
         self._by_service: dict[ServiceName, list[Peer]] = {}
         self._retired: list[Peer] = []
         self._routing: Routing | None = None
@@ -59,7 +66,7 @@
         return [
             peer
             for peer in self.peers.values()
-            if model in peer.weights and not peer.leaving
+            if peer.serves(model) and not peer.leaving
         ]
 
     def listed(self, entry: Listed) -> None:
@@ -87,9 +94,17 @@
         peer.gone = True
         peer.pool.close()
 
-    def rollout(self, rollout: Rollout) -> None:
-        """Takes which engines load weights now, and which have them."""
+    def rolls_out(self, rollout: Rollout) -> None:
+        """Takes which engines load weights now, and which have them.
+
+        It comes from the key-value service, and from other entries, so that
+        one that is cut off from the service learns of it too.
+        """
+        if self.rollout and rollout.number <= self.rollout.number:
+            return
+        self.rollout = rollout
         now = self._reactor.seconds()
+        self.rollout_at = now
         for endpoint in rollout.taken:
             peer = self.peers.get(EndpointId(endpoint))
             if peer is not None:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -124,7 +124,7 @@
             reactor,
             random,
             settings.bounds.lease_s,
-            self.directory.rollout,
+            self.directory.rolls_out,
         )
         self._orders = Orders(
             self.directory,
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -115,6 +115,8 @@
             ending=outcome.ended.ending.value,
             end=outcome.end.value,
             status=answer.status if answer else 0,
+            instance=answer.instance if answer else "",
+            weights=answer.weights if answer else 0,
             first_s=round(outcome.first_event_s, 4),
             **explain(outcome.ended.failure),
         )
@@ -153,9 +155,13 @@
         answer = outcome.answer
         if answer is not None and answer.misdirected:
             self._placer.misdirected(self._call, peer, dispatch, answer)
+        elif answer is not None and answer.not_run:
+            peer.health.probing = False
+            if peer.load is not None:
+                peer.turned_away(self._clock())
         elif outcome.end is End.UNSENT or outcome.end in _ENDPOINT_AT_FAULT:
             peer.health.broke(self._clock())
-        elif answer is not None and not answer.not_run:
+        elif answer is not None:
             peer.health.answered(answer.status < 500)
             if answer.weights and self._call.prompt:
                 peer.heard_weights(self._call.prompt.model, answer.weights)
--- a/magnolialug/entry/loadshare.py
+++ b/magnolialug/entry/loadshare.py
@@ -16,6 +16,8 @@
 _TELL_S = 0.02
 # A report is repeated this often, since datagrams get lost.
 _REPEAT_S = 0.25
+# A rollout is passed on for this long after it was heard.
+_NEWS_S = 6.0
 _BYTES = 8192
 
 
@@ -72,6 +74,8 @@
             return
         self._numbers[report.entry] = report.number
         self._directory.shared(report, self._clock.seconds())
+        if report.rollout is not None:
+            self._directory.rolls_out(report.rollout)
 
     def stop(self) -> None:
         """Tells the others that nothing is left here, then nothing more."""
@@ -83,8 +87,12 @@
         self._timer = None
         self._sent_at = self._clock.seconds()
         self._number += 1
+        news = self._sent_at - self._directory.rollout_at < _NEWS_S
         report = LoadReport(
-            self._name, self._number, self._directory.own_load()
+            self._name,
+            self._number,
+            self._directory.own_load(),
+            self._directory.rollout if news else None,
         )
         data = self._encode(report)
         for address in self._book.others:
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -11,7 +11,7 @@
 from magnolialug.events import Event, emit
 from magnolialug.ids import EndpointId
 from magnolialug.platform.enginecalls import EngineCalls, OrderReply, Report
-from magnolialug.policy.rollout import Engine, plan
+from magnolialug.policy.rollout import Engine, after, plan
 from magnolialug.result import Failure
 
 __all__ = ["Orders"]
@@ -98,20 +98,20 @@
             done = msgspec.structs.replace(
                 told, closed=(), taken=told.taken + told.closed
             )
-            self._lease.announce(done)
+            self._lease.announce(after(done, told))
         else:
             self._lease.rest()
 
     def _outdated(self, model: str, version: int) -> list[Peer]:
         peers = self._directory.engines_with(model)
-        return [p for p in peers if p.weights.get(model, 0) < version]
+        return [p for p in peers if p.weights(model) < version]
 
     def _bring(self, model: str, version: int) -> None:
         """Closes the next engines, and orders those closed long enough."""
         now = self._clock()
         peers = self._directory.engines_with(model)
         rows = [self._row(p, model, version, now) for p in peers]
-        rollout = plan(model, version, rows)
+        rollout = plan(model, version, rows, self._directory.rollout)
         if rollout != self._lease.announced:
             self._lease.announce(rollout)
             return
@@ -149,7 +149,7 @@
         return Engine(
             endpoint=peer.listed.endpoint,
             running=peer.running,
-            current=peer.weights.get(model, 0) >= version,
+            current=peer.weights(model) >= version,
             closed=told is not None
             and told.version == version
             and peer.listed.endpoint in told.closed,
@@ -183,7 +183,7 @@
         state = self._state(peer)
         if state.orders is None:
             await self._ask(peer)
-        if state.orders is None or peer.weights.get(model, 0) >= version:
+        if state.orders is None or peer.weights(model) >= version:
             state.calling = False
             return
         if not self._lease.may_order:
@@ -239,7 +239,7 @@
             state.ordered_at = None
 
     def _heard(self, peer: Peer, model: str, version: int) -> None:
-        if version > peer.weights.get(model, 0):
+        if version > peer.weights(model):
             peer.heard_weights(model, version)
             emit(
                 Event.WEIGHTS_TAKEN,
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -7,6 +7,10 @@
 
 __all__ = ["Peer"]
 
+# Loading weights takes 1.3 s: an entry that was not told meets a loading
+# engine about four times.
+_TURNED_AWAY_S = 0.3
+
 
 class Peer:
     """An endpoint's connections, its health and what is under way there.
@@ -27,19 +31,46 @@
         self.running = 0
         self.gone = False
         self.closed_until = 0.0
-        self.weights: dict[str, int] = dict(listed.weights)
+        self._weights: dict[str, int] = dict(listed.weights)
+        self._denied: dict[str, int] = {}
 
     @property
     def leaving(self) -> bool:
         """Whether no new work may go to it."""
         return self.gone or self.listed.leaving
 
+    def serves(self, model: str) -> bool:
+        """Whether it has some version of a model."""
+        return model in self._weights
+
+    def weights(self, model: str) -> int:
+        """Returns the version that it has of a model, 0 if not known."""
+        version = self._weights.get(model, 0)
+        return version if version > self._denied.get(model, 0) else 0
+
     def heard_weights(self, model: str, version: int) -> None:
         """Takes the version that one of its answers was made with."""
-        if version > self.weights.get(model, 0):
-            self.weights[model] = version
+        if version > self._weights.get(model, 0):
+            self._weights[model] = version
             self.closed_until = 0.0
 
+    def denied_weights(self, model: str, version: int) -> None:
+        """Learns that it has another version than this; a newer one.
+
+        An entry that is cut off from the registry goes on asking for the old
+        version, and every request is turned away. Until an answer tells the
+        new one, requests take any.
+        """
+        self._denied[model] = max(version, self._denied.get(model, 0))
+
+    def turned_away(self, now: float) -> None:
+        """Learns that it takes no new work just now.
+
+        Either its queue is full or it loads weights; both pass, and what is
+        sent meanwhile is turned away too.
+        """
+        self.closed_until = max(self.closed_until, now + _TURNED_AWAY_S)
+
     def relist(self, listed: Listed) -> None:
         """Takes a newer registry entry."""
         self.listed = listed
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -146,8 +146,8 @@
         """
         if answer.instance and answer.instance != to.endpoint:
             self._directory.misplaced(peer)
-        elif answer.weights and call.prompt:
-            peer.heard_weights(call.prompt.model, answer.weights)
+        elif call.prompt is not None:
+            peer.denied_weights(call.prompt.model, to.weights)
 
     def _ranks(
         self, call: ForwardCall, peers: list[Peer]
@@ -183,7 +183,7 @@
 
     def _engine_cost(self, call: ForwardCall, peer: Peer, rank: int) -> float:
         load = peer.load
-        salt = self._salt(call, peer.weights.get(call.prompt.model, 0))
+        salt = self._salt(call, peer.weights(call.prompt.model))
         unread, fetch_s = self._reading(call.prompt, salt, peer)
         cost = load.first_event_s(call.priority, unread) + fetch_s
         room = load.room(call.prompt.tokens_in + call.prompt.tokens_out)
@@ -192,7 +192,7 @@
     def _unread(self, call: ForwardCall, peer: Peer) -> int:
         if call.prompt is None or peer.load is None:
             return 0
-        salt = self._salt(call, peer.weights.get(call.prompt.model, 0))
+        salt = self._salt(call, peer.weights(call.prompt.model))
         return self._reading(call.prompt, salt, peer)[0]
 
     def _reading(
@@ -223,7 +223,7 @@
         endpoint = peer.listed.endpoint
         if call.prompt is None:
             return Dispatch(endpoint, resume_after=progress.seq)
-        weights = peer.weights.get(call.prompt.model, 0)
+        weights = peer.weights(call.prompt.model)
         salt = self._salt(call, weights)
         fetch, save, until_ms = self._cache_plan(call.prompt, salt, weights)
         return Dispatch(
@@ -242,7 +242,7 @@
     ) -> tuple[tuple[str, ...], tuple[str, ...], int]:
         """Returns where to fetch and save each part, and until when."""
         now = self._clock()
-        newest = weights >= self._named().get(prompt.model, 0)
+        newest = 0 < weights >= self._named().get(prompt.model, 0)
         if not self._cache.books or not newest:
             return (), (), 0
         plans = self._cache.plan(salt, prompt.shared, now, may_save=True)
@@ -267,7 +267,8 @@
         """Returns the text under which cache is shared.
 
         Parts read under other weights, or by an isolated team, must never be
-        found; the engine looks under the same salt only.
+        found; the engine looks under the same salt only. While an engine's
+        version is not known, a request shares with no other.
         """
         team = call.team if call.isolated else ""
-        return f"{team}/{weights}"
+        return f"{team}/{weights or call.name}"
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -6,7 +6,7 @@
 
 from magnolialug.ids import EndpointId
 
-__all__ = ["Engine", "Rollout", "at_once", "plan"]
+__all__ = ["Engine", "Rollout", "after", "at_once", "plan"]
 
 # Loading slows down when more than about three eighths of a service's
 # engines load at the same time: over 2 of 6, 7 of 20, 9 of 24.
@@ -37,12 +37,14 @@
     Attributes:
       closed: engines that get no new work, since they load or soon will.
       taken: engines that have the version.
+      number: counts what was told, over all holders.
     """
 
     model: str
     version: int
     closed: tuple[str, ...] = ()
     taken: tuple[str, ...] = ()
+    number: int = 0
 
 
 def at_once(engines: int) -> int:
@@ -50,12 +52,17 @@
     return max(_AT_ONCE_LEAST, int(engines * _AT_ONCE_SHARE))
 
 
-def plan(model: str, version: int, engines: Sequence[Engine]) -> Rollout:
+def plan(
+    model: str, version: int, engines: Sequence[Engine], told: Rollout | None
+) -> Rollout:
     """Returns the engines to be closed now, the least busy first.
 
     An engine stays closed until it has the version. One that does not answer
     keeps its place only while no other waits for it, so that a dead engine
     does not hold up the rest.
+
+    Args:
+      told: what was told last; it is returned when nothing changes.
     """
     outdated = [engine for engine in engines if not engine.current]
     loading = [e for e in outdated if e.closed and not e.failing]
@@ -63,9 +70,17 @@
     waiting.sort(key=lambda e: (e.failing, e.running, e.endpoint))
     free = at_once(len(engines)) - len(loading)
     closed = loading + waiting[: max(0, free)]
-    return Rollout(
+    rollout = Rollout(
         model=model,
         version=version,
         closed=tuple(sorted(e.endpoint for e in closed)),
         taken=tuple(sorted(e.endpoint for e in engines if e.current)),
+        number=told.number if told else 0,
     )
+    return rollout if rollout == told else after(rollout, told)
+
+
+def after(rollout: Rollout, told: Rollout | None) -> Rollout:
+    """Returns a rollout numbered as the one that follows another."""
+    number = told.number + 1 if told else 1
+    return msgspec.structs.replace(rollout, number=number)
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.rollout import Rollout
 
 __all__ = ["EngineShare", "LoadReport"]
 
@@ -29,8 +30,10 @@
     Attributes:
       entry: names one start of the sender.
       number: counts its reports; an older one that arrives late is dropped.
+      rollout: the newest it knows, while that is news.
     """
 
     entry: str
     number: int
     engines: tuple[EngineShare, ...]
+    rollout: Rollout | None = None
