Gateway: halves of two answers are never joined; stand-ins and first tests

Ruled out: retrying only streams; a call that has no answer yet can be made again safely. Change: an answer that is no stream is held until it is whole (64 KB at most); an attempt of which the caller has a part that cannot be continued ends as CUT and is never repeated. A partly read request counts as reading, so slow headers are ended in their time. Endpoint and model server stand-ins on the platform's wire, a network in memory, and what the gateway passes and refuses.

--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -45,10 +45,17 @@
 
     Its times are looked at by a sweep over all connections, which costs less
     than a timer each and follows changed limits at once.
+
+    Attributes:
+      since: when the connection became idle, or the request began to come.
+      reading: whether part of a request has come.
+      in_body: whether its headers are whole.
     """
 
     requestFactory = GatewayRequest
     timeOut = None
+    reading = False
+    in_body = False
 
     def body_limit(self) -> int:
         """Returns the most bytes that a body may have."""
@@ -64,10 +71,21 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Takes bytes from the caller."""
-        if not self.requests:
+        if not self.busy and not self.reading:
+            self.reading = True
             self.since = self.factory.clock()
         super().dataReceived(data)
 
+    def allHeadersReceived(self) -> None:
+        """Goes on to the body."""
+        self.in_body = True
+        super().allHeadersReceived()
+
+    def allContentReceived(self) -> None:
+        """Goes on to the answer."""
+        self.reading = self.in_body = False
+        super().allContentReceived()
+
     def requestDone(self, request) -> None:
         """Goes on to the next request of the connection."""
         self.since = self.factory.clock()
@@ -87,7 +105,7 @@
     @property
     def between(self) -> bool:
         """Whether nothing of a request has come."""
-        return not self.requests and not self._receivedHeaderSize
+        return not self.reading and not self.busy
 
     def sweep(self, now: float) -> None:
         """Ends a connection that has been idle or slow for too long."""
@@ -98,9 +116,9 @@
         if self.between:
             if waited > limits.idle_s + _IDLE_SLACK_S:
                 self.loseConnection()
-        elif self.requests and waited > limits.header_s + _BODY_S:
+        elif self.in_body and waited > limits.header_s + _BODY_S:
             self.refuse(failed(Code.BODY_TOO_SLOW, field="(body)"))
-        elif not self.requests and waited > limits.header_s:
+        elif not self.in_body and waited > limits.header_s:
             self.refuse(failed(Code.BODY_TOO_SLOW, field="(headers)"))
 
 
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -30,7 +30,7 @@
 _GOOD = range(200, 300)
 _FAILED = range(500, 600)
 _EVENT_STREAM = b"text/event-stream"
-# A failure that is kept back while others are tried is passed on whole.
+# What is held back while it can still be replaced by another's answer.
 _KEPT_BYTES = 64 * 1024
 
 
@@ -58,6 +58,7 @@
 
 class _Stage(enum.Enum):
     WAITING = "waiting"
+    GATHERING = "gathering"
     PASSING = "passing"
     REFUSED = "refused"
     KEPT = "kept"
@@ -136,15 +137,18 @@
         self.heard_at = self._clock()
         self.answered = True
         answer = self._answer = read_answer(head)
+        stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if answer.not_run:
             self._stage = _Stage.REFUSED
         elif self._is_kept(answer):
             self._stage = _Stage.KEPT
-        elif answer.status in _GOOD and not answer.stamped:
+        elif answer.status in _GOOD and not self._is_sound(answer, stream):
             self._why = End.GARBAGE
             self._flight.drop()
+        elif stream or self._call.route.form is RouteType.STREAMING:
+            self._pass(stream)
         else:
-            self._pass(head)
+            self._stage = _Stage.GATHERING
 
     def _is_kept(self, answer: Answer) -> bool:
         """Whether a failure is kept back so that others can be tried."""
@@ -152,9 +156,14 @@
             return answer.status not in _GOOD
         return answer.status in _FAILED and self._call.kind.idempotent
 
-    def _pass(self, head: Head) -> None:
+    def _is_sound(self, answer: Answer, stream: bool) -> bool:
+        """Whether a success bears its mark, and goes on as a stream if due."""
+        if self._sink.opened and not (stream and self._call.route.resumable):
+            return False
+        return answer.stamped
+
+    def _pass(self, stream: bool) -> None:
         self._stage = _Stage.PASSING
-        stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if stream and self._call.route.resumable:
             self._cutter = EventCutter(self._progress.seq)
         if not self._sink.opened:
@@ -166,11 +175,31 @@
         self.heard_at = self._clock()
         if self._stage is _Stage.PASSING:
             self._deliver(data)
+        elif self._stage is _Stage.GATHERING:
+            self._gather(data)
         elif self._stage is _Stage.KEPT:
             self._kept.append(data)
             if sum(map(len, self._kept)) > _KEPT_BYTES:
                 self._flight.drop()
 
+    def _gather(self, data: bytes) -> None:
+        """Holds an answer that is no stream until it is whole.
+
+        An endpoint that dies in the middle of its answer can be replaced by
+        another only while the caller has nothing; joined, the two halves
+        would be an answer that nobody gave. What grows too large to hold is
+        passed on, and then cannot be repeated.
+        """
+        self._kept.append(data)
+        if sum(map(len, self._kept)) > _KEPT_BYTES:
+            self._pass_gathered()
+
+    def _pass_gathered(self) -> None:
+        self._pass(stream=False)
+        pieces, self._kept = self._kept, []
+        for piece in pieces:
+            self._deliver(piece)
+
     def _deliver(self, data: bytes) -> None:
         if not self._first_event_s:
             self._first_event_s = self.heard_at - self.sent_at
@@ -198,6 +227,8 @@
         done, self.done = self.done, None
         if done is None:
             return
+        if self._stage is _Stage.GATHERING and end is End.WHOLE:
+            self._pass_gathered()
         outcome = self._outcome(end)
         outcome.end = end
         outcome.answer = self._answer
@@ -211,7 +242,7 @@
             failure = failed(Code.CONNECTION_REFUSED, retry_after_s=0.5)
             return Outcome(Ended(Ending.UNSENT, failure))
         if end is not End.WHOLE:
-            return Outcome(Ended(Ending.LOST, self._lost(end)))
+            return Outcome(Ended(self._lost_ending(), self._lost(end)))
         if self._stage is _Stage.KEPT:
             reason = f"status {self._answer.status}"
             failure = failed(Code.ENDPOINT_FAILED, reason)
@@ -221,6 +252,10 @@
             return Outcome(Ended(Ending.LOST, self._lost(End.CLOSED)))
         return Outcome(None)
 
+    def _lost_ending(self) -> Ending:
+        passing = self._stage is _Stage.PASSING and self._cutter is None
+        return Ending.CUT if passing else Ending.LOST
+
     def _refusal(self) -> Failure:
         code = Code.QUEUE_FULL
         if self._answer.misdirected:
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -45,7 +45,9 @@
         return self.site.limits().body_bytes
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
-        self.refuse(failed(Code.AMBIGUOUS_HEADER, field="(headers)"))
+        too_large = self._receivedHeaderSize > self.totalHeadersSize
+        code = Code.BODY_TOO_LARGE if too_large else Code.AMBIGUOUS_HEADER
+        self.refuse(failed(code, field="(headers)"))
 
     def lineLengthExceeded(self, line: bytes):
         """Refuses a line that is over the limit."""
--- a/magnolialug/policy/retry.py
+++ b/magnolialug/policy/retry.py
@@ -11,12 +11,20 @@
 
 
 class Ending(enum.Enum):
-    """How an attempt ended for the entry that sent it."""
+    """How an attempt ended for the entry that sent it.
+
+    UNSENT: the endpoint saw nothing of it.
+    NOT_RUN: the endpoint says that it did not run it and never will.
+    LOST: it may have run; its answer did not come.
+    FAILED: it ran, and the endpoint says that it failed.
+    CUT: the caller has part of an answer that no other run can continue.
+    """
 
     UNSENT = "unsent"
     NOT_RUN = "not run"
     LOST = "lost"
     FAILED = "failed"
+    CUT = "cut"
 
 
 class Budget:
@@ -91,7 +99,7 @@
       attempts_left: endpoints that it may still be sent to.
     """
     unrun = ending in (Ending.UNSENT, Ending.NOT_RUN)
-    if not unrun and not idempotent:
+    if ending is Ending.CUT or (not unrun and not idempotent):
         return failed(Code.OUTCOME_UNKNOWN)
     if wait_left_s <= 0 and not started:
         return failed(Code.WAIT_EXCEEDED, retry_after_s=1.0)
--- /dev/null
+++ b/magnolialug/standin/endpoint.py
@@ -0,0 +1,272 @@
+"""A plain endpoint on the platform's wire, with the faults of real ones."""
+
+import enum
+from collections import Counter
+from collections.abc import Callable
+
+import httptools
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Factory, Protocol
+
+__all__ = ["EndpointStandin", "Fault", "Received"]
+
+
+class Fault(enum.Enum):
+    """What is wrong with an answer."""
+
+    NONE = "none"
+    SHED = "sheds: not run"
+    MISDIRECTED = "another instance has the address"
+    ERROR = "answers 500"
+    RESET_BEFORE = "resets before an answer"
+    RESET_MIDWAY = "resets in the middle of the body"
+    CLOSE_MIDWAY = "closes in the middle of the body"
+    UNFRAMED = "gives no length and closes"
+    UNFRAMED_RESET = "gives no length and resets"
+    EXTRA = "sends a second answer behind the first"
+    EXTRA_LATE = "sends the second answer in front of the next"
+    MUTE = "never answers"
+    GARBAGE = "sends bytes that are no response"
+    UNSTAMPED = "forgets the mark of a run"
+    TWO_LENGTHS = "gives two lengths"
+    LENGTH_AND_CHUNKS = "gives a length beside chunks"
+
+
+class Received(msgspec.Struct):
+    """One request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    names: list[str]
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller gave it."""
+        return self.headers.get("x-request-id", "")
+
+
+class EndpointStandin(Factory):
+    """Runs requests and counts what it ran.
+
+    Attributes:
+      faults: taken one for each answer; none left means no fault.
+      seen: every request that arrived.
+      ran: how often each request id was run.
+      cut: ids whose connection closed before their answer was whole.
+    """
+
+    noisy = False
+
+    def __init__(
+        self, clock: IReactorTime, instance: str, work_s: float = 0.01
+    ):
+        self.clock = clock
+        self.instance = instance
+        self.work_s = work_s
+        self.faults: list[Fault] = []
+        self.seen: list[Received] = []
+        self.ran: Counter[str] = Counter()
+        self.cut: list[str] = []
+        self.connections = 0
+        self.body_of: Callable[[Received], bytes] = lambda req: b"served"
+
+    def buildProtocol(self, addr) -> "_Serving":
+        """Returns the protocol of a new connection."""
+        self.connections += 1
+        return _Serving(self)
+
+    def next_fault(self) -> Fault:
+        """Returns what is wrong with the next answer."""
+        return self.faults.pop(0) if self.faults else Fault.NONE
+
+    def answer(self, conn: "_Serving", req: Received) -> None:
+        """Answers a request; to be overridden by other kinds of endpoint."""
+        expected = req.headers.get("x-expect-instance", self.instance)
+        fault = self.next_fault()
+        if expected != self.instance or fault is Fault.MISDIRECTED:
+            conn.reply(req, 421, b"", [("X-Instance-Id", self.instance)])
+        elif fault is Fault.SHED:
+            conn.reply(req, 503, b"", [("X-Not-Executed", "1")])
+        else:
+            self.ran[req.request_id] += 1
+            self.clock.callLater(self.work_s, conn.finish, req, fault)
+
+
+class _Serving(Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, endpoint: EndpointStandin):
+        self.endpoint = endpoint
+        self.current: Received | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._names: list[str] = []
+        self._target = b""
+        self._body: list[bytes] = []
+        self._late = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Takes bytes of requests."""
+        self._parser.feed_data(data)
+
+    def connectionLost(self, reason) -> None:
+        """Stops the work of the request under way."""
+        if self.current is not None:
+            self.endpoint.cut.append(self.current.request_id)
+            self.current = None
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self._headers: dict[str, str] = {}
+        self._names = []
+        self._target = b""
+        self._body = []
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._names.append(name.decode())
+        self._headers[name.decode().lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Answers a whole request."""
+        req = Received(
+            self._parser.get_method().decode(),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"".join(self._body),
+            self._names,
+        )
+        self.endpoint.seen.append(req)
+        self.current = req
+        self.endpoint.answer(self, req)
+
+    def reply(
+        self,
+        req: Received,
+        status: int,
+        body: bytes,
+        headers: list[tuple[str, str]] = (),
+        framed: bool = True,
+    ) -> bytes:
+        """Writes an answer; returns its bytes."""
+        lines = [f"HTTP/1.1 {status} Said", f"X-Request-Id: {req.request_id}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if framed:
+            lines.append(f"Content-Length: {len(body)}")
+        data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        self.transport.write(self._late + data)
+        self._late = b""
+        self.current = None
+        return data
+
+    def finish(self, req: Received, fault: Fault) -> None:
+        """Ends a run with what is wrong with its answer."""
+        if self.current is not req:
+            return
+        body = self.endpoint.body_of(req)
+        stamp = [("X-Response-Stamp", f"stamp.{self.endpoint.instance}")]
+        _ENDS.get(fault, _whole)(self, req, body, stamp)
+
+
+def _whole(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 200, body, stamp)
+
+
+def _error(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 500, b"failed", stamp)
+
+
+def _reset_before(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.current = None
+    conn.transport.abortConnection()
+
+
+def _head_and_half(req: Received, body: bytes, stamp, more: str = "") -> bytes:
+    lines = ["HTTP/1.1 200 Said", f"X-Request-Id: {req.request_id}"]
+    lines += [f"{name}: {value}" for name, value in stamp]
+    if more:
+        lines.append(more)
+    head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+    return head + body[: len(body) // 2]
+
+
+def _reset_midway(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    length = f"Content-Length: {len(body)}"
+    conn.current = None
+    conn.transport.write(_head_and_half(req, body, stamp, length))
+    conn.endpoint.clock.callLater(0.001, conn.transport.abortConnection)
+
+
+def _close_midway(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    length = f"Content-Length: {len(body)}"
+    conn.current = None
+    conn.transport.write(_head_and_half(req, body, stamp, length))
+    conn.transport.loseConnection()
+
+
+def _unframed(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 200, body, stamp, framed=False)
+    conn.transport.loseConnection()
+
+
+def _unframed_reset(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.current = None
+    conn.transport.write(_head_and_half(req, body, stamp))
+    conn.endpoint.clock.callLater(0.001, conn.transport.abortConnection)
+
+
+def _extra(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    data = conn.reply(req, 200, body, stamp)
+    conn.transport.write(data)
+
+
+def _extra_late(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn._late = conn.reply(req, 200, body, stamp)
+
+
+def _mute(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    """Says nothing and keeps the connection."""
+
+
+def _garbage(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.current = None
+    conn.transport.write(b"\x00\x01 not a response\r\n\r\n")
+
+
+def _unstamped(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 200, body)
+
+
+def _two_lengths(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 200, body, [*stamp, ("Content-Length", "1")])
+
+
+def _length_chunks(conn: _Serving, req: Received, body: bytes, stamp) -> None:
+    conn.reply(req, 200, body, [*stamp, ("Transfer-Encoding", "chunked")])
+
+
+_ENDS = {
+    Fault.ERROR: _error,
+    Fault.RESET_BEFORE: _reset_before,
+    Fault.RESET_MIDWAY: _reset_midway,
+    Fault.CLOSE_MIDWAY: _close_midway,
+    Fault.UNFRAMED: _unframed,
+    Fault.UNFRAMED_RESET: _unframed_reset,
+    Fault.EXTRA: _extra,
+    Fault.EXTRA_LATE: _extra_late,
+    Fault.MUTE: _mute,
+    Fault.GARBAGE: _garbage,
+    Fault.UNSTAMPED: _unstamped,
+    Fault.TWO_LENGTHS: _two_lengths,
+    Fault.LENGTH_AND_CHUNKS: _length_chunks,
+}
--- /dev/null
+++ b/magnolialug/standin/modelserver.py
@@ -0,0 +1,157 @@
+"""A model engine on the platform's wire: streams, versions, orders, cache."""
+
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+
+from magnolialug.standin.endpoint import EndpointStandin, Fault, Received
+
+__all__ = ["ModelServerStandin"]
+
+
+class _Run(msgspec.Struct):
+    conn: object
+    req: Received
+    fault: Fault
+    next_event: int = 1
+
+
+class ModelServerStandin(EndpointStandin):
+    """Streams events, takes orders, and reports.
+
+    Attributes:
+      events: how many events an answer has.
+      gap_s: pause between events.
+      version: of the weights it has.
+      load_s: how long it takes new weights.
+      accepted: orders that it has accepted.
+      orders: every order that arrived.
+      late_orders: seconds after which the next orders are carried out,
+        unanswered.
+      stop_after: events after which the next runs break off, one each.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        instance: str,
+        model: str = "m",
+        work_s: float = 0.05,
+    ):
+        super().__init__(clock, instance, work_s)
+        self.model = model
+        self.version = 1
+        self.named = 1000
+        self.load_s = 1.3
+        self.events = 4
+        self.gap_s = 0.01
+        self.accepted = 0
+        self.fence = 0
+        self.busy = False
+        self.orders: list[dict] = []
+        self.late_orders: list[float] = []
+        self.stop_after: list[int] = []
+        self.torn = False
+
+    def answer(self, conn, req: Received) -> None:
+        """Answers a request, a report or an order."""
+        if req.target == "/report":
+            conn.reply(req, 200, msgspec.json.encode(self._report()))
+        elif req.target == "/order":
+            self._order(conn, req)
+        else:
+            self._prompt(conn, req)
+
+    def _prompt(self, conn, req: Received) -> None:
+        instance = req.headers.get("x-expect-instance", self.instance)
+        version = req.headers.get("x-expect-version", str(self.version))
+        fault = self.next_fault()
+        if instance != self.instance or version != str(self.version):
+            conn.reply(req, 421, b"", [("X-Instance-Id", self.instance)])
+        elif self.busy or fault is Fault.SHED:
+            conn.reply(req, 503, b"", [("X-Not-Executed", "1")])
+        else:
+            self.ran[req.request_id] += 1
+            after = int(req.headers.get("last-event-id", "0"))
+            run = _Run(conn, req, fault, after + 1)
+            self.clock.callLater(self.work_s, self._begin, run)
+
+    def _begin(self, run: _Run) -> None:
+        if run.conn.current is not run.req:
+            return
+        if run.fault is Fault.MUTE:
+            return
+        if run.fault is Fault.ERROR:
+            run.conn.reply(run.req, 500, b"failed")
+            return
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {run.req.request_id}",
+            f"X-Response-Stamp: stamp.{self.instance}",
+            f"X-Weight-Versions: {self.version}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        )
+        run.conn.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        self._event(run)
+
+    def _event(self, run: _Run) -> None:
+        if run.conn.current is not run.req:
+            return
+        if self.stop_after and run.next_event > self.stop_after[0]:
+            self.stop_after.pop(0)
+            self._break_off(run)
+            return
+        if run.next_event > self.events:
+            run.conn.transport.write(b"0\r\n\r\n")
+            run.conn.current = None
+            return
+        number = run.next_event
+        self._chunk(run, b"id: %d\ndata: word%d\n\n" % (number, number))
+        run.next_event += 1
+        self.clock.callLater(self.gap_s, self._event, run)
+
+    def _chunk(self, run: _Run, data: bytes) -> None:
+        run.conn.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def _break_off(self, run: _Run) -> None:
+        if self.torn:
+            self._chunk(run, b"id: %d\ndata: wo" % run.next_event)
+        run.conn.current = None
+        self.clock.callLater(0.001, run.conn.transport.abortConnection)
+
+    def _report(self) -> dict:
+        return {
+            "sequence": self.accepted,
+            "busy": self.busy,
+            "models": [{"name": self.model, "version": self.version}],
+            "waiting": 0,
+            "running": 0,
+        }
+
+    def _order(self, conn, req: Received) -> None:
+        order = msgspec.json.decode(req.body)
+        self.orders.append(order)
+        if self.late_orders:
+            self.clock.callLater(self.late_orders.pop(0), self._carry, order)
+            return
+        conn.reply(req, self._carry(order), b"{}")
+
+    def _carry(self, order: dict) -> int:
+        """Carries an order out if it may be; returns the status."""
+        if order["fencingToken"] < self.fence:
+            return 412
+        self.fence = order["fencingToken"]
+        if order["version"] == self.version:
+            return 200
+        if self.busy or order["expected"] != self.accepted:
+            return 409
+        if order["version"] > self.named:
+            return 400
+        self.accepted += 1
+        self.busy = True
+        self.clock.callLater(self.load_s, self._loaded, order["version"])
+        return 202
+
+    def _loaded(self, version: int) -> None:
+        self.busy = False
+        self.version = version
--- /dev/null
+++ b/tests/gatewaycluster.py
@@ -0,0 +1,344 @@
+"""A gateway between callers and stand-ins, on a virtual clock."""
+
+from random import Random
+
+import httptools
+import msgspec
+from loguru import logger
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.protocol import Protocol
+
+from magnolialug.carrier.client import Client
+from magnolialug.entry.gateway import Gateway
+from magnolialug.metrics import Metrics
+from magnolialug.platform.cachecalls import CacheCalls
+from magnolialug.platform.enginecalls import EngineCalls
+from magnolialug.platform.settings import Bounds, Settings, StoreRates
+from magnolialug.standin.endpoint import EndpointStandin
+from magnolialug.standin.kv import KvStore
+from magnolialug.standin.modelserver import ModelServerStandin
+from tests.network import Network
+
+logger.remove()
+
+GATEWAY = ("10.0.0.1", 80)
+BOUNDS = Bounds(
+    drain_s=2.0,
+    grace_s=8.0,
+    config_s=2.0,
+    retry_ratio=0.2,
+    retry_extra=54,
+    retry_window_s=10,
+    lease_s=3.0,
+    thaw_s=0.3,
+    weights_s=12.0,
+)
+
+
+def settings(vm="front-1", host="10.0.0.1"):
+    """Returns the settings of one gateway."""
+    return Settings(
+        vm=vm,
+        zone="a",
+        region="r",
+        host=host,
+        zones={"a": "r", "b": "r"},
+        callers=(host, 80),
+        ready=(host, 81),
+        first_start=True,
+        internal_port=7000,
+        heartbeat_s=1.2,
+        bounds=BOUNDS,
+        store=StoreRates(("10.9.9.9", 1), 2000, 400, 1.0),
+    )
+
+
+def route(name, prefix, service, **more):
+    """Returns one row of the operator's routes."""
+    return {
+        "name": name,
+        "host": "h.example",
+        "pathPrefix": prefix,
+        "routeType": "idempotent",
+        "timeoutMs": 3000,
+        "targetLatencyMs": 400,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def config(version=1, **more):
+    """Returns an operator's configuration."""
+    base = {
+        "version": version,
+        "routes": [
+            route("read", "/read/", "desk"),
+            route("book", "/book/", "desk", routeType="non_idempotent"),
+            route(
+                "draft",
+                "/draft/",
+                "llm",
+                routeType="streaming",
+                sessionAffinity=True,
+                maxAttempts=1,
+            ),
+            route(
+                "check",
+                "/check/",
+                "llm",
+                routeType="streaming",
+                sessionAffinity=True,
+                resumable=True,
+            ),
+            route("open", "/open/", "desk", public=True),
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 40},
+            {
+                "name": "llm",
+                "maxConnections": 600,
+                "engine": {
+                    "slots": 128,
+                    "kvCapacityTokens": 140000,
+                    "kvTokenBytes": 35136,
+                    "linkMbps": 1100000.0,
+                    "maxInFlight": 12,
+                    "managed": True,
+                },
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "team-a", "apiKeys": ["key-a"], "priority": 0},
+            {
+                "name": "team-b",
+                "apiKeys": ["key-b"],
+                "priority": 1,
+                "isolated": True,
+            },
+        ],
+    }
+    return {**base, **more}
+
+
+class Answer(msgspec.Struct):
+    """What a caller got for one request."""
+
+    status: int = 0
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    whole: bool = False
+    at: float = 0.0
+
+
+class Caller(Protocol):
+    """A client on one connection."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.answers: list[Answer] = []
+        self.closed = False
+        self.broken = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def dataReceived(self, data):
+        """Takes bytes of answers."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.broken = True
+
+    def connectionLost(self, reason):
+        """Notes the close."""
+        self.closed = True
+
+    def on_message_begin(self):
+        """Begins an answer."""
+        self.answers.append(Answer(headers={}))
+
+    def on_header(self, name, value):
+        """Takes a header."""
+        self.answers[-1].headers[name.decode().lower()] = value.decode()
+
+    def on_headers_complete(self):
+        """Takes the status."""
+        self.answers[-1].status = self._parser.get_status_code()
+
+    def on_body(self, data):
+        """Takes a piece of the body."""
+        self.answers[-1].body += data
+
+    def on_message_complete(self):
+        """Ends an answer."""
+        self.answers[-1].whole = True
+        self.answers[-1].at = self.clock.seconds()
+
+    @property
+    def last(self):
+        """The newest answer, one without status if none came."""
+        return self.answers[-1] if self.answers else Answer()
+
+
+class GatewayCluster:
+    """A gateway, its key-value service and some endpoints."""
+
+    def __init__(self, desks=2, engines=2, operator=None, vms=("front-1",)):
+        self.net = Network()
+        self.kv = KvStore(self.net)
+        self.desks = {}
+        self.engines = {}
+        self._numbers = iter(range(1, 1000))
+        self._ids = iter(range(1, 100000))
+        for _ in range(desks):
+            self.add_desk()
+        for _ in range(engines):
+            self.add_engine()
+        self.configure(operator or config())
+        self.gateways = [self.start(vm, n) for n, vm in enumerate(vms, 1)]
+        self.gateway = self.gateways[0]
+        self.pass_time(0.3)
+
+    def start(self, vm, number):
+        """Starts a gateway."""
+        host = f"10.0.0.{number}"
+        gateway = Gateway(
+            settings(vm, host),
+            self.net,
+            self.kv,
+            Random(number),
+            Metrics(),
+            EngineCalls(Client(self.net)),
+            CacheCalls(Client(self.net)),
+        )
+        gateway.start()
+        self.net.servers[(host, 80)] = gateway.factory
+        return gateway
+
+    def configure(self, operator):
+        """Writes the operator's configuration."""
+        self.write("op/config", operator)
+
+    def write(self, key, value):
+        """Writes a key as the operator or an endpoint does."""
+        found = self.kv._rows.get(key)
+        revision = found.revision if found else 0
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        ensureDeferred(self.kv.put_if(key, data, revision))
+
+    def remove(self, key):
+        """Removes a key."""
+        self.kv._remove(key)
+
+    def add_desk(self, zone="a"):
+        """Adds a plain endpoint."""
+        number = next(self._numbers)
+        desk = EndpointStandin(self.net, f"i-desk{number}")
+        self.desks[desk.instance] = desk
+        self._list(desk, number, "desk", zone, [])
+        return desk
+
+    def add_engine(self, zone="a"):
+        """Adds a model engine."""
+        number = next(self._numbers)
+        engine = ModelServerStandin(self.net, f"i-llm{number}")
+        self.engines[engine.instance] = engine
+        models = [{"name": "m", "version": 1}]
+        self._list(engine, number, "llm", zone, models)
+        return engine
+
+    def _list(self, endpoint, number, service, zone, models):
+        endpoint.address = (f"10.1.0.{number}", 8080)
+        self.net.servers[endpoint.address] = endpoint
+        endpoint.row = {
+            "service": service,
+            "address": f"{endpoint.address[0]}:8080",
+            "zone": zone,
+            "slots": 6,
+            "state": "ready",
+            "models": models,
+        }
+        self.write(f"servers/{endpoint.instance}", endpoint.row)
+
+    def relist(self, endpoint, **changes):
+        """Changes an endpoint's registry entry."""
+        endpoint.row.update(changes)
+        self.write(f"servers/{endpoint.instance}", endpoint.row)
+
+    def caller(self, address=GATEWAY):
+        """Returns a connected client."""
+        caller = Caller(self.net)
+        caller.pipe = self.net.connect(caller, address)
+        return caller
+
+    def send(self, path, caller=None, **options):
+        """Sends a request; returns its caller, with `request_id` set."""
+        caller = caller or self.caller()
+        request_id = options.pop("request_id", f"{next(self._ids):x}")
+        caller.request_id = request_id
+        caller.pipe.write(request(path, request_id, **options))
+        return caller
+
+    def ask(self, path, seconds=1.0, **options):
+        """Sends a request and lets time pass; returns its caller."""
+        caller = self.send(path, **options)
+        self.pass_time(seconds)
+        return caller
+
+    def pass_time(self, seconds):
+        """Lets time pass."""
+        self.net.advance_by(seconds)
+
+    def endpoints(self):
+        """Returns all endpoints."""
+        return [*self.desks.values(), *self.engines.values()]
+
+    def ran(self, request_id):
+        """Returns how often a request was run, over all endpoints."""
+        return sum(e.ran[request_id] for e in self.endpoints())
+
+    def seen(self):
+        """Returns all requests of callers that reached an endpoint."""
+        return [
+            req
+            for endpoint in self.endpoints()
+            for req in endpoint.seen
+            if req.request_id
+        ]
+
+
+def request(
+    path,
+    request_id,
+    key="key-a",
+    method=None,
+    body=b"",
+    host="h.example",
+    deadline_ms=3000,
+    headers=(),
+    parts="",
+    tokens="3000,50",
+):
+    """Returns the bytes of a client's request."""
+    prompts = path.startswith(("/draft/", "/check/"))
+    method = method or ("POST" if body or prompts else "GET")
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    if request_id:
+        lines.append(f"X-Request-Id: {request_id}")
+    if deadline_ms:
+        lines.append(f"X-Request-Deadline-Ms: {deadline_ms}")
+    if key:
+        lines.append(f"Authorization: Token {key}")
+    if prompts:
+        lines.append("X-Model-Name: m")
+        lines.append(f"X-Token-Counts: {tokens}")
+        lines.append(f"X-Prompt-Prefix: {parts or 'aa:500,bb:2000,cc:500'}")
+    lines += headers
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,180 @@
+"""TCP and UDP in memory on a virtual clock, with the faults of real ones."""
+
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
+from twisted.internet.interfaces import IPushProducer, ITCPTransport
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+LATENCY_S = 0.001
+
+
+class Handle:
+    """A socket that remembers its options."""
+
+    def __init__(self):
+        self.options = {}
+
+    def setsockopt(self, level, name, value):
+        """Remembers an option."""
+        self.options[(level, name)] = value
+
+
+@implementer(ITCPTransport, IPushProducer)
+class Pipe:
+    """One end of a connection."""
+
+    disconnecting = False
+
+    def __init__(self, net, protocol):
+        self.net = net
+        self.protocol = protocol
+        self.peer = None
+        self.closed = False
+        self.silent = False
+        self.paused = False
+        self.producer = None
+        self.handle = Handle()
+        self.sent = b""
+        self._waiting = b""
+
+    def write(self, data):
+        """Sends bytes."""
+        if self.closed or self.disconnecting:
+            return
+        self.sent += data
+        if not self.silent:
+            self.net.callLater(LATENCY_S, self.peer.arrive, data)
+
+    def writeSequence(self, pieces):
+        """Sends bytes."""
+        self.write(b"".join(pieces))
+
+    def arrive(self, data):
+        """Takes bytes from the other end."""
+        if self.closed:
+            return
+        if self.paused:
+            self._waiting += data
+            return
+        self.protocol.dataReceived(data)
+
+    def loseConnection(self):
+        """Closes in order."""
+        if self.closed or self.disconnecting:
+            return
+        self.disconnecting = True
+        self.net.callLater(LATENCY_S, self.end, ConnectionDone())
+        if not self.silent:
+            self.net.callLater(LATENCY_S, self.peer.end, ConnectionDone())
+
+    def abortConnection(self):
+        """Resets."""
+        if self.closed:
+            return
+        self.disconnecting = True
+        self.net.callLater(0, self.end, ConnectionLost())
+        if not self.silent:
+            self.net.callLater(LATENCY_S, self.peer.end, ConnectionLost())
+
+    def end(self, reason):
+        """Is closed."""
+        if not self.closed:
+            self.closed = True
+            self.protocol.connectionLost(Failure(reason))
+
+    def pauseProducing(self):
+        """Holds back what arrives."""
+        self.paused = True
+
+    def resumeProducing(self):
+        """Lets through what was held back."""
+        self.paused = False
+        data, self._waiting = self._waiting, b""
+        if data:
+            self.arrive(data)
+
+    def stopProducing(self):
+        """Closes in order."""
+        self.loseConnection()
+
+    def registerProducer(self, producer, streaming):
+        """Takes whom to hold back."""
+        self.producer = producer
+
+    def unregisterProducer(self):
+        """Forgets whom to hold back."""
+        self.producer = None
+
+    def setTcpNoDelay(self, on):
+        """Has nothing to set."""
+
+    def getHandle(self):
+        """Returns the socket."""
+        return self.handle
+
+    def getPeer(self):
+        """Returns no address that matters."""
+        return
+
+    getHost = getPeer
+
+
+class Network(Clock):
+    """A reactor whose sockets are in memory.
+
+    Attributes:
+      servers: factories by address.
+      dark: addresses that do not answer at all.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.servers = {}
+        self.dark = set()
+        self.pipes = []
+        self.dialled = []
+
+    def connectTCP(self, host, port, factory, timeout=30, **kwargs):
+        """Connects to a server, or fails."""
+        address = (host, port)
+        self.dialled.append(address)
+        if address in self.dark:
+            self.callLater(timeout, self._fail, factory)
+        elif address not in self.servers:
+            self.callLater(LATENCY_S, self._fail, factory)
+        else:
+            self.callLater(LATENCY_S, self._join, address, factory)
+
+    def connect(self, protocol, address):
+        """Joins a client's protocol to a server at once."""
+        return self._pair(protocol, self.servers[address])
+
+    def advance_by(self, seconds, step=0.005):
+        """Lets time pass in small steps."""
+        for _ in range(max(1, round(seconds / step))):
+            self.advance(step)
+
+    def _fail(self, factory):
+        reason = Failure(ConnectionRefusedError())
+        factory.clientConnectionFailed(None, reason)
+
+    def _join(self, address, factory):
+        if address not in self.servers:
+            self._fail(factory)
+            return
+        self._pair(factory.buildProtocol(None), self.servers[address])
+
+    def _pair(self, protocol, server):
+        other = server.buildProtocol(None)
+        other.factory = getattr(other, "factory", server)
+        near, far = Pipe(self, protocol), Pipe(self, other)
+        near.peer, far.peer = far, near
+        self.pipes += [near, far]
+        other.makeConnection(far)
+        protocol.makeConnection(near)
+        return near
