--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -102,7 +102,9 @@
             if found or self.clock.seconds() >= until:
                 return Changes(found, self.revision)
             cut = self._cuts
-            await self._next_change(until)
+            ends = [end for _, end in self._leases.values()]
+            await self._next_change(min([until, *ends]))
+            self._expire()
             if self._cuts > cut:
                 return failed(Code.KV_TIMEOUT, "the service restarted")
 
--- /dev/null
+++ b/tests/entry/test_orders.py
@@ -0,0 +1,234 @@
+"""Weights that the operator names, and who orders engines to take them."""
+
+import msgspec
+from testtools import TestCase
+from twisted.internet.defer import ensureDeferred
+
+from magnolialug.entry.orderlease import HOLDER_KEY
+from tests.gatewaycluster import GatewayCluster
+
+
+def name_weights(cluster, version):
+    """Writes what the operator wants."""
+    cluster.write("op/version/m", {"model": "m", "version": version})
+
+
+def holder_of(cluster):
+    """Returns the gateway that holds the lease, None if none does."""
+    held = [g for g in cluster.gateways if g._lease.fence]
+    return held[0] if held else None
+
+
+def orders(cluster):
+    """Returns every order that reached an engine."""
+    return [o for engine in cluster.engines.values() for o in engine.orders]
+
+
+class RolloutTest(TestCase):
+    """Engines take the weights that were named."""
+
+    def started(self, engines=4, vms=("front-1", "front-2")):
+        """Returns a cluster whose lease has been won and may be used."""
+        cluster = GatewayCluster(desks=0, engines=engines, vms=vms)
+        cluster.pass_time(4)
+        return cluster
+
+    def test_every_engine_takes_them_two_at_a_time(self):
+        cluster = self.started()
+        name_weights(cluster, 2)
+        most = 0
+        for _ in range(100):
+            cluster.pass_time(0.05)
+            busy = sum(e.busy for e in cluster.engines.values())
+            most = max(most, busy)
+        versions = [e.version for e in cluster.engines.values()]
+        self.assertEqual([2] * 4, versions)
+        self.assertEqual(2, most)
+        self.assertEqual(1, len({o["holder"] for o in orders(cluster)}))
+
+    def test_a_loading_engine_gets_no_requests(self):
+        cluster = self.started()
+        name_weights(cluster, 2)
+        turned_away = 0
+        for _ in range(60):
+            for number in range(2):
+                address = (f"10.0.0.{number + 1}", 80)
+                cluster.send("/draft/x", cluster.caller(address))
+            before = {n: len(e.seen) for n, e in cluster.engines.items()}
+            busy = {n for n, e in cluster.engines.items() if e.busy}
+            cluster.pass_time(0.05)
+            for name, engine in cluster.engines.items():
+                new = engine.seen[before[name] :]
+                prompts = [r for r in new if r.target == "/draft/x"]
+                turned_away += len(prompts) if name in busy else 0
+        self.assertLessEqual(turned_away, 2)
+
+    def test_two_versions_in_quick_succession(self):
+        cluster = self.started()
+        name_weights(cluster, 2)
+        cluster.pass_time(1)
+        name_weights(cluster, 3)
+        cluster.pass_time(8)
+        versions = [e.version for e in cluster.engines.values()]
+        self.assertEqual([3] * 4, versions)
+
+    def test_an_engine_that_joins_with_old_weights_takes_the_new_ones(self):
+        cluster = self.started()
+        name_weights(cluster, 2)
+        cluster.pass_time(6)
+        late = cluster.add_engine()
+        cluster.pass_time(3)
+        self.assertEqual(2, late.version)
+
+    def test_an_order_carried_out_late_undoes_nothing(self):
+        """An engine leaves an order unanswered and carries it out late.
+
+        Symptom: an engine goes back to older weights. Sequence: the order
+        for version 2 has no answer, version 3 is named and taken, then the
+        old order is carried out. Cause: orders did not say what they expect
+        the engine to have accepted before.
+        """
+        cluster = self.started(engines=1)
+        (engine,) = cluster.engines.values()
+        engine.late_orders = [5.0]
+        name_weights(cluster, 2)
+        cluster.pass_time(1)
+        name_weights(cluster, 3)
+        cluster.pass_time(8)
+        self.assertEqual(3, engine.version)
+
+    def test_a_dead_engine_does_not_hold_up_the_rest(self):
+        cluster = self.started()
+        dead = sorted(cluster.engines)[:2]
+        for name in dead:
+            del cluster.net.servers[cluster.engines[name].address]
+        name_weights(cluster, 2)
+        cluster.pass_time(10)
+        alive = [e for n, e in cluster.engines.items() if n not in dead]
+        self.assertEqual([2, 2], [e.version for e in alive])
+
+    def test_nothing_is_ordered_while_nothing_is_named(self):
+        cluster = self.started()
+        cluster.pass_time(5)
+        self.assertEqual([], orders(cluster))
+
+
+class LeaseTest(TestCase):
+    """One holder at a time, with a fencing token."""
+
+    def test_a_frozen_holder_orders_nothing_when_it_wakes(self):
+        """The holder stands still; another takes over; it wakes.
+
+        Symptom: two machines give orders in turn. Sequence: the lease runs
+        out while its holder is suspended, another wins it, the first one
+        wakes and still believes. Cause: the lease was not checked on a clock
+        that counts suspension.
+        """
+        cluster = GatewayCluster(desks=0, engines=4, vms=("front-1", "front-2"))
+        cluster.pass_time(4)
+        first = holder_of(cluster)
+        self.freeze(cluster, first)
+        name_weights(cluster, 2)
+        cluster.pass_time(3)
+        second = holder_of_others(cluster, first)
+        self.assertIsNotNone(second)
+        first._lease._clock = cluster.net
+        first._orders.tick()
+        cluster.pass_time(6)
+        holders = [o["holder"] for o in orders(cluster)]
+        self.assertEqual({second._lease.name}, set(holders))
+
+    def freeze(self, cluster, gateway):
+        """Stops a gateway's renewals, as a suspension does."""
+        gateway._lease._task.cancel()
+        gateway._tick.cancel()
+
+    def test_fences_grow_from_holder_to_holder(self):
+        cluster = GatewayCluster(desks=0, engines=2, vms=("front-1", "front-2"))
+        cluster.pass_time(4)
+        first = holder_of(cluster)
+        before = first._lease.fence
+        ensureDeferred(first.stop())
+        cluster.pass_time(5)
+        second = holder_of_others(cluster, first)
+        self.assertGreater(second._lease.fence, before)
+
+    def test_who_follows_a_holder_that_was_ordering_waits(self):
+        """The holder dies in the middle of a rollout.
+
+        Symptom: orders of two machines arrive within the bound. Sequence:
+        the holder orders, is cut off and dies; another wins the lease at
+        once. Cause: it began without waiting.
+        """
+        cluster = GatewayCluster(desks=0, engines=4, vms=("front-1", "front-2"))
+        cluster.pass_time(4)
+        first = holder_of(cluster)
+        name_weights(cluster, 2)
+        while not orders(cluster):
+            cluster.pass_time(0.02)
+        last = cluster.net.seconds()
+        self.freeze(cluster, first)
+        seen = len(orders(cluster))
+        while len(orders(cluster)) == seen:
+            cluster.pass_time(0.02)
+        self.assertGreater(cluster.net.seconds() - last, 3.0)
+        self.assertLess(cluster.net.seconds() - last, 6.0)
+
+    def test_who_follows_one_that_was_not_begins_at_once(self):
+        cluster = GatewayCluster(desks=0, engines=4, vms=("front-1", "front-2"))
+        cluster.pass_time(5)
+        self.freeze(cluster, holder_of(cluster))
+        begun = cluster.net.seconds()
+        name_weights(cluster, 2)
+        while not orders(cluster):
+            cluster.pass_time(0.02)
+        self.assertLess(cluster.net.seconds() - begun, 3.0)
+
+    def test_a_lost_answer_to_the_first_write_is_read_back(self):
+        cluster = GatewayCluster(desks=0, engines=2)
+        cluster.kv.faults.lose_answers = 1
+        lease = cluster.kv._rows[HOLDER_KEY]
+        self.assertIn(b"front-1", lease.value)
+        cluster.pass_time(4)
+        name_weights(cluster, 2)
+        cluster.kv.faults.lose_answers = 1
+        cluster.pass_time(5)
+        versions = [e.version for e in cluster.engines.values()]
+        self.assertEqual([2, 2], versions)
+
+    def test_during_an_outage_no_orders_are_given(self):
+        cluster = GatewayCluster(desks=0, engines=2)
+        cluster.pass_time(4)
+        cluster.kv.faults.down = True
+        cluster.pass_time(2)
+        cluster.gateway.book.weights["m"] = 2
+        cluster.pass_time(3)
+        self.assertEqual([], orders(cluster))
+        cluster.kv.faults.down = False
+        cluster.pass_time(10)
+        versions = [e.version for e in cluster.engines.values()]
+        self.assertEqual([2, 2], versions)
+
+    def test_a_holder_whose_key_was_overwritten_orders_nothing(self):
+        cluster = GatewayCluster(desks=0, engines=1)
+        cluster.pass_time(4)
+        revision = cluster.kv._rows[HOLDER_KEY].revision
+        ensureDeferred(cluster.kv.put_if(HOLDER_KEY, b"\xff", revision))
+        name_weights(cluster, 2)
+        cluster.pass_time(5)
+        self.assertEqual([], orders(cluster))
+        cluster.remove(HOLDER_KEY)
+        cluster.pass_time(8)
+        self.assertEqual(1, len(orders(cluster)))
+
+    def test_what_is_written_can_be_read_by_the_next(self):
+        cluster = GatewayCluster(desks=0, engines=1)
+        cluster.pass_time(4)
+        row = msgspec.json.decode(cluster.kv._rows[HOLDER_KEY].value)
+        self.assertEqual("front-1", row["vm"])
+
+
+def holder_of_others(cluster, first):
+    """Returns the holder among the other gateways."""
+    held = [g for g in cluster.gateways if g is not first and g._lease.fence]
+    return held[0] if held else None
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -82,6 +82,7 @@
                 routeType="streaming",
                 sessionAffinity=True,
                 maxAttempts=1,
+                timeoutMs=15000,
             ),
             route(
                 "check",
