--- a/magnolialug/logwriter.py
+++ b/magnolialug/logwriter.py
@@ -45,12 +45,13 @@
 
     def flush(self) -> None:
         """Writes as much as the stream takes now."""
-        while (self._rest or self._lines) and self._ready():
-            chunk = self._next_chunk()
+        while self._rest or self._lines:
+            if not self._ready():
+                return
+            if not self._rest:
+                self._rest = self._next_lines()
             try:
-                written = os.write(self._fd, chunk)
-            except BlockingIOError:
-                written = 0
+                written = os.write(self._fd, self._rest[:_ATOMIC_BYTES])
             except OSError:
                 # Nobody can read any more, and there is no other place to
                 # say so.
@@ -58,26 +59,17 @@
                 self._rest = b""
                 self._held = 0
                 return
-            self._rest = chunk[written:]
+            self._rest = self._rest[written:]
             self._held -= written
-            if not written:
-                return
 
     def _ready(self) -> bool:
         return any(event & select.POLLOUT for _, event in self._poll.poll(0))
 
-    def _next_chunk(self) -> bytes:
-        """Returns what is written next, small enough not to block."""
-        if self._rest:
-            return self._rest[:_ATOMIC_BYTES]
-        pieces = []
-        size = 0
+    def _next_lines(self) -> bytes:
+        """Returns lines that are written together, at least one."""
+        pieces = [self._lines.popleft()]
+        size = len(pieces[0])
         while self._lines and size + len(self._lines[0]) <= _ATOMIC_BYTES:
-            line = self._lines.popleft()
-            pieces.append(line)
-            size += len(line)
-        if not pieces:
-            line = self._lines.popleft()
-            self._rest = line
-            return line[:_ATOMIC_BYTES]
+            pieces.append(self._lines.popleft())
+            size += len(pieces[-1])
         return b"".join(pieces)
