Gateway: metrics as text, one class for one call, a short application object

Change: GatewayCall serves a call and tells its end; counters, histograms and observed states by OpenTelemetry, served as text at the deploy file's address; a stop no longer waits for the key-value service.

--- a/magnolialug/cmd/gateway.py
+++ b/magnolialug/cmd/gateway.py
@@ -51,11 +51,14 @@
         )
         sys.exit(EXIT_BAD_INPUT)
     bootclock.install()
-    sys.exit(_serve(settings, flags.settings, log))
+    sys.exit(_serve(settings, flags.settings, flags.metrics_port, log))
 
 
 def _serve(
-    settings: Settings, settings_path: str, log: LogWriter | None
+    settings: Settings,
+    settings_path: str,
+    metrics_port: int,
+    log: LogWriter | None,
 ) -> int:
     """Runs the gateway; imports follow the choice of the reactor."""
     from twisted.internet import reactor
@@ -63,19 +66,25 @@
     from magnolialug.carrier.client import Client
     from magnolialug.cmd.runner import run_until_signal
     from magnolialug.entry.gateway import Gateway
-    from magnolialug.entry.readiness import ready_factory
-    from magnolialug.metrics import Metrics
+    from magnolialug.entry.gatewaymetrics import GatewayMetrics
+    from magnolialug.entry.readiness import ready_factory, text_factory
+    from magnolialug.metrics import as_text
     from magnolialug.platform.cachecalls import CacheCalls
     from magnolialug.platform.enginecalls import EngineCalls
     from magnolialug.platform.kvhttp import KvHttp
 
     client = Client(reactor)
+    metrics = GatewayMetrics()
+
+    def counted(call: str, outcome: str) -> None:
+        metrics.kv_calls.add(1, {"call": call, "outcome": outcome})
+
     gateway = Gateway(
         settings,
         reactor,
-        KvHttp(client, settings.store.address),
+        KvHttp(client, settings.store.address, counted=counted),
         random.Random(),
-        Metrics(),
+        metrics,
         EngineCalls(client),
         CacheCalls(client),
     )
@@ -88,6 +97,10 @@
             _listen(reactor, settings.callers, gateway.factory),
             _listen(reactor, settings.ready, ready_factory(gateway.ready)),
         ]
+        if metrics_port:
+            factory = text_factory(lambda: as_text(metrics.snapshot()))
+            address = (settings.host, metrics_port)
+            ports.append(_listen(reactor, address, factory))
 
         async def stop() -> int:
             left = await gateway.stop()
@@ -100,7 +113,7 @@
     def reload() -> None:
         gateway.reload(read_settings(settings_path))
 
-    return run_until_signal(start, reload, log)
+    return run_until_signal(start, reload, log, metrics.lines_dropped.add)
 
 
 def _listen(reactor, address: tuple[str, int], factory):
--- a/magnolialug/cmd/runner.py
+++ b/magnolialug/cmd/runner.py
@@ -79,6 +79,7 @@
     start: Start,
     on_hangup: Callable[[], None] | None = None,
     log: LogWriter | None = None,
+    dropped: Callable[[int], None] = lambda lines: None,
 ) -> int:
     """Runs the reactor until the program is told to stop.
 
@@ -90,6 +91,7 @@
         nothing was left behind.
       on_hangup: is called at each SIGHUP.
       log: is flushed while the program runs.
+      dropped: is told how many log lines were left out.
 
     Returns:
       the exit code.
@@ -97,7 +99,7 @@
     program = _Program(start, on_hangup)
     if log is not None:
         task.LoopingCall(log.flush).start(_FLUSH_S)
-        task.LoopingCall(tell_dropped, log).start(_TELL_S)
+        task.LoopingCall(lambda: dropped(tell_dropped(log))).start(_TELL_S)
     reactor.callWhenRunning(program.running)
     reactor.run(installSignalHandlers=False)
     return program.exit
--- a/magnolialug/entry/app.py
+++ b/magnolialug/entry/app.py
@@ -75,7 +75,7 @@
         self._claims = Claims(kv, clock, random)
         self._means = Means(
             budget=Budget(),
-            metrics=self.metrics,
+            retried=lambda service: self.metrics.retries.add(1),
             clock=clock,
             random=random,
             new_hex=new_hex,
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -1,5 +1,6 @@
 """The endpoints that the registry lists, and the connections to them."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from magnolialug.carrier.pool import Pool
@@ -142,6 +143,29 @@
         for endpoint in set(self.peers) - named:
             self.unlisted(endpoint)
 
+    @property
+    def services(self) -> list[ServiceName]:
+        """The services that have endpoints."""
+        return list(self._by_service)
+
+    def states(self) -> list[tuple[float, dict]]:
+        """Returns how many endpoints are in which state, by service."""
+        now = self._reactor.seconds()
+        count: Counter[tuple[str, str]] = Counter()
+        for peer in self.peers.values():
+            count[peer.listed.service, peer.state(now)] += 1
+        return [
+            (number, {"service": service, "state": state})
+            for (service, state), number in count.items()
+        ]
+
+    def connections(self) -> list[tuple[float, dict]]:
+        """Returns how many connections there are, by service."""
+        count: Counter[str] = Counter()
+        for peer in self.peers.values():
+            count[peer.listed.service] += peer.pool.open
+        return [(n, {"service": name}) for name, n in count.items()]
+
     def trim(self) -> None:
         """Closes idle connections whose time is over; forgets old reports."""
         now = self._reactor.seconds()
--- a/magnolialug/entry/follower.py
+++ b/magnolialug/entry/follower.py
@@ -60,7 +60,7 @@
         self.in_touch = False
         self.revision = 0
         self._kv = kv
-        self._prefix = prefix
+        self.prefix = prefix
         self._take = take
         self._clock = clock
         self._random = random
@@ -96,16 +96,16 @@
             known = True
 
     async def _snapshot(self) -> Snapshot | Failure:
-        return await self._kv.snapshot(self._prefix)
+        return await self._kv.snapshot(self.prefix)
 
     async def _changes(self) -> Changes | Failure:
         wait_s = self._wait_s if self.in_touch else 0.0
-        return await self._kv.changes(self._prefix, self.revision, wait_s)
+        return await self._kv.changes(self.prefix, self.revision, wait_s)
 
     def _heard(self, found: Snapshot | Changes) -> None:
         if not self.in_touch:
             self.in_touch = True
-            emit(Event.KV_BACK, prefix=self._prefix, revision=found.revision)
+            emit(Event.KV_BACK, prefix=self.prefix, revision=found.revision)
             self._take.back()
         self.revision = max(self.revision, found.revision)
         if isinstance(found, Snapshot):
@@ -120,7 +120,7 @@
         self.in_touch = False
         emit(
             Event.KV_LOST,
-            prefix=self._prefix,
+            prefix=self.prefix,
             revision=self.revision,
             **explain(failure),
         )
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -5,29 +5,28 @@
 from random import Random
 
 import msgspec
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import ensureDeferred
 
-from magnolialug.config.routing import CallerLimits, RouteType, Routing
+from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.entrybook import ENTRIES_PREFIX, EntryBook, EntryRow
 from magnolialug.entry.follower import Follower
 from magnolialug.entry.forwardcall import ForwardCall
+from magnolialug.entry.gatewaycall import CallMeans, GatewayCall
 from magnolialug.entry.gatewaychannel import GatewayFactory, GatewayRequest
 from magnolialug.entry.gatewayintake import read_call
+from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.httpattempt import HttpAttempt
-from magnolialug.entry.httpcarrier import HttpCarrier
 from magnolialug.entry.loadshare import LoadShare
 from magnolialug.entry.orderlease import OrderLease
 from magnolialug.entry.orders import Orders
 from magnolialug.entry.placer import Placer
-from magnolialug.entry.progress import Served
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
-from magnolialug.entry.serving import Means, Serving
+from magnolialug.entry.serving import Means
 from magnolialug.entry.storewatch import StoreWatch
 from magnolialug.events import Event, emit, explain
-from magnolialug.metrics import Metrics
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
@@ -36,8 +35,7 @@
 from magnolialug.platform.settings import Settings
 from magnolialug.policy.cachemap import CacheMap
 from magnolialug.policy.retry import Backoff, Budget
-from magnolialug.requestlog import RequestLog
-from magnolialug.result import Code, Executed, Failure, failed
+from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
 
 __all__ = ["Gateway"]
@@ -61,6 +59,10 @@
 _TAKES_WORK_S = 2.8
 _STOP_MARGIN_S = 0.4
 _DRAIN_STEP_S = 0.05
+# First and longest pause before a request goes to another endpoint. That one
+# is another machine, so there is nothing to wait for but a retry storm, and
+# the budget bounds that.
+_BACKOFF_S = (0.004, 0.1)
 
 
 class Gateway:
@@ -82,15 +84,17 @@
         reactor,
         kv: Kv,
         random: Random,
-        metrics: Metrics,
+        metrics: GatewayMetrics,
         calls: EngineCalls,
         cache_calls: CacheCalls,
     ):
         self.settings = settings
         self.clock: Callable[[], float] = reactor.seconds
         self.metrics = metrics
-        self.directory = Directory(reactor)
-        self.book = RouteBook(self._routed)
+        self.directory = Directory(
+            reactor, lambda: metrics.connections_made.add(1)
+        )
+        self.routes = RouteBook(self._routed)
         self.registry = Registry(self.directory, reactor)
         self.factory = GatewayFactory(
             self.handle, self._limits, reactor.seconds, reactor.callLater
@@ -105,19 +109,13 @@
             reactor.seconds,
             self._cache,
             self._stores.addresses,
-            lambda: self.book.weights,
+            lambda: self.routes.weights,
         )
         self._underway: set[HttpAttempt] = set()
         self._stopping_at: float | None = None
         self._tick = None
-        self._means = Means(
-            budget=self._new_budget(),
-            metrics=metrics,
-            clock=reactor,
-            random=random,
-            new_hex=lambda: secrets.token_hex(8),
-            backoff=lambda: Backoff(base_s=0.004, limit_s=0.1),
-        )
+        self._budget = self._new_budget()
+        self._means = self._call_means(random)
         self._lease = OrderLease(
             kv,
             settings.vm,
@@ -131,9 +129,10 @@
             self._lease,
             calls,
             reactor.seconds,
-            lambda: self.book.weights,
+            lambda: self.routes.weights,
+            lambda reply: metrics.orders.add(1, {"reply": reply.value}),
         )
-        self._book = EntryBook(
+        self._entries = EntryBook(
             kv,
             settings.vm,
             EntryRow(settings.host, settings.internal_port, settings.zone),
@@ -142,15 +141,17 @@
             self._counted,
         )
         self.loads = LoadShare(
-            self.directory, self._book, reactor, self._lease.name
+            self.directory, self._entries, reactor, self._lease.name
         )
         self._placer.on_change = self.loads.changed
         self._followers = [
-            Follower(kv, ENTRIES_PREFIX, self._book, reactor, random, _WATCH_S),
+            Follower(
+                kv, ENTRIES_PREFIX, self._entries, reactor, random, _WATCH_S
+            ),
             Follower(
                 kv,
                 OPERATOR_PREFIX,
-                self.book,
+                self.routes,
                 reactor,
                 random,
                 _WATCH_S,
@@ -168,10 +169,11 @@
 
     def start(self) -> None:
         """Begins to read routes and endpoints."""
+        self._observe()
         for follower in self._followers:
             follower.start()
         self._lease.start()
-        self._book.start()
+        self._entries.start()
         self._ticked()
         emit(Event.STARTED, vm=self.settings.vm, zone=self.settings.zone)
 
@@ -192,15 +194,15 @@
             self.settings, bounds=settings.bounds
         )
         budget = self._new_budget()
-        self._means.budget.ratio = budget.ratio
-        self._means.budget.limit = budget.limit
+        self._budget.ratio = budget.ratio
+        self._budget.limit = budget.limit
         emit(Event.RELOADED, vm=settings.vm)
 
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
         return (
             self._stopping_at is None
-            and self.book.table is not None
+            and self.routes.table is not None
             and self.registry.known
         )
 
@@ -212,8 +214,8 @@
         """
         self._stopping_at = self.clock()
         emit(Event.DRAINING, vm=self.settings.vm, running=self.in_progress)
-        await self._lease.stop()
-        await self._book.stop()
+        ensureDeferred(self._lease.stop())
+        ensureDeferred(self._entries.stop())
         end = self._stopping_at + self.settings.bounds.grace_s - _STOP_MARGIN_S
         await sleep(self._reactor, _NOTICED_S)
         while self.clock() < end:
@@ -239,96 +241,43 @@
             self._refused_early(req, call)
             sink.refuse(call)
             return
-        log = RequestLog(call.name)
-        carrier = HttpCarrier(
-            self._placer, self._underway, self.clock, call, sink, log
-        )
-        fut = ensureDeferred(self._serve(call, carrier, log))
-        req.notifyFinish().addErrback(
-            lambda _: self._left(call, sink, fut, log)
+        self.in_progress += 1
+        GatewayCall(self._means, call, sink, self._over).start(req)
+
+    def _over(self) -> None:
+        self.in_progress -= 1
+
+    def _call_means(self, random: Random) -> CallMeans:
+        metrics = self.metrics
+        return CallMeans(
+            serving=Means(
+                budget=self._budget,
+                retried=lambda service: metrics.retries.add(
+                    1, {"service": service}
+                ),
+                clock=self._reactor,
+                random=random,
+                new_hex=lambda: secrets.token_hex(8),
+                backoff=lambda: Backoff(*_BACKOFF_S),
+            ),
+            placer=self._placer,
+            underway=self._underway,
+            clock=self.clock,
+            metrics=metrics,
         )
-        fut.addCallback(self._ended, call, sink, carrier, log)
-        fut.addErrback(_broken, sink)
 
     def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
-        if self.book.table is None:
+        if self.routes.table is None:
             return failed(Code.CONFIG_MISSING, retry_after_s=0.5)
         if (
             self._stopping_at is not None
             and self.clock() - self._stopping_at > _TAKES_WORK_S
         ):
             return failed(Code.DRAINING, retry_after_s=0.1)
-        return read_call(req, self.book.table, self.clock())
-
-    async def _serve(
-        self, call: ForwardCall, carrier: HttpCarrier, log: RequestLog
-    ) -> Served | Failure:
-        self.in_progress += 1
-        self._means.budget.deposit(call.service)
-        try:
-            return await Serving(self._means, call, carrier, log).run()
-        finally:
-            self.in_progress -= 1
-
-    def _ended(
-        self,
-        result: Served | Failure,
-        call: ForwardCall,
-        sink: GatewaySink,
-        carrier: HttpCarrier,
-        log: RequestLog,
-    ) -> None:
-        kept = isinstance(result, Failure) and carrier.deliver_kept()
-        if isinstance(result, Failure) and not kept:
-            sink.refuse(self._in_time(result, call))
-        self._count(call, result, sink, log)
-
-    def _in_time(self, failure: Failure, call: ForwardCall) -> Failure:
-        """Says of a failure at the deadline that time was the cause."""
-        over = self.clock() >= call.deadline
-        if over and failure.executed is not Executed.NO:
-            return failed(Code.TIMED_OUT, failure.reason)
-        return failure
-
-    def _left(
-        self,
-        call: ForwardCall,
-        sink: GatewaySink,
-        fut: Deferred,
-        log: RequestLog,
-    ) -> None:
-        sink.left()
-        if call.route.form is not RouteType.NON_IDEMPOTENT:
-            log.emit(Event.CANCELLED, route=call.route.name)
-            fut.cancel()
-
-    def _count(
-        self,
-        call: ForwardCall,
-        result: Served | Failure,
-        sink: GatewaySink,
-        log: RequestLog,
-    ) -> None:
-        took_s = self.clock() - call.arrived
-        if isinstance(result, Failure):
-            log.emit(
-                Event.REQUEST_FAILED,
-                route=call.route.name,
-                status=sink.status,
-                took_s=round(took_s, 3),
-                **explain(result),
-            )
-            log.failed()
-            return
-        log.emit(
-            Event.REQUEST_DONE,
-            route=call.route.name,
-            status=sink.status,
-            first_s=round(result.ttft_s, 3),
-            took_s=round(took_s, 3),
-        )
+        return read_call(req, self.routes.table, self.clock())
 
     def _refused_early(self, req: GatewayRequest, failure: Failure) -> None:
+        self.metrics.refusals.add(1, {"code": failure.code.name})
         emit(
             Event.REQUEST_FAILED,
             request=(req.getHeader("x-request-id") or "")[:64],
@@ -337,6 +286,45 @@
             **explain(failure),
         )
 
+    def _observe(self) -> None:
+        """Measures states whenever metrics are read."""
+        metrics = self.metrics
+        metrics.observe("in_progress", lambda: [(self.in_progress, {})])
+        metrics.observe(
+            "caller_connections",
+            lambda: [(len(self.factory.channels), {})],
+        )
+        metrics.observe("config_version", lambda: [(self.routes.version, {})])
+        metrics.observe("ready", lambda: [(int(self.ready()), {})])
+        metrics.observe(
+            "order_lease_held", lambda: [(int(self._lease.held), {})]
+        )
+        metrics.observe("entries", lambda: [(self.directory.entries, {})])
+        metrics.observe(
+            "kv_in_touch",
+            lambda: [
+                (int(row.in_touch), {"prefix": row.prefix})
+                for row in self._followers
+            ],
+        )
+        metrics.observe("endpoints", self.directory.states)
+        metrics.observe("endpoint_connections", self.directory.connections)
+        metrics.observe(
+            "retries_left",
+            lambda: [
+                (self._budget.left(name), {"service": name})
+                for name in self.directory.services
+            ],
+        )
+        metrics.observe(
+            "store_word_age_seconds",
+            lambda: [
+                (self.clock() - book.heard_at, {"store": name})
+                for name, book in self._cache.books.items()
+                if book.epoch
+            ],
+        )
+
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
         self._stores.configure(routing)
@@ -344,10 +332,10 @@
     def _counted(self, entries: int) -> None:
         self.directory.counted(entries)
         budget = self._new_budget()
-        self._means.budget.limit = budget.limit
+        self._budget.limit = budget.limit
 
     def _limits(self) -> CallerLimits:
-        table = self.book.table
+        table = self.routes.table
         return table.routing.limits if table else CallerLimits()
 
     def _new_budget(self) -> Budget:
@@ -371,11 +359,3 @@
         self._cache.tick(now)
         self.loads.tick(now)
         self.directory.trim()
-
-
-def _broken(reason, sink: GatewaySink) -> None:
-    """Ends a response whose task was cancelled or is at fault."""
-    if reason.check(CancelledError):
-        return
-    sink.refuse(failed(Code.OUTCOME_UNKNOWN, reason.type.__name__))
-    reason.raiseException()
--- /dev/null
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -0,0 +1,55 @@
+"""What a gateway counts and measures."""
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.metrics import CallbackOptions, Observation
+
+from magnolialug.metrics import Instruments
+
+__all__ = ["FIRST_BOUNDS_S", "GatewayMetrics"]
+
+# Around the targets of the kinds served today, 0.1 to 0.8 s, and up to the
+# longest time that a route allows.
+FIRST_BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
+
+
+class GatewayMetrics(Instruments):
+    """Counters and histograms; states are observed when they are read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        meter = self.meter
+        self.first_event = meter.create_histogram(
+            "first_event_seconds",
+            "s",
+            explicit_bucket_boundaries_advisory=FIRST_BOUNDS_S,
+        )
+        self.answer = meter.create_histogram(
+            "answer_seconds",
+            "s",
+            explicit_bucket_boundaries_advisory=FIRST_BOUNDS_S,
+        )
+        self.requests = meter.create_counter("requests")
+        self.refusals = meter.create_counter("refusals")
+        self.retries = meter.create_counter("retries")
+        self.attempts = meter.create_counter("attempts")
+        self.kv_calls = meter.create_counter("kv_calls")
+        self.connections_made = meter.create_counter("connections_made")
+        self.tokens = meter.create_counter("prompt_tokens")
+        self.parts = meter.create_counter("cache_parts")
+        self.orders = meter.create_counter("orders")
+        self.lines_dropped = meter.create_counter("log_lines_dropped")
+
+    def observe(
+        self, name: str, rows: Callable[[], Iterable[tuple[float, dict]]]
+    ) -> None:
+        """Measures a state each time that metrics are read.
+
+        Args:
+          rows: returns values with their attributes.
+        """
+
+        def callback(_: CallbackOptions) -> list[Observation]:
+            return [Observation(value, labels) for value, labels in rows()]
+
+        self.meter.create_observable_gauge(name, callbacks=[callback])
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -5,6 +5,7 @@
 from magnolialug.carrier.taker import End
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
+from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.httpattempt import ForwardSink, HttpAttempt, Outcome
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.placer import Placed, Placer
@@ -17,6 +18,8 @@
 
 __all__ = ["HttpCarrier"]
 
+_FETCHED = {"moved": "fetched"}
+_SAVED = {"moved": "saved"}
 _ENDPOINT_AT_FAULT = (End.RESET, End.CLOSED, End.GARBAGE, End.SILENT)
 
 
@@ -36,8 +39,10 @@
         call: ForwardCall,
         sink: ForwardSink,
         log: RequestLog,
+        metrics: GatewayMetrics,
     ):
         self._log = log
+        self._metrics = metrics
         self._placer = placer
         self._underway = underway
         self._clock = clock
@@ -87,6 +92,13 @@
 
     def _log_placed(self, placed: Placed) -> None:
         to = placed.dispatch
+        prompt = self._call.prompt
+        if prompt is not None:
+            tokens = self._metrics.tokens
+            tokens.add(placed.unread, {"source": "read"})
+            tokens.add(prompt.tokens_in - placed.unread, {"source": "kept"})
+            self._metrics.parts.add(sum(map(bool, to.fetch)), _FETCHED)
+            self._metrics.parts.add(sum(map(bool, to.save)), _SAVED)
         self._log.emit(
             Event.PLACED,
             route=self._call.route.name,
@@ -106,6 +118,10 @@
         )
 
     def _log_outcome(self, to: Dispatch, outcome: Outcome) -> None:
+        ending = outcome.ended.ending.value if outcome.ended else "whole"
+        self._metrics.attempts.add(
+            1, {"service": self._call.service, "ending": ending}
+        )
         if outcome.ended is None:
             return
         answer = outcome.answer
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -62,6 +62,7 @@
 
     Args:
       named: returns the newest version that was named, by model.
+      counted: is told the reply to each order.
     """
 
     def __init__(
@@ -71,12 +72,14 @@
         calls: EngineCalls,
         clock: Callable[[], float],
         named: Callable[[], dict[str, int]],
+        counted: Callable[[OrderReply], None] = lambda reply: None,
     ):
         self._directory = directory
         self._lease = lease
         self._calls = calls
         self._clock = clock
         self._named = named
+        self._counted = counted
         self._engines: dict[EndpointId, _Engine] = {}
 
     def tick(self) -> None:
@@ -217,6 +220,7 @@
         state = self._state(peer)
         state.calling = False
         state.quiet_until = self._clock() + _AGAIN_S
+        self._counted(reply)
         emit(
             Event.ORDER_ANSWERED,
             endpoint=peer.listed.endpoint,
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -39,6 +39,14 @@
         """Whether no new work may go to it."""
         return self.gone or self.listed.leaving
 
+    def state(self, now: float) -> str:
+        """Returns one word for what is believed of it."""
+        if self.leaving:
+            return "leaving"
+        if now < self.closed_until:
+            return "closed"
+        return "up" if self.health.usable(now) else "suspected"
+
     def serves(self, model: str) -> bool:
         """Whether it has some version of a model."""
         return model in self._weights
--- a/magnolialug/entry/readiness.py
+++ b/magnolialug/entry/readiness.py
@@ -1,11 +1,11 @@
-"""Answers the balancer's question whether callers may be sent."""
+"""Small answers: whether callers may be sent, and metrics as text."""
 
 from collections.abc import Callable
 
 from twisted.internet.protocol import Factory
 from twisted.web.http import HTTPChannel, Request
 
-__all__ = ["ready_factory"]
+__all__ = ["ready_factory", "text_factory"]
 
 # The balancer asks once a second on one connection or on many.
 _IDLE_S = 10
@@ -13,23 +13,34 @@
 
 def ready_factory(ready: Callable[[], bool]) -> Factory:
     """Returns the factory of the balancer's connections."""
+    return _factory(lambda: (200 if ready() else 503, b""))
 
-    class ReadyRequest(Request):
-        """Says 200 or 503, whatever is asked."""
+
+def text_factory(text: Callable[[], str]) -> Factory:
+    """Returns the factory of connections that are answered with a text."""
+    return _factory(lambda: (200, text().encode()))
+
+
+def _factory(answer: Callable[[], tuple[int, bytes]]) -> Factory:
+    class OneAnswerRequest(Request):
+        """Gives the same answer, whatever is asked."""
 
         def process(self) -> None:
             """Answers at once."""
-            self.setResponseCode(200 if ready() else 503)
-            self.setHeader(b"Content-Length", b"0")
+            status, body = answer()
+            self.setResponseCode(status)
+            self.setHeader(b"Content-Type", b"text/plain; charset=utf-8")
+            self.setHeader(b"Content-Length", b"%d" % len(body))
+            self.write(body)
             self.finish()
 
-    class ReadyChannel(HTTPChannel):
-        """One connection of the balancer."""
+    class OneAnswerChannel(HTTPChannel):
+        """One connection."""
 
-        requestFactory = ReadyRequest
+        requestFactory = OneAnswerRequest
         timeOut = _IDLE_S
 
-    factory = Factory.forProtocol(ReadyChannel)
+    factory = Factory.forProtocol(OneAnswerChannel)
     factory.log = lambda request: None
     factory.noisy = False
     return factory
--- a/magnolialug/entry/serving.py
+++ b/magnolialug/entry/serving.py
@@ -10,7 +10,6 @@
 from magnolialug.entry.call import Call
 from magnolialug.entry.progress import Ended, Progress, Served
 from magnolialug.events import Event, explain
-from magnolialug.metrics import Metrics
 from magnolialug.policy.retry import Backoff, Budget, Ending, may_retry
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure
@@ -38,12 +37,13 @@
     """What an entry serves its calls with.
 
     Attributes:
+      retried: is told the service of each retry.
       new_hex: makes the unguessable part of request ids.
       backoff: the pauses between attempts.
     """
 
     budget: Budget
-    metrics: Metrics
+    retried: Callable[[str], None]
     clock: IReactorTime
     random: Random
     new_hex: Callable[[], str]
@@ -107,7 +107,7 @@
         )
 
     def _log_retry(self, end: Ended) -> None:
-        self._means.metrics.retries.add(1)
+        self._means.retried(self._call.service)
         self._log.emit(
             Event.RETRIED,
             team=self._call.team,
--- a/tests/entry/test_cache_parts.py
+++ b/tests/entry/test_cache_parts.py
@@ -133,7 +133,7 @@
         were saved after a newer version had been named.
         """
         cluster, store = self.started()
-        cluster.gateway.book.weights["m"] = 2
+        cluster.gateway.routes.weights["m"] = 2
         cluster.ask("/draft/x", seconds=0.3)
         self.assertEqual("", headers(cluster, "x-kv-save-to")[-1])
         self.assertEqual({}, store.parts)
--- a/tests/entry/test_gateway_members.py
+++ b/tests/entry/test_gateway_members.py
@@ -258,7 +258,7 @@
         cluster.pass_time(0.2)
         cluster.configure(config(4))
         cluster.pass_time(0.2)
-        self.assertEqual(5, cluster.gateway.book.version)
+        self.assertEqual(5, cluster.gateway.routes.version)
         self.assertEqual(404, cluster.ask("/book/x").last.status)
 
     def test_a_change_during_an_outage_is_in_force_after_it(self):
@@ -268,7 +268,7 @@
         cluster.kv.faults.refusing = False
         cluster.configure(config(2, routes=config()["routes"][:1]))
         cluster.pass_time(1.8)
-        self.assertEqual(2, cluster.gateway.book.version)
+        self.assertEqual(2, cluster.gateway.routes.version)
 
     def test_what_is_under_way_keeps_the_route_it_came_by(self):
         cluster = GatewayCluster(desks=1)
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -201,7 +201,7 @@
         cluster.pass_time(4)
         cluster.kv.faults.down = True
         cluster.pass_time(2)
-        cluster.gateway.book.weights["m"] = 2
+        cluster.gateway.routes.weights["m"] = 2
         cluster.pass_time(3)
         self.assertEqual([], orders(cluster))
         cluster.kv.faults.down = False
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -10,7 +10,7 @@
 
 from magnolialug.carrier.client import Client
 from magnolialug.entry.gateway import Gateway
-from magnolialug.metrics import Metrics
+from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.settings import Bounds, Settings, StoreRates
@@ -214,7 +214,7 @@
             self.net,
             self.kv,
             Random(number),
-            Metrics(),
+            GatewayMetrics(),
             EngineCalls(Client(self.net)),
             CacheCalls(Client(self.net)),
         )
