Gateway: silent endpoints get no new work; calls during a stop end before it

Cause: an engine that answers nothing was suspected only at its requests' deadlines, 3 to 15 s later; calls taken during a stop could outlast it.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -25,6 +25,7 @@
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means
+from magnolialug.entry.silencewatch import SilenceWatch
 from magnolialug.entry.storewatch import StoreWatch
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.cachecalls import CacheCalls
@@ -112,6 +113,7 @@
             lambda: self.routes.weights,
         )
         self._underway: set[HttpAttempt] = set()
+        self._silence = SilenceWatch(calls, reactor.seconds)
         self._stopping_at: float | None = None
         self._tick = None
         self._budget = self._new_budget()
@@ -216,7 +218,7 @@
         emit(Event.DRAINING, vm=self.settings.vm, running=self.in_progress)
         ensureDeferred(self._lease.stop())
         ensureDeferred(self._entries.stop())
-        end = self._stopping_at + self.settings.bounds.grace_s - _STOP_MARGIN_S
+        end = self._stop_end()
         await sleep(self._reactor, _NOTICED_S)
         while self.clock() < end:
             self.factory.close_idle()
@@ -274,7 +276,19 @@
             and self.clock() - self._stopping_at > _TAKES_WORK_S
         ):
             return failed(Code.DRAINING, retry_after_s=0.1)
-        return read_call(req, self.routes.table, self.clock())
+        call = read_call(req, self.routes.table, self.clock())
+        if self._stopping_at is None or isinstance(call, Failure):
+            return call
+        return self._within_grace(call)
+
+    def _within_grace(self, call: ForwardCall) -> ForwardCall:
+        """Ends a call that comes during a stop before the kill does."""
+        end = self._stop_end() - _STOP_MARGIN_S
+        return msgspec.structs.replace(call, deadline=min(call.deadline, end))
+
+    def _stop_end(self) -> float:
+        grace_s = self.settings.bounds.grace_s
+        return self._stopping_at + grace_s - _STOP_MARGIN_S
 
     def _refused_early(self, req: GatewayRequest, failure: Failure) -> None:
         self.metrics.refusals.add(1, {"code": failure.code.name})
@@ -353,6 +367,7 @@
         now = self.clock()
         for attempt in list(self._underway):
             attempt.sweep(now)
+        self._silence.tick(self._underway)
         self.factory.sweep(now)
         self.registry.tick()
         self._orders.tick()
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -65,6 +65,7 @@
             sink,
             self._log,
             means.metrics,
+            means.serving.budget,
         )
 
     def start(self, req: GatewayRequest) -> None:
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -71,6 +71,7 @@
       ended: None for an answer that the caller has in full.
       answer: the response head, None if none came.
       first_event_s: time from sending to the first piece of the body.
+      sent_at: when the request was sent.
       kept: the body of a failure that was kept back.
     """
 
@@ -78,6 +79,7 @@
     answer: Answer | None = None
     first_event_s: float = 0.0
     end: End = End.WHOLE
+    sent_at: float = 0.0
     kept: bytes = b""
 
 
@@ -85,6 +87,12 @@
     """Sends a request to one endpoint and passes the answer on.
 
     It is the connection's taker. `done` fires once with the Outcome.
+
+    Args:
+      patient_until: without an answer by then, another endpoint is tried if
+        that is allowed.
+      may_move: tells whether it is.
+      on_first: is told of the first piece of the body.
     """
 
     def __init__(
@@ -95,8 +103,12 @@
         progress: Progress,
         sink: ForwardSink,
         now: float,
+        patient_until: float,
+        may_move: Callable[[], bool],
         on_first: Callable[[], None],
     ):
+        self._patient_until = patient_until
+        self._may_move = may_move
         self._on_first = on_first
         self.done: Deferred[Outcome] = Deferred(self._cancelled)
         self.peer = peer
@@ -131,10 +143,14 @@
         """Ends the attempt when nothing more can come of it in time."""
         if now >= self._call.deadline:
             self._flight.silent()
+        elif self.answered or now < self._patient_until:
+            return
+        elif self._may_move():
+            self._flight.silent()
 
     def on_head(self, head: Head) -> None:
         """Takes the endpoint's status line and headers."""
-        self.heard_at = self._clock()
+        self._heard()
         self.answered = True
         answer = self._answer = read_answer(head)
         stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
@@ -172,7 +188,7 @@
 
     def on_data(self, data: bytes) -> None:
         """Takes a piece of the endpoint's body."""
-        self.heard_at = self._clock()
+        self._heard()
         if self._stage is _Stage.PASSING:
             self._deliver(data)
         elif self._stage is _Stage.GATHERING:
@@ -182,6 +198,10 @@
             if sum(map(len, self._kept)) > _KEPT_BYTES:
                 self._flight.drop()
 
+    def _heard(self) -> None:
+        self.heard_at = self._clock()
+        self.peer.heard(self.heard_at)
+
     def _gather(self, data: bytes) -> None:
         """Holds an answer that is no stream until it is whole.
 
@@ -231,6 +251,7 @@
             self._pass_gathered()
         outcome = self._outcome(end)
         outcome.end = end
+        outcome.sent_at = self.sent_at
         outcome.answer = self._answer
         outcome.first_event_s = self._first_event_s
         done.callback(outcome)
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -12,7 +12,7 @@
 from magnolialug.entry.progress import Ended, Progress, Served
 from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId
-from magnolialug.policy.retry import Ending
+from magnolialug.policy.retry import Budget, Ending
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Failure
 
@@ -40,8 +40,10 @@
         sink: ForwardSink,
         log: RequestLog,
         metrics: GatewayMetrics,
+        budget: Budget,
     ):
         self._log = log
+        self._budget = budget
         self._metrics = metrics
         self._placer = placer
         self._underway = underway
@@ -50,6 +52,7 @@
         self._sink = sink
         self._avoid: set[EndpointId] = set()
         self._kept: Outcome | None = None
+        self._number = 0
         self._progress = Progress(seq=call.resume_after)
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
@@ -85,6 +88,14 @@
         self._sink.whole()
         return True
 
+    def _may_move(self) -> bool:
+        """Whether another endpoint may be tried while this one is silent."""
+        return (
+            self._call.kind.idempotent
+            and self._number < self._call.attempts
+            and self._budget.left(self._call.service) >= 1.0
+        )
+
     def _kept_answer(self) -> Served | None:
         if not self.deliver_kept():
             return None
@@ -147,8 +158,11 @@
             progress,
             self._sink,
             now,
+            now + placed.patience_s,
+            self._may_move,
             lambda: self._placer.first_event(self._call, peer),
         )
+        self._number += 1
         self._placer.sent(self._call, peer, dispatch, placed.unread, now)
         self._underway.add(attempt)
         try:
@@ -175,6 +189,8 @@
             peer.health.probing = False
             if peer.load is not None:
                 peer.turned_away(self._clock())
+        elif outcome.end is End.SILENT and peer.heard_at > outcome.sent_at:
+            peer.health.answered(False)
         elif outcome.end is End.UNSENT or outcome.end in _ENDPOINT_AT_FAULT:
             peer.health.broke(self._clock())
         elif answer is not None:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -1,6 +1,7 @@
 """One endpoint as the gateway uses it."""
 
 from magnolialug.carrier.pool import Pool
+from magnolialug.events import Event, emit
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
 from magnolialug.policy.listed import Listed
@@ -20,6 +21,8 @@
       running: attempts under way from this process.
       gone: whether the registry dropped it, or another has its address.
       closed_until: its engine loads weights and turns new work away.
+      heard_at: when the last byte came from it.
+      mute: whether it has been silent for too long while it had work.
       load: what is known of its engine, None for a plain service.
     """
 
@@ -31,6 +34,8 @@
         self.running = 0
         self.gone = False
         self.closed_until = 0.0
+        self.heard_at = float("-inf")
+        self.mute = False
         self._weights: dict[str, int] = dict(listed.weights)
         self._denied: dict[str, int] = {}
 
@@ -45,7 +50,19 @@
             return "leaving"
         if now < self.closed_until:
             return "closed"
-        return "up" if self.health.usable(now) else "suspected"
+        return "up" if self.sound(now) else "suspected"
+
+    def sound(self, now: float) -> bool:
+        """Whether nothing speaks against sending it work."""
+        closed = now < self.closed_until
+        return not closed and not self.mute and self.health.usable(now)
+
+    def heard(self, now: float) -> None:
+        """Learns that bytes came from it."""
+        self.heard_at = now
+        if self.mute:
+            self.mute = False
+            emit(Event.ENDPOINT_BACK, endpoint=self.listed.endpoint)
 
     def serves(self, model: str) -> bool:
         """Whether it has some version of a model."""
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -28,6 +28,8 @@
 # A prompt's first engine on the ring wins a tie, so that entries which know
 # nothing of each other still send returning prompts to the same engine.
 _RANK_S = 0.004
+_TARGETS = 1.5
+_LEAST_PATIENCE_S = 0.1
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -35,11 +37,13 @@
 
     Attributes:
       unread: prompt tokens that the endpoint is expected to read.
+      patience_s: how long it may stay without an answer.
     """
 
     peer: Peer
     dispatch: Dispatch
     unread: int
+    patience_s: float
     compared: tuple[Candidate, ...]
 
 
@@ -89,7 +93,8 @@
         peer = self._directory.peers[best.endpoint]
         unread = self._unread(call, peer)
         dispatch = self._dispatch(call, peer, progress)
-        return Placed(peer, dispatch, unread, tuple(candidates))
+        patience_s = self.patience_s(call, best.cost)
+        return Placed(peer, dispatch, unread, patience_s, tuple(candidates))
 
     def _compare(self, call: ForwardCall, peers: list[Peer]) -> list[Candidate]:
         now = self._clock()
@@ -100,6 +105,17 @@
             if peer.pool.room
         ]
 
+    def patience_s(self, call: ForwardCall, expected_s: float) -> float:
+        """Returns how long an attempt may stay without an answer.
+
+        An endpoint can hang on some requests while it answers others, and
+        nothing but the time tells. After half as long again as the target,
+        and twice what was expected, another endpoint is the better bet.
+        """
+        return max(
+            _TARGETS * call.route.target_s, 2 * expected_s + _LEAST_PATIENCE_S
+        )
+
     def sent(
         self,
         call: ForwardCall,
@@ -178,8 +194,7 @@
         else:
             cost += self._plain_cost(peer)
         cost *= peer.health.penalty
-        sound = peer.health.usable(now) and now >= peer.closed_until
-        return Candidate(peer.listed.endpoint, cost, sound)
+        return Candidate(peer.listed.endpoint, cost, peer.sound(now))
 
     def _engine_cost(self, call: ForwardCall, peer: Peer, rank: int) -> float:
         load = peer.load
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -67,6 +67,7 @@
     ENDPOINT_LEAVING = 4102
     ENDPOINT_GONE = 4103
     ENTRY_REFUSED = 4104
+    ENDPOINT_BACK = 4105
     KV_LOST = 4200
     KV_BACK = 4201
     STORE_HEARD = 4210
@@ -118,10 +119,11 @@
     Event.EXPORT_DECLINED: "A block was not worth the room; values compared.",
     Event.LINK_UP: "A connection between two processes is ready.",
     Event.LINK_DOWN: "A connection between two processes ended.",
-    Event.ENDPOINT_SUSPECTED: "An endpoint's heartbeats stopped.",
+    Event.ENDPOINT_SUSPECTED: "An endpoint says nothing; it gets no new work.",
     Event.ENDPOINT_LISTED: "The registry lists an endpoint.",
     Event.ENDPOINT_LEAVING: "An endpoint gets no new work; it drains.",
     Event.ENDPOINT_GONE: "An endpoint is no longer listed.",
+    Event.ENDPOINT_BACK: "A silent endpoint has answered again.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
