Placement: engines without room in memory cost more

Change: a request that would leave less than 15% of an engine's memory free costs 4 s for each whole memory that is missing.

--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -202,7 +202,7 @@
         unread, fetch_s = self._reading(call.prompt, salt, peer)
         cost = load.first_event_s(call.priority, unread) + fetch_s
         room = load.room(call.prompt.tokens_in + call.prompt.tokens_out)
-        return cost + rank * _RANK_S + max(0.0, -room)
+        return cost + rank * _RANK_S + 4.0 * max(0.0, 0.15 - room)
 
     def _unread(self, call: ForwardCall, peer: Peer) -> int:
         if call.prompt is None or peer.load is None:
