Cache: parts of weights that are being replaced are still read

Change: parts that were whole before a newer version was known are fetched on; later reports under the old salt are not believed, since an engine can take new weights while it reads. Salts name the model. A store that is heard for the first time and is empty is not written to for 2.2 s; one that holds anything has lived longer than that.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -103,14 +103,16 @@
         self.in_progress = 0
         self._reactor = reactor
         self._cache = CacheMap()
-        self._stores = StoreWatch(self._cache, cache_calls, reactor, random)
+        self._stores = StoreWatch(
+            self._cache, cache_calls, reactor, random, self._newest
+        )
         self._placer = Placer(
             self.directory,
             settings.zone,
             reactor.seconds,
             self._cache,
             self._stores.addresses,
-            lambda: self.routes.weights,
+            self._newest,
         )
         self._underway: set[HttpAttempt] = set()
         self._silence = SilenceWatch(calls, reactor.seconds)
@@ -343,6 +345,18 @@
         self.directory.configure(routing)
         self._stores.configure(routing)
 
+    def _newest(self, model: str) -> int:
+        """Returns the newest version of a model that is known of.
+
+        An entry that is cut off from the key-value service hears of it from
+        the others' rollouts.
+        """
+        named = self.routes.weights.get(model, 0)
+        rollout = self.directory.rollout
+        if rollout is not None and rollout.model == model:
+            return max(named, rollout.version)
+        return named
+
     def _counted(self, entries: int) -> None:
         self.directory.counted(entries)
         budget = self._new_budget()
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -15,6 +15,7 @@
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.ring import Ring
+from magnolialug.policy.salt import salt_of
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["Placed", "Placer"]
@@ -54,7 +55,7 @@
       zone: where this process runs.
       cache: what the stores of cache parts hold.
       stores: their addresses.
-      named: returns the newest version of each model's weights.
+      newest: returns the newest version of a model that is known of.
     """
 
     def __init__(
@@ -64,13 +65,13 @@
         clock: Callable[[], float],
         cache: CacheMap,
         stores: Mapping[ServiceName, str],
-        named: Callable[[], Mapping[str, int]],
+        newest: Callable[[str], int],
     ):
         self._directory = directory
         self._zone = zone
         self._cache = cache
         self._stores = stores
-        self._named = named
+        self._newest = newest
         self._clock = clock
         self.on_change: Callable[[], None] = lambda: None
         self._rings: dict[frozenset[EndpointId], Ring] = {}
@@ -257,10 +258,10 @@
     ) -> tuple[tuple[str, ...], tuple[str, ...], int]:
         """Returns where to fetch and save each part, and until when."""
         now = self._clock()
-        newest = 0 < weights >= self._named().get(prompt.model, 0)
-        if not self._cache.books or not newest:
+        if not self._cache.books or not weights:
             return (), (), 0
-        plans = self._cache.plan(salt, prompt.shared, now, may_save=True)
+        newest = weights >= self._newest(prompt.model)
+        plans = self._cache.plan(salt, prompt.shared, now, newest)
         self._cache.saving(salt, prompt.shared, plans, now)
         fetch = [self._address(plan.fetch) for plan in plans]
         save = [self._address(plan.save) for plan in plans]
@@ -286,4 +287,4 @@
         version is not known, a request shares with no other.
         """
         team = call.team if call.isolated else ""
-        return f"{team}/{weights or call.name}"
+        return salt_of(team, call.prompt.model, weights) or f"?{call.name}"
--- a/magnolialug/entry/storewatch.py
+++ b/magnolialug/entry/storewatch.py
@@ -1,5 +1,6 @@
 """Follows what the stores of cache parts hold."""
 
+from collections.abc import Callable
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
@@ -10,6 +11,7 @@
 from magnolialug.ids import ServiceName
 from magnolialug.platform.cachecalls import CacheCalls, CacheEvents
 from magnolialug.policy.cachemap import CacheMap, StoreBook
+from magnolialug.policy.salt import version_of
 from magnolialug.result import Failure
 from magnolialug.timing import sleep
 
@@ -25,7 +27,11 @@
 
 
 class StoreWatch:
-    """One task for each store, that polls it and keeps its book."""
+    """One task for each store, that polls it and keeps its book.
+
+    Args:
+      newest: returns the newest version of a model that is known of.
+    """
 
     def __init__(
         self,
@@ -33,12 +39,14 @@
         calls: CacheCalls,
         clock: IReactorTime,
         random: Random,
+        newest: Callable[[str], int],
     ):
         self.addresses: dict[ServiceName, str] = {}
         self._cache = cache
         self._calls = calls
         self._clock = clock
         self._random = random
+        self._newest = newest
         self._tasks: dict[ServiceName, Deferred] = {}
 
     def configure(self, routing: Routing) -> None:
@@ -112,8 +120,11 @@
                 emit(Event.STORE_HEARD, store=name, epoch=found.epoch)
             heard = True
             if found.epoch != book.epoch:
+                fresh = book.epoch == 0
                 book.restarted(found.epoch, self._clock.seconds())
                 since = await self._catch_up(name, store, book, found, since)
+                if fresh and book.parts:
+                    book.lived()
             else:
                 since = self._take(book, found)
             book.heard_at = asked
@@ -144,9 +155,19 @@
     def _take(self, book: StoreBook, found: CacheEvents) -> int:
         for change in found.changes:
             key = (change.salt, change.part)
-            if change.whole:
+            if change.whole and not self._closed(change.salt):
                 book.added(key, change.tokens)
                 self._cache.heard(key)
-            else:
+            elif not change.whole:
                 book.removed(key)
         return found.next
+
+    def _closed(self, salt: str) -> bool:
+        """Whether parts under a salt are not believed any more.
+
+        An engine can take new weights while it reads a part, and saves it
+        under the salt of the old ones. So of a version that is being
+        replaced only those parts are believed that were whole before.
+        """
+        model, version = version_of(salt)
+        return version < self._newest(model)
--- a/magnolialug/policy/cachemap.py
+++ b/magnolialug/policy/cachemap.py
@@ -10,12 +10,19 @@
 
 __all__ = ["CacheMap", "PartKey", "PartPlan", "StoreBook"]
 
-# A store's word counts for this long. A store that dies and comes back empty
-# can hold the same part half written; who still believed the old word would
-# read it. Polls are answered within a second, so two missed ones end belief.
+# A store's word counts for this long for new requests. Polls are answered
+# within 0.5 s, so two missed ones end it; a dead store costs each request
+# that is sent to it some hundred milliseconds.
 TRUST_S = 1.6
-# After a store has come back, nothing is written to it until every entry has
-# either heard of the restart or stopped believing.
+# A fetch may end this long after the store's last word. It begins when its
+# engine admits the request; in a burst that is a few seconds after the
+# choice, and a prompt that may not be fetched then is read, which makes the
+# burst worse.
+_FETCH_S = 1.6
+# A store that dies and comes back empty can hold a part half written that it
+# held whole before. So nothing is written to a store that has been heard for
+# the first time, or again, until every fetch has ended that went by its word
+# from before.
 _QUARANTINE_S = 2.2
 # A save that has not been reported by then is taken as lost. Reading a long
 # dossier takes 0.2 s, and engines queue for a second or two.
@@ -84,16 +91,22 @@
         after its restart, and it restarted after its last answer, so a fetch
         that ends before that finds old parts whole or nothing.
         """
-        return int((self.heard_at + TRUST_S + self.clock_s) * 1000)
+        return int((self.heard_at + _FETCH_S + self.clock_s) * 1000)
 
     def restarted(self, epoch: int, now: float) -> None:
         """Forgets all that an earlier start held."""
-        first = self.epoch == 0
         self.epoch = epoch
         self.parts.clear()
         self.used = 0
-        if not first:
-            self.writable_from = now + _QUARANTINE_S
+        self.writable_from = now + _QUARANTINE_S
+
+    def lived(self) -> None:
+        """Learns that a store held something when it was first heard.
+
+        Nobody writes to a store sooner than a quarantine after its restart,
+        so one that holds anything has been up for longer than that.
+        """
+        self.writable_from = 0.0
 
     def added(self, key: PartKey, tokens: int) -> None:
         """Takes the word that a part is whole."""
