HTTP: one client; endpoints' streams and URLs go over the carrier

Cause: two HTTP clients did the same work; the library's agent drops bytes behind a response and leaks a connection whose body is not read in time. Change: HttpClient asks and streams over the carrier; the agent is gone.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -8,7 +8,7 @@
 
 from magnolialug.carrier.pool import Address, Flight, Pool
 from magnolialug.carrier.reader import Head
-from magnolialug.carrier.taker import End
+from magnolialug.carrier.taker import End, Taker
 
 __all__ = ["Client", "NoReply", "Reply", "address_of", "request_bytes"]
 
@@ -105,14 +105,9 @@
         self, address: Address, request: bytes, timeout_s: float
     ) -> Deferred[Reply | NoReply]:
         """Returns the response, or how it failed to come in time."""
-        pool = self._pools.get(address)
-        if pool is None:
-            clock = self._reactor.seconds
-            pool = Pool(self._reactor, address, self._limit, clock)
-            self._pools[address] = pool
         done: Deferred = Deferred(lambda _: gather.on_end(End.DROPPED))
         gather = _Gather(done)
-        flight = pool.send(request, gather, lambda head: True)
+        flight = self.send(address, request, gather)
         gather.flight = flight
         timer = self._reactor.callLater(timeout_s, flight.silent)
 
@@ -124,6 +119,15 @@
 
         return done.addCallback(over)
 
+    def send(self, address: Address, request: bytes, taker: Taker) -> Flight:
+        """Sends a request; the response goes to its taker as it arrives."""
+        pool = self._pools.get(address)
+        if pool is None:
+            clock = self._reactor.seconds
+            pool = Pool(self._reactor, address, self._limit, clock)
+            self._pools[address] = pool
+        return pool.send(request, taker, lambda head: True)
+
     def close(self) -> None:
         """Closes idle connections."""
         for pool in self._pools.values():
--- a/magnolialug/cmd/demo.py
+++ b/magnolialug/cmd/demo.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, DeferredList, ensureDeferred
 
-from magnolialug.platform.http import BodyReader, HttpClient
+from magnolialug.platform.http import HttpClient, StreamTaker
 from magnolialug.policy.blocks import BYTES_PER_TOKEN
 from magnolialug.result import Code, Failure
 from magnolialug.standin.engine import answer_piece
@@ -50,12 +50,6 @@
             "stream_options": {"include_usage": True},
         }
         started = reactor.seconds()
-        response = await self._http.open(
-            "POST",
-            f"{self._local.urls[entry]}/v1/completions",
-            msgspec.json.encode(body),
-            {"Authorization": f"Bearer demo-{team}"},
-        )
         arrivals: list[float] = []
         data = bytearray()
         ended: Deferred = Deferred()
@@ -64,7 +58,13 @@
             arrivals.append(reactor.seconds())
             data.extend(part)
 
-        response.deliverBody(BodyReader(take, ended.callback))
+        self._http.stream(
+            "POST",
+            f"{self._local.urls[entry]}/v1/completions",
+            msgspec.json.encode(body),
+            StreamTaker(lambda status: None, take, ended.callback),
+            {"Authorization": f"Bearer demo-{team}"},
+        )
         await ended
         return self._read(bytes(data), prompt, arrivals[0] - started)
 
--- a/magnolialug/cmd/local.py
+++ b/magnolialug/cmd/local.py
@@ -120,7 +120,7 @@
         for port in self._listening:
             await port.stopListening()
         await self.platform.stop()
-        await self._http.close()
+        self._http.close()
         return [item for item in left if item]
 
     def _listen(self, deployment: Deployment) -> Deployment:
--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -7,7 +7,7 @@
 
 from magnolialug.ids import BlockId
 from magnolialug.platform.engine import EngineJob, Order, Usage
-from magnolialug.platform.http import BodyLines, BodyReader, HttpClient
+from magnolialug.platform.http import HttpClient, StreamTaker
 from magnolialug.policy.blocks import token_count
 from magnolialug.result import Code, Failure, failed
 
@@ -32,42 +32,38 @@
         self._on_piece = on_piece
         self._usage: Usage | None = None
         self._finish = "stop"
-        self._reader: BodyReader | None = None
-        self._paused = False
-        self._opening = http.open("POST", url, body)
-        self._opening.addCallbacks(self._opened, self._refused)
+        self._status = 0
+        self._rest = b""
+        taker = StreamTaker(self._answered, self._data, self._closed)
+        self._flight = http.stream("POST", url, body, taker)
 
     def pause(self) -> None:
         """Stops reading from the socket, so that the engine's end fills."""
-        self._paused = True
-        if self._reader:
-            self._reader.transport.pauseProducing()
+        self._flight.pause()
 
     def resume(self) -> None:
         """Reads from the socket again."""
-        self._paused = False
-        if self._reader:
-            self._reader.transport.resumeProducing()
+        self._flight.resume()
 
     def cancel(self) -> None:
         """Closes the connection, which cancels the run at the engine."""
-        self._opening.cancel()
-        if self._reader and self._reader.transport:
-            self._reader.transport.loseConnection()
         self._end(failed(Code.CANCELLED))
+        self._flight.drop()
 
-    def _opened(self, response) -> None:
-        if response.code != 200:
-            self._end(failed(Code.ENDPOINT_FAILED, f"status {response.code}"))
-            return
-        events = BodyLines(self._line, _LINE_LIMIT)
-        self._reader = BodyReader(events.dataReceived, self._closed)
-        response.deliverBody(self._reader)
-        if self._paused:
-            self._reader.transport.pauseProducing()
+    def _answered(self, status: int) -> None:
+        self._status = status
+        if status != 200:
+            self._end(failed(Code.ENDPOINT_FAILED, f"status {status}"))
 
-    def _refused(self, reason) -> None:
-        self._end(failed(Code.ENDPOINT_FAILED, reason.getErrorMessage()))
+    def _data(self, data: bytes) -> None:
+        if self._status != 200:
+            return
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > _LINE_LIMIT:
+            self._end(failed(Code.ENDPOINT_FAILED, "a line without end"))
+            self._flight.drop()
+        for line in lines:
+            self._line(line.rstrip(b"\r"))
 
     def _line(self, line: bytes) -> None:
         if line.startswith(_DATA):
@@ -175,11 +171,11 @@
     ):
         self.done: Deferred = Deferred()
         self._on_piece = on_piece
-        headers = {"Content-Type": "application/json"}
-        opening = http.open("POST", url, body.encode(), headers)
-        opening.addCallbacks(self._opened, self._lost)
         self._body = body
-        self._opening = opening
+        self._status = 0
+        self._pieces: list[bytes] = []
+        taker = StreamTaker(self._answered, self._pieces.append, self._ended)
+        self._flight = http.stream("POST", url, body.encode(), taker)
 
     def pause(self) -> None:
         """Has nothing to pause: the answer is one piece."""
@@ -189,29 +185,20 @@
 
     def cancel(self) -> None:
         """Stops waiting; the service may have run the call."""
-        self._opening.cancel()
-
-    def _opened(self, response) -> None:
-        pieces: list[bytes] = []
-
-        def ended(whole: bool) -> None:
-            if not whole:
-                self._end(failed(Code.ENDPOINT_FAILED, "answer cut short"))
-                return
-            text = b"".join(pieces).decode()
-            if response.code >= 500:
-                self._end(
-                    failed(Code.ENDPOINT_FAILED, f"status {response.code}")
-                )
-                return
-            self._on_piece(text)
+        self._flight.drop()
+
+    def _answered(self, status: int) -> None:
+        self._status = status
+
+    def _ended(self, whole: bool) -> None:
+        if not whole:
+            self._end(failed(Code.ENDPOINT_FAILED, "no whole answer"))
+        elif self._status >= 500:
+            self._end(failed(Code.ENDPOINT_FAILED, f"status {self._status}"))
+        else:
+            self._on_piece(b"".join(self._pieces).decode())
             self._end(Usage(token_count(self._body), 0, 1))
 
-        response.deliverBody(BodyReader(pieces.append, ended))
-
-    def _lost(self, reason) -> None:
-        self._end(failed(Code.ENDPOINT_FAILED, reason.getErrorMessage()))
-
     def _end(self, result: Usage | Failure) -> None:
         if not self.done.called:
             self.done.callback(result)
--- a/magnolialug/platform/http.py
+++ b/magnolialug/platform/http.py
@@ -1,30 +1,18 @@
-"""A small HTTP client over the reactor's agent, with deadlines."""
+"""Requests to URLs, over the one HTTP carrier."""
 
 from collections.abc import Callable
+from urllib.parse import urlsplit
 
 import msgspec
 from twisted.internet import reactor as default_reactor
-from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, ConnectionLost
-from twisted.internet.protocol import Protocol
-from twisted.protocols.basic import LineOnlyReceiver
-from twisted.python.failure import Failure as TwistedFailure
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    ResponseDone,
-    ResponseFailed,
-)
-from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
+from magnolialug.carrier.client import Client, NoReply, request_bytes
+from magnolialug.carrier.pool import Flight
+from magnolialug.carrier.reader import Head
+from magnolialug.carrier.taker import End
 from magnolialug.result import Code, Failure, failed
-from magnolialug.timing import TIMED_OUT, within
 
-__all__ = ["BodyLines", "BodyReader", "HttpClient", "Reply"]
-
-_CONNECTIONS_PER_HOST = 64
+__all__ = ["HttpClient", "Reply", "StreamTaker"]
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -35,95 +23,57 @@
     body: bytes
 
 
-@implementer(IBodyProducer)
-class _Body:
-    def __init__(self, data: bytes):
-        self.data = data
-        self.length = len(data)
-
-    def startProducing(self, consumer) -> Deferred:
-        consumer.write(self.data)
-        fut: Deferred = Deferred()
-        fut.callback(None)
-        return fut
-
-    def pauseProducing(self) -> None:
-        """Has nothing to pause: the body is written at once."""
-
-    def resumeProducing(self) -> None:
-        """Has nothing to resume."""
+class StreamTaker:
+    """Takes a response piece by piece.
 
-    def stopProducing(self) -> None:
-        """Has nothing to stop."""
-
-
-class BodyReader(Protocol):
-    """Hands a response body on as it arrives."""
+    Args:
+      on_status: gets the status before the first piece.
+      on_data: gets each piece of the body.
+      on_end: is told whether the body is whole.
+    """
 
     def __init__(
         self,
+        on_status: Callable[[int], None],
         on_data: Callable[[bytes], None],
         on_end: Callable[[bool], None],
     ):
-        self._on_data = on_data
+        self.on_data = on_data
+        self._on_status = on_status
         self._on_end = on_end
 
-    def dataReceived(self, data: bytes) -> None:
-        """Takes one piece."""
-        self._on_data(data)
-
-    def connectionLost(self, reason: TwistedFailure) -> None:
-        """Reports the end: true if the body is whole."""
-        self._on_end(bool(reason.check(ResponseDone)))
-
-
-class _Open:
-    """Stands for a transport that is not closing."""
+    def on_head(self, head: Head) -> None:
+        """Takes the status line and headers."""
+        self._on_status(head.status)
 
-    disconnecting = False
+    def on_end(self, end: End) -> None:
+        """Learns how the exchange ended."""
+        self._on_end(end is End.WHOLE)
 
 
-class BodyLines(LineOnlyReceiver):
-    """Splits a response body into lines.
+class HttpClient:
+    """Asks by URL; a response that does not come is a failure.
 
     Args:
-      on_line: gets each line without its end.
-      limit: longest line in bytes; a longer one ends the splitting.
+      unreachable: the code of that failure.
     """
 
-    delimiter = b"\n"
-
-    def __init__(self, on_line: Callable[[bytes], None], limit: int):
-        self.MAX_LENGTH = limit
-        self.transport = _Open()
-        self._on_line = on_line
-
-    def lineReceived(self, line: bytes) -> None:
-        """Takes one line."""
-        self._on_line(line.rstrip(b"\r"))
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        """Drops a line that is over the limit."""
-
-
-class HttpClient:
-    """Requests to the platform's and the endpoints' HTTP interfaces."""
-
     def __init__(self, reactor=default_reactor, unreachable=Code.KV_ERROR):
         self.reactor = reactor
         self.unreachable = unreachable
-        self._pool = HTTPConnectionPool(reactor)
-        self._pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
-        self._pool.retryAutomatically = False
-        self._agent = Agent(reactor, pool=self._pool, connectTimeout=2.0)
-
-    def open(
-        self, method: str, url: str, body: bytes = b"", headers=None
-    ) -> Deferred:
-        """Returns a deferred agent response, whose body is not yet read."""
-        raw = Headers({k: [v] for k, v in (headers or {}).items()})
-        producer = _Body(body) if body or method != "GET" else None
-        return self._agent.request(method.encode(), url.encode(), raw, producer)
+        self._client = Client(reactor)
+
+    def stream(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        taker: StreamTaker,
+        headers: dict[str, str] | None = None,
+    ) -> Flight:
+        """Sends a request whose response is taken as it arrives."""
+        address, request = _request(method, url, body, headers)
+        return self._client.send(address, request, taker)
 
     async def ask(
         self,
@@ -134,33 +84,29 @@
         timeout_s: float = 5.0,
     ) -> Reply | Failure:
         """Returns a whole response, or a failure if none came in time."""
-        try:
-            reply = await within(
-                self.reactor,
-                timeout_s,
-                self._whole(method, url, body, headers),
-            )
-        except (ConnectError, ConnectionLost, ResponseFailed) as exc:
-            return failed(self.unreachable, str(exc), url)
-        except Exception as exc:  # noqa: BLE001 - agent errors vary by cause
-            return failed(self.unreachable, repr(exc), url)
-        if reply is TIMED_OUT:
-            return failed(self.unreachable, "no answer in time", url)
-        return reply
-
-    async def close(self) -> None:
-        """Closes idle connections."""
-        await self._pool.closeCachedConnections()
-
-    async def _whole(self, method, url, body, headers) -> Reply:
-        response = await self.open(method, url, body, headers)
-        pieces: list[bytes] = []
-        ended: Deferred = Deferred()
-        response.deliverBody(BodyReader(pieces.append, ended.callback))
-        if not await ended:
-            raise ConnectionLost("the response was cut short")
+        address, request = _request(method, url, body, headers)
+        reply = await self._client.ask(address, request, timeout_s)
+        if isinstance(reply, NoReply):
+            reason = f"no response: {reply.end.value}"
+            return failed(self.unreachable, reason, url)
         names = {
-            key.decode().lower(): values[-1].decode()
-            for key, values in response.headers.getAllRawHeaders()
+            name.decode(): value.decode("latin-1")
+            for name, value in reply.headers
         }
-        return Reply(response.code, names, b"".join(pieces))
+        return Reply(reply.status, names, reply.body)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._client.close()
+
+
+def _request(
+    method: str, url: str, body: bytes, headers: dict[str, str] | None
+) -> tuple[tuple[str, int], bytes]:
+    parts = urlsplit(url)
+    address = (parts.hostname or "", parts.port or 80)
+    target = parts.path or "/"
+    if parts.query:
+        target += "?" + parts.query
+    data = request_bytes(method, parts.netloc, target, body, headers)
+    return address, data
