--- a/magnolialug/cmd/entry.py
+++ b/magnolialug/cmd/entry.py
@@ -20,7 +20,7 @@
 from magnolialug.entry.confwatch import ConfigWatch
 from magnolialug.entry.intake import make_site
 from magnolialug.entry.web import EntryResource
-from magnolialug.events import setup_logging
+from magnolialug.events import name_process, setup_logging
 from magnolialug.ids import EntryId, ZoneId
 from magnolialug.platform.kvhttp import KvHttp
 from magnolialug.result import Failure
@@ -47,6 +47,7 @@
         "magnolialug-entry", "serves callers on an entry VM", _GROUPS
     )
     log = setup_logging(flags.log_format, flags.log_level, STDOUT)
+    name_process(flags.entry_id)
     host, port = split_address("listen", flags.listen)
 
     async def start():
--- a/magnolialug/cmd/gateway.py
+++ b/magnolialug/cmd/gateway.py
@@ -12,7 +12,7 @@
     Group,
     parse,
 )
-from magnolialug.events import setup_logging
+from magnolialug.events import name_process, setup_logging
 from magnolialug.logwriter import LogWriter
 from magnolialug.platform.settings import Settings, read_settings
 from magnolialug.result import Failure
@@ -50,6 +50,7 @@
             file=sys.stderr,
         )
         sys.exit(EXIT_BAD_INPUT)
+    name_process(settings.vm)
     bootclock.install()
     sys.exit(_serve(settings, flags.settings, flags.metrics_port, log))
 
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -194,6 +194,14 @@
             peer.pool.close()
 
     def _add(self, entry: Listed) -> None:
+        for peer in self.peers.values():
+            if peer.listed.address == entry.address and not peer.gone:
+                emit(
+                    Event.ENDPOINT_REPLACED,
+                    endpoint=peer.listed.endpoint,
+                    by=entry.endpoint,
+                )
+                self.misplaced(peer)
         pool = Pool(
             self._reactor,
             entry.address,
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -19,6 +19,7 @@
     "emit",
     "explain",
     "grade_of",
+    "name_process",
     "setup_logging",
     "take_line",
     "tell_dropped",
@@ -158,6 +159,8 @@
 )
 _TEXT_FORMAT = "{time:HH:mm:ss.SSS} {message}"
 
+# The name that every line of this process bears.
+_process = [""]
 _encode = msgspec.json.Encoder(enc_hook=str).encode
 _bounds = LogBounds()
 _to_log = logger.opt(depth=1)
@@ -188,6 +191,7 @@
     """
     line = {
         "at": round(at, 4),
+        "vm": _process[0],
         "event": event.value,
         "name": event.name,
         **fields,
@@ -205,6 +209,11 @@
     }
 
 
+def name_process(vm: str) -> None:
+    """Sets the name of the machine, which every line bears from now on."""
+    _process[0] = vm
+
+
 def setup_logging(
     form: str, level: str, fd: int | None = None
 ) -> LogWriter | None:
