--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -39,7 +39,10 @@
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
         """Takes all entries as they are now."""
-        listed = [found for entry in entries if (found := self._read(entry))]
+        # In the order of their changes, so that of two that claim an address
+        # the newer one is taken last.
+        by_change = sorted(entries, key=lambda entry: entry.revision)
+        listed = [found for e in by_change if (found := self._read(e))]
         if self._doubtful():
             named = {entry.endpoint for entry in listed}
             self._missing = set(self._directory.peers) - named
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -69,6 +69,7 @@
     ENDPOINT_GONE = 4103
     ENTRY_REFUSED = 4104
     ENDPOINT_BACK = 4105
+    ENDPOINT_REPLACED = 4106
     KV_LOST = 4200
     KV_BACK = 4201
     STORE_HEARD = 4210
@@ -125,6 +126,7 @@
     Event.ENDPOINT_LEAVING: "An endpoint gets no new work; it drains.",
     Event.ENDPOINT_GONE: "An endpoint is no longer listed.",
     Event.ENDPOINT_BACK: "A silent endpoint has answered again.",
+    Event.ENDPOINT_REPLACED: "Another endpoint has an endpoint's address.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
--- /dev/null
+++ b/tests/ctl/test_explain.py
@@ -0,0 +1,74 @@
+"""From the id of a failed request to its cause, by the log alone."""
+
+from loguru import logger
+from testtools import TestCase
+
+from magnolialug import events
+from magnolialug.ctl.explain import explain_request
+from magnolialug.events import name_process
+from magnolialug.policy.logbounds import LogBounds
+from magnolialug.standin.endpoint import Fault
+from tests.gatewaycluster import GatewayCluster
+
+
+class ExplainTest(TestCase):
+    """Three kinds of failed request."""
+
+    def setUp(self):
+        super().setUp()
+        self.lines = []
+        sink = logger.add(self.lines.append, format="{message}")
+        self.addCleanup(logger.remove, sink)
+        self.patch(events, "_bounds", LogBounds(1e6, 1e6))
+        name_process("front-1")
+        self.addCleanup(name_process, "")
+
+    def story(self, caller):
+        """Returns the story of a caller's request as one text."""
+        lines = [str(line) for line in self.lines]
+        return "\n".join(explain_request(lines, caller.request_id))
+
+    def test_refused_for_lack_of_room(self):
+        """Every engine turns work away."""
+        cluster = GatewayCluster(desks=0, engines=2)
+        for engine in cluster.engines.values():
+            engine.busy = True
+        caller = cluster.ask("/draft/x")
+        self.assertEqual(503, caller.last.status)
+        story = self.story(caller)
+        self.assertIn("PLACED", story)
+        self.assertIn("QUEUE_FULL", story)
+        self.assertIn("status=503", story)
+        self.assertIn("executed=no", story)
+
+    def test_ended_unknown_after_its_endpoint_died(self):
+        cluster = GatewayCluster(desks=1, engines=0)
+        (desk,) = cluster.desks.values()
+        desk.faults = [Fault.RESET_BEFORE]
+        caller = cluster.ask("/book/x")
+        self.assertEqual(502, caller.last.status)
+        story = self.story(caller)
+        self.assertIn(f"endpoint={desk.instance}", story)
+        self.assertIn("the answer was reset", story)
+        self.assertIn("executed=unknown", story)
+
+    def test_lost_to_a_stale_belief(self):
+        """The registry is away; another endpoint has the address."""
+        cluster = GatewayCluster(desks=1, engines=1)
+        (desk,) = cluster.desks.values()
+        (engine,) = cluster.engines.values()
+        cluster.kv.faults.down = True
+        cluster.kv.end_watches()
+        cluster.pass_time(1)
+        cluster.net.servers[desk.address] = engine
+        caller = cluster.ask("/book/x")
+        self.assertEqual(503, caller.last.status)
+        story = self.story(caller)
+        self.assertIn("WRONG_ENDPOINT", story)
+        self.assertIn(f"instance={engine.instance}", story)
+        believed = story.partition("what the process believed:")[2]
+        self.assertIn("KV_LOST", believed)
+        self.assertIn("prefix=servers/", believed)
+
+    def test_an_id_that_is_not_there(self):
+        self.assertEqual([], explain_request(["no json", "{}"], "x"))
--- a/tests/entry/test_gateway_members.py
+++ b/tests/entry/test_gateway_members.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 
-from magnolialug.standin.endpoint import Fault
+from magnolialug.standin.endpoint import EndpointStandin, Fault
 from tests.gatewaycluster import GatewayCluster, config
 
 
@@ -119,6 +119,24 @@
             cluster.ask("/read/x", 0.1)
         self.assertTrue(dead.seen)
 
+    def test_a_restarted_endpoint_takes_its_address_over(self):
+        """An endpoint restarts; its old entry lapses three heartbeats later.
+
+        Symptom: requests are turned away with 421 for seconds. Sequence: the
+        new start registers under a new id at the same address, both entries
+        stand, requests go to the old one. Cause: the old one was believed
+        until its entry lapsed.
+        """
+        cluster = GatewayCluster(desks=1, engines=0)
+        old = cluster.desks["i-desk1"]
+        new = EndpointStandin(cluster.net, "i-new")
+        cluster.net.servers[old.address] = new
+        cluster.write("servers/i-new", old.row)
+        cluster.pass_time(0.3)
+        for _ in range(5):
+            self.assertEqual(200, cluster.ask("/book/x", 0.1).last.status)
+        self.assertEqual(5, len(new.seen))
+
     def test_when_all_look_dead_they_are_still_tried(self):
         """This process is cut off from all endpoints for a moment.
 
