--- a/magnolialug/cmd/serving.py
+++ b/magnolialug/cmd/serving.py
@@ -13,12 +13,12 @@
 from magnolialug.config.deployment import Deployment, to_text
 from magnolialug.config.folder import read_folder
 from magnolialug.confload import Source, from_kv, load_highest
-from magnolialug.platform.engine import Engine
 from magnolialug.platform.enginehttp import EngineHttp, PlainHttp
 from magnolialug.platform.http import HttpClient
 from magnolialug.platform.kvhttp import KvHttp
 from magnolialug.platform.storehttp import StoreHttp
 from magnolialug.result import Code, Failure, failed
+from magnolialug.sidecar.engine import Engine
 from magnolialug.wire.asking import ask_config
 from magnolialug.wire.connect import CONNECT_S, connect_link
 from magnolialug.wire.link import Link
--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -6,10 +6,10 @@
 from twisted.internet.defer import Deferred
 
 from magnolialug.ids import BlockId
-from magnolialug.platform.engine import EngineJob, Order, Usage
 from magnolialug.platform.http import HttpClient, StreamTaker
 from magnolialug.policy.blocks import token_count
 from magnolialug.result import Code, Failure, failed
+from magnolialug.sidecar.engine import EngineJob, Order, Usage
 
 __all__ = ["EngineHttp", "PlainHttp"]
 
--- a/magnolialug/sidecar/app.py
+++ b/magnolialug/sidecar/app.py
@@ -11,8 +11,6 @@
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId, StoreId, new_incarnation
 from magnolialug.metrics import Metrics
-from magnolialug.platform.engine import Engine
-from magnolialug.platform.store import Store
 from magnolialug.policy.blocks import token_count
 from magnolialug.policy.gate import Gate, Verdict
 from magnolialug.policy.lineup import Claimant, Lineup
@@ -22,10 +20,12 @@
 from magnolialug.sidecar import callers
 from magnolialug.sidecar.answer import Answer
 from magnolialug.sidecar.answers import Answers
+from magnolialug.sidecar.engine import Engine
 from magnolialug.sidecar.item import Item
 from magnolialug.sidecar.mover import Mover
 from magnolialug.sidecar.runner import Runner
 from magnolialug.sidecar.speed import Speed
+from magnolialug.sidecar.store import Store
 from magnolialug.timing import sleep
 from magnolialug.wire import messages as msg
 from magnolialug.wire.link import Link
--- a/magnolialug/sidecar/mover.py
+++ b/magnolialug/sidecar/mover.py
@@ -8,14 +8,14 @@
 
 from magnolialug.events import Event, emit
 from magnolialug.ids import BlockId, EndpointId, StoreId
-from magnolialug.platform.engine import Engine
-from magnolialug.platform.store import Store
 from magnolialug.policy.blocks import BLOCK_TOKENS, block_digest
 from magnolialug.policy.keep import ChanceOf, Room, choose_victims
 from magnolialug.policy.linkrate import LinkRate
 from magnolialug.policy.ring import Ring
 from magnolialug.policy.stored import BlockMeta, StoredBlock, Tier
 from magnolialug.result import Code, Failure
+from magnolialug.sidecar.engine import Engine
+from magnolialug.sidecar.store import Store
 
 __all__ = ["Mover", "Moved"]
 
--- a/magnolialug/sidecar/runner.py
+++ b/magnolialug/sidecar/runner.py
@@ -13,7 +13,6 @@
 from magnolialug.events import Event, emit
 from magnolialug.ids import TeamId, WeightVersion
 from magnolialug.metrics import Metrics
-from magnolialug.platform.engine import Engine, EngineJob, Run, Usage
 from magnolialug.policy.blocks import BLOCK_TOKENS, block_chain, chain_seed
 from magnolialug.policy.gate import Gate
 from magnolialug.policy.keep import Gaps, chance_by_gaps
@@ -23,6 +22,7 @@
 from magnolialug.policy.slots import in_time
 from magnolialug.policy.stored import BlockMeta
 from magnolialug.result import Code, Failure, failed
+from magnolialug.sidecar.engine import Engine, EngineJob, Run, Usage
 from magnolialug.sidecar.item import Item
 from magnolialug.sidecar.mover import Moved, Mover
 from magnolialug.sidecar.speed import Speed
--- a/magnolialug/standin/engine.py
+++ b/magnolialug/standin/engine.py
@@ -9,9 +9,9 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.ids import BlockId
-from magnolialug.platform.engine import EngineJob, Order, Usage
 from magnolialug.policy.blocks import BLOCK_TOKENS, block_chain, token_count
 from magnolialug.result import Code, Failure, failed
+from magnolialug.sidecar.engine import EngineJob, Order, Usage
 
 __all__ = ["EngineSpec", "EngineStandin", "answer_piece", "block_bytes"]
 
--- a/magnolialug/standin/engineface.py
+++ b/magnolialug/standin/engineface.py
@@ -4,8 +4,8 @@
 from twisted.web.server import Request
 
 from magnolialug.ids import BlockId
-from magnolialug.platform.engine import EngineJob, Order, Usage
 from magnolialug.result import Failure
+from magnolialug.sidecar.engine import EngineJob, Order, Usage
 from magnolialug.standin.engine import EngineStandin
 from magnolialug.standin.web import Face
 
--- a/magnolialug/standin/plain.py
+++ b/magnolialug/standin/plain.py
@@ -8,8 +8,8 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Request
 
-from magnolialug.platform.engine import EngineJob, Usage
 from magnolialug.result import Code, Failure, failed
+from magnolialug.sidecar.engine import EngineJob, Usage
 from magnolialug.standin.web import Face
 from magnolialug.timing import sleep
 
