Explain: what any process learned of a request's endpoints; why nobody else was tried

Cause: a 502 after a reset could not be told from a cut path by the story of its id: the process that sent it learned nothing more of the endpoint within half a second, and other processes were left out. A refusal after one attempt did not say why no second endpoint was tried. Ruled out: missing lines; both facts were in the log (4101, 4103) or known to the retry decision. Change: explain lists beliefs of the request's own processes apart from what any process learned of the endpoints that it tried, up to 5 s later; event 2009 NOT_RETRIED carries the reason. Conclusion: a crash and a cut path are told apart by the log alone.

--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -13,6 +13,9 @@
 # can have decided it: a suspicion lasts for seconds, a lapse as long.
 _BEFORE_S = 8.0
 _AFTER_S = 0.5
+# An endpoint that broke off and has crashed is listed anew within this time,
+# by which one tells a crash from a cut path.
+_LEARNED_S = 5.0
 _BELIEFS = frozenset(
     event.value
     for event in Event
@@ -23,9 +26,9 @@
 def explain_request(lines: Iterable[str], request_id: str) -> list[str]:
     """Returns the story of a request, one line an event.
 
-    First come the request's own lines, then what its process came to believe
-    around that time of the endpoints that it tried, of the key-value service
-    and of the configuration.
+    First come the request's own lines, then what its processes came to
+    believe around that time of the key-value service, the stores and the
+    configuration, then what any process learned of the endpoints it tried.
 
     Args:
       lines: log lines as `--log_format=json` writes them, of any processes.
@@ -37,28 +40,47 @@
     if not own:
         return []
     story = [_told(record) for record in own]
-    beliefs = sorted(_around(records, own), key=_at)
-    if beliefs:
-        story.append("what the process believed:")
-        story += [f"  {_told(record)}" for record in beliefs]
+    story += _section("what the process believed:", _believed(records, own))
+    story += _section("what was learned of its endpoints:", _met(records, own))
     return story
 
 
-def _around(records: list[dict], own: list[dict]) -> list[dict]:
+def _section(title: str, records: list[dict]) -> list[str]:
+    if not records:
+        return []
+    told = [f"  {_told(record)}" for record in sorted(records, key=_at)]
+    return [title, *told]
+
+
+def _believed(records: list[dict], own: list[dict]) -> list[dict]:
     vms = {record.get("vm") for record in own}
-    tried = {r["endpoint"] for r in own if "endpoint" in r}
     first, last = _at(own[0]), _at(own[-1])
     return [
         record
         for record in records
-        if record.get("event") in _BELIEFS
+        if _is_belief(record)
+        and "endpoint" not in record
         and record.get("vm") in vms
-        and "request" not in record
         and first - _BEFORE_S <= _at(record) <= last + _AFTER_S
-        and record.get("endpoint", next(iter(tried), "")) in (tried or {""})
     ]
 
 
+def _met(records: list[dict], own: list[dict]) -> list[dict]:
+    tried = {record["endpoint"] for record in own if "endpoint" in record}
+    first, last = _at(own[0]), _at(own[-1])
+    return [
+        record
+        for record in records
+        if _is_belief(record)
+        and record.get("endpoint") in tried
+        and first - _BEFORE_S <= _at(record) <= last + _LEARNED_S
+    ]
+
+
+def _is_belief(record: dict) -> bool:
+    return record.get("event") in _BELIEFS and "request" not in record
+
+
 def _at(record: dict) -> float:
     return float(record.get("at", 0.0))
 
--- a/magnolialug/entry/serving.py
+++ b/magnolialug/entry/serving.py
@@ -77,6 +77,7 @@
             self._last = end.failure
             refusal = self._why_no_retry(end)
             if refusal:
+                self._log.emit(Event.NOT_RETRIED, **explain(refusal))
                 return await self._refused(end.failure)
             self._log_retry(end)
             await sleep(self._means.clock, backoff.next(self._means.random))
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -47,6 +47,7 @@
     RESUMED = 2005
     CANCELLED = 2006
     ANSWERED = 2008
+    NOT_RETRIED = 2009
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
     CLAIM_MOVED = 2102
@@ -105,6 +106,7 @@
     Event.RESUMED: "An answer goes on over a new connection.",
     Event.CANCELLED: "The caller left; the endpoint's work is stopped.",
     Event.ANSWERED: "An attempt ended without a whole answer; how.",
+    Event.NOT_RETRIED: "A request goes nowhere else; the reason.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
     Event.CLAIM_MOVED: "A claim moved after its attempt was sealed unrun.",
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -1,16 +1,25 @@
 """From the id of a failed request to its cause, by the log alone."""
 
+import json
+
 from loguru import logger
 from testtools import TestCase
 
 from magnolialug import events
 from magnolialug.ctl.explain import explain_request
-from magnolialug.events import name_process
+from magnolialug.events import Event, name_process
 from magnolialug.policy.logbounds import LogBounds
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster
 
 
+def line(at, vm, name, **fields):
+    """Returns a log line as a process writes it."""
+    event = Event[name].value
+    row = {"at": at, "vm": vm, "event": event, "name": name, **fields}
+    return json.dumps(row)
+
+
 class ExplainTest(TestCase):
     """Three kinds of failed request."""
 
@@ -39,6 +48,7 @@
         self.assertIn("PLACED", story)
         self.assertIn("QUEUE_FULL", story)
         self.assertIn("status=503", story)
+        self.assertIn("NOT_RETRIED: code=", story)
         self.assertIn("executed=no", story)
 
     def test_ended_unknown_after_its_endpoint_died(self):
@@ -70,5 +80,27 @@
         self.assertIn("KV_LOST", believed)
         self.assertIn("prefix=servers/", believed)
 
+    def test_what_other_processes_learned_of_the_endpoint(self):
+        """A request dies with its endpoint, which its own process cannot tell.
+
+        Symptom: the story ends with "reset", and a crash looks like a cut
+        path. Sequence: the endpoint crashes; two seconds later another
+        process hears that it is gone. Cause: only what the request's own
+        process came to believe was told.
+        """
+        lines = [
+            line(100.0, "vm-1", "PLACED", request="r1", endpoint="i-1"),
+            line(100.2, "vm-1", "REQUEST_FAILED", request="r1", status=502),
+            line(102.0, "vm-2", "ENDPOINT_GONE", endpoint="i-1"),
+            line(102.0, "vm-2", "ENDPOINT_GONE", endpoint="i-2"),
+            line(102.0, "vm-2", "CONFIG_IN_FORCE", version=9),
+            line(120.0, "vm-2", "ENDPOINT_LISTED", endpoint="i-1"),
+        ]
+        story = explain_request(lines, "r1")
+        self.assertEqual("what was learned of its endpoints:", story[2])
+        self.assertEqual(4, len(story))
+        self.assertIn("at vm-2: 4103 ENDPOINT_GONE", story[3])
+        self.assertIn("endpoint=i-1", story[3])
+
     def test_an_id_that_is_not_there(self):
         self.assertEqual([], explain_request(["no json", "{}"], "x"))
