Cache: two entries poll each store for all others

Cause: every entry polled every store of cache parts. Change: rendezvous hashing names two keepers for each store; they tell the others by datagram what they were answered, dated on the store's own clock. Who has missed something, or hears nothing for 1.3 s, polls for itself. One socket for all talk between entries. Conclusion: calls to stores no longer grow with the fleet.

--- a/magnolialug/cmd/gateway.py
+++ b/magnolialug/cmd/gateway.py
@@ -94,7 +94,7 @@
         gateway.start()
         host, port = settings.host, settings.internal_port
         ports = [
-            reactor.listenUDP(port, gateway.loads, interface=host),
+            reactor.listenUDP(port, gateway.talk, interface=host),
             _listen(reactor, settings.callers, gateway.factory),
             _listen(reactor, settings.ready, ready_factory(gateway.ready)),
         ]
--- a/magnolialug/entry/entrybook.py
+++ b/magnolialug/entry/entrybook.py
@@ -11,6 +11,7 @@
 from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
+from magnolialug.policy.cachenews import keeps
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
@@ -57,6 +58,7 @@
         self._random = random
         self._on_count = on_count
         self._rows: dict[str, EntryRow] = {}
+        self._kept: dict[str, bool] = {}
         self._task: Deferred | None = None
         self._lease = 0
 
@@ -65,6 +67,13 @@
         self._task = ensureDeferred(self._run())
         self._task.addErrback(lambda reason: reason.trap(CancelledError))
 
+    def keeps(self, store: str) -> bool:
+        """Whether this entry polls a store of cache parts for the others."""
+        if store not in self._kept:
+            me = (self._row.host, self._row.port)
+            self._kept[store] = keeps(me, self.others, store)
+        return self._kept[store]
+
     async def stop(self) -> None:
         """Takes this entry out."""
         task, self._task = self._task, None
@@ -106,6 +115,7 @@
             for key, row in sorted(self._rows.items())
             if key != self._key
         )
+        self._kept.clear()
         self._on_count(len(self.others) + 1)
 
     async def _run(self) -> None:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -21,6 +21,7 @@
 from magnolialug.entry.loadshare import LoadShare
 from magnolialug.entry.orderlease import OrderLease
 from magnolialug.entry.orders import Orders
+from magnolialug.entry.peertalk import PeerTalk
 from magnolialug.entry.placer import Placer
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
@@ -102,9 +103,17 @@
         )
         self.in_progress = 0
         self._reactor = reactor
+        self._entries = self._entry_book(kv, reactor, random)
+        self.talk = PeerTalk(self._entries)
         self._cache = CacheMap()
         self._stores = StoreWatch(
-            self._cache, cache_calls, reactor, random, self._newest
+            self._cache,
+            cache_calls,
+            reactor,
+            random,
+            self._newest,
+            self._entries.keeps,
+            self.talk,
         )
         self._placer = Placer(
             self.directory,
@@ -136,16 +145,8 @@
             lambda: self.routes.weights,
             lambda reply: metrics.orders.add(1, {"reply": reply.value}),
         )
-        self._entries = EntryBook(
-            kv,
-            settings.vm,
-            EntryRow(settings.host, settings.internal_port, settings.zone),
-            reactor,
-            random,
-            self._counted,
-        )
         self.loads = LoadShare(
-            self.directory, self._entries, reactor, self._lease.name
+            self.directory, self.talk, reactor, self._lease.name
         )
         self._placer.on_change = self.loads.changed
         self._followers = [
@@ -251,6 +252,11 @@
     def _over(self) -> None:
         self.in_progress -= 1
 
+    def _entry_book(self, kv: Kv, reactor, random: Random) -> EntryBook:
+        settings = self.settings
+        row = EntryRow(settings.host, settings.internal_port, settings.zone)
+        return EntryBook(kv, settings.vm, row, reactor, random, self._counted)
+
     def _call_means(self, random: Random) -> CallMeans:
         metrics = self.metrics
         return CallMeans(
--- a/magnolialug/entry/loadshare.py
+++ b/magnolialug/entry/loadshare.py
@@ -1,12 +1,9 @@
 """Tells the other entries of this one's work, and hears of theirs."""
 
-import msgspec
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.protocol import DatagramProtocol
 
 from magnolialug.entry.directory import Directory
-from magnolialug.entry.entrybook import EntryBook
-from magnolialug.events import Event, emit
+from magnolialug.entry.peertalk import PeerTalk
 from magnolialug.policy.sharedload import LoadReport
 
 __all__ = ["LoadShare"]
@@ -18,10 +15,9 @@
 _REPEAT_S = 0.25
 # A rollout is passed on for this long after it was heard.
 _NEWS_S = 6.0
-_BYTES = 8192
 
 
-class LoadShare(DatagramProtocol):
+class LoadShare:
     """Sends and takes load reports, one datagram each.
 
     Entries that choose engines without knowing each other's work pile it up:
@@ -36,24 +32,23 @@
     def __init__(
         self,
         directory: Directory,
-        book: EntryBook,
+        talk: PeerTalk,
         clock: IReactorTime,
         name: str,
     ):
         self._directory = directory
-        self._book = book
+        self._talk = talk
         self._clock = clock
         self._name = name
         self._number = 0
         self._timer = None
         self._sent_at = 0.0
         self._numbers: dict[str, int] = {}
-        self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(LoadReport).decode
+        talk.takes(LoadReport, self._heard)
 
     def changed(self) -> None:
         """Learns that this entry's work has changed."""
-        if self._timer is None and self.transport is not None:
+        if self._timer is None and self._talk.open:
             self._timer = self._clock.callLater(_TELL_S, self._tell)
 
     def tick(self, now: float) -> None:
@@ -61,15 +56,13 @@
         if now - self._sent_at >= _REPEAT_S:
             self.changed()
 
-    def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Takes another entry's report."""
-        if len(data) > _BYTES:
-            return
-        try:
-            report = self._decode(data)
-        except msgspec.MsgspecError as exc:
-            emit(Event.REPORT_REFUSED, peer=addr[0], reason=str(exc))
-            return
+    def stop(self) -> None:
+        """Tells the others nothing more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _heard(self, report: LoadReport) -> None:
         if report.number <= self._numbers.get(report.entry, 0):
             return
         self._numbers[report.entry] = report.number
@@ -77,12 +70,6 @@
         if report.rollout is not None:
             self._directory.rolls_out(report.rollout)
 
-    def stop(self) -> None:
-        """Tells the others that nothing is left here, then nothing more."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
-
     def _tell(self) -> None:
         self._timer = None
         self._sent_at = self._clock.seconds()
@@ -94,6 +81,4 @@
             self._directory.own_load(),
             self._directory.rollout if news else None,
         )
-        data = self._encode(report)
-        for address in self._book.others:
-            self.transport.write(data, address)
+        self._talk.tell(report)
--- a/magnolialug/entry/storewatch.py
+++ b/magnolialug/entry/storewatch.py
@@ -7,30 +7,23 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.config.routing import CacheStore, Routing
-from magnolialug.events import Event, emit, explain
+from magnolialug.entry.peertalk import PeerTalk
+from magnolialug.entry.storepoll import StorePoll
 from magnolialug.ids import ServiceName
-from magnolialug.platform.cachecalls import CacheCalls, CacheEvents
+from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.policy.cachemap import CacheMap, StoreBook
-from magnolialug.policy.salt import version_of
-from magnolialug.result import Failure
-from magnolialug.timing import sleep
+from magnolialug.policy.cachenews import CacheNews
 
 __all__ = ["StoreWatch"]
 
-# Calls that wait less than 0.2 s are charged for. Just before an answer the
-# store's last word is two waits and a pause old, which must stay well within
-# the time for which it counts.
-_WAIT_S = 0.5
-# Events gather for this long between calls: one call brings about ten.
-_PACE_S = 0.2
-_AGAIN_S = 0.3
-
 
 class StoreWatch:
-    """One task for each store, that polls it and keeps its book.
+    """One task for each store, that keeps its book.
 
     Args:
       newest: returns the newest version of a model that is known of.
+      keeps: tells whether this entry polls a store for the others.
+      talk: brings and takes what entries were answered.
     """
 
     def __init__(
@@ -40,6 +33,8 @@
         clock: IReactorTime,
         random: Random,
         newest: Callable[[str], int],
+        keeps: Callable[[ServiceName], bool],
+        talk: PeerTalk,
     ):
         self.addresses: dict[ServiceName, str] = {}
         self._cache = cache
@@ -47,7 +42,11 @@
         self._clock = clock
         self._random = random
         self._newest = newest
+        self._keeps = keeps
+        self._talk = talk
+        self._polls: dict[ServiceName, StorePoll] = {}
         self._tasks: dict[ServiceName, Deferred] = {}
+        talk.takes(CacheNews, self._told)
 
     def configure(self, routing: Routing) -> None:
         """Takes the stores of a configuration."""
@@ -90,84 +89,32 @@
         )
         self._cache.books[name] = book
         self.addresses[name] = address
-        task = ensureDeferred(self._poll(name, store, book))
+        poll = StorePoll(
+            name,
+            store,
+            book,
+            self._cache,
+            self._calls,
+            self._clock,
+            self._random,
+            self._newest,
+            lambda: self._keeps(name),
+            self._talk.tell,
+        )
+        self._polls[name] = poll
+        task = ensureDeferred(poll.run())
         task.addErrback(lambda reason: reason.trap(CancelledError))
         self._tasks[name] = task
 
+    def _told(self, news: CacheNews) -> None:
+        poll = self._polls.get(ServiceName(news.store))
+        if poll is not None:
+            poll.told(news)
+
     def _drop(self, name: ServiceName) -> None:
         task = self._tasks.pop(name, None)
         if task is not None:
             task.cancel()
+        self._polls.pop(name, None)
         self._cache.books.pop(name, None)
         self.addresses.pop(name, None)
-
-    async def _poll(
-        self, name: ServiceName, store: CacheStore, book: StoreBook
-    ) -> None:
-        since = 0
-        heard = False
-        while True:
-            asked = self._clock.seconds()
-            found = await self._calls.events(store.address, since, _WAIT_S)
-            if isinstance(found, Failure):
-                if heard:
-                    emit(Event.STORE_LOST, store=name, **explain(found))
-                heard = False
-                pause = self._random.uniform(0.5 * _AGAIN_S, 1.5 * _AGAIN_S)
-                await sleep(self._clock, pause)
-                continue
-            if not heard:
-                emit(Event.STORE_HEARD, store=name, epoch=found.epoch)
-            heard = True
-            if found.epoch != book.epoch:
-                fresh = book.epoch == 0
-                book.restarted(found.epoch, self._clock.seconds())
-                since = await self._catch_up(name, store, book, found, since)
-                if fresh and book.parts:
-                    book.lived()
-            else:
-                since = self._take(book, found)
-            book.heard_at = asked
-            if found.clock_ms:
-                book.clock_s = found.clock_ms / 1000 - self._clock.seconds()
-            await sleep(self._clock, _PACE_S)
-
-    async def _catch_up(
-        self,
-        name: ServiceName,
-        store: CacheStore,
-        book: StoreBook,
-        found: CacheEvents,
-        since: int,
-    ) -> int:
-        """Reads what a store holds that has been heard for the first time."""
-        if since == 0 and not found.gap:
-            return self._take(book, found)
-        listed = await self._calls.list(store.address)
-        if isinstance(listed, Failure) or listed.epoch != book.epoch:
-            book.epoch = 0
-            return 0
-        for part in listed.parts:
-            book.added((part.salt, part.part), part.tokens)
-        emit(Event.STORE_LISTED, store=name, parts=len(listed.parts))
-        return listed.next
-
-    def _take(self, book: StoreBook, found: CacheEvents) -> int:
-        for change in found.changes:
-            key = (change.salt, change.part)
-            if change.whole and not self._closed(change.salt):
-                book.added(key, change.tokens)
-                self._cache.heard(key)
-            elif not change.whole:
-                book.removed(key)
-        return found.next
-
-    def _closed(self, salt: str) -> bool:
-        """Whether parts under a salt are not believed any more.
-
-        An engine can take new weights while it reads a part, and saves it
-        under the salt of the old ones. So of a version that is being
-        replaced only those parts are believed that were whole before.
-        """
-        model, version = version_of(salt)
-        return version < self._newest(model)
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -6,27 +6,15 @@
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
+from magnolialug.policy.cachenews import CacheChange
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["CacheCalls", "CacheChange", "CacheEvents", "CacheList"]
+__all__ = ["CacheCalls", "CacheEvents", "CacheList"]
 
 _SLACK_S = 0.35
 _LIST_S = 2.0
 
 
-class CacheChange(msgspec.Struct, frozen=True):
-    """A part became whole, or is gone.
-
-    Attributes:
-      tokens: how many are stored now.
-    """
-
-    whole: bool
-    salt: str
-    part: str
-    tokens: int
-
-
 class CacheEvents(msgspec.Struct, frozen=True):
     """What has changed since a number.
 
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -24,7 +24,7 @@
     running: int
 
 
-class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """One entry's work at all engines.
 
     Attributes:
--- a/magnolialug/standin/partstore.py
+++ b/magnolialug/standin/partstore.py
@@ -21,6 +21,8 @@
       reads: how many parts were read whole.
       mute: polls are not answered.
       lose_events: how many further events are never told.
+      most_polls: polls that wait at once; more are refused.
+      refused: how many were.
     """
 
     def __init__(
@@ -34,6 +36,9 @@
         self.reads = 0
         self.mute = False
         self.lose_events = 0
+        self.most_polls = 12
+        self.refused = 0
+        self._waiting = 0
         self._events: list[list] = []
 
     @property
@@ -86,15 +91,22 @@
             return
         since = int(req.target.partition("since=")[2])
         wait_s = int(req.headers.get("wait-ms", "0")) / 1000
+        if self._waiting >= self.most_polls:
+            self.refused += 1
+            conn.reply(req, 429, b"")
+            return
+        self._waiting += 1
         self._poll(conn, req, since, self.clock.seconds() + wait_s)
 
     def _poll(self, conn, req: Received, since: int, until: float) -> None:
         if conn.current is not req:
+            self._waiting -= 1
             return
         news = [row for row in self._events[since:] if len(row) > 1]
         if not news and self.clock.seconds() < until:
             self.clock.callLater(0.02, self._poll, conn, req, since, until)
             return
+        self._waiting -= 1
         body = {
             "epoch": self.epoch,
             "next": len(self._events),
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -220,6 +220,7 @@
         )
         gateway.start()
         self.net.servers[(host, 80)] = gateway.factory
+        self.net.listenUDP(7000, gateway.talk, interface=host)
         return gateway
 
     def configure(self, operator):
--- a/tests/network.py
+++ b/tests/network.py
@@ -124,12 +124,33 @@
     getHost = getPeer
 
 
+class Datagrams:
+    """One end of datagrams."""
+
+    def __init__(self, net, address):
+        self.net = net
+        self.address = address
+
+    def write(self, data, address):
+        """Sends a datagram, unless the network loses it."""
+        if not self.net.loses_datagram(self.address, address):
+            self.net.callLater(LATENCY_S, self.arrive, data, address)
+
+    def arrive(self, data, address):
+        """Hands a datagram to whoever listens."""
+        protocol = self.net.listeners.get(address)
+        if protocol is not None:
+            protocol.datagramReceived(data, self.address)
+
+
 class Network(Clock):
     """A reactor whose sockets are in memory.
 
     Attributes:
       servers: factories by address.
       dark: addresses that do not answer at all.
+      listeners: takers of datagrams by address.
+      loses_datagram: tells from sender and receiver whether one gets lost.
     """
 
     def __init__(self):
@@ -138,6 +159,8 @@
         self.dark = set()
         self.pipes = []
         self.dialled = []
+        self.listeners = {}
+        self.loses_datagram = lambda sender, receiver: False
 
     def connectTCP(self, host, port, factory, timeout=30, **kwargs):
         """Connects to a server, or fails."""
@@ -154,6 +177,11 @@
         """Joins a client's protocol to a server at once."""
         return self._pair(protocol, self.servers[address])
 
+    def listenUDP(self, port, protocol, interface=""):
+        """Begins to take datagrams."""
+        self.listeners[(interface, port)] = protocol
+        protocol.transport = Datagrams(self, (interface, port))
+
     def advance_by(self, seconds, step=0.005):
         """Lets time pass in small steps."""
         for _ in range(max(1, round(seconds / step))):
