Carrier: a cancelled call ends its task

Cause: cancelling a call answered it with 'dropped', so the task that waited for it went on. Ruled out: a second start of the task, which has one. Change: cancelling fails the call with CancelledError and drops its flight.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -77,6 +77,10 @@
         if self._size > _LIMIT_BYTES and self.flight is not None:
             self.flight.drop()
 
+    def forget(self) -> None:
+        """Learns that nobody waits for the response any more."""
+        self._done = None
+
     def on_end(self, end: End) -> None:
         """Hands the response over."""
         done, self._done = self._done, None
@@ -104,8 +108,19 @@
     def ask(
         self, address: Address, request: bytes, timeout_s: float
     ) -> Deferred[Reply | NoReply]:
-        """Returns the response, or how it failed to come in time."""
-        done: Deferred = Deferred(lambda _: gather.on_end(End.DROPPED))
+        """Returns the response, or how it failed to come in time.
+
+        Cancelled, it fails with CancelledError. A task that is cancelled
+        while it asks would otherwise take the end of its call for an answer
+        and go on: a process that stops would take a lease once more, and
+        hold it beyond its end.
+        """
+
+        def cancelled(_: Deferred) -> None:
+            gather.forget()
+            over(None)
+
+        done: Deferred = Deferred(cancelled)
         gather = _Gather(done)
         flight = self.send(address, request, gather)
         gather.flight = flight
