Orders: the bound between two holders holds for each engine

The holder froze after its first round; the next one waited 2 s for the lease and 3 s for the bound before any order, in a rolling restart that can end it within that time, and a stopping holder kept its lease. When a third version was named in the middle, engines that had just taken the second were ordered before those that had none. Change: a holder writes which engines it may have ordered within the bound, and passes on what it inherits; its follower leaves those alone and orders the others at once. A stop gives the lease back whatever was announced. Engines with the oldest weights, or the oldest promised, go first. All changes of a watch are read, not the last only. The test that wanted 3 s of silence for all engines was stricter than the rule, which speaks of orders to one server; it is replaced by one that looks at each engine's orders, over three holders. Conclusion: a takeover costs the lease, not lease and bound.

--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.events import Event, emit, explain
+from magnolialug.ids import EndpointId
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
 from magnolialug.policy.rollout import Rollout
@@ -37,11 +38,14 @@
     Attributes:
       start: names one start of the holder's process.
       rollout: what it may be giving orders for, None for nothing.
+      wary: engines that it or one before it may have ordered within the
+        bound, None for any.
     """
 
     vm: str
     start: str
     rollout: Rollout | None = None
+    wary: tuple[str, ...] | None = ()
 
 
 class OrderLease:
@@ -53,12 +57,13 @@
     trusts it on a clock that counts suspension, from before the renewal was
     asked for, and a margin less.
 
-    Orders of two holders must not alternate faster than a bound. Before its
-    orders a holder writes what it is about to order, on condition that the
-    key is still its own. Who takes over from a holder that had written so
-    waits for the bound; who takes over from one that had not can begin at
-    once, since that one's next write will fail. The others read it too, and
-    send no new work to an engine that is about to load.
+    Orders of two holders to one engine must not alternate faster than a
+    bound. Before its orders a holder writes which engines it is about to
+    order, on condition that the key is still its own. Who takes over leaves
+    those engines alone for the bound, and writes that it does so, for the
+    next holder; all other engines it can order at once, since a further
+    write of the one before will fail. The others read it too, and send no
+    new work to an engine that is about to load.
 
     Args:
       vm: the name of this machine.
@@ -87,7 +92,10 @@
         self.announced: Rollout | None = None
         self._on_rollout = on_rollout
         self._writing = False
+        self._wary: tuple[str, ...] | None = ()
+        self._told_wary: tuple[str, ...] | None = ()
         self._from = 0.0
+        self._closed_at: dict[str, float] = {}
         self._until = 0.0
         self._ordered_at = 0.0
         self._task: Deferred | None = None
@@ -98,20 +106,29 @@
         self._task.addErrback(lambda reason: reason.trap(CancelledError))
 
     async def stop(self) -> None:
-        """Lets another entry take over."""
+        """Lets another entry take over.
+
+        It gives no order from here on. One that is under way went to an
+        engine that the next holder leaves alone for the bound.
+        """
         task, self._task = self._task, None
         if task is not None:
             task.cancel()
         held, self.fence = self.fence, 0
-        if held and self.announced is None:
+        if held:
             await self._kv.revoke(self._lease)
 
-    @property
-    def may_order(self) -> bool:
-        """Whether an order may be given at this moment."""
-        now = self._clock.seconds()
+    def may_order(self, endpoint: EndpointId) -> bool:
+        """Whether an order may be given to an engine at this moment."""
         told = self.announced is not None and not self._writing
-        return told and self._from <= now < self._until
+        in_time = self._clock.seconds() < self._until
+        return told and in_time and not self.barred(endpoint)
+
+    def barred(self, endpoint: EndpointId) -> bool:
+        """Whether the holder before may have ordered an engine just now."""
+        if self._clock.seconds() >= self._from:
+            return False
+        return self._wary is None or endpoint in self._wary
 
     def ordered(self) -> None:
         """Learns that an order is given now."""
@@ -130,8 +147,10 @@
 
     def rest(self) -> None:
         """Writes that no more orders are given, once that is long true."""
-        quiet = self._clock.seconds() - self._ordered_at > self._bound_s
-        if self.held and self.announced is not None and quiet:
+        since = max(self._ordered_at, self._from - self._bound_s)
+        quiet = self._clock.seconds() - since > self._bound_s
+        told = self.announced is not None or self._told_wary != ()
+        if self.held and told and quiet:
             self._writing = True
             ensureDeferred(self._write(None))
 
@@ -142,7 +161,8 @@
         self.announced = None
 
     async def _write(self, rollout: Rollout | None) -> None:
-        value = msgspec.structs.replace(self._me, rollout=rollout)
+        wary = self._wary_now(rollout)
+        value = msgspec.structs.replace(self._me, rollout=rollout, wary=wary)
         swap = await self._kv.put_if(
             HOLDER_KEY, msgspec.json.encode(value), self.fence, self._lease
         )
@@ -150,6 +170,7 @@
             await self._read_back()
         elif swap.won:
             self.fence = swap.revision
+            self._told_wary = wary
             self._tell(rollout)
         elif swap.current is None or not self._is_mine(swap.current):
             self.fenced()
@@ -200,11 +221,11 @@
             if isinstance(changes, Failure):
                 return changes
             revision = changes.revision
-            if not changes.entries:
-                continue
-            if changes.entries[-1].value is None:
+            for entry in changes.entries:
+                if entry.value is not None:
+                    before = self._heard(entry, before)
+            if changes.entries and changes.entries[-1].value is None:
                 break
-            before = self._heard(changes.entries[-1], before)
         await sleep(self._clock, self._random.uniform(0.0, _TRY_WITHIN_S))
         return before
 
@@ -225,7 +246,7 @@
         lease = await self._kv.grant(self._ttl_s)
         if isinstance(lease, Failure):
             return lease
-        value = msgspec.json.encode(self._me)
+        value = msgspec.json.encode(self._mine_after(before))
         swap = await self._kv.put_if(HOLDER_KEY, value, 0, lease)
         if isinstance(swap, Failure):
             found = await self._kv.get(HOLDER_KEY)
@@ -240,22 +261,45 @@
         self.fence = revision
         self.announced = None
         self._until = asked + self._ttl_s - _MARGIN_S
-        self._from = self._clock.seconds() + self._bound_after(before)
+        self._follows(before)
         emit(
             Event.LEASE_WON,
             holder=self.name,
             fence=self.fence,
             before=before.start if before else "unknown",
-            wait_s=round(self._from - self._clock.seconds(), 3),
+            left_alone="all" if self._wary is None else len(self._wary),
         )
         return None
 
-    def _bound_after(self, before: Holder | None) -> float:
-        if before is None:
-            return self._bound_s
-        same = before.vm == self._me.vm
-        ordering = before.rollout is not None
-        return self._bound_s if ordering and not same else 0.0
+    def _mine_after(self, before: Holder | None) -> Holder:
+        """Returns the first value that this holder writes.
+
+        It carries on which engines those before may have ordered, for the
+        case that this holder ends within the bound too.
+        """
+        wary = before.wary if before else None
+        return msgspec.structs.replace(self._me, wary=wary)
+
+    def _follows(self, before: Holder | None) -> None:
+        """Learns which engines to leave alone, and until when."""
+        self._from = self._clock.seconds() + self._bound_s
+        self._wary = self._told_wary = before.wary if before else None
+
+    def _wary_now(self, rollout: Rollout | None) -> tuple[str, ...] | None:
+        """Returns the engines that the next holder must leave alone."""
+        now = self._clock.seconds()
+        for told in (self.announced, rollout):
+            for endpoint in told.closed if told else ():
+                self._closed_at[endpoint] = now
+        inherited = self._wary if now < self._from else ()
+        if inherited is None:
+            return None
+        recent = {
+            endpoint
+            for endpoint, at in self._closed_at.items()
+            if now - at <= self._bound_s
+        }
+        return tuple(sorted(recent.union(inherited)))
 
     async def _hold(self) -> None:
         while self.fence:
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -46,6 +46,8 @@
       closed_at: when all entries had been told to send it no new work.
       ordered_at: when it accepted an order or may have.
       failures: calls in a row that it did not answer.
+      version: that it is to take.
+      promised: the version that it was last ordered to take.
     """
 
     orders: int | None = None
@@ -55,6 +57,7 @@
     ordered_at: float | None = None
     failures: int = 0
     version: int = 0
+    promised: int = 0
 
 
 class Orders:
@@ -95,9 +98,7 @@
     def _finish(self) -> None:
         """Tells that all engines are open again."""
         told = self._lease.announced
-        if told is None:
-            return
-        if told.closed:
+        if told is not None and told.closed:
             done = msgspec.structs.replace(
                 told, closed=(), taken=told.taken + told.closed
             )
@@ -118,10 +119,9 @@
         if rollout != self._lease.announced:
             self._lease.announce(rollout)
             return
-        if not self._lease.may_order:
-            return
         for peer in self._outdated(model, version):
-            if peer.listed.endpoint in rollout.closed:
+            endpoint = peer.listed.endpoint
+            if endpoint in rollout.closed and self._lease.may_order(endpoint):
                 self._advance(peer, model, version, now)
 
     def _advance(
@@ -157,6 +157,8 @@
             and told.version == version
             and peer.listed.endpoint in told.closed,
             failing=state.failures > _FAILURES,
+            version=max(peer.weights(model), state.promised),
+            barred=self._lease.barred(peer.listed.endpoint),
         )
 
     def _state(self, peer: Peer) -> _Engine:
@@ -189,11 +191,12 @@
         if state.orders is None or peer.weights(model) >= version:
             state.calling = False
             return
-        if not self._lease.may_order:
+        if not self._lease.may_order(peer.listed.endpoint):
             state.calling = False
             return
         state.calling = True
         state.ordered_at = self._clock()
+        state.promised = version
         self._lease.ordered()
         emit(
             Event.ORDER_GIVEN,
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -22,6 +22,8 @@
       current: whether it has the version.
       closed: whether it gets no new work, since it loads or soon will.
       failing: whether it does not answer.
+      version: that it has, as far as is known.
+      barred: whether it may not be ordered yet.
     """
 
     endpoint: EndpointId
@@ -29,6 +31,8 @@
     current: bool
     closed: bool
     failing: bool
+    version: int = 0
+    barred: bool = False
 
 
 class Rollout(msgspec.Struct, frozen=True):
@@ -55,19 +59,22 @@
 def plan(
     model: str, version: int, engines: Sequence[Engine], told: Rollout | None
 ) -> Rollout:
-    """Returns the engines to be closed now, the least busy first.
+    """Returns the engines to be closed now, the oldest weights first.
 
-    An engine stays closed until it has the version. One that does not answer
-    keeps its place only while no other waits for it, so that a dead engine
-    does not hold up the rest.
+    Answers made on weights that were replaced long ago are worth the least,
+    so when a second version is named in the middle of a rollout the engines
+    that the first one has not reached go first. An engine that may not be
+    ordered yet stays open. A closed one stays closed until it has the
+    version; if it does not answer it keeps its place only while no other
+    waits for it, so that a dead engine does not hold up the rest.
 
     Args:
       told: what was told last; it is returned when nothing changes.
     """
     outdated = [engine for engine in engines if not engine.current]
     loading = [e for e in outdated if e.closed and not e.failing]
-    waiting = [e for e in outdated if not e.closed]
-    waiting.sort(key=lambda e: (e.failing, e.running, e.endpoint))
+    waiting = [e for e in outdated if not e.closed and not e.barred]
+    waiting.sort(key=lambda e: (e.failing, e.version, e.running, e.endpoint))
     free = at_once(len(engines)) - len(loading)
     closed = loading + waiting[: max(0, free)]
     rollout = Rollout(
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -24,6 +24,44 @@
     return [o for engine in cluster.engines.values() for o in engine.orders]
 
 
+VMS = ("front-1", "front-2", "front-3")
+
+
+def watch_orders(cluster):
+    """Returns a list that grows by (time, engine, holder) of each order."""
+    log = []
+    for engine in cluster.engines.values():
+        engine.orders = _OrderLog(cluster.net, engine.instance, log)
+    return log
+
+
+class _OrderLog(list):
+    """An engine's orders, each noted with its time."""
+
+    def __init__(self, clock, engine, log):
+        super().__init__()
+        self._note = lambda order: log.append(
+            (clock.seconds(), engine, order["holder"])
+        )
+
+    def append(self, order):
+        """Takes an order."""
+        super().append(order)
+        self._note(order)
+
+
+def turns_within(log, bound_s):
+    """Returns orders to an engine that follow another holder's too soon."""
+    last = {}
+    found = []
+    for at, engine, holder in log:
+        before = last.get(engine)
+        if before and before[1] != holder and at - before[0] < bound_s:
+            found.append((engine, before, (at, holder)))
+        last[engine] = (at, holder)
+    return found
+
+
 class RolloutTest(TestCase):
     """Engines take the weights that were named."""
 
@@ -153,26 +191,101 @@
         second = holder_of_others(cluster, first)
         self.assertGreater(second._lease.fence, before)
 
-    def test_who_follows_a_holder_that_was_ordering_waits(self):
+    def test_orders_of_two_holders_to_one_engine_lie_apart(self):
         """The holder dies in the middle of a rollout.
 
-        Symptom: orders of two machines arrive within the bound. Sequence:
-        the holder orders, is cut off and dies; another wins the lease at
-        once. Cause: it began without waiting.
+        Symptom: orders of two machines reach an engine within the bound.
+        Sequence: the holder orders, is cut off and dies; another wins the
+        lease at once. Cause: it began without a look at what had been
+        ordered.
         """
-        cluster = GatewayCluster(desks=0, engines=4, vms=("front-1", "front-2"))
-        cluster.pass_time(4)
-        first = holder_of(cluster)
+        cluster = GatewayCluster(desks=0, engines=6, vms=VMS)
+        cluster.pass_time(6)
+        log = watch_orders(cluster)
         name_weights(cluster, 2)
-        while not orders(cluster):
+        while not log:
+            cluster.pass_time(0.02)
+        self.freeze(cluster, holder_of(cluster))
+        cluster.pass_time(1)
+        name_weights(cluster, 3)
+        cluster.pass_time(12)
+        self.assertEqual({3}, {e.version for e in cluster.engines.values()})
+        self.assertEqual([], turns_within(log, 3.0))
+
+    def test_engines_that_nobody_ordered_do_not_wait_for_the_bound(self):
+        """The holder stands still after its first round of a rollout.
+
+        Symptom: engines have old weights 16 s after new ones were named.
+        Sequence: the holder orders two of six engines and is suspended; the
+        next one waits for the bound, and is told to stop meanwhile; so does
+        the one after it. Cause: the bound was kept for all engines, though
+        it holds for each.
+        """
+        cluster = GatewayCluster(desks=0, engines=6, vms=VMS)
+        cluster.pass_time(6)
+        log = watch_orders(cluster)
+        name_weights(cluster, 2)
+        while not log:
             cluster.pass_time(0.02)
-        last = cluster.net.seconds()
+        begun = cluster.net.seconds()
+        first = holder_of(cluster)
         self.freeze(cluster, first)
-        seen = len(orders(cluster))
-        while len(orders(cluster)) == seen:
+        while len({holder for _, _, holder in log}) < 2:
+            cluster.pass_time(0.02)
+        self.assertLess(cluster.net.seconds() - begun, 2.6)
+        self.assertEqual([], turns_within(log, 3.0))
+
+    def test_a_planned_stop_hands_the_rollout_over_at_once(self):
+        cluster = GatewayCluster(desks=0, engines=6, vms=VMS)
+        cluster.pass_time(6)
+        log = watch_orders(cluster)
+        name_weights(cluster, 2)
+        while not log:
+            cluster.pass_time(0.02)
+        begun = cluster.net.seconds()
+        ensureDeferred(holder_of(cluster).stop())
+        while len({holder for _, _, holder in log}) < 2:
+            cluster.pass_time(0.02)
+        self.assertLess(cluster.net.seconds() - begun, 0.8)
+        cluster.pass_time(8)
+        self.assertEqual({2}, {e.version for e in cluster.engines.values()})
+        self.assertEqual([], turns_within(log, 3.0))
+
+    def test_holders_that_end_one_after_the_other(self):
+        """Machines are stopped in turn while weights are taken.
+
+        Symptom: orders of two machines reach an engine within the bound,
+        with a third holder between them that has ordered nothing. Cause: it
+        did not pass on what it had to leave alone itself.
+        """
+        cluster = GatewayCluster(desks=0, engines=2, vms=VMS)
+        cluster.pass_time(6)
+        log = watch_orders(cluster)
+        name_weights(cluster, 2)
+        while not log:
+            cluster.pass_time(0.02)
+        for version in (3, 4):
+            ensureDeferred(holder_of(cluster).stop())
+            cluster.pass_time(0.6)
+            name_weights(cluster, version)
+            cluster.pass_time(0.2)
+        cluster.pass_time(10)
+        self.assertEqual({4}, {e.version for e in cluster.engines.values()})
+        self.assertEqual([], turns_within(log, 3.0))
+
+    def test_engines_with_the_oldest_weights_go_first(self):
+        cluster = GatewayCluster(desks=0, engines=6, vms=("front-1",))
+        cluster.pass_time(6)
+        log = watch_orders(cluster)
+        name_weights(cluster, 2)
+        while len(log) < 2:
+            cluster.pass_time(0.02)
+        ordered = {engine for _, engine, _ in log}
+        cluster.pass_time(0.5)
+        name_weights(cluster, 3)
+        while len(log) < 4:
             cluster.pass_time(0.02)
-        self.assertGreater(cluster.net.seconds() - last, 3.0)
-        self.assertLess(cluster.net.seconds() - last, 6.0)
+        self.assertEqual(set(), ordered & {e for _, e, _ in log[2:4]})
 
     def test_who_follows_one_that_was_not_begins_at_once(self):
         cluster = GatewayCluster(desks=0, engines=4, vms=("front-1", "front-2"))
