Soak: real gateways on loopback among faults from outside

Cause: failures between processes, signals and cut paths were tested on a virtual clock only. Change: magnolialug-soak starts gateways as processes behind loopback proxies, against the stand-ins, and brings 24 kinds of trouble in series and overlapping; a ledger compares what callers and endpoints saw with the promises. The tests' client moves to the stand-ins.

--- /dev/null
+++ b/magnolialug/cmd/soak.py
@@ -0,0 +1,74 @@
+"""magnolialug-soak: runs real gateways on loopback among faults."""
+
+import pathlib
+import shlex
+import sys
+import tempfile
+
+import msgspec
+
+from magnolialug.cmd.flagset import COMMON, EXIT_FAILED, Flag, Group, parse
+from magnolialug.events import setup_logging
+from magnolialug.soak.machine import gateway_program
+
+__all__ = ["run"]
+
+_GROUPS = (
+    Group(
+        "Soak",
+        (
+            Flag("seed", "int", 1, "decides the troubles and the callers"),
+            Flag("minutes", "float", 0.25, "how long new trouble begins"),
+            Flag("machines", "int", 3, "gateways"),
+            Flag("clients", "int", 12, "callers, one connection each"),
+            Flag("program", "str", "", "command to run in a gateway's place"),
+            Flag("out", "str", "", "folder for logs and settings"),
+        ),
+    ),
+    COMMON,
+)
+_MOST_MACHINES = 100
+
+
+def run() -> None:
+    """Runs the program; see --help."""
+    flags, _ = parse(
+        "magnolialug-soak", "checks the promises among faults", _GROUPS
+    )
+    setup_logging(flags.log_format, flags.log_level)
+    folder = pathlib.Path(flags.out or tempfile.mkdtemp(prefix="soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    sys.exit(_soak(flags, folder))
+
+
+def _soak(flags, folder: pathlib.Path) -> int:
+    from twisted.internet import reactor
+
+    from magnolialug.soak.run import Plan, Soak
+
+    reports = []
+
+    def done(report) -> None:
+        reports.append(report)
+        reactor.callLater(0, reactor.stop)
+
+    program = shlex.split(flags.program) or gateway_program()
+    plan = Plan(
+        seed=flags.seed,
+        seconds=flags.minutes * 60,
+        machines=min(flags.machines, _MOST_MACHINES),
+        clients=flags.clients,
+        program=tuple(program),
+        folder=folder,
+    )
+    soak = Soak(reactor, plan, done)
+    reactor.callWhenRunning(soak.start)
+    reactor.run()
+    for report in reports:
+        print(msgspec.json.encode(report).decode())
+    clean = bool(reports) and not reports[0].violations
+    return 0 if clean else EXIT_FAILED
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/magnolialug/soak/clients.py
@@ -0,0 +1,239 @@
+"""Callers that keep using a connection until it is gone."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.protocol import ClientFactory
+
+from magnolialug.soak.ledger import Form, Ledger, Sent
+from magnolialug.soak.machine import Machine
+from magnolialug.soak.proxy import Proxy
+from magnolialug.standin.caller import Answer, Caller, request
+
+__all__ = ["TEAMS", "Client"]
+
+TEAMS = {"key-a": "team-a", "key-b": "team-b"}
+_CONNECT_S = 1.0
+_THINK_S = (0.03, 0.2)
+_DEADLINE_S = {
+    Form.READ: 3.0,
+    Form.BOOK: 3.0,
+    Form.DRAFT: 6.0,
+    Form.CHECK: 3.0,
+    Form.PROBE: 1.0,
+}
+_SHARES = {Form.READ: 40, Form.BOOK: 25, Form.DRAFT: 20, Form.CHECK: 15}
+# Callers leave with this chance while callers are impatient.
+_LEAVES = 0.3
+_PROMPTS = 6
+
+
+class Front:
+    """A machine as callers reach it."""
+
+    def __init__(self, machine: Machine, proxy: Proxy, address):
+        self.machine = machine
+        self.proxy = proxy
+        self.address = address
+        self.ready = False
+
+
+class Client:
+    """One caller: asks, waits, thinks, asks again.
+
+    Attributes:
+      impatient: whether it leaves some requests early.
+      hurried: whether it thinks for a tenth of the usual time.
+
+    Args:
+      new_id: returns a fresh request id.
+      choose: returns the front that a new connection goes to.
+      lost: is told of a request whose connection ended without an answer.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        random: Random,
+        ledger: Ledger,
+        new_id: Callable[[], str],
+        choose: Callable[[], Front],
+        lost: Callable[[Sent, Answer], None],
+    ):
+        self.impatient = False
+        self.hurried = False
+        self._reactor = reactor
+        self._random = random
+        self._ledger = ledger
+        self._new_id = new_id
+        self._choose = choose
+        self._lost = lost
+        self._front: Front | None = None
+        self._conn: _Connection | None = None
+        self._row: Sent | None = None
+        self._timer = None
+        self._over = False
+
+    def start(self) -> None:
+        """Begins after a short pause."""
+        self._later(self._random.uniform(0, _THINK_S[1]), self._ask)
+
+    def stop(self) -> None:
+        """Sends nothing more."""
+        self._over = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._conn is not None:
+            self._conn.transport.abortConnection()
+
+    def _later(self, seconds: float, call: Callable, *args) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = self._reactor.callLater(seconds, call, *args)
+
+    def _ask(self) -> None:
+        if self._over:
+            return
+        if self._conn is None:
+            self._connect()
+            return
+        form = self._random.choices(list(_SHARES), list(_SHARES.values()))[0]
+        key = self._random.choice(list(TEAMS))
+        row = self._new_row(form, key)
+        self._row = row
+        self._ledger.add(row)
+        self._conn.transport.write(self._bytes(row, key))
+        wait_s = row.deadline_s
+        if self.impatient and self._random.random() < _LEAVES:
+            wait_s = self._random.uniform(0.0, 0.2)
+        self._later(wait_s, self._leave)
+
+    def _new_row(self, form: Form, key: str) -> Sent:
+        name = self._new_id()
+        target = f"/{form.value}/{name}"
+        method = "GET" if form is Form.READ else "POST"
+        body = b"book " + name.encode() if form is Form.BOOK else b""
+        return Sent(
+            name,
+            form,
+            method,
+            target,
+            body,
+            TEAMS[key],
+            self._front.machine.name,
+            self._reactor.seconds(),
+            _DEADLINE_S[form],
+        )
+
+    def _bytes(self, row: Sent, key: str) -> bytes:
+        prompt = self._random.randrange(_PROMPTS)
+        return request(
+            row.target,
+            row.request_id,
+            key=key,
+            method=row.method,
+            body=row.body,
+            deadline_ms=int(row.deadline_s * 1000),
+            parts=f"a{prompt}:500,b{prompt}:2000,c{row.request_id}:500",
+        )
+
+    def _connect(self) -> None:
+        self._front = self._choose()
+        host, port = self._front.address
+        factory = _Connecting(self)
+        self._reactor.connectTCP(host, port, factory, _CONNECT_S)
+
+    def _leave(self) -> None:
+        row, self._row = self._row, None
+        row.left_at = self._reactor.seconds()
+        self._ledger.outcomes["left"] += 1
+        conn, self._conn = self._conn, None
+        conn.transport.abortConnection()
+        self._think()
+
+    def _think(self) -> None:
+        pause = self._random.uniform(*_THINK_S)
+        self._later(pause / 10 if self.hurried else pause, self._ask)
+
+    def connected(self, conn: "_Connection") -> None:
+        """Takes a connection and asks on it."""
+        self._conn = conn
+        self._ask()
+
+    def unconnected(self) -> None:
+        """Learns that there was no connection to be had."""
+        self._think()
+
+    def answered(self, conn: "_Connection", answer: Answer) -> None:
+        """Takes a whole answer."""
+        if conn is not self._conn:
+            return
+        row, self._row = self._row, None
+        if row is None:
+            self._ledger.broken("MIXED", f"nobody asked: {answer}")
+            return
+        self._ledger.answered(row, answer)
+        if answer.headers.get("connection", "") == "close":
+            self._conn = None
+            conn.transport.loseConnection()
+        self._think()
+
+    def closed(self, conn: "_Connection") -> None:
+        """Learns that the connection has ended."""
+        if conn is not self._conn:
+            return
+        self._conn = None
+        row, self._row = self._row, None
+        if conn.broken:
+            name = row.request_id if row else ""
+            self._ledger.broken("MIXED", "bytes that are no answer", name)
+        if row is not None:
+            answer = conn.last if conn.begun else Answer()
+            self._ledger.outcomes[f"{row.form.value} cut"] += 1
+            if answer.status:
+                self._ledger.answered(row, answer)
+            self._lost(row, answer)
+            row.left_at = self._reactor.seconds()
+            self._think()
+
+
+class _Connection(Caller):
+    """A caller's connection that tells its owner what happens."""
+
+    def __init__(self, client: Client, clock):
+        super().__init__(clock)
+        self.begun = False
+        self._client = client
+
+    def connectionMade(self) -> None:
+        """Hands itself over."""
+        self._client.connected(self)
+
+    def on_message_begin(self) -> None:
+        """Begins an answer."""
+        super().on_message_begin()
+        self.begun = True
+
+    def on_message_complete(self) -> None:
+        """Ends an answer."""
+        super().on_message_complete()
+        self.begun = False
+        self._client.answered(self, self.last)
+
+    def connectionLost(self, reason) -> None:
+        """Tells its owner."""
+        super().connectionLost(reason)
+        self._client.closed(self)
+
+
+class _Connecting(ClientFactory):
+    noisy = False
+
+    def __init__(self, client: Client):
+        self._client = client
+
+    def buildProtocol(self, addr) -> _Connection:
+        return _Connection(self._client, self._client._reactor)
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self._client.unconnected()
--- /dev/null
+++ b/magnolialug/soak/machine.py
@@ -0,0 +1,212 @@
+"""One machine: a real gateway process and the signals it gets."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Sequence
+
+from magnolialug.soak.places import Places
+
+__all__ = ["GRACE_S", "Machine", "gateway_program"]
+
+GRACE_S = 8.0
+# The rules hold for a machine this long after its last trouble.
+_CONTACT_S = 3.0
+_RESTART_S = 0.3
+
+_SETTINGS = """\
+nodeName = "vm-{number}"
+role = "gateway"
+machineClass = "front"
+serves = ["front"]
+ipAddress = "{host}"
+zone = "{zone}"
+region = "r"
+internalPortRange = [{first_port}, {last_port}]
+bootstrap = false
+heartbeatMs = 1200
+[zones]
+a = "r"
+b = "r"
+[bindAddresses]
+front = "{host}:{callers_port}"
+ready = "{host}:{ready_port}"
+[bounds]
+drainMs = 2000
+graceS = {grace_s}
+configApplyMs = 2000
+retryBudgetRatio = {retry_ratio}
+retryBudgetExtra = 54
+budgetWindowS = 10
+leaseMs = 3000
+thawSlackMs = 300
+versionMs = 12000
+[platform]
+address = "{store_host}:{store_port}"
+writesPerS = 400
+readsPerS = 2000
+ttlMinMs = 1000
+"""
+
+
+class Machine:
+    """Starts a gateway again whenever it has ended, as a platform does.
+
+    Attributes:
+      lifetime: counts the starts.
+      paused: whether the process is stopped by a signal.
+      stopping: whether it was told to end.
+      troubled_until: when its last trouble ends.
+      touched_at: since when it has been without trouble.
+
+    Args:
+      program: the command that runs the gateway.
+      failed: is told of what a process must not do.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        places: Places,
+        reactor,
+        program: Sequence[str],
+        folder: pathlib.Path,
+        failed: Callable[[str, str], None],
+    ):
+        self.number = number
+        self.name = f"vm-{number}"
+        self.lifetime = 0
+        self.paused = False
+        self.stopping = False
+        self.troubled_until = 0.0
+        self._places = places
+        self._reactor = reactor
+        self._program = program
+        self._failed = failed
+        self._settings = folder / f"{self.name}.toml"
+        self._log = folder / f"{self.name}.log"
+        self._process: subprocess.Popen | None = None
+        self._killed = False
+        self._closing = False
+        self._kill_timer = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        if self._closing:
+            return
+        self.write_settings()
+        self.lifetime += 1
+        self.paused = self.stopping = self._killed = False
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [*self._program, "--log_format=json"],
+                env={"MAGNOLIALUG_SETTINGS": str(self._settings)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def write_settings(self, retry_ratio: float = 0.2) -> None:
+        """Writes the settings file."""
+        number, places = self.number, self._places
+        first_port, last_port = places.internal_ports
+        text = _SETTINGS.format(
+            number=number,
+            host=places.machine(number),
+            zone="ab"[number % 2],
+            first_port=first_port,
+            last_port=last_port,
+            callers_port=places.callers(number)[1],
+            ready_port=places.ready(number)[1],
+            grace_s=int(GRACE_S),
+            retry_ratio=retry_ratio,
+            store_host=places.store(number)[0],
+            store_port=places.store(number)[1],
+        )
+        self._settings.write_text(text)
+
+    @property
+    def running(self) -> bool:
+        """Whether there is a process."""
+        return self._process is not None
+
+    @property
+    def pid(self) -> int:
+        """The process's id, 0 if there is none."""
+        return self._process.pid if self._process else 0
+
+    def trouble(self, for_s: float = 0.0) -> None:
+        """Learns that something is done to it, from now on."""
+        until = self._reactor.seconds() + for_s
+        self.troubled_until = max(self.troubled_until, until)
+
+    def in_touch(self, since: float) -> bool:
+        """Whether it has had no trouble from then on, and shortly before."""
+        return self.troubled_until + _CONTACT_S < since
+
+    def pause(self) -> None:
+        """Suspends the process."""
+        if self.running and not self.paused:
+            self.paused = True
+            self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a suspended process go on."""
+        if self.running and self.paused:
+            self.paused = False
+            self._process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Kills the process."""
+        if self.running:
+            self._killed = True
+            self._process.kill()
+
+    def stop(self) -> None:
+        """Tells the process to end; kills it when its grace is over."""
+        if not self.running or self.stopping:
+            return
+        self.stopping = True
+        self._process.send_signal(signal.SIGTERM)
+        late = self._reactor.callLater(GRACE_S + 0.5, self._overstayed)
+        self._kill_timer = late
+
+    def hang_up(self) -> None:
+        """Tells the process that its settings have changed."""
+        if self.running:
+            self._process.send_signal(signal.SIGHUP)
+
+    def look(self) -> None:
+        """Looks whether the process has ended, and starts it again."""
+        if self._process is None or self._process.poll() is None:
+            return
+        code = self._process.returncode
+        self._process = None
+        if self._kill_timer is not None and self._kill_timer.active():
+            self._kill_timer.cancel()
+        if not self._killed and not self.stopping:
+            self._failed("ENDED", f"{self.name} ended by itself, code {code}")
+        if not self._killed:
+            self.trouble(_RESTART_S)
+        self._reactor.callLater(_RESTART_S, self.start)
+
+    def close(self) -> None:
+        """Ends the process for good."""
+        self._closing = True
+        if self._kill_timer is not None and self._kill_timer.active():
+            self._kill_timer.cancel()
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+            self._process = None
+
+    def _overstayed(self) -> None:
+        if self.running and not self.paused:
+            self._failed("STOP", f"{self.name} outlived its grace")
+        self.kill()
+
+
+def gateway_program() -> list[str]:
+    """Returns the command of the gateway."""
+    return [sys.executable, "-m", "magnolialug.cmd.gateway"]
--- /dev/null
+++ b/magnolialug/soak/run.py
@@ -0,0 +1,303 @@
+"""One soak from its start to its report."""
+
+import pathlib
+from collections import Counter
+from collections.abc import Callable, Sequence
+from random import Random
+
+import msgspec
+
+from magnolialug.carrier.client import Client as Asker
+from magnolialug.carrier.client import Reply, request_bytes
+from magnolialug.soak.clients import Client, Front
+from magnolialug.soak.ledger import Ledger, Sent, Violation
+from magnolialug.soak.machine import Machine
+from magnolialug.soak.places import Places
+from magnolialug.soak.probes import Probes
+from magnolialug.soak.proxy import Path, Proxy
+from magnolialug.soak.troubles import TROUBLES, plan
+from magnolialug.soak.world import EVENTS, Place, World
+
+__all__ = ["Plan", "Report", "Soak"]
+
+_LOOK_S = 0.1
+_READY_S = 0.5
+# A machine that has not begun to serve by then never will.
+_START_S = 15.0
+# The rules give twelve seconds to serve again, and to have all weights in
+# place; three of them are measured.
+_RECOVERY_S = 9.0
+_MEASURED_S = 3.0
+_SERVED_SHARE = 0.9
+# A request that was read and not passed on must be answered by then.
+_LOSS_S = 0.2
+_CONTACT_S = 3.0
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What a run consists of.
+
+    Attributes:
+      seconds: for how long trouble begins.
+      program: the command that runs a gateway.
+      folder: takes settings and logs.
+    """
+
+    seed: int
+    seconds: float
+    machines: int
+    clients: int
+    program: tuple[str, ...]
+    folder: pathlib.Path
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What came of a run."""
+
+    seed: int
+    requests: int
+    outcomes: dict[str, int]
+    troubles: dict[str, int]
+    violations: Sequence[Violation]
+
+
+class Soak:
+    """Runs machines, callers and troubles, and watches the promises.
+
+    Attributes:
+      random: decides everything that is decided by chance.
+
+    Args:
+      done: gets the report.
+    """
+
+    def __init__(self, reactor, planned: Plan, done: Callable[[Report], None]):
+        self.random = Random(planned.seed)
+        self._reactor = reactor
+        self._plan = planned
+        self._done = done
+        self._ids = iter(range(1, 1_000_000_000))
+        self._counts: Counter[str] = Counter()
+        self._timers: list = []
+        self._asker = Asker(reactor)
+        self._block = Places()
+        self.ledger = Ledger(reactor.seconds, EVENTS)
+        self.world = World(reactor, self._block, self.ledger, self.touched)
+        self.machines = [self._machine(n) for n in range(planned.machines)]
+        self.store_proxies = [
+            self._proxy(self.world.kv_address, self._block.store(m.number))
+            for m in self.machines
+        ]
+        self.fronts = [self._front(m) for m in self.machines]
+        self.clients = [self._client() for _ in range(planned.clients)]
+        self._probes = Probes(self, self._asker, self._block)
+
+    @property
+    def now(self) -> float:
+        """Seconds on the clock that all checks go by."""
+        return self._reactor.seconds()
+
+    def start(self) -> None:
+        """Starts everything."""
+        for machine in self.machines:
+            machine.trouble()
+            machine.start()
+        self._every(_LOOK_S, self._look)
+        self._every(_READY_S, self._ask_ready)
+        self._await_ready(self.now + _START_S)
+
+    def later(self, seconds: float, call: Callable, *args: object) -> None:
+        """Calls something later, unless the run has ended by then."""
+        self._timers.append(self._reactor.callLater(seconds, call, *args))
+
+    def touched(self, machine: str, since: float) -> bool:
+        """Whether a machine and the store have been calm from then on."""
+        rows = [m for m in self.machines if m.name == machine]
+        calm = self.world.store_troubled_until + _CONTACT_S < since
+        return calm and bool(rows) and rows[0].in_touch(since)
+
+    def some_machine(self) -> Machine:
+        """Returns a machine by chance."""
+        return self.random.choice(self.machines)
+
+    def some_place(self) -> Place:
+        """Returns an endpoint that is up, by chance."""
+        up = [p for p in self.world.places if p.endpoint is not None]
+        return self.random.choice(up)
+
+    def reopen(self, place: Place) -> None:
+        """Opens the way to an endpoint, unless it is down."""
+        if place.endpoint is not None:
+            place.proxy.opens(Path.OPEN)
+
+    def relist(self, place: Place, endpoint) -> None:
+        """Lists an endpoint again that lapsed, if it still lives."""
+        if place.endpoint is endpoint:
+            self.world.write(f"servers/{endpoint.instance}", place.row)
+
+    def replace(self, place: Place, endpoint) -> None:
+        """Ends an endpoint that has drained, and starts another."""
+        if place.endpoint is endpoint:
+            place.faulty_until = self.now + 4.0
+            self.world.remove(f"servers/{endpoint.instance}")
+            self.world.crash(place)
+            self.later(0.2, self.world.revive, place)
+
+    def new_id(self) -> str:
+        """Returns a fresh request id."""
+        return f"{self._plan.seed:x}-{next(self._ids):x}"
+
+    def _machine(self, number: int) -> Machine:
+        return Machine(
+            number,
+            self._block,
+            self._reactor,
+            self._plan.program,
+            self._plan.folder,
+            self.ledger.broken,
+        )
+
+    def _proxy(self, target, address) -> Proxy:
+        proxy = Proxy(self._reactor, target)
+        self.world.listen(proxy, address)
+        return proxy
+
+    def _front(self, machine: Machine) -> Front:
+        address = self._block.front(machine.number)
+        target = self._block.callers(machine.number)
+        return Front(machine, self._proxy(target, address), address)
+
+    def _client(self) -> Client:
+        return Client(
+            self._reactor,
+            Random(self.random.random()),
+            self.ledger,
+            self.new_id,
+            self._choose,
+            self._lost,
+        )
+
+    def _choose(self) -> Front:
+        ready = [front for front in self.fronts if front.ready]
+        return self.random.choice(ready or self.fronts)
+
+    def _every(self, seconds: float, call: Callable[[], None]) -> None:
+        call()
+        self.later(seconds, self._every, seconds, call)
+
+    def _look(self) -> None:
+        for machine in self.machines:
+            machine.look()
+        self._timers = [timer for timer in self._timers if timer.active()]
+
+    def _ask_ready(self) -> None:
+        for front in self.fronts:
+            address = self._block.ready(front.machine.number)
+            ask = request_bytes("GET", address[0], "/readyz")
+            fut = self._asker.ask(address, ask, _READY_S)
+            fut.addCallback(self._heard_ready, front)
+
+    def _heard_ready(self, reply, front: Front) -> None:
+        front.ready = isinstance(reply, Reply) and reply.status == 200
+
+    def _await_ready(self, limit: float) -> None:
+        if all(front.ready for front in self.fronts):
+            self._begin()
+        elif self.now > limit:
+            self.ledger.broken("START", "machines are not ready")
+            self._finish()
+        else:
+            self.later(_LOOK_S, self._await_ready, limit)
+
+    def _begin(self) -> None:
+        for client in self.clients:
+            client.start()
+        self._probes.start()
+        for at, name in plan(self.random, self._plan.seconds):
+            self.later(at, self._trouble, name)
+        self.later(self._plan.seconds, self._heal)
+
+    def _trouble(self, name: str) -> None:
+        self._counts[name] += 1
+        TROUBLES[name](self)
+
+    def _heal(self) -> None:
+        """Ends what would not end by itself."""
+        world = self.world
+        world.kv.faults = type(world.kv.faults)()
+        for proxy in [*self.store_proxies, *(f.proxy for f in self.fronts)]:
+            proxy.delay_s = 0.0
+            proxy.opens(Path.OPEN)
+        for place in world.places:
+            place.proxy.delay_s = 0.0
+            if place.endpoint is not None:
+                place.proxy.opens(Path.OPEN)
+                place.endpoint.faults.clear()
+                place.endpoint.late_orders.clear()
+        for machine in self.machines:
+            machine.resume()
+        self.later(_RECOVERY_S, self._measure, self.now + _RECOVERY_S)
+
+    def _measure(self, since: float) -> None:
+        self.later(_MEASURED_S, self._check_recovery, since)
+
+    def _check_recovery(self, since: float) -> None:
+        rows = [
+            row
+            for row in self.ledger.sent.values()
+            if since <= row.at < self.now - 1.0
+        ]
+        served = sum(200 <= row.status < 300 for row in rows)
+        if served < _SERVED_SHARE * len(rows) or not rows:
+            self.ledger.broken("RECOVER", f"{served} of {len(rows)} served")
+        self._check_engines()
+        self._finish()
+
+    def _check_engines(self) -> None:
+        newest = self.world.weights
+        for place in self.world.runs_of("llm"):
+            engine = place.endpoint
+            if engine.version != newest:
+                detail = f"{engine.instance}: {engine.version} for {newest}"
+                self.ledger.broken("VERSION", detail)
+            holders: dict[int, str] = {}
+            for order in engine.orders:
+                fence, holder = order["fencingToken"], order["holder"]
+                if holders.setdefault(fence, holder) != holder:
+                    self.ledger.broken("ONE", f"fence {fence}: {holder}")
+
+    def _lost(self, row: Sent, answer) -> None:
+        """Judges a connection that ended before its answer."""
+        broken_off = answer.status and row.form.streams
+        faulty = any(
+            place.faulty_until > row.at
+            for place in self.world.places
+            if place.service == row.form.service
+        )
+        unpassed = not row.arrivals and self.now - row.at < _LOSS_S
+        if unpassed or not self.touched(row.machine, row.at):
+            return
+        if not (broken_off and faulty):
+            detail = f"at {row.machine}, status {answer.status}"
+            self.ledger.broken("LOST", detail, row.request_id)
+
+    def _finish(self) -> None:
+        for client in self.clients:
+            client.stop()
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        for machine in self.machines:
+            machine.close()
+        self.ledger.finish()
+        self.world.close()
+        self._block.release()
+        self._done(
+            Report(
+                self._plan.seed,
+                len(self.ledger.sent),
+                dict(sorted(self.ledger.outcomes.items())),
+                dict(sorted(self._counts.items())),
+                tuple(self.ledger.violations),
+            )
+        )
--- /dev/null
+++ b/magnolialug/soak/troubles.py
@@ -0,0 +1,288 @@
+"""What goes wrong in a soak: one function for each kind of trouble."""
+
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+from magnolialug.soak.proxy import Path
+from magnolialug.standin.endpoint import Fault
+
+if TYPE_CHECKING:
+    from magnolialug.soak.run import Soak
+
+__all__ = ["TROUBLES", "plan"]
+
+_GAP_S = 0.7
+_SERIES = 3
+_CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
+
+
+def plan(random: Random, seconds: float) -> list[tuple[float, str]]:
+    """Returns when which trouble begins; some come in series, many overlap."""
+    at = 0.5
+    rows = []
+    names = sorted(TROUBLES)
+    while at < seconds:
+        name = random.choice(names)
+        repeats = random.randint(2, _SERIES) if random.random() < 0.3 else 1
+        for number in range(repeats):
+            rows.append((at + number * random.uniform(0.3, 1.5), name))
+        at += random.expovariate(1 / _GAP_S)
+    return sorted(row for row in rows if row[0] < seconds)
+
+
+def _for_s(soak: "Soak", least: float, most: float) -> float:
+    return soak.random.uniform(least, most)
+
+
+def pause_machine(soak: "Soak") -> None:
+    """A process stands still and wakes again."""
+    machine = soak.some_machine()
+    for_s = _for_s(soak, 0.2, 4.0)
+    machine.trouble(for_s)
+    machine.pause()
+    soak.later(for_s, machine.resume)
+
+
+def kill_machine(soak: "Soak") -> None:
+    """A process is killed, and started again at once."""
+    machine = soak.some_machine()
+    machine.trouble(1.0)
+    machine.kill()
+
+
+def kill_many(soak: "Soak") -> None:
+    """All processes are killed at the same moment."""
+    for machine in soak.machines:
+        machine.trouble(1.0)
+        machine.kill()
+
+
+def stop_machine(soak: "Soak") -> None:
+    """A process is told to end; it takes its time, and is started again."""
+    soak.some_machine().stop()
+
+
+def stop_in_turn(soak: "Soak") -> None:
+    """All processes are told to end, one after the other."""
+    for number, machine in enumerate(soak.machines):
+        soak.later(number * 1.2, machine.stop)
+
+
+def hang_up(soak: "Soak") -> None:
+    """A process's settings change."""
+    machine = soak.some_machine()
+    machine.write_settings(soak.random.choice((0.2, 0.15)))
+    machine.hang_up()
+
+
+def cut_from_store(soak: "Soak") -> None:
+    """One machine loses the key-value service."""
+    machine = soak.some_machine()
+    for_s = _for_s(soak, 0.3, 4.0)
+    machine.trouble(for_s)
+    proxy = soak.store_proxies[machine.number]
+    proxy.opens(soak.random.choice(_CUTS))
+    soak.later(for_s, proxy.opens, Path.OPEN)
+
+
+def silence_store(soak: "Soak") -> None:
+    """A machine's open connections to the service are silent for good."""
+    machine = soak.some_machine()
+    machine.trouble()
+    soak.store_proxies[machine.number].silence(soak.random)
+
+
+def reset_store(soak: "Soak") -> None:
+    """All connections to the key-value service are reset."""
+    for machine in soak.machines:
+        machine.trouble()
+        soak.store_proxies[machine.number].reset(soak.random)
+
+
+def slow_store(soak: "Soak") -> None:
+    """The key-value service takes its time."""
+    for_s = _for_s(soak, 0.5, 3.0)
+    soak.world.store_trouble(for_s)
+    for proxy in soak.store_proxies:
+        proxy.delay_s = _for_s(soak, 0.05, 0.3)
+        soak.later(for_s, setattr, proxy, "delay_s", 0.0)
+
+
+def store_down(soak: "Soak") -> None:
+    """The service answers nothing, or refuses all."""
+    for_s = _for_s(soak, 0.5, 4.0)
+    soak.world.store_trouble(for_s)
+    fault = soak.random.choice(("down", "refusing", "deaf_watches"))
+    faults = soak.world.kv.faults
+    setattr(faults, fault, True)
+    soak.later(for_s, setattr, faults, fault, False)
+
+
+def store_lapse(soak: "Soak") -> None:
+    """Entries of endpoints run out while the service is down."""
+    for_s = _for_s(soak, 1.0, 3.0)
+    world = soak.world
+    world.store_trouble(for_s + 2.0)
+    world.kv.faults.down = True
+    soak.later(for_s, setattr, world.kv.faults, "down", False)
+    for place in world.places:
+        if place.endpoint is not None and soak.random.random() < 0.5:
+            key = f"servers/{place.endpoint.instance}"
+            soak.later(for_s / 2, world.remove, key)
+            back_s = for_s + _for_s(soak, 0.1, 1.5)
+            soak.later(back_s, soak.relist, place, place.endpoint)
+
+
+def store_forgets(soak: "Soak") -> None:
+    """The service drops its history and cuts the watches."""
+    soak.world.kv.forget()
+    soak.world.kv.end_watches()
+
+
+def store_loses_answers(soak: "Soak") -> None:
+    """Writes are done and not answered."""
+    soak.world.store_trouble(1.0)
+    soak.world.kv.faults.lose_answers += soak.random.randint(1, 4)
+
+
+def store_nonsense(soak: "Soak") -> None:
+    """Keys hold what nobody can read, or are gone."""
+    key = soak.random.choice(("magnolialug/orders/holder", "servers/i-odd"))
+    soak.world.write(key, b"\xff{nonsense")
+    soak.later(_for_s(soak, 0.5, 2.0), soak.world.remove, key)
+
+
+def bad_answers(soak: "Soak") -> None:
+    """An endpoint's next answers are broken."""
+    place = soak.some_place()
+    place.faulty_until = soak.now + 6.0
+    faults = [f for f in Fault if f is not Fault.NONE]
+    if place.service == "llm":
+        place.endpoint.stop_after += [soak.random.randint(1, 3)]
+        faults = [Fault.SHED, Fault.MUTE, Fault.ERROR]
+    number = soak.random.randint(1, 6)
+    place.endpoint.faults += soak.random.choices(faults, k=number)
+
+
+def crash_endpoint(soak: "Soak") -> None:
+    """An endpoint dies; a fresh one comes, maybe of another service."""
+    place = soak.some_place()
+    if len(soak.world.runs_of(place.service)) < 2:
+        return
+    place.faulty_until = soak.now + 8.0
+    soak.world.crash(place)
+    service = soak.random.choice(("", "", "desk", "llm"))
+    back_s = 2.2 if service else _for_s(soak, 0.2, 2.0)
+    soak.later(back_s, soak.world.revive, place, service)
+
+
+def drain_endpoint(soak: "Soak") -> None:
+    """An endpoint leaves in order; a fresh one comes."""
+    place = soak.some_place()
+    if len(soak.world.runs_of(place.service)) < 2 or place.leaving_at:
+        return
+    soak.world.drain(place)
+    soak.later(4.0, soak.replace, place, place.endpoint)
+
+
+def cut_endpoint(soak: "Soak") -> None:
+    """The way to an endpoint is cut, or its connections are lost."""
+    place = soak.some_place()
+    for_s = _for_s(soak, 0.3, 3.0)
+    place.faulty_until = soak.now + for_s + 4.0
+    act = soak.random.choice(("path", "reset", "silence", "delay"))
+    if act == "reset":
+        place.proxy.reset(soak.random)
+    elif act == "silence":
+        place.proxy.silence(soak.random)
+    elif act == "delay":
+        place.proxy.delay_s = _for_s(soak, 0.05, 0.5)
+        soak.later(for_s, setattr, place.proxy, "delay_s", 0.0)
+    else:
+        place.proxy.opens(soak.random.choice(_CUTS))
+        soak.later(for_s, soak.reopen, place)
+
+
+def cut_callers(soak: "Soak") -> None:
+    """Callers' connections to a machine are reset, held or slow."""
+    machine = soak.some_machine()
+    proxy = soak.fronts[machine.number].proxy
+    for_s = _for_s(soak, 0.2, 1.5)
+    machine.trouble(for_s)
+    act = soak.random.choice(("reset", "held", "delay"))
+    if act == "reset":
+        proxy.reset(soak.random, 0.5)
+    elif act == "held":
+        proxy.opens(soak.random.choice((Path.HELD, Path.DEAF, Path.MUTE)))
+        soak.later(for_s, proxy.opens, Path.OPEN)
+    else:
+        proxy.delay_s = _for_s(soak, 0.02, 0.2)
+        soak.later(for_s, setattr, proxy, "delay_s", 0.0)
+
+
+def change_config(soak: "Soak") -> None:
+    """The operator writes a new configuration."""
+    soak.world.configure()
+
+
+def name_weights(soak: "Soak") -> None:
+    """The operator names new weights; an order may be carried out late."""
+    for place in soak.world.runs_of("llm"):
+        if soak.random.random() < 0.2:
+            place.endpoint.late_orders += [_for_s(soak, 2.0, 5.0)]
+    soak.world.name_weights()
+
+
+def part_store(soak: "Soak") -> None:
+    """The store of cache parts returns empty, is silent, or cut."""
+    act = soak.random.choice(("restart", "mute", "cut"))
+    store, proxy = soak.world.part_store, soak.world.part_proxy
+    for_s = _for_s(soak, 0.3, 3.0)
+    if act == "restart":
+        store.restart()
+    elif act == "mute":
+        store.mute = True
+        soak.later(for_s, setattr, store, "mute", False)
+    else:
+        proxy.opens(soak.random.choice(_CUTS))
+        soak.later(for_s, proxy.opens, Path.OPEN)
+
+
+def crowd(soak: "Soak") -> None:
+    """Callers hurry, or leave early, for a while."""
+    act = soak.random.choice(("hurried", "impatient"))
+    for client in soak.clients:
+        setattr(client, act, True)
+        soak.later(2.0, setattr, client, act, False)
+
+
+TROUBLES: dict[str, Callable[["Soak"], None]] = {
+    act.__name__: act
+    for act in (
+        pause_machine,
+        kill_machine,
+        kill_many,
+        stop_machine,
+        stop_in_turn,
+        hang_up,
+        cut_from_store,
+        silence_store,
+        reset_store,
+        slow_store,
+        store_down,
+        store_lapse,
+        store_forgets,
+        store_loses_answers,
+        store_nonsense,
+        bad_answers,
+        crash_endpoint,
+        drain_endpoint,
+        cut_endpoint,
+        cut_callers,
+        change_config,
+        name_weights,
+        part_store,
+        crowd,
+    )
+}
--- /dev/null
+++ b/magnolialug/soak/world.py
@@ -0,0 +1,328 @@
+"""The platform around the machines: stand-ins, each behind a proxy."""
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.web.server import Site
+
+from magnolialug.soak.ledger import Ledger
+from magnolialug.soak.places import Places
+from magnolialug.soak.proxy import Path, Proxy
+from magnolialug.standin.endpoint import EndpointStandin, Received
+from magnolialug.standin.kv import KvStore
+from magnolialug.standin.kvface import kv_face
+from magnolialug.standin.modelserver import ModelServerStandin
+from magnolialug.standin.partstore import PartStoreStandin
+
+__all__ = ["DRAIN_S", "EVENTS", "World"]
+
+EVENTS = 4
+DRAIN_S = 2.0
+_SLACK_S = 0.3
+_STORE = "cache"
+_HEARTBEATS_S = 3.6
+
+
+class Engine(ModelServerStandin):
+    """A model engine whose words name the request they belong to."""
+
+    def text(self, req: Received, number: int) -> bytes:
+        """Returns an event's data."""
+        return f"{req.request_id}/{self.instance}/{number}".encode()
+
+
+class Place:
+    """One endpoint's address, and who is behind it.
+
+    Attributes:
+      proxy: what machines connect to.
+      endpoint: the stand-in behind it, None while it is down.
+      leaving_at: when the store accepted that it drains.
+      faulty_until: until when its answers may be broken.
+    """
+
+    def __init__(self, address, proxy: Proxy, service: str, zone: str):
+        self.address = address
+        self.proxy = proxy
+        self.service = service
+        self.zone = zone
+        self.endpoint: EndpointStandin | None = None
+        self.leaving_at: float | None = None
+        self.faulty_until = 0.0
+        self.row: dict = {}
+        self.version = 1
+
+
+class World:
+    """Stand-ins of the store, endpoints and a store of cache parts.
+
+    Attributes:
+      kv: the store's content and faults.
+      places: endpoints by their number.
+      versions: when which configuration was acknowledged.
+      weights: the newest that were named.
+
+    Args:
+      touched: tells whether a request's machine and the store are calm.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        places: Places,
+        ledger: Ledger,
+        touched: Callable[[str, float], bool],
+        desks: int = 3,
+        engines: int = 3,
+    ):
+        self.kv = KvStore(reactor)
+        self.versions: list[float] = []
+        self.weights = 1
+        self.weights_at = 0.0
+        self.store_troubled_until = 0.0
+        self.places: list[Place] = []
+        self.walls: dict[str, tuple[str, int]] = {}
+        self.part_store = PartStoreStandin(reactor, "i-store")
+        self._reactor = reactor
+        self._addresses = places
+        self._ledger = ledger
+        self._touched = touched
+        self._numbers = iter(range(1, 10_000))
+        self._ports: list = []
+        kv_port = self._listen(Site(kv_face(self.kv)))
+        self.kv_address = kv_port
+        self.store_proxy = self._proxied(10, self.part_store)
+        for number in range(desks + engines):
+            service = "desk" if number < desks else "llm"
+            self._place(20 + number, service)
+        self.configure()
+
+    def listen(self, factory, address) -> None:
+        """Listens at an address of the run's block."""
+        host, port = address
+        self._ports.append(
+            self._reactor.listenTCP(port, factory, interface=host)
+        )
+
+    def close(self) -> None:
+        """Closes everything."""
+        for port in self._ports:
+            port.stopListening()
+
+    def configure(self) -> None:
+        """Writes the next version of the operator's configuration."""
+        version = len(self.versions) + 1
+        self.write("op/config", _config(version, self._store_row()))
+        self.versions.append(self._reactor.seconds())
+
+    def name_weights(self) -> None:
+        """Names the next version of the model's weights."""
+        self.weights += 1
+        self.weights_at = self._reactor.seconds()
+        value = {"model": "m", "version": self.weights}
+        self.write("op/version/m", value)
+
+    def store_trouble(self, for_s: float) -> None:
+        """Learns that something is done to the key-value service."""
+        until = self._reactor.seconds() + for_s
+        self.store_troubled_until = max(self.store_troubled_until, until)
+
+    def crash(self, place: Place) -> None:
+        """Ends an endpoint; its entry runs out later."""
+        gone, place.endpoint = place.endpoint, None
+        place.proxy.opens(Path.REFUSED)
+        for link in list(place.proxy.links):
+            link.reset()
+        self._reactor.callLater(
+            _HEARTBEATS_S, self.remove, f"servers/{gone.instance}"
+        )
+
+    def revive(self, place: Place, service: str = "") -> None:
+        """Starts a fresh endpoint at an address, maybe of another service."""
+        place.service = service or place.service
+        place.leaving_at = None
+        place.endpoint = self._endpoint(place)
+        place.proxy.target = self._listen(place.endpoint)
+        place.proxy.opens(Path.OPEN)
+        self._list(place)
+
+    def drain(self, place: Place) -> None:
+        """An endpoint says that it will leave."""
+        place.row["state"] = "draining"
+        self.write(f"servers/{place.endpoint.instance}", place.row)
+        place.leaving_at = self._reactor.seconds()
+
+    def write(self, key: str, value: dict | bytes) -> None:
+        """Writes a key past all faults, as its owner does."""
+        found = self.kv._rows.get(key)
+        revision = found.revision if found else 0
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        faults, self.kv.faults = self.kv.faults, type(self.kv.faults)()
+        ensureDeferred(self.kv.put_if(key, data, revision))
+        self.kv.faults = faults
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        self.kv._remove(key)
+
+    def runs_of(self, service: str) -> list[Place]:
+        """Returns the places whose endpoint is up."""
+        return [
+            place
+            for place in self.places
+            if place.service == service and place.endpoint is not None
+        ]
+
+    def _place(self, number: int, service: str) -> None:
+        address = self._addresses.endpoint(number)
+        proxy = Proxy(self._reactor, ("127.0.0.1", 1))
+        self.listen(proxy, address)
+        place = Place(address, proxy, service, "ab"[number % 2])
+        self.places.append(place)
+        self.revive(place)
+
+    def _endpoint(self, place: Place) -> EndpointStandin:
+        instance = f"i-{place.service}{next(self._numbers)}"
+        if place.service == "desk":
+            endpoint = EndpointStandin(self._reactor, instance)
+            endpoint.body_of = lambda req: (
+                f"{instance}|{req.request_id}|{req.target}".encode()
+            )
+        else:
+            endpoint = self._engine(instance)
+        endpoint.ran = self._ledger.ran
+        endpoint.on_arrival = lambda req: self._arrived(place, endpoint, req)
+        return endpoint
+
+    def _engine(self, instance: str) -> Engine:
+        engine = Engine(self._reactor, instance)
+        engine.events = EVENTS
+        engine.version = self.weights
+        host, port = self.store_proxy
+        engine.stores[f"{host}:{port}"] = self.part_store
+        return engine
+
+    def _arrived(self, place: Place, endpoint, req: Received) -> None:
+        if not req.request_id:
+            return
+        row = self._ledger.sent.get(req.request_id)
+        machine = row.machine if row else ""
+        now = self._reactor.seconds()
+        touched = self._touched(machine, row.at if row else now)
+        self._ledger.arrived(endpoint.instance, place.service, req, touched)
+        if place.endpoint is endpoint:
+            self._check_drain(place, req, machine)
+        if place.service == "llm":
+            self._check_walls(endpoint, req)
+
+    def _check_drain(self, place: Place, req: Received, machine: str) -> None:
+        left_at = place.leaving_at
+        late = left_at and self._reactor.seconds() - left_at - DRAIN_S
+        if late and late > _SLACK_S and self._touched(machine, left_at):
+            detail = f"{late:.2f} s after {place.endpoint.instance} left"
+            self._ledger.broken("DRAIN", detail, req.request_id)
+
+    def _check_walls(self, engine: Engine, req: Received) -> None:
+        """Checks that one salt never serves two teams or two versions."""
+        salt = req.headers.get("x-cache-salt", "")
+        team = req.headers.get("x-tenant-id", "")
+        wall = team if team == "team-b" else ""
+        expected = req.headers.get("x-expect-version", "")
+        if salt.startswith("?") and not expected:
+            return
+        found = self.walls.setdefault(salt, (wall, int(expected or 0)))
+        if found != (wall, int(expected or 0)):
+            detail = f"salt {salt!r}: {found} and {(wall, expected)}"
+            self._ledger.broken("WALL", detail, req.request_id)
+
+    def _list(self, place: Place) -> None:
+        weights = [{"name": "m", "version": self.weights}]
+        place.row = {
+            "service": place.service,
+            "address": f"{place.address[0]}:{place.address[1]}",
+            "zone": place.zone,
+            "slots": 6,
+            "state": "ready",
+            "models": weights if place.service == "llm" else [],
+        }
+        self.write(f"servers/{place.endpoint.instance}", place.row)
+
+    def _listen(self, factory) -> tuple[str, int]:
+        port = self._reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self._ports.append(port)
+        return "127.0.0.1", port.getHost().port
+
+    def _proxied(self, number: int, factory) -> tuple[str, int]:
+        self.part_proxy = Proxy(self._reactor, self._listen(factory))
+        address = self._addresses.endpoint(number)
+        self.listen(self.part_proxy, address)
+        return address
+
+    def _store_row(self) -> dict:
+        host, port = self.store_proxy
+        return {
+            "name": _STORE,
+            "kvStoreAddr": f"{host}:{port}",
+            "zone": "a",
+            "kvCapacityTokens": 1_000_000,
+            "linkMbps": 310000.0,
+            "maxInFlight": 12,
+            "managed": True,
+            "first_ms": 0.5,
+        }
+
+
+def _route(form: str, service: str, **more: object) -> dict:
+    return {
+        "name": form,
+        "host": "h.example",
+        "pathPrefix": f"/{form}/",
+        "routeType": "idempotent",
+        "timeoutMs": 3000,
+        "targetLatencyMs": 400,
+        "service": service,
+        "maxAttempts": 2,
+        **more,
+    }
+
+
+def _config(version: int, store: dict) -> dict:
+    """Returns a configuration; one route is there in this version only."""
+    prompts = {"routeType": "streaming", "sessionAffinity": True}
+    return {
+        "version": version,
+        "routes": [
+            _route("read", "desk"),
+            _route("book", "desk", routeType="non_idempotent"),
+            _route("draft", "llm", **prompts, timeoutMs=6000, maxAttempts=1),
+            _route("check", "llm", **prompts, resumable=True),
+            _route(f"at{version}", "desk"),
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 100},
+            {
+                "name": "llm",
+                "maxConnections": 600,
+                "engine": {
+                    "slots": 128,
+                    "kvCapacityTokens": 140000,
+                    "kvTokenBytes": 35136,
+                    "linkMbps": 1100000.0,
+                    "maxInFlight": 12,
+                    "managed": True,
+                },
+            },
+            store,
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "team-a", "apiKeys": ["key-a"]},
+            {"name": "team-b", "apiKeys": ["key-b"], "isolated": True},
+        ],
+    }
--- a/magnolialug/standin/endpoint.py
+++ b/magnolialug/standin/endpoint.py
@@ -56,6 +56,7 @@
       seen: every request that arrived.
       ran: how often each request id was run.
       cut: ids whose connection closed before their answer was whole.
+      on_arrival: is told of each request as it arrives.
     """
 
     noisy = False
@@ -72,6 +73,7 @@
         self.cut: list[str] = []
         self.connections = 0
         self.body_of: Callable[[Received], bytes] = lambda req: b"served"
+        self.on_arrival: Callable[[Received], None] = lambda req: None
 
     def buildProtocol(self, addr) -> "_Serving":
         """Returns the protocol of a new connection."""
@@ -147,6 +149,7 @@
             self._names,
         )
         self.endpoint.seen.append(req)
+        self.endpoint.on_arrival(req)
         self.current = req
         self.endpoint.answer(self, req)
 
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -81,6 +81,10 @@
             self._move_cache(req)
             self.clock.callLater(self.work_s, self._begin, run)
 
+    def text(self, req: Received, number: int) -> bytes:
+        """Returns an event's data; to be overridden."""
+        return b"word%d" % number
+
     def _move_cache(self, req: Received) -> None:
         """Fetches and saves the parts that a request names stores for."""
         salt = req.headers.get("x-cache-salt", "")
@@ -133,7 +137,9 @@
             run.conn.current = None
             return
         number = run.next_event
-        self._chunk(run, b"id: %d\ndata: word%d\n\n" % (number, number))
+        self._chunk(
+            run, b"id: %d\ndata: %s\n\n" % (number, self.text(run.req, number))
+        )
         run.next_event += 1
         self.clock.callLater(self.gap_s, self._event, run)
 
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -2,11 +2,9 @@
 
 from random import Random
 
-import httptools
 import msgspec
 from loguru import logger
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.protocol import Protocol
 
 from magnolialug.carrier.client import Client
 from magnolialug.entry.gateway import Gateway
@@ -14,6 +12,7 @@
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.settings import Bounds, Settings, StoreRates
+from magnolialug.standin.caller import Caller, request
 from magnolialug.standin.endpoint import EndpointStandin
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.modelserver import ModelServerStandin
@@ -129,64 +128,6 @@
     return {**base, **more}
 
 
-class Answer(msgspec.Struct):
-    """What a caller got for one request."""
-
-    status: int = 0
-    headers: dict[str, str] = {}
-    body: bytes = b""
-    whole: bool = False
-    at: float = 0.0
-
-
-class Caller(Protocol):
-    """A client on one connection."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.answers: list[Answer] = []
-        self.closed = False
-        self.broken = False
-        self._parser = httptools.HttpResponseParser(self)
-
-    def dataReceived(self, data):
-        """Takes bytes of answers."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.broken = True
-
-    def connectionLost(self, reason):
-        """Notes the close."""
-        self.closed = True
-
-    def on_message_begin(self):
-        """Begins an answer."""
-        self.answers.append(Answer(headers={}))
-
-    def on_header(self, name, value):
-        """Takes a header."""
-        self.answers[-1].headers[name.decode().lower()] = value.decode()
-
-    def on_headers_complete(self):
-        """Takes the status."""
-        self.answers[-1].status = self._parser.get_status_code()
-
-    def on_body(self, data):
-        """Takes a piece of the body."""
-        self.answers[-1].body += data
-
-    def on_message_complete(self):
-        """Ends an answer."""
-        self.answers[-1].whole = True
-        self.answers[-1].at = self.clock.seconds()
-
-    @property
-    def last(self):
-        """The newest answer, one without status if none came."""
-        return self.answers[-1] if self.answers else Answer()
-
-
 class GatewayCluster:
     """A gateway, its key-value service and some endpoints."""
 
@@ -337,35 +278,3 @@
             for req in endpoint.seen
             if req.request_id
         ]
-
-
-def request(
-    path,
-    request_id,
-    key="key-a",
-    method=None,
-    body=b"",
-    host="h.example",
-    deadline_ms=3000,
-    headers=(),
-    parts="",
-    tokens="3000,50",
-):
-    """Returns the bytes of a client's request."""
-    prompts = path.startswith(("/draft/", "/check/"))
-    method = method or ("POST" if body or prompts else "GET")
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
-    if request_id:
-        lines.append(f"X-Request-Id: {request_id}")
-    if deadline_ms:
-        lines.append(f"X-Request-Deadline-Ms: {deadline_ms}")
-    if key:
-        lines.append(f"Authorization: Token {key}")
-    if prompts:
-        lines.append("X-Model-Name: m")
-        lines.append(f"X-Token-Counts: {tokens}")
-        lines.append(f"X-Prompt-Prefix: {parts or 'aa:500,bb:2000,cc:500'}")
-    lines += headers
-    if body or method == "POST":
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
