Store: fewer calls, whatever the number of entries

Each change of an entry or endpoint woke 26 watches at once, and each handing over of the order lease cost 26 grants and 26 writes. Change: changes of endpoints are gathered for 0.2 s and of entries for 1 s; who waits for the lease watches it for a random moment more before it tries.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -51,8 +51,12 @@
 # Watches return at once when something changes; this long when nothing does.
 _WATCH_S = 10.0
 # Heartbeats alone change no entry, but a start of many endpoints does; what
-# changes within this pause is fetched with one call.
-_REGISTRY_PACE_S = 0.05
+# changes within this pause is fetched with one call. A leaving endpoint must
+# be known within two seconds, and serves on for as long.
+_REGISTRY_PACE_S = 0.2
+# Who the other entries are decides shares and whom to tell; a rolling restart
+# of 26 changes it twice a second.
+_ENTRIES_PACE_S = 1.0
 # After the signal to stop, the balancer needs two misses at a second each
 # until it sends no more.
 _NOTICED_S = 2.6
@@ -152,7 +156,13 @@
         self._placer.on_placed = self.loads.placed
         self._followers = [
             Follower(
-                kv, ENTRIES_PREFIX, self._entries, reactor, random, _WATCH_S
+                kv,
+                ENTRIES_PREFIX,
+                self._entries,
+                reactor,
+                random,
+                _WATCH_S,
+                _ENTRIES_PACE_S,
             ),
             Follower(
                 kv,
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -214,20 +214,24 @@
             return found if isinstance(found, Failure) else None
         before = self._heard(found.entries[-1], None)
         revision = found.revision
+        wait_s = _WATCH_S
         while True:
             # From the revision of the read: that of the key may lie further
             # back than the service's history, which it would refuse.
-            changes = await self._kv.changes(HOLDER_KEY, revision, _WATCH_S)
+            changes = await self._kv.changes(HOLDER_KEY, revision, wait_s)
             if isinstance(changes, Failure):
                 return changes
             revision = changes.revision
+            if wait_s < _WATCH_S and not changes.entries:
+                return before
             for entry in changes.entries:
+                wait_s = _WATCH_S
                 if entry.value is not None:
                     before = self._heard(entry, before)
-            if changes.entries and changes.entries[-1].value is None:
-                break
-        await sleep(self._clock, self._random.uniform(0.0, _TRY_WITHIN_S))
-        return before
+                else:
+                    # Waiting entries try at different moments. Who sees
+                    # another one take it has made one call, not three.
+                    wait_s = self._random.uniform(0.0, _TRY_WITHIN_S)
 
     def _heard(self, entry: KvEntry, before: Holder | None) -> Holder | None:
         """Takes what another holder has written."""
