Gateway: the grace of a stop has a class of its own

Change: entry/grace holds when the signal came, what may still be taken, and when what is left is given up; no behaviour changes.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -17,6 +17,7 @@
 from magnolialug.entry.gatewayintake import read_call
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.entry.grace import NOTICED_S, Grace
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.loadshare import LoadShare
 from magnolialug.entry.orderlease import OrderLease
@@ -57,13 +58,6 @@
 # Who the other entries are decides shares and whom to tell; a rolling restart
 # of 26 changes it twice a second.
 _ENTRIES_PACE_S = 1.0
-# After the signal to stop, the balancer needs two misses at a second each
-# until it sends no more.
-_NOTICED_S = 2.6
-# Work that is taken later than this after the signal may outlast the grace;
-# by then the balancer sends none, and callers were told to close.
-_TAKES_WORK_S = 2.8
-_STOP_MARGIN_S = 0.4
 _DRAIN_STEP_S = 0.05
 # First and longest pause before a request goes to another endpoint. That one
 # is another machine, so there is nothing to wait for but a retry storm, and
@@ -129,7 +123,9 @@
         )
         self._underway: set[HttpAttempt] = set()
         self._silence = SilenceWatch(calls, reactor.seconds)
-        self._stopping_at: float | None = None
+        self._grace = Grace(
+            reactor.seconds, lambda: self.settings.bounds.grace_s
+        )
         self._tick = None
         self._budget = self._new_budget()
         self._means = self._call_means(random)
@@ -217,7 +213,7 @@
     def ready(self) -> bool:
         """Whether the balancer may send callers."""
         return (
-            self._stopping_at is None
+            not self._grace.begun
             and self.routes.table is not None
             and self.registry.known
         )
@@ -228,13 +224,12 @@
         Returns:
           how many calls were left.
         """
-        self._stopping_at = self.clock()
+        self._grace.begin()
         emit(Event.DRAINING, vm=self.settings.vm, running=self.in_progress)
         ensureDeferred(self._lease.stop())
         ensureDeferred(self._entries.stop())
-        end = self._stop_end()
-        await sleep(self._reactor, _NOTICED_S)
-        while self.clock() < end:
+        await sleep(self._reactor, NOTICED_S)
+        while self.clock() < self._grace.end:
             self.factory.close_idle()
             if not self.in_progress and not self._reading():
                 break
@@ -251,7 +246,7 @@
 
     def handle(self, req: GatewayRequest) -> None:
         """Answers one whole request."""
-        sink = GatewaySink(req, closing=self._stopping_at is not None)
+        sink = GatewaySink(req, closing=self._grace.begun)
         call = self._admit(req)
         if isinstance(call, Failure):
             self._refused_early(req, call)
@@ -290,24 +285,10 @@
     def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
         if self.routes.table is None:
             return failed(Code.CONFIG_MISSING, retry_after_s=0.5)
-        if (
-            self._stopping_at is not None
-            and self.clock() - self._stopping_at > _TAKES_WORK_S
-        ):
+        if not self._grace.takes_work:
             return failed(Code.DRAINING, retry_after_s=0.1)
         call = read_call(req, self.routes.table, self.clock())
-        if self._stopping_at is None or isinstance(call, Failure):
-            return call
-        return self._within_grace(call)
-
-    def _within_grace(self, call: ForwardCall) -> ForwardCall:
-        """Ends a call that comes during a stop before the kill does."""
-        end = self._stop_end() - _STOP_MARGIN_S
-        return msgspec.structs.replace(call, deadline=min(call.deadline, end))
-
-    def _stop_end(self) -> float:
-        grace_s = self.settings.bounds.grace_s
-        return self._stopping_at + grace_s - _STOP_MARGIN_S
+        return call if isinstance(call, Failure) else self._grace.within(call)
 
     def _refused_early(self, req: GatewayRequest, failure: Failure) -> None:
         self.metrics.refusals.add(1, {"code": failure.code.name})
