--- a/magnolialug/cmd/soak.py
+++ b/magnolialug/cmd/soak.py
@@ -7,9 +7,18 @@
 
 import msgspec
 
-from magnolialug.cmd.flagset import COMMON, EXIT_FAILED, Flag, Group, parse
+from magnolialug.cmd.flagset import (
+    COMMON,
+    EXIT_BAD_INPUT,
+    EXIT_FAILED,
+    Flag,
+    Group,
+    parse,
+)
 from magnolialug.events import setup_logging
+from magnolialug.result import Code
 from magnolialug.soak.machine import gateway_program
+from magnolialug.soak.troubles import TROUBLES
 
 __all__ = ["run"]
 
@@ -21,6 +30,7 @@
             Flag("minutes", "float", 0.25, "how long new trouble begins"),
             Flag("machines", "int", 3, "gateways"),
             Flag("clients", "int", 12, "callers, one connection each"),
+            Flag("only", "str", "", "kinds of trouble, separated by commas"),
             Flag("program", "str", "", "command to run in a gateway's place"),
             Flag("out", "str", "", "folder for logs and settings"),
         ),
@@ -41,6 +51,25 @@
     sys.exit(_soak(flags, folder))
 
 
+def _kinds(text: str) -> tuple[str, ...]:
+    """Returns the kinds of trouble that a flag names.
+
+    Raises:
+      SystemExit: with EXIT_BAD_INPUT for a kind that there is not.
+    """
+    kinds = tuple(filter(None, text.split(",")))
+    for kind in kinds:
+        if kind not in TROUBLES:
+            code = Code.BAD_CONFIG_VALUE
+            print(
+                f"{code.value} {code.name}: --only: no such kind"
+                f" (value: {kind})",
+                file=sys.stderr,
+            )
+            raise SystemExit(EXIT_BAD_INPUT)
+    return kinds
+
+
 def _soak(flags, folder: pathlib.Path) -> int:
     from twisted.internet import reactor
 
@@ -60,10 +89,14 @@
         clients=flags.clients,
         program=tuple(program),
         folder=folder,
+        only=_kinds(flags.only),
     )
     soak = Soak(reactor, plan, done)
     reactor.callWhenRunning(soak.start)
-    reactor.run()
+    try:
+        reactor.run()
+    finally:
+        soak.close()
     for report in reports:
         print(msgspec.json.encode(report).decode())
     clean = bool(reports) and not reports[0].violations
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -29,6 +29,7 @@
 _RECOVERY_S = 9.0
 _MEASURED_S = 3.0
 _SERVED_SHARE = 0.9
+_SPARE_S = 5.0
 # A request that was read and not passed on must be answered by then.
 _LOSS_S = 0.2
 _CONTACT_S = 3.0
@@ -41,6 +42,7 @@
       seconds: for how long trouble begins.
       program: the command that runs a gateway.
       folder: takes settings and logs.
+      only: the kinds of trouble to choose from, none for all.
     """
 
     seed: int
@@ -49,6 +51,7 @@
     clients: int
     program: tuple[str, ...]
     folder: pathlib.Path
+    only: tuple[str, ...] = ()
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -104,6 +107,8 @@
             machine.start()
         self._every(_LOOK_S, self._look)
         self._every(_READY_S, self._ask_ready)
+        whole_s = _START_S + self._plan.seconds + _RECOVERY_S + _MEASURED_S
+        self.later(whole_s + _SPARE_S, self._overdue)
         self._await_ready(self.now + _START_S)
 
     def later(self, seconds: float, call: Callable, *args: object) -> None:
@@ -213,7 +218,8 @@
         for client in self.clients:
             client.start()
         self._probes.start()
-        for at, name in plan(self.random, self._plan.seconds):
+        planned = self._plan
+        for at, name in plan(self.random, planned.seconds, planned.only):
             self.later(at, self._trouble, name)
         self.later(self._plan.seconds, self._heal)
 
@@ -233,7 +239,8 @@
             if place.endpoint is not None:
                 place.proxy.opens(Path.OPEN)
                 place.endpoint.faults.clear()
-                place.endpoint.late_orders.clear()
+        for place in world.runs_of("llm"):
+            place.endpoint.late_orders.clear()
         for machine in self.machines:
             machine.resume()
         self.later(_RECOVERY_S, self._measure, self.now + _RECOVERY_S)
@@ -281,14 +288,22 @@
             detail = f"at {row.machine}, status {answer.status}"
             self.ledger.broken("LOST", detail, row.request_id)
 
+    def _overdue(self) -> None:
+        self.ledger.broken("SOAK", "the run itself did not end in time")
+        self._finish()
+
+    def close(self) -> None:
+        """Ends all processes, also of a run that was broken off."""
+        for machine in self.machines:
+            machine.close()
+
     def _finish(self) -> None:
         for client in self.clients:
             client.stop()
         for timer in self._timers:
             if timer.active():
                 timer.cancel()
-        for machine in self.machines:
-            machine.close()
+        self.close()
         self.ledger.finish()
         self.world.close()
         self._block.release()
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/troubles.py
@@ -1,6 +1,6 @@
 """What goes wrong in a soak: one function for each kind of trouble."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -17,11 +17,17 @@
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
-def plan(random: Random, seconds: float) -> list[tuple[float, str]]:
-    """Returns when which trouble begins; some come in series, many overlap."""
+def plan(
+    random: Random, seconds: float, only: Sequence[str] = ()
+) -> list[tuple[float, str]]:
+    """Returns when which trouble begins; some come in series, many overlap.
+
+    Args:
+      only: the kinds to choose from, none for all.
+    """
     at = 0.5
     rows = []
-    names = sorted(TROUBLES)
+    names = sorted(only or TROUBLES)
     while at < seconds:
         name = random.choice(names)
         repeats = random.randint(2, _SERIES) if random.random() < 0.3 else 1
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
--- /dev/null
+++ b/tests/soak/sabotaged.py
@@ -0,0 +1,45 @@
+"""A gateway with a fault put in on purpose, which the soak must find."""
+
+import sys
+
+from magnolialug.cmd import gateway
+from magnolialug.entry import serving
+from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.entry.routebook import RouteBook
+
+
+def repeat():
+    """Sends a request that may run once to a second endpoint."""
+    may_retry = serving.may_retry
+
+    def careless(ending, idempotent, *rest):
+        return may_retry(ending, True, *rest)
+
+    serving.may_retry = careless
+
+
+def go_back():
+    """Takes the configuration before for the one in force, after a while."""
+    configure = RouteBook._configure
+
+    def forgetful(self, value):
+        before = self.table
+        configure(self, value)
+        if before is not None and before is not self.table:
+            from twisted.internet import reactor
+
+            reactor.callLater(1.0, setattr, self, "table", before)
+
+    RouteBook._configure = forgetful
+
+
+def look_whole():
+    """Ends an answer that was cut as if it were whole."""
+    GatewaySink.cut = GatewaySink.whole
+
+
+if __name__ == "__main__":
+    {"repeat": repeat, "go-back": go_back, "look-whole": look_whole}[
+        sys.argv.pop(1)
+    ]()
+    gateway.run()
--- /dev/null
+++ b/tests/soak/test_ledger.py
@@ -0,0 +1,134 @@
+"""What the soak takes for a broken promise, row by row."""
+
+from testtools import TestCase
+
+from magnolialug.soak.ledger import Form, Ledger, Sent
+from magnolialug.standin.caller import Answer
+from magnolialug.standin.endpoint import Received
+
+STAMP = {"x-response-stamp": "stamp.i-1", "x-request-id": "r"}
+
+
+def sent(form=Form.BOOK):
+    """Returns a request as its caller sent it."""
+    return Sent("r", form, "POST", "/x", b"b", "team-a", "vm-0", 0.0, 3.0)
+
+
+def received(**changes):
+    """Returns the request as an endpoint got it."""
+    headers = {
+        "x-request-id": "r",
+        "x-tenant-id": "team-a",
+        "x-request-deadline-ms": "2900",
+    }
+    headers.update(changes.pop("headers", {}))
+    row = {"method": "POST", "target": "/x", "body": b"b", **changes}
+    return Received(headers=headers, names=[], **row)
+
+
+def events(*rows):
+    """Returns the bytes of a stream."""
+    return b"".join(b"id: %d\ndata: %s\n\n" % row for row in rows)
+
+
+class LedgerTest(TestCase):
+    """Four events make a whole stream."""
+
+    def ledger(self, form=Form.BOOK):
+        """Returns a ledger with one request under way, and that request."""
+        self.now = 0.1
+        ledger = Ledger(lambda: self.now, 4)
+        row = sent(form)
+        ledger.add(row)
+        return ledger, row
+
+    def found(self, ledger):
+        """Returns the promises that broke."""
+        ledger.finish()
+        return [row.promise for row in ledger.violations]
+
+    ANSWERS = (
+        # form, status, body, whole, promises broken
+        (Form.BOOK, 200, b"i-1|r|/x", True, []),
+        (Form.BOOK, 200, b"i-1|other|/x", True, ["MIXED"]),
+        (Form.BOOK, 502, b"", True, []),
+        (Form.READ, 404, b"", True, ["DENIED"]),
+        (Form.PROBE, 404, b"", True, []),
+        (Form.DRAFT, 200, events((1, b"r/i/1"), (2, b"r/i/2")), False, []),
+        (
+            Form.DRAFT,
+            200,
+            events((1, b"r/i/1"), (2, b"r/i/2")),
+            True,
+            ["ORDER"],
+        ),
+        (
+            Form.DRAFT,
+            200,
+            events((1, b"r/i/1"), (3, b"r/i/3")),
+            False,
+            ["ORDER"],
+        ),
+        (
+            Form.DRAFT,
+            200,
+            events((1, b"r/i/1"), (2, b"r/j/2")),
+            False,
+            ["ORDER"],
+        ),
+        (Form.CHECK, 200, events((1, b"r/i/1"), (2, b"r/j/2")), False, []),
+        (Form.CHECK, 200, events((1, b"q/i/1")), False, ["MIXED"]),
+    )
+
+    def test_answers(self):
+        for form, status, body, whole, promises in self.ANSWERS:
+            ledger, row = self.ledger(form)
+            answer = Answer(status, dict(STAMP), body, whole)
+            ledger.answered(row, answer)
+            self.assertEqual(promises, self.found(ledger), (form, body))
+
+    def test_a_success_without_its_mark(self):
+        ledger, row = self.ledger()
+        ledger.answered(row, Answer(200, {}, b"i-1|r|/x", True))
+        self.assertEqual(["MIXED"], self.found(ledger))
+
+    def test_a_refusal_of_what_has_run_or_runs_later(self):
+        ledger, row = self.ledger()
+        ledger.answered(row, Answer(503, {}, b"", True))
+        ledger.ran["r"] += 1
+        self.assertEqual(["REFUSED"], self.found(ledger))
+
+    def test_a_second_run(self):
+        ledger, _ = self.ledger()
+        ledger.ran["r"] += 2
+        self.assertEqual(["TWICE"], self.found(ledger))
+
+    ARRIVALS = (
+        ({}, "desk", []),
+        ({"target": "/y"}, "desk", ["UNASKED"]),
+        ({"body": b"c"}, "desk", ["UNASKED"]),
+        ({"headers": {"x-tenant-id": "team-b"}}, "desk", ["UNASKED"]),
+        ({"headers": {"authorization": "Token k"}}, "desk", ["UNASKED"]),
+        ({}, "llm", ["ROUTE"]),
+        ({"headers": {"x-expect-instance": "i-9"}}, "llm", []),
+        ({"headers": {"x-request-deadline-ms": "9000"}}, "desk", ["BUDGET"]),
+    )
+
+    def test_arrivals(self):
+        for changes, service, promises in self.ARRIVALS:
+            ledger, _ = self.ledger()
+            ledger.arrived("i-1", service, received(**changes), True)
+            self.assertEqual(promises, self.found(ledger), changes)
+
+    def test_an_arrival_long_after_its_caller_has_left(self):
+        ledger, row = self.ledger()
+        row.left_at = 0.1
+        self.now = 0.8
+        headers = {"x-request-deadline-ms": "2000"}
+        ledger.arrived("i-1", "desk", received(headers=headers), True)
+        self.assertEqual(["GONE"], self.found(ledger))
+
+    def test_more_repeats_than_the_budget(self):
+        ledger, row = self.ledger(Form.READ)
+        row.arrivals = [(0.01 * n, "i-1") for n in range(60)]
+        self.assertEqual(["BUDGET"], self.found(ledger))
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,63 @@
+"""The soak finds faults that were put in on purpose, and none besides."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import fixtures
+from testtools import TestCase
+
+SABOTAGED = pathlib.Path(__file__).with_name("sabotaged.py")
+_LIMIT_S = 90
+
+
+class SoakTest(TestCase):
+    """Short runs of real processes."""
+
+    def soak(self, *flags):
+        """Runs a soak; returns its exit code and its report."""
+        folder = self.useFixture(fixtures.TempDir()).path
+        ended = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "magnolialug.cmd.soak",
+                "--log_level=ERROR",
+                f"--out={folder}",
+                *flags,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=_LIMIT_S,
+            check=False,
+        )
+        self.assertTrue(ended.stdout, ended.stderr)
+        return ended.returncode, json.loads(ended.stdout)
+
+    def sabotaged(self, kind, only):
+        """Runs a soak of sabotaged gateways; returns the promises broken."""
+        program = f"{sys.executable} {SABOTAGED} {kind}"
+        code, report = self.soak(
+            "--seed=5",
+            "--minutes=0.1",
+            f"--program={program}",
+            f"--only={only}",
+        )
+        self.assertEqual(1, code)
+        return {row["promise"] for row in report["violations"]}
+
+    def test_a_short_run_breaks_no_promise(self):
+        code, report = self.soak("--seed=20", "--minutes=0.1")
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["requests"], 500)
+
+    def test_a_repeated_booking_is_found(self):
+        self.assertIn("TWICE", self.sabotaged("repeat", "bad_answers"))
+
+    def test_a_configuration_gone_back_is_found(self):
+        self.assertIn("CONFIG", self.sabotaged("go-back", "change_config"))
+
+    def test_a_cut_answer_that_looks_whole_is_found(self):
+        self.assertIn("ORDER", self.sabotaged("look-whole", "bad_answers"))
