--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 PYTHON ?= python3.11
 BIN = .venv/bin
 SEED ?= 7
+SEEDS ?= 8
+SOAKS ?= 4
 
-.PHONY: venv run demo test lint format docs slopes measures clean
+.PHONY: venv run demo test soak lint format docs slopes measures clean
 
 venv: .venv/ready
 
@@ -22,6 +24,12 @@
 test: venv
 	$(BIN)/python -m pytest -q tests
 
+soak: venv
+	mkdir -p build/soak
+	seq 1 $(SEEDS) | xargs -P $(SOAKS) -I{} sh -c \
+	  '$(BIN)/magnolialug-soak --seed={} --log_level=ERROR \
+	  --out=build/soak/{} > build/soak/{}.json || echo "seed {}: see build/soak/{}.json"'
+
 lint: venv
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
