Soak: what a harmed link holds up is not handed on too long

Ruled out: a slow gateway, two of them sent at the same time. Conclusion: the check is as strict on every other arrival.

--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -209,7 +209,10 @@
         row = self._ledger.sent.get(req.request_id)
         machine = row.machine if row else ""
         now = self._reactor.seconds()
-        touched = self._touched(machine, row.at if row else now)
+        sent_at = row.at if row else now
+        # What a harmed way to the endpoint held up is not the gateway's.
+        harmed = place.faulty_until > sent_at
+        touched = not harmed and self._touched(machine, sent_at)
         self._ledger.arrived(endpoint.instance, place.service, req, touched)
         if place.endpoint is endpoint:
             self._check_drain(place, req, machine)
