Stand-ins: the operator's rows exist once; the gateway's capacity has a module

Change: standin/operatorconfig has routes, engines, limits and stores for both; measure/gatewaycapacity and capacityrow take the gateway's rows and the target's figures. No behaviour changes, and nothing that the gateway loads.

--- a/magnolialug/measure/capacity.py
+++ b/magnolialug/measure/capacity.py
@@ -2,52 +2,29 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
+from magnolialug.measure.capacityrow import (
+    CHANGES_A_DAY,
+    DAY_S,
+    ENDPOINTS,
+    ENTRIES,
+    MB,
+    REQUESTS,
+    TEAMS,
+    TOKENS,
+    Row,
+)
+from magnolialug.measure.gatewaycapacity import gateway_rows
 from magnolialug.measure.slope import Slope
 
-__all__ = ["Row", "capacity_rows", "capacity_table"]
+__all__ = ["capacity_rows", "capacity_table"]
 
-_ENTRIES = 360
-_ENDPOINTS = 2000
-_REQUESTS = 4000
-_TOKENS = 850_000
-_TEAMS = 25_000
 _ZONES = 6
 _BELIEFS = 12_000
-_CHANGES_A_DAY = 2000
 _REPLACED_A_DAY = 225
 _NON_IDEMPOTENT = 0.05
 _HEARTBEAT_S = 1.0
 _IDLE_LINK_S = 30.0
 _KEEP_S = 900.0
-_DAY_S = 86_400.0
-_MB = 1e6
-# Engines here send an event for every six tokens.
-_TOKENS_AN_EVENT = 6
-# 300,000 returning prompts with two shared parts each.
-_PARTS = 600_000
-# A gateway's load reports: one each 0.25 s when idle.
-_REPORTS_S = 4.0
-_WATCHES = 4
-_WATCH_S = 10.0
-_RENEWALS_S = 1 / 3
-
-
-class Row(msgspec.Struct, frozen=True):
-    """One figure of one role.
-
-    Attributes:
-      bound: what the target allows, "" where it names none.
-      mechanism: what carries it.
-    """
-
-    role: str
-    figure: str
-    value: float
-    unit: str
-    bound: str
-    mechanism: str
 
 
 def capacity_rows(slopes: Mapping[str, Slope]) -> list[Row]:
@@ -57,115 +34,13 @@
       slopes: by name, as measure_slopes gives them.
     """
     cost = {name: slope.median for name, slope in slopes.items()}
-    return [*_gateway(cost), *_entry(cost), *_sidecar(cost), *_kv(cost)]
-
-
-def _gateway(cost: Mapping[str, float]) -> list[Row]:
-    requests = _REQUESTS / _ENTRIES
-    events = _TOKENS / _ENTRIES / _TOKENS_AN_EVENT
-    engines = _ENDPOINTS * cost["engine known to a gateway"] / _MB
-    teams = _TEAMS * cost["team known to a gateway"] / _MB
-    parts = _PARTS * cost["cache part known to a gateway"] / _MB
-    base = cost["process that imported magnolialug.entry.gateway"]
-    report = cost["load report over 6 engines on the wire"]
-    peers = _ENTRIES - 1
-    one_request = (
-        cost["caller's headers read"]
-        + cost["route among 1,000 and team among 25,000"]
-        + cost["endpoint's request written"]
-        + 4 * cost["log line, JSON"]
-    )
-    choice = cost["choice among 2,000 engines"]
-    bytes_s = peers * report * _ENDPOINTS / 6 * _REPORTS_S / 1e3
-    return [
-        Row("gateway", "libraries alone", base, "MB", "64", "few libraries"),
-        Row("gateway", "25,000 teams", teams, "MB", "", "typed structs"),
-        Row("gateway", "2,000 engines", engines, "MB", "", "one load each"),
-        Row(
-            "gateway",
-            "600,000 cache parts",
-            parts,
-            "MB",
-            "",
-            "every store's word at every gateway",
-        ),
-        Row(
-            "gateway",
-            "memory in all",
-            base + teams + engines + parts,
-            "MB",
-            "64",
-            "the sum",
-        ),
-        Row(
-            "gateway",
-            "requests, 11 a second, without the library's sockets",
-            requests * one_request / 1e4,
-            "% of a core",
-            "",
-            "headers, routes, one request written, four log lines",
-        ),
-        Row(
-            "gateway",
-            "choices, 11 a second among 2,000 engines",
-            requests * choice / 1e4,
-            "% of a core",
-            "",
-            "every engine is compared",
-        ),
-        Row(
-            "gateway",
-            "streamed events, 6 tokens each",
-            events * cost["streamed event read and cut"] / 1e4,
-            "% of a core",
-            "",
-            "one piece an event",
-        ),
-        Row(
-            "gateway",
-            "control: load reports to and from all",
-            bytes_s,
-            "KB/s",
-            "4",
-            "full mesh, all engines in each report",
-        ),
-        Row(
-            "gateway",
-            "control: 2,000 configuration changes a day",
-            _CHANGES_A_DAY
-            * cost["routes for 25,000 teams in the store"]
-            * 1e3
-            / _DAY_S,
-            "KB/s",
-            "4",
-            "whole configuration with each change",
-        ),
-        Row(
-            "gateway",
-            "control: configuration changes",
-            _CHANGES_A_DAY
-            * cost["routes for 25,000 teams read"]
-            / _DAY_S
-            / 1e4,
-            "% of a core",
-            "1.9",
-            "whole configuration, read once",
-        ),
-        Row(
-            "KV",
-            "gateways' watches and leases",
-            _ENTRIES * (_WATCHES / _WATCH_S + _RENEWALS_S),
-            "calls/s",
-            "2,000",
-            "four watches of 10 s, one renewal in 3 s",
-        ),
-    ]
+    return [*gateway_rows(cost), *_entry(cost), *_sidecar(cost), *_kv(cost)]
 
 
 def _entry(cost: Mapping[str, float]) -> list[Row]:
-    requests = _REQUESTS / _ENTRIES
-    tokens = _TOKENS / _ENTRIES
-    used = min(_ENDPOINTS, requests * _IDLE_LINK_S)
+    requests = REQUESTS / ENTRIES
+    tokens = TOKENS / ENTRIES
+    used = min(ENDPOINTS, requests * _IDLE_LINK_S)
     beat_us = (
         cost["status decoded"]
         + cost["heartbeat decoded"]
@@ -175,10 +50,10 @@
         cost["heartbeat of an entry on the wire"]
         + cost["status of a sidecar on the wire"]
     )
-    teams = _TEAMS * cost["team in a configuration"] / _MB
-    fleet = _ENDPOINTS * cost["endpoint: view and ring points"] / _MB
-    links = _ENDPOINTS * cost["link object (without the socket)"] / _MB
-    beliefs = _BELIEFS * cost["prompt known to an entry"] / _MB
+    teams = TEAMS * cost["team in a configuration"] / MB
+    fleet = ENDPOINTS * cost["endpoint: view and ring points"] / MB
+    links = ENDPOINTS * cost["link object (without the socket)"] / MB
+    beliefs = _BELIEFS * cost["prompt known to an entry"] / MB
     base = cost["process that imported magnolialug.cmd.entry"]
     total = base + teams + fleet + links + beliefs
     placement = cost["placement, 2000 endpoints, 300000 prompts"]
@@ -232,7 +107,7 @@
         Row(
             "entry",
             "control: heartbeats of 2,000 links",
-            _ENDPOINTS / _HEARTBEAT_S * beat_us / 1e4,
+            ENDPOINTS / _HEARTBEAT_S * beat_us / 1e4,
             "% of a core",
             "1.9",
             "codec time only; the same message carries load and versions",
@@ -240,7 +115,7 @@
         Row(
             "entry",
             "control: configuration changes",
-            _CHANGES_A_DAY * change / _DAY_S / 1e4,
+            CHANGES_A_DAY * change / DAY_S / 1e4,
             "% of a core",
             "1.9",
             "whole text, applied once",
@@ -248,10 +123,10 @@
         Row(
             "entry",
             "control: bytes of 2,000 changes a day",
-            _CHANGES_A_DAY
-            * _TEAMS
+            CHANGES_A_DAY
+            * TEAMS
             * cost["team in a configuration's text"]
-            / _DAY_S
+            / DAY_S
             / 1e3,
             "KB/s",
             "4",
@@ -260,7 +135,7 @@
         Row(
             "entry",
             "control: bytes, 2,000 links",
-            _ENDPOINTS / _HEARTBEAT_S * beat_bytes / 1e3,
+            ENDPOINTS / _HEARTBEAT_S * beat_bytes / 1e3,
             "KB/s",
             "4",
             "heartbeat a second on every link",
@@ -277,11 +152,11 @@
 
 
 def _sidecar(cost: Mapping[str, float]) -> list[Row]:
-    requests = _REQUESTS / _ENDPOINTS
+    requests = REQUESTS / ENDPOINTS
     base = cost["process that imported magnolialug.cmd.sidecar"]
-    teams = _TEAMS * cost["team in a configuration"] / _MB
+    teams = TEAMS * cost["team in a configuration"] / MB
     records = requests * _KEEP_S * cost["attempt remembered by a sidecar"]
-    links = _ENTRIES * cost["link object (without the socket)"] / _MB
+    links = ENTRIES * cost["link object (without the socket)"] / MB
     beat_bytes = (
         cost["heartbeat of an entry on the wire"]
         + cost["status of a sidecar on the wire"]
@@ -297,7 +172,7 @@
         Row(
             "sidecar",
             "memory in all",
-            base + teams + records / _MB + links,
+            base + teams + records / MB + links,
             "MB",
             "64",
             "records dropped after 900 s; born stamps bound the seals",
@@ -313,7 +188,7 @@
         Row(
             "sidecar",
             "control: heartbeats of 360 links",
-            _ENTRIES / _HEARTBEAT_S * beat_us / 1e4,
+            ENTRIES / _HEARTBEAT_S * beat_us / 1e4,
             "% of a core",
             "1.9",
             "codec time only",
@@ -321,7 +196,7 @@
         Row(
             "sidecar",
             "control: bytes, 360 links",
-            _ENTRIES / _HEARTBEAT_S * beat_bytes / 1e3,
+            ENTRIES / _HEARTBEAT_S * beat_bytes / 1e3,
             "KB/s",
             "4",
             "heartbeat a second on every link",
@@ -330,11 +205,11 @@
 
 
 def _kv(cost: Mapping[str, float]) -> list[Row]:
-    claims = _REQUESTS * _NON_IDEMPOTENT
+    claims = REQUESTS * _NON_IDEMPOTENT
     writes = claims * cost["non-idempotent request"]
     change = cost["configuration change (applying)"]
-    starts = _REPLACED_A_DAY / _DAY_S
-    zone = (_ENTRIES + _ENDPOINTS) / _ZONES
+    starts = _REPLACED_A_DAY / DAY_S
+    zone = (ENTRIES + ENDPOINTS) / _ZONES
     return [
         Row(
             "KV",
@@ -347,7 +222,7 @@
         Row(
             "KV",
             "configuration changes",
-            _CHANGES_A_DAY * change / _DAY_S,
+            CHANGES_A_DAY * change / DAY_S,
             "calls/s",
             "",
             "chunk, head and history scan by the applier",
@@ -387,7 +262,7 @@
         Row(
             "KV",
             "25,000 teams as configuration text",
-            _TEAMS * cost["team in a configuration's text"] / _MB,
+            TEAMS * cost["team in a configuration's text"] / MB,
             "MB",
             "1 a value",
             "chunks of 200,000 characters",
--- /dev/null
+++ b/magnolialug/measure/gatewaycapacity.py
@@ -0,0 +1,131 @@
+"""What a gateway carries at the target's size."""
+
+from collections.abc import Mapping
+
+from magnolialug.measure.capacityrow import (
+    CHANGES_A_DAY,
+    DAY_S,
+    ENDPOINTS,
+    ENTRIES,
+    MB,
+    REQUESTS,
+    TEAMS,
+    TOKENS,
+    Row,
+)
+
+__all__ = ["gateway_rows"]
+
+# Engines here send an event for every six tokens.
+_TOKENS_AN_EVENT = 6
+# 300,000 returning prompts with two shared parts each.
+_PARTS = 600_000
+# A gateway's load reports: one each 0.25 s when idle.
+_REPORTS_S = 4.0
+_WATCHES = 4
+_WATCH_S = 10.0
+_RENEWALS_S = 1 / 3
+
+
+def gateway_rows(cost: Mapping[str, float]) -> list[Row]:
+    """Returns the gateway's rows, and its share of the key-value service.
+
+    Args:
+      cost: medians of the slopes by name.
+    """
+    requests = REQUESTS / ENTRIES
+    events = TOKENS / ENTRIES / _TOKENS_AN_EVENT
+    engines = ENDPOINTS * cost["engine known to a gateway"] / MB
+    teams = TEAMS * cost["team known to a gateway"] / MB
+    parts = _PARTS * cost["cache part known to a gateway"] / MB
+    base = cost["process that imported magnolialug.entry.gateway"]
+    report = cost["load report over 6 engines on the wire"]
+    peers = ENTRIES - 1
+    one_request = (
+        cost["caller's headers read"]
+        + cost["route among 1,000 and team among 25,000"]
+        + cost["endpoint's request written"]
+        + 4 * cost["log line, JSON"]
+    )
+    choice = cost["choice among 2,000 engines"]
+    bytes_s = peers * report * ENDPOINTS / 6 * _REPORTS_S / 1e3
+    return [
+        Row("gateway", "libraries alone", base, "MB", "64", "few libraries"),
+        Row("gateway", "25,000 teams", teams, "MB", "", "typed structs"),
+        Row("gateway", "2,000 engines", engines, "MB", "", "one load each"),
+        Row(
+            "gateway",
+            "600,000 cache parts",
+            parts,
+            "MB",
+            "",
+            "every store's word at every gateway",
+        ),
+        Row(
+            "gateway",
+            "memory in all",
+            base + teams + engines + parts,
+            "MB",
+            "64",
+            "the sum",
+        ),
+        Row(
+            "gateway",
+            "requests, 11 a second, without the library's sockets",
+            requests * one_request / 1e4,
+            "% of a core",
+            "",
+            "headers, routes, one request written, four log lines",
+        ),
+        Row(
+            "gateway",
+            "choices, 11 a second among 2,000 engines",
+            requests * choice / 1e4,
+            "% of a core",
+            "",
+            "every engine is compared",
+        ),
+        Row(
+            "gateway",
+            "streamed events, 6 tokens each",
+            events * cost["streamed event read and cut"] / 1e4,
+            "% of a core",
+            "",
+            "one piece an event",
+        ),
+        Row(
+            "gateway",
+            "control: load reports to and from all",
+            bytes_s,
+            "KB/s",
+            "4",
+            "full mesh, all engines in each report",
+        ),
+        Row(
+            "gateway",
+            "control: 2,000 configuration changes a day",
+            CHANGES_A_DAY
+            * cost["routes for 25,000 teams in the store"]
+            * 1e3
+            / DAY_S,
+            "KB/s",
+            "4",
+            "whole configuration with each change",
+        ),
+        Row(
+            "gateway",
+            "control: configuration changes",
+            CHANGES_A_DAY * cost["routes for 25,000 teams read"] / DAY_S / 1e4,
+            "% of a core",
+            "1.9",
+            "whole configuration, read once",
+        ),
+        Row(
+            "KV",
+            "gateways' watches and leases",
+            ENTRIES * (_WATCHES / _WATCH_S + _RENEWALS_S),
+            "calls/s",
+            "2,000",
+            "four watches of 10 s, one renewal in 3 s",
+        ),
+    ]
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -13,6 +13,12 @@
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
 from magnolialug.standin.modelserver import ModelServerStandin
+from magnolialug.standin.operatorconfig import (
+    ENGINES,
+    LIMITS,
+    cache_store,
+    route,
+)
 from magnolialug.standin.partstore import PartStoreStandin
 
 __all__ = ["DRAIN_S", "EVENTS", "World"]
@@ -21,6 +27,8 @@
 DRAIN_S = 2.0
 _SLACK_S = 0.3
 _STORE = "cache"
+# Room for all that a run saves.
+_STORE_TOKENS = 1_000_000
 _HEARTBEATS_S = 3.6
 
 
@@ -113,7 +121,9 @@
     def configure(self) -> None:
         """Writes the next version of the operator's configuration."""
         version = len(self.versions) + 1
-        self.write("op/config", _config(version, self._store_row()))
+        host, port = self.store_proxy
+        store = cache_store(_STORE, f"{host}:{port}", _STORE_TOKENS)
+        self.write("op/config", _config(version, store))
         self.versions.append(self._reactor.seconds())
 
     def name_weights(self) -> None:
@@ -262,33 +272,6 @@
         self.listen(self.part_proxy, address)
         return address
 
-    def _store_row(self) -> dict:
-        host, port = self.store_proxy
-        return {
-            "name": _STORE,
-            "kvStoreAddr": f"{host}:{port}",
-            "zone": "a",
-            "kvCapacityTokens": 1_000_000,
-            "linkMbps": 310000.0,
-            "maxInFlight": 12,
-            "managed": True,
-            "first_ms": 0.5,
-        }
-
-
-def _route(form: str, service: str, **more: object) -> dict:
-    return {
-        "name": form,
-        "host": "h.example",
-        "pathPrefix": f"/{form}/",
-        "routeType": "idempotent",
-        "timeoutMs": 3000,
-        "targetLatencyMs": 400,
-        "service": service,
-        "maxAttempts": 2,
-        **more,
-    }
-
 
 def _config(version: int, store: dict) -> dict:
     """Returns a configuration; one route is there in this version only."""
@@ -296,34 +279,25 @@
     return {
         "version": version,
         "routes": [
-            _route("read", "desk"),
-            _route("book", "desk", routeType="non_idempotent"),
-            _route("draft", "llm", **prompts, timeoutMs=6000, maxAttempts=1),
-            _route("check", "llm", **prompts, resumable=True),
-            _route(f"at{version}", "desk"),
+            route("read", "/read/", "desk"),
+            route("book", "/book/", "desk", routeType="non_idempotent"),
+            route(
+                "draft",
+                "/draft/",
+                "llm",
+                **prompts,
+                timeoutMs=6000,
+                maxAttempts=1,
+            ),
+            route("check", "/check/", "llm", **prompts, resumable=True),
+            route(f"at{version}", f"/at{version}/", "desk"),
         ],
         "services": [
             {"name": "desk", "maxConnections": 100},
-            {
-                "name": "llm",
-                "maxConnections": 600,
-                "engine": {
-                    "slots": 128,
-                    "kvCapacityTokens": 140000,
-                    "kvTokenBytes": 35136,
-                    "linkMbps": 1100000.0,
-                    "maxInFlight": 12,
-                    "managed": True,
-                },
-            },
+            ENGINES,
             store,
         ],
-        "limits": {
-            "maxHeaderBytes": 4096,
-            "maxBodyBytes": 10000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
+        "limits": LIMITS,
         "tenants": [
             {"name": "team-a", "apiKeys": ["key-a"]},
             {"name": "team-b", "apiKeys": ["key-b"], "isolated": True},
--- a/tests/entry/test_gateway.py
+++ b/tests/entry/test_gateway.py
@@ -2,7 +2,8 @@
 
 from testtools import TestCase
 
-from tests.gatewaycluster import GatewayCluster, config, route
+from magnolialug.standin.operatorconfig import route
+from tests.gatewaycluster import GatewayCluster, config
 
 
 class RefusalTest(TestCase):
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -16,6 +16,12 @@
 from magnolialug.standin.endpoint import EndpointStandin
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.modelserver import ModelServerStandin
+from magnolialug.standin.operatorconfig import (
+    ENGINES,
+    LIMITS,
+    cache_store,
+    route,
+)
 from magnolialug.standin.partstore import PartStoreStandin
 from tests.network import Network
 
@@ -53,21 +59,6 @@
     )
 
 
-def route(name, prefix, service, **more):
-    """Returns one row of the operator's routes."""
-    return {
-        "name": name,
-        "host": "h.example",
-        "pathPrefix": prefix,
-        "routeType": "idempotent",
-        "timeoutMs": 3000,
-        "targetLatencyMs": 400,
-        "service": service,
-        "maxAttempts": 2,
-        **more,
-    }
-
-
 def config(version=1, **more):
     """Returns an operator's configuration."""
     base = {
@@ -96,25 +87,9 @@
         ],
         "services": [
             {"name": "desk", "maxConnections": 40},
-            {
-                "name": "llm",
-                "maxConnections": 600,
-                "engine": {
-                    "slots": 128,
-                    "kvCapacityTokens": 140000,
-                    "kvTokenBytes": 35136,
-                    "linkMbps": 1100000.0,
-                    "maxInFlight": 12,
-                    "managed": True,
-                },
-            },
+            ENGINES,
         ],
-        "limits": {
-            "maxHeaderBytes": 4096,
-            "maxBodyBytes": 10000,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
+        "limits": LIMITS,
         "tenants": [
             {"name": "team-a", "apiKeys": ["key-a"], "priority": 0},
             {
@@ -203,16 +178,7 @@
         store.address = (f"10.2.0.{number}", 8746)
         self.net.servers[store.address] = store
         address = f"{store.address[0]}:8746"
-        row = {
-            "name": name,
-            "kvStoreAddr": address,
-            "zone": "a",
-            "kvCapacityTokens": capacity,
-            "linkMbps": 310000.0,
-            "maxInFlight": 12,
-            "managed": True,
-            "first_ms": 0.5,
-        }
+        row = cache_store(name, address, capacity)
         services = [*config()["services"], row]
         self.configure(config(version, services=services))
         for engine in self.engines.values():
