--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 SEED ?= 7
 SEEDS ?= 8
 SOAKS ?= 4
+# Seeds that failed once; docs/FINDINGS.md has their causes.
+FAILED_SEEDS = 6 9 104
 
 .PHONY: venv run demo test soak lint format docs slopes measures clean
 
@@ -26,7 +28,7 @@
 
 soak: venv
 	mkdir -p build/soak
-	seq 1 $(SEEDS) | xargs -P $(SOAKS) -I{} sh -c \
+	(printf '%s\n' $(FAILED_SEEDS); seq 1000 $$((999 + $(SEEDS)))) | xargs -P $(SOAKS) -I{} sh -c \
 	  '$(BIN)/magnolialug-soak --seed={} --log_level=ERROR \
 	  --out=build/soak/{} > build/soak/{}.json || echo "seed {}: see build/soak/{}.json"'
 
