Soak: one word for each thing

Cause: a block of addresses was called places, an endpoint's address a place, the store of cache parts store_proxy beside the key-value service's proxies; two attributes were read by nobody. Change: Block, Slot, part_store_address, kv_proxies; the two attributes go.

--- a/magnolialug/soak/places.py
+++ b/magnolialug/soak/block.py
@@ -4,7 +4,7 @@
 
 from magnolialug.carrier.pool import Address
 
-__all__ = ["Places"]
+__all__ = ["Block"]
 
 _LOCK_PORT = 7399
 _STORE_PORT = 7400
@@ -16,7 +16,7 @@
 _FIRST_MACHINE = 100
 
 
-class Places:
+class Block:
     """One block of 254 loopback addresses, held by a listening socket.
 
     Runs go on side by side on one machine; each takes the first free block.
--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Sequence
 
-from magnolialug.soak.places import Places
+from magnolialug.soak.block import Block
 
 __all__ = ["GRACE_S", "Machine", "gateway_program"]
 
@@ -68,7 +68,7 @@
     def __init__(
         self,
         number: int,
-        places: Places,
+        block: Block,
         reactor,
         program: Sequence[str],
         folder: pathlib.Path,
@@ -80,7 +80,7 @@
         self.paused = False
         self.stopping = False
         self.troubled_until = 0.0
-        self._places = places
+        self._block = block
         self._reactor = reactor
         self._program = program
         self._failed = failed
@@ -109,20 +109,20 @@
 
     def write_settings(self, retry_ratio: float = 0.2) -> None:
         """Writes the settings file."""
-        number, places = self.number, self._places
-        first_port, last_port = places.internal_ports
+        number, block = self.number, self._block
+        first_port, last_port = block.internal_ports
         text = _SETTINGS.format(
             number=number,
-            host=places.machine(number),
+            host=block.machine(number),
             zone="ab"[number % 2],
             first_port=first_port,
             last_port=last_port,
-            callers_port=places.callers(number)[1],
-            ready_port=places.ready(number)[1],
+            callers_port=block.callers(number)[1],
+            ready_port=block.ready(number)[1],
             grace_s=int(GRACE_S),
             retry_ratio=retry_ratio,
-            store_host=places.store(number)[0],
-            store_port=places.store(number)[1],
+            store_host=block.store(number)[0],
+            store_port=block.store(number)[1],
         )
         self._settings.write_text(text)
 
--- a/magnolialug/soak/probes.py
+++ b/magnolialug/soak/probes.py
@@ -3,9 +3,9 @@
 from typing import TYPE_CHECKING
 
 from magnolialug.carrier.client import Client, Reply
+from magnolialug.soak.block import Block
 from magnolialug.soak.ledger import Form, Sent
 from magnolialug.soak.machine import Machine
-from magnolialug.soak.places import Places
 from magnolialug.standin.caller import request
 
 if TYPE_CHECKING:
@@ -24,10 +24,10 @@
 class Probes:
     """Each version has a route of its own, which only that one serves."""
 
-    def __init__(self, soak: "Soak", asker: Client, places: Places):
+    def __init__(self, soak: "Soak", asker: Client, block: Block):
         self._soak = soak
         self._asker = asker
-        self._places = places
+        self._block = block
         # The newest version that a start of a process has shown, and when.
         self._shown: dict[tuple[str, int], tuple[int, float]] = {}
 
@@ -56,7 +56,7 @@
         )
         self._soak.ledger.add(row)
         data = request(target, name, deadline_ms=int(_PATIENCE_S * 1000))
-        address = self._places.callers(machine.number)
+        address = self._block.callers(machine.number)
         fut = self._asker.ask(address, data, _PATIENCE_S)
         fut.addCallback(self._heard, machine, machine.lifetime, version, row)
 
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -9,14 +9,14 @@
 
 from magnolialug.carrier.client import Client as Asker
 from magnolialug.carrier.client import Reply, request_bytes
+from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.ledger import Ledger, Sent, Violation
 from magnolialug.soak.machine import Machine
-from magnolialug.soak.places import Places
 from magnolialug.soak.probes import Probes
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.troubles import TROUBLES, plan
-from magnolialug.soak.world import EVENTS, Place, World
+from magnolialug.soak.world import EVENTS, Slot, World
 
 __all__ = ["Plan", "Report", "Soak"]
 
@@ -25,7 +25,7 @@
 # A machine that has not begun to serve by then never will.
 _START_S = 15.0
 # The rules give twelve seconds to serve again, and to have all weights in
-# place; three of them are measured.
+# slot; three of them are measured.
 _RECOVERY_S = 9.0
 _MEASURED_S = 3.0
 _SERVED_SHARE = 0.9
@@ -83,11 +83,11 @@
         self._counts: Counter[str] = Counter()
         self._timers: list = []
         self._asker = Asker(reactor)
-        self._block = Places()
+        self._block = Block()
         self.ledger = Ledger(reactor.seconds, EVENTS)
         self.world = World(reactor, self._block, self.ledger, self.touched)
         self.machines = [self._machine(n) for n in range(planned.machines)]
-        self.store_proxies = [
+        self.kv_proxies = [
             self._proxy(self.world.kv_address, self._block.store(m.number))
             for m in self.machines
         ]
@@ -125,28 +125,28 @@
         """Returns a machine by chance."""
         return self.random.choice(self.machines)
 
-    def some_place(self) -> Place:
+    def some_slot(self) -> Slot:
         """Returns an endpoint that is up, by chance."""
-        up = [p for p in self.world.places if p.endpoint is not None]
+        up = [p for p in self.world.slots if p.endpoint is not None]
         return self.random.choice(up)
 
-    def reopen(self, place: Place) -> None:
+    def reopen(self, slot: Slot) -> None:
         """Opens the way to an endpoint, unless it is down."""
-        if place.endpoint is not None:
-            place.proxy.opens(Path.OPEN)
+        if slot.endpoint is not None:
+            slot.proxy.opens(Path.OPEN)
 
-    def relist(self, place: Place, endpoint) -> None:
+    def relist(self, slot: Slot, endpoint) -> None:
         """Lists an endpoint again that lapsed, if it still lives."""
-        if place.endpoint is endpoint:
-            self.world.write(f"servers/{endpoint.instance}", place.row)
+        if slot.endpoint is endpoint:
+            self.world.write(f"servers/{endpoint.instance}", slot.row)
 
-    def replace(self, place: Place, endpoint) -> None:
+    def replace(self, slot: Slot, endpoint) -> None:
         """Ends an endpoint that has drained, and starts another."""
-        if place.endpoint is endpoint:
-            place.faulty_until = self.now + 4.0
+        if slot.endpoint is endpoint:
+            slot.faulty_until = self.now + 4.0
             self.world.remove(f"servers/{endpoint.instance}")
-            self.world.crash(place)
-            self.later(0.2, self.world.revive, place)
+            self.world.crash(slot)
+            self.later(0.2, self.world.revive, slot)
 
     def new_id(self) -> str:
         """Returns a fresh request id."""
@@ -231,16 +231,16 @@
         """Ends what would not end by itself."""
         world = self.world
         world.kv.faults = type(world.kv.faults)()
-        for proxy in [*self.store_proxies, *(f.proxy for f in self.fronts)]:
+        for proxy in [*self.kv_proxies, *(f.proxy for f in self.fronts)]:
             proxy.delay_s = 0.0
             proxy.opens(Path.OPEN)
-        for place in world.places:
-            place.proxy.delay_s = 0.0
-            if place.endpoint is not None:
-                place.proxy.opens(Path.OPEN)
-                place.endpoint.faults.clear()
-        for place in world.runs_of("llm"):
-            place.endpoint.late_orders.clear()
+        for slot in world.slots:
+            slot.proxy.delay_s = 0.0
+            if slot.endpoint is not None:
+                slot.proxy.opens(Path.OPEN)
+                slot.endpoint.faults.clear()
+        for slot in world.runs_of("llm"):
+            slot.endpoint.late_orders.clear()
         for machine in self.machines:
             machine.resume()
         self.later(_RECOVERY_S, self._measure, self.now + _RECOVERY_S)
@@ -262,8 +262,8 @@
 
     def _check_engines(self) -> None:
         newest = self.world.weights
-        for place in self.world.runs_of("llm"):
-            engine = place.endpoint
+        for slot in self.world.runs_of("llm"):
+            engine = slot.endpoint
             if engine.version != newest:
                 detail = f"{engine.instance}: {engine.version} for {newest}"
                 self.ledger.broken("VERSION", detail)
@@ -277,9 +277,9 @@
         """Judges a connection that ended before its answer."""
         broken_off = answer.status and row.form.streams
         faulty = any(
-            place.faulty_until > row.at
-            for place in self.world.places
-            if place.service == row.form.service
+            slot.faulty_until > row.at
+            for slot in self.world.slots
+            if slot.service == row.form.service
         )
         unpassed = not row.arrivals and self.now - row.at < _LOSS_S
         if unpassed or not self.touched(row.machine, row.at):
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/troubles.py
@@ -87,7 +87,7 @@
     machine = soak.some_machine()
     for_s = _for_s(soak, 0.3, 4.0)
     machine.trouble(for_s)
-    proxy = soak.store_proxies[machine.number]
+    proxy = soak.kv_proxies[machine.number]
     proxy.opens(soak.random.choice(_CUTS))
     soak.later(for_s, proxy.opens, Path.OPEN)
 
@@ -96,21 +96,21 @@
     """A machine's open connections to the service are silent for good."""
     machine = soak.some_machine()
     machine.trouble()
-    soak.store_proxies[machine.number].silence(soak.random)
+    soak.kv_proxies[machine.number].silence(soak.random)
 
 
 def reset_store(soak: "Soak") -> None:
     """All connections to the key-value service are reset."""
     for machine in soak.machines:
         machine.trouble()
-        soak.store_proxies[machine.number].reset(soak.random)
+        soak.kv_proxies[machine.number].reset(soak.random)
 
 
 def slow_store(soak: "Soak") -> None:
     """The key-value service takes its time."""
     for_s = _for_s(soak, 0.5, 3.0)
     soak.world.store_trouble(for_s)
-    for proxy in soak.store_proxies:
+    for proxy in soak.kv_proxies:
         proxy.delay_s = _for_s(soak, 0.05, 0.3)
         soak.later(for_s, setattr, proxy, "delay_s", 0.0)
 
@@ -132,12 +132,12 @@
     world.store_trouble(for_s + 2.0)
     world.kv.faults.down = True
     soak.later(for_s, setattr, world.kv.faults, "down", False)
-    for place in world.places:
-        if place.endpoint is not None and soak.random.random() < 0.5:
-            key = f"servers/{place.endpoint.instance}"
+    for slot in world.slots:
+        if slot.endpoint is not None and soak.random.random() < 0.5:
+            key = f"servers/{slot.endpoint.instance}"
             soak.later(for_s / 2, world.remove, key)
             back_s = for_s + _for_s(soak, 0.1, 1.5)
-            soak.later(back_s, soak.relist, place, place.endpoint)
+            soak.later(back_s, soak.relist, slot, slot.endpoint)
 
 
 def store_forgets(soak: "Soak") -> None:
@@ -161,55 +161,55 @@
 
 def bad_answers(soak: "Soak") -> None:
     """An endpoint's next answers are broken, for a while."""
-    place = soak.some_place()
-    place.faulty_until = soak.now + 6.0
+    slot = soak.some_slot()
+    slot.faulty_until = soak.now + 6.0
     faults = [f for f in Fault if f is not Fault.NONE]
     number = soak.random.randint(1, 6)
-    if place.service == "llm":
-        place.endpoint.stop_after += soak.random.choices((1, 2, 3), k=number)
-        soak.later(4.0, place.endpoint.stop_after.clear)
+    if slot.service == "llm":
+        slot.endpoint.stop_after += soak.random.choices((1, 2, 3), k=number)
+        soak.later(4.0, slot.endpoint.stop_after.clear)
         faults = [Fault.SHED, Fault.MUTE, Fault.ERROR]
-    place.endpoint.faults += soak.random.choices(faults, k=number)
-    soak.later(4.0, place.endpoint.faults.clear)
+    slot.endpoint.faults += soak.random.choices(faults, k=number)
+    soak.later(4.0, slot.endpoint.faults.clear)
 
 
 def crash_endpoint(soak: "Soak") -> None:
     """An endpoint dies; a fresh one comes, maybe of another service."""
-    place = soak.some_place()
-    if len(soak.world.runs_of(place.service)) < 2:
+    slot = soak.some_slot()
+    if len(soak.world.runs_of(slot.service)) < 2:
         return
-    place.faulty_until = soak.now + 8.0
-    soak.world.crash(place)
+    slot.faulty_until = soak.now + 8.0
+    soak.world.crash(slot)
     service = soak.random.choice(("", "", "desk", "llm"))
     back_s = 2.2 if service else _for_s(soak, 0.2, 2.0)
-    soak.later(back_s, soak.world.revive, place, service)
+    soak.later(back_s, soak.world.revive, slot, service)
 
 
 def drain_endpoint(soak: "Soak") -> None:
     """An endpoint leaves in order; a fresh one comes."""
-    place = soak.some_place()
-    if len(soak.world.runs_of(place.service)) < 2 or place.leaving_at:
+    slot = soak.some_slot()
+    if len(soak.world.runs_of(slot.service)) < 2 or slot.leaving_at:
         return
-    soak.world.drain(place)
-    soak.later(4.0, soak.replace, place, place.endpoint)
+    soak.world.drain(slot)
+    soak.later(4.0, soak.replace, slot, slot.endpoint)
 
 
 def cut_endpoint(soak: "Soak") -> None:
     """The way to an endpoint is cut, or its connections are lost."""
-    place = soak.some_place()
+    slot = soak.some_slot()
     for_s = _for_s(soak, 0.3, 3.0)
-    place.faulty_until = soak.now + for_s + 4.0
+    slot.faulty_until = soak.now + for_s + 4.0
     act = soak.random.choice(("path", "reset", "silence", "delay"))
     if act == "reset":
-        place.proxy.reset(soak.random)
+        slot.proxy.reset(soak.random)
     elif act == "silence":
-        place.proxy.silence(soak.random)
+        slot.proxy.silence(soak.random)
     elif act == "delay":
-        place.proxy.delay_s = _for_s(soak, 0.05, 0.5)
-        soak.later(for_s, setattr, place.proxy, "delay_s", 0.0)
+        slot.proxy.delay_s = _for_s(soak, 0.05, 0.5)
+        soak.later(for_s, setattr, slot.proxy, "delay_s", 0.0)
     else:
-        place.proxy.opens(soak.random.choice(_CUTS))
-        soak.later(for_s, soak.reopen, place)
+        slot.proxy.opens(soak.random.choice(_CUTS))
+        soak.later(for_s, soak.reopen, slot)
 
 
 def cut_callers(soak: "Soak") -> None:
@@ -236,9 +236,9 @@
 
 def name_weights(soak: "Soak") -> None:
     """The operator names new weights; an order may be carried out late."""
-    for place in soak.world.runs_of("llm"):
+    for slot in soak.world.runs_of("llm"):
         if soak.random.random() < 0.2:
-            place.endpoint.late_orders += [_for_s(soak, 2.0, 5.0)]
+            slot.endpoint.late_orders += [_for_s(soak, 2.0, 5.0)]
     soak.world.name_weights()
 
 
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -6,8 +6,8 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Site
 
+from magnolialug.soak.block import Block
 from magnolialug.soak.ledger import Ledger
-from magnolialug.soak.places import Places
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.standin.endpoint import EndpointStandin, Received
 from magnolialug.standin.kv import KvStore
@@ -40,7 +40,7 @@
         return f"{req.request_id}/{self.instance}/{number}".encode()
 
 
-class Place:
+class Slot:
     """One endpoint's address, and who is behind it.
 
     Attributes:
@@ -59,7 +59,6 @@
         self.leaving_at: float | None = None
         self.faulty_until = 0.0
         self.row: dict = {}
-        self.version = 1
 
 
 class World:
@@ -67,7 +66,7 @@
 
     Attributes:
       kv: the store's content and faults.
-      places: endpoints by their number.
+      slots: endpoints by their number.
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
 
@@ -78,7 +77,7 @@
     def __init__(
         self,
         reactor,
-        places: Places,
+        block: Block,
         ledger: Ledger,
         touched: Callable[[str, float], bool],
         desks: int = 3,
@@ -87,23 +86,22 @@
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
         self.weights = 1
-        self.weights_at = 0.0
         self.store_troubled_until = 0.0
-        self.places: list[Place] = []
+        self.slots: list[Slot] = []
         self.walls: dict[str, tuple[str, int]] = {}
         self.part_store = PartStoreStandin(reactor, "i-store")
         self._reactor = reactor
-        self._addresses = places
+        self._block = block
         self._ledger = ledger
         self._touched = touched
         self._numbers = iter(range(1, 10_000))
         self._ports: list = []
         kv_port = self._listen(Site(kv_face(self.kv)))
         self.kv_address = kv_port
-        self.store_proxy = self._proxied(10, self.part_store)
+        self.part_store_address = self._proxied(10, self.part_store)
         for number in range(desks + engines):
             service = "desk" if number < desks else "llm"
-            self._place(20 + number, service)
+            self._add_slot(20 + number, service)
         self.configure()
 
     def listen(self, factory, address) -> None:
@@ -121,7 +119,7 @@
     def configure(self) -> None:
         """Writes the next version of the operator's configuration."""
         version = len(self.versions) + 1
-        host, port = self.store_proxy
+        host, port = self.part_store_address
         store = cache_store(_STORE, f"{host}:{port}", _STORE_TOKENS)
         self.write("op/config", _config(version, store))
         self.versions.append(self._reactor.seconds())
@@ -129,7 +127,6 @@
     def name_weights(self) -> None:
         """Names the next version of the model's weights."""
         self.weights += 1
-        self.weights_at = self._reactor.seconds()
         value = {"model": "m", "version": self.weights}
         self.write("op/version/m", value)
 
@@ -138,30 +135,30 @@
         until = self._reactor.seconds() + for_s
         self.store_troubled_until = max(self.store_troubled_until, until)
 
-    def crash(self, place: Place) -> None:
+    def crash(self, slot: Slot) -> None:
         """Ends an endpoint; its entry runs out later."""
-        gone, place.endpoint = place.endpoint, None
-        place.proxy.opens(Path.REFUSED)
-        for link in list(place.proxy.links):
+        gone, slot.endpoint = slot.endpoint, None
+        slot.proxy.opens(Path.REFUSED)
+        for link in list(slot.proxy.links):
             link.reset()
         self._reactor.callLater(
             _HEARTBEATS_S, self.remove, f"servers/{gone.instance}"
         )
 
-    def revive(self, place: Place, service: str = "") -> None:
+    def revive(self, slot: Slot, service: str = "") -> None:
         """Starts a fresh endpoint at an address, maybe of another service."""
-        place.service = service or place.service
-        place.leaving_at = None
-        place.endpoint = self._endpoint(place)
-        place.proxy.target = self._listen(place.endpoint)
-        place.proxy.opens(Path.OPEN)
-        self._list(place)
-
-    def drain(self, place: Place) -> None:
+        slot.service = service or slot.service
+        slot.leaving_at = None
+        slot.endpoint = self._endpoint(slot)
+        slot.proxy.target = self._listen(slot.endpoint)
+        slot.proxy.opens(Path.OPEN)
+        self._list(slot)
+
+    def drain(self, slot: Slot) -> None:
         """An endpoint says that it will leave."""
-        place.row["state"] = "draining"
-        self.write(f"servers/{place.endpoint.instance}", place.row)
-        place.leaving_at = self._reactor.seconds()
+        slot.row["state"] = "draining"
+        self.write(f"servers/{slot.endpoint.instance}", slot.row)
+        slot.leaving_at = self._reactor.seconds()
 
     def write(self, key: str, value: dict | bytes) -> None:
         """Writes a key past all faults, as its owner does."""
@@ -176,25 +173,25 @@
         """Removes a key."""
         self.kv._remove(key)
 
-    def runs_of(self, service: str) -> list[Place]:
-        """Returns the places whose endpoint is up."""
+    def runs_of(self, service: str) -> list[Slot]:
+        """Returns the slots whose endpoint is up."""
         return [
-            place
-            for place in self.places
-            if place.service == service and place.endpoint is not None
+            slot
+            for slot in self.slots
+            if slot.service == service and slot.endpoint is not None
         ]
 
-    def _place(self, number: int, service: str) -> None:
-        address = self._addresses.endpoint(number)
+    def _add_slot(self, number: int, service: str) -> None:
+        address = self._block.endpoint(number)
         proxy = Proxy(self._reactor, ("127.0.0.1", 1))
         self.listen(proxy, address)
-        place = Place(address, proxy, service, "ab"[number % 2])
-        self.places.append(place)
-        self.revive(place)
+        slot = Slot(address, proxy, service, "ab"[number % 2])
+        self.slots.append(slot)
+        self.revive(slot)
 
-    def _endpoint(self, place: Place) -> EndpointStandin:
-        instance = f"i-{place.service}{next(self._numbers)}"
-        if place.service == "desk":
+    def _endpoint(self, slot: Slot) -> EndpointStandin:
+        instance = f"i-{slot.service}{next(self._numbers)}"
+        if slot.service == "desk":
             endpoint = EndpointStandin(self._reactor, instance)
             endpoint.body_of = lambda req: (
                 f"{instance}|{req.request_id}|{req.target}".encode()
@@ -202,18 +199,18 @@
         else:
             endpoint = self._engine(instance)
         endpoint.ran = self._ledger.ran
-        endpoint.on_arrival = lambda req: self._arrived(place, endpoint, req)
+        endpoint.on_arrival = lambda req: self._arrived(slot, endpoint, req)
         return endpoint
 
     def _engine(self, instance: str) -> Engine:
         engine = Engine(self._reactor, instance)
         engine.events = EVENTS
         engine.version = self.weights
-        host, port = self.store_proxy
+        host, port = self.part_store_address
         engine.stores[f"{host}:{port}"] = self.part_store
         return engine
 
-    def _arrived(self, place: Place, endpoint, req: Received) -> None:
+    def _arrived(self, slot: Slot, endpoint, req: Received) -> None:
         if not req.request_id:
             return
         row = self._ledger.sent.get(req.request_id)
@@ -221,19 +218,19 @@
         now = self._reactor.seconds()
         sent_at = row.at if row else now
         # What a harmed way to the endpoint held up is not the gateway's.
-        harmed = place.faulty_until > sent_at
+        harmed = slot.faulty_until > sent_at
         touched = not harmed and self._touched(machine, sent_at)
-        self._ledger.arrived(endpoint.instance, place.service, req, touched)
-        if place.endpoint is endpoint:
-            self._check_drain(place, req, machine)
-        if place.service == "llm":
+        self._ledger.arrived(endpoint.instance, slot.service, req, touched)
+        if slot.endpoint is endpoint:
+            self._check_drain(slot, req, machine)
+        if slot.service == "llm":
             self._check_walls(endpoint, req)
 
-    def _check_drain(self, place: Place, req: Received, machine: str) -> None:
-        left_at = place.leaving_at
+    def _check_drain(self, slot: Slot, req: Received, machine: str) -> None:
+        left_at = slot.leaving_at
         late = left_at and self._reactor.seconds() - left_at - DRAIN_S
         if late and late > _SLACK_S and self._touched(machine, left_at):
-            detail = f"{late:.2f} s after {place.endpoint.instance} left"
+            detail = f"{late:.2f} s after {slot.endpoint.instance} left"
             self._ledger.broken("DRAIN", detail, req.request_id)
 
     def _check_walls(self, engine: Engine, req: Received) -> None:
@@ -249,17 +246,17 @@
             detail = f"salt {salt!r}: {found} and {(wall, expected)}"
             self._ledger.broken("WALL", detail, req.request_id)
 
-    def _list(self, place: Place) -> None:
+    def _list(self, slot: Slot) -> None:
         weights = [{"name": "m", "version": self.weights}]
-        place.row = {
-            "service": place.service,
-            "address": f"{place.address[0]}:{place.address[1]}",
-            "zone": place.zone,
+        slot.row = {
+            "service": slot.service,
+            "address": f"{slot.address[0]}:{slot.address[1]}",
+            "zone": slot.zone,
             "slots": 6,
             "state": "ready",
-            "models": weights if place.service == "llm" else [],
+            "models": weights if slot.service == "llm" else [],
         }
-        self.write(f"servers/{place.endpoint.instance}", place.row)
+        self.write(f"servers/{slot.endpoint.instance}", slot.row)
 
     def _listen(self, factory) -> tuple[str, int]:
         port = self._reactor.listenTCP(0, factory, interface="127.0.0.1")
@@ -268,7 +265,7 @@
 
     def _proxied(self, number: int, factory) -> tuple[str, int]:
         self.part_proxy = Proxy(self._reactor, self._listen(factory))
-        address = self._addresses.endpoint(number)
+        address = self._block.endpoint(number)
         self.listen(self.part_proxy, address)
         return address
 
