Soak: what an endpoint turns away is no work on it

Cause: on reading, the drain and salt checks counted requests that were meant for the endpoint before at the same address, which are turned away unrun. Change: they end before those checks, as in the ledger's check of the service.

--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -221,6 +221,9 @@
         harmed = slot.faulty_until > sent_at
         touched = not harmed and self._touched(machine, sent_at)
         self._ledger.arrived(endpoint.instance, slot.service, req, touched)
+        if req.headers.get("x-expect-instance") != endpoint.instance:
+            # It is turned away unrun, which is no work.
+            return
         if slot.endpoint is endpoint:
             self._check_drain(slot, req, machine)
         if slot.service == "llm":
