Account: how calls ended, where their time went, what was read again and why

Cause: to say where worth is lost took scripts of one's own over the logs, and the lines lacked why a part was read and what a call that ended early was waiting for. Ruled out: metrics alone (they do not tell one cause from another). Change: placements log each shared part with its source or the reason of the miss; calls that end early log their phase and how long their endpoint was silent. magnolialug-ctl account adds the lines up, as tables and a picture.

--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -20,6 +20,8 @@
 from magnolialug.config.deployment import from_text, hash_key, to_text
 from magnolialug.config.folder import read_folder
 from magnolialug.confstore import Head, apply_text, read_doc, read_head
+from magnolialug.ctl.account import account, as_tables
+from magnolialug.ctl.accountplot import draw_account
 from magnolialug.ctl.diff import differences
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
@@ -39,6 +41,8 @@
   history           accepted changes, the newest first
   status            the version in force in every process
   explain REQUEST   how a request was decided, from JSON logs on stdin
+  account           how calls ended, where their time went, and what was
+                    read again and why, from JSON logs on stdin
   hash-key          the hash of a bearer key read from stdin"""
 
 _GROUPS = (
@@ -59,6 +63,7 @@
                 "id of the change; give the same when trying again",
             ),
             Flag("entries", "str", "", "URLs of entries, for status"),
+            Flag("plot", "str", "", "file to draw an account into"),
         ),
     ),
     COMMON,
@@ -179,6 +184,14 @@
     return EXIT_BAD_INPUT if _folder_text(folder) is None else 0
 
 
+def _account(plot: str) -> int:
+    found = account(sys.stdin)
+    print(as_tables(found))
+    if plot:
+        draw_account(found, plot)
+    return 0 if found.endings else EXIT_FAILED
+
+
 def _explain(request_id: str) -> int:
     story = explain_request(sys.stdin, request_id)
     print("\n".join(story))
@@ -218,13 +231,15 @@
     flags, rest = parse("magnolialug-ctl", _SUMMARY, _GROUPS)
     setup_logging(flags.log_format, flags.log_level)
     name, *arguments = rest or [""]
-    known = {*_OFFLINE, "plan", "apply", "show", "history", "status"}
+    known = {*_OFFLINE, "account", "plan", "apply", "show", "history", "status"}
     if name not in known or len(arguments) != _ARGUMENTS.get(name, 0):
         print(
             f"magnolialug-ctl: bad command {' '.join(rest)!r}; see --help",
             file=sys.stderr,
         )
         sys.exit(EXIT_BAD_INPUT)
+    if name == "account":
+        sys.exit(_account(flags.plot))
     if name in _OFFLINE:
         sys.exit(_OFFLINE[name](*arguments))
     command = _Command(flags)
--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
+from magnolialug.ctl.records import read_records, time_of
 from magnolialug.events import Event
 
 __all__ = ["explain_request"]
@@ -34,9 +33,9 @@
       lines: log lines as `--log_format=json` writes them, of any processes.
       request_id: as the caller sent it, or got it in X-Request-Id.
     """
-    records = [record for line in lines if (record := _record(line))]
+    records = list(read_records(lines))
     own = [r for r in records if r.get("request") == request_id]
-    own.sort(key=_at)
+    own.sort(key=time_of)
     if not own:
         return []
     story = [_told(record) for record in own]
@@ -48,32 +47,32 @@
 def _section(title: str, records: list[dict]) -> list[str]:
     if not records:
         return []
-    told = [f"  {_told(record)}" for record in sorted(records, key=_at)]
+    told = [f"  {_told(record)}" for record in sorted(records, key=time_of)]
     return [title, *told]
 
 
 def _believed(records: list[dict], own: list[dict]) -> list[dict]:
     vms = {record.get("vm") for record in own}
-    first, last = _at(own[0]), _at(own[-1])
+    first, last = time_of(own[0]), time_of(own[-1])
     return [
         record
         for record in records
         if _is_belief(record)
         and "endpoint" not in record
         and record.get("vm") in vms
-        and first - _BEFORE_S <= _at(record) <= last + _AFTER_S
+        and first - _BEFORE_S <= time_of(record) <= last + _AFTER_S
     ]
 
 
 def _met(records: list[dict], own: list[dict]) -> list[dict]:
     tried = {record["endpoint"] for record in own if "endpoint" in record}
-    first, last = _at(own[0]), _at(own[-1])
+    first, last = time_of(own[0]), time_of(own[-1])
     return [
         record
         for record in records
         if _is_belief(record)
         and record.get("endpoint") in tried
-        and first - _BEFORE_S <= _at(record) <= last + _LEARNED_S
+        and first - _BEFORE_S <= time_of(record) <= last + _LEARNED_S
     ]
 
 
@@ -81,18 +80,6 @@
     return record.get("event") in _BELIEFS and "request" not in record
 
 
-def _at(record: dict) -> float:
-    return float(record.get("at", 0.0))
-
-
-def _record(line: str) -> dict:
-    try:
-        record = msgspec.json.decode(line)
-    except msgspec.DecodeError:
-        return {}
-    return record if isinstance(record, dict) else {}
-
-
 def _told(record: dict) -> str:
     fields = ", ".join(
         f"{name}={value}"
@@ -101,7 +88,7 @@
     )
     where = f" at {record['vm']}" if record.get("vm") else ""
     text = (
-        f"{_at(record):.3f}{where}: {record.get('event')}"
+        f"{time_of(record):.3f}{where}: {record.get('event')}"
         f" {record.get('name')}: {fields}"
     )
     for row in record.get("costs", ()):
--- a/magnolialug/entry/dispatch.py
+++ b/magnolialug/entry/dispatch.py
@@ -4,7 +4,10 @@
 
 from magnolialug.ids import EndpointId
 
-__all__ = ["Dispatch"]
+__all__ = ["FROM_ENGINE", "Dispatch"]
+
+# The source of a part that the engine is believed to hold itself.
+FROM_ENGINE = "engine"
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -18,6 +21,8 @@
       fetch: for each part of the prompt the address of the store to read it
         from, "" for none; no rows if nothing is fetched.
       save: the same for the store that is to keep it.
+      sources: for each shared part of the prompt what it is expected to come
+        from: "engine", a store, or why from none.
       fetch_until_ms: a fetch that lasts longer is thrown away; on the
         endpoints' clock.
     """
@@ -30,3 +35,4 @@
     fetch: tuple[str, ...] = ()
     save: tuple[str, ...] = ()
     fetch_until_ms: int = 0
+    sources: tuple[str, ...] = ()
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -103,9 +103,22 @@
         """
         self._sink.left()
         if self._call.route.form is not RouteType.NON_IDEMPOTENT:
-            self._log.emit(Event.CANCELLED, route=self._call.route.name)
+            self._log_left()
             fut.cancel()
 
+    def _log_left(self) -> None:
+        """Logs what a call that its caller gives up was waiting for."""
+        state = self._carrier.state
+        now = self._means.clock()
+        self._log.emit(
+            Event.CANCELLED,
+            route=self._call.route.name,
+            phase=state.phase.value,
+            silent_s=round(state.silent_s, 3),
+            took_s=round(now - self._call.arrived, 3),
+            left_s=round(self._call.deadline - now, 3),
+        )
+
     def _broken(self, reason: TwistedFailure) -> None:
         """Ends a response whose task was cancelled or is at fault."""
         if reason.check(CancelledError):
@@ -132,17 +145,21 @@
             route=route,
             status=self._sink.status,
             first_s=round(served.ttft_s, 3),
+            in_time=served.ttft_s <= self._call.route.target_s,
             took_s=round(took_s, 3),
         )
 
     def _count_failed(self, failure: Failure) -> None:
         took_s = self._count(self._sink.status)
         self._means.metrics.refusals.add(1, {"code": failure.code.name})
+        state = self._carrier.state
         self._log.emit(
             Event.REQUEST_FAILED,
             route=self._call.route.name,
             status=self._sink.status,
             took_s=round(took_s, 3),
+            phase=state.phase.value,
+            silent_s=round(state.silent_s, 3),
             **explain(failure),
         )
         self._log.failed()
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -11,6 +11,7 @@
 from magnolialug.carrier.reader import Head
 from magnolialug.carrier.taker import End
 from magnolialug.config.routing import RouteType
+from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.eventcutter import EventCutter
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
@@ -142,6 +143,11 @@
         )
         self._sink.holds(self._flight)
 
+    def state(self, now: float) -> CallState:
+        """Returns how far the attempt has come."""
+        phase = Phase.WRITING if self._first_event_s else Phase.READING
+        return CallState(phase, now - self.heard_at)
+
     def sweep(self, now: float) -> None:
         """Ends the attempt when nothing more can come of it in time."""
         if now >= self._call.deadline or self._is_orphaned():
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -3,6 +3,7 @@
 from twisted.internet.defer import CancelledError
 
 from magnolialug.carrier.taker import End
+from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
@@ -12,6 +13,7 @@
 from magnolialug.entry.progress import Ended, Progress, Served
 from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId
+from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Failure
@@ -53,7 +55,7 @@
         self._avoid: set[EndpointId] = set()
         self._kept: Outcome | None = None
         self._number = 0
-        self._progress = Progress(seq=call.resume_after)
+        self._attempt: HttpAttempt | None = None
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
@@ -74,6 +76,14 @@
             self._kept = outcome
         return outcome.ended
 
+    @property
+    def state(self) -> CallState:
+        """How far the newest attempt has come."""
+        attempt = self._attempt
+        if attempt is None:
+            return CallState(Phase.UNPLACED, 0.0)
+        return attempt.state(self._clock())
+
     async def unrun(self) -> None:
         """Has nothing to undo."""
 
@@ -120,6 +130,8 @@
             unread=placed.unread,
             fetched=sum(map(bool, to.fetch)),
             saved=sum(map(bool, to.save)),
+            salt=to.salt,
+            parts=_named_sources(prompt, to),
             after_event=to.resume_after,
             left_s=round(self._call.deadline - self._clock(), 3),
             costs=[
@@ -162,6 +174,7 @@
             self._may_move,
             lambda: self._placer.first_event(self._call, peer),
         )
+        self._attempt = attempt
         self._number += 1
         self._placer.sent(self._call, peer, dispatch, placed.unread, now)
         self._underway.add(attempt)
@@ -199,3 +212,13 @@
                 peer.heard_weights(self._call.prompt.model, answer.weights)
         else:
             peer.health.probing = False
+
+
+def _named_sources(
+    prompt: Prompt | None, to: Dispatch
+) -> list[tuple[str, int, str]]:
+    """Returns name, tokens and source of each shared part, for the log."""
+    if prompt is None:
+        return []
+    rows = zip(prompt.shared, to.sources, strict=True)
+    return [(part.name, part.tokens, source) for part, source in rows]
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from magnolialug.entry.directory import Directory
-from magnolialug.entry.dispatch import Dispatch
+from magnolialug.entry.dispatch import FROM_ENGINE, Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.progress import Progress
 from magnolialug.ids import EndpointId, ServiceName, ZoneId
 from magnolialug.platform.requests import Answer
-from magnolialug.policy.cachemap import CacheMap
+from magnolialug.policy.cachemap import CacheMap, Miss, PartPlan
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.policy.enginecost import engine_cost_s
 from magnolialug.policy.prompt import Prompt
@@ -272,7 +272,8 @@
             return Dispatch(endpoint, resume_after=progress.seq)
         weights = peer.weights(call.prompt.model)
         salt = self._salt(call, weights)
-        fetch, save, until_ms = self._cache_plan(call.prompt, salt, weights)
+        plans = self._plan_parts(call.prompt, salt, weights)
+        fetch, save = self._addresses(call.prompt, plans)
         return Dispatch(
             endpoint=endpoint,
             salt=salt,
@@ -281,31 +282,51 @@
             resume_after=progress.seq,
             fetch=fetch,
             save=save,
-            fetch_until_ms=until_ms,
+            fetch_until_ms=self._fetch_until_ms(plans),
+            sources=self._sources(call.prompt, salt, peer, plans),
         )
 
-    def _cache_plan(
+    def _plan_parts(
         self, prompt: Prompt, salt: str, weights: int
-    ) -> tuple[tuple[str, ...], tuple[str, ...], int]:
-        """Returns where to fetch and save each part, and until when."""
-        now = self._clock()
+    ) -> list[PartPlan]:
+        """Returns what to do with each shared part; nothing if none may be."""
         if not self._cache.books or not weights:
-            return (), (), 0
+            return []
+        now = self._clock()
         newest = weights >= self._newest(prompt.model)
         plans = self._cache.plan(salt, prompt.shared, now, newest)
         self._cache.saving(salt, prompt.shared, plans, now)
-        fetch = [self._address(plan.fetch) for plan in plans]
-        save = [self._address(plan.save) for plan in plans]
-        own = [""] * (len(prompt.parts) - len(plans))
-        until_ms = min(
-            (
-                self._cache.books[plan.fetch].fetch_until_ms()
-                for plan in plans
-                if plan.fetch is not None
-            ),
-            default=0,
-        )
-        return tuple(fetch + own), tuple(save + own), until_ms
+        return plans
+
+    def _addresses(
+        self, prompt: Prompt, plans: list[PartPlan]
+    ) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Returns where to fetch and where to save each part."""
+        if not plans:
+            return (), ()
+        own = ("",) * (len(prompt.parts) - len(plans))
+        fetch = tuple(self._address(plan.fetch) for plan in plans)
+        save = tuple(self._address(plan.save) for plan in plans)
+        return fetch + own, save + own
+
+    def _fetch_until_ms(self, plans: list[PartPlan]) -> int:
+        """Returns until when all fetches may last, 0 for none."""
+        books = self._cache.books
+        ends = (books[p.fetch].fetch_until_ms() for p in plans if p.fetch)
+        return min(ends, default=0)
+
+    def _sources(
+        self, prompt: Prompt, salt: str, peer: Peer, plans: list[PartPlan]
+    ) -> tuple[str, ...]:
+        """Returns what each shared part is expected to come from."""
+        found = []
+        for number, part in enumerate(prompt.shared):
+            plan = plans[number] if plans else PartPlan(miss=Miss.CLOSED)
+            if peer.load is not None and peer.load.has(salt, part):
+                found.append(FROM_ENGINE)
+            else:
+                found.append(plan.fetch or plan.miss.value)
+        return tuple(found)
 
     def _address(self, store: ServiceName | None) -> str:
         return "" if store is None else self._stores.get(store, "")
--- a/magnolialug/policy/cachemap.py
+++ b/magnolialug/policy/cachemap.py
@@ -1,5 +1,6 @@
 """Which cache parts lie whole in which store."""
 
+import enum
 from collections.abc import Iterable
 from hashlib import blake2b
 
@@ -8,7 +9,7 @@
 from magnolialug.ids import ServiceName, ZoneId
 from magnolialug.policy.prompt import Part
 
-__all__ = ["CacheMap", "PartKey", "PartPlan", "StoreBook"]
+__all__ = ["CacheMap", "Miss", "PartKey", "PartPlan", "StoreBook"]
 
 # A store's word counts for this long for new requests. Polls are answered
 # within 0.5 s, so two missed ones end it; a dead store costs each request
@@ -37,16 +38,37 @@
 PartKey = tuple[str, str]
 
 
+class Miss(enum.Enum):
+    """Why a part is not read from a store.
+
+    UNHEARD: a store holds it, whose last word is too old.
+    SAVING: this entry has asked for it to be saved, which is not done yet.
+    REPLACED: it is of weights that are being replaced, and was not whole.
+    NO_ROOM: no store has it, and none has room.
+    CLOSED: no store has it, and none may be written to just now.
+    NEW: no store is known to have it; it is saved now.
+    """
+
+    UNHEARD = "unheard"
+    SAVING = "saving"
+    REPLACED = "replaced"
+    NO_ROOM = "no room"
+    CLOSED = "closed"
+    NEW = "new"
+
+
 class PartPlan(msgspec.Struct, frozen=True):
     """What to do with one part of a prompt.
 
     Attributes:
       fetch: the store that holds it, None if none does.
       save: the store that is to keep it, None for none.
+      miss: why it is not fetched, None if it is.
     """
 
     fetch: ServiceName | None = None
     save: ServiceName | None = None
+    miss: Miss | None = None
 
 
 class StoreBook(msgspec.Struct):
@@ -80,6 +102,10 @@
         heard = self.epoch > 0 and self.clock_s is not None
         return heard and now - self.heard_at < TRUST_S
 
+    def writable(self, now: float) -> bool:
+        """Whether parts may be saved there."""
+        return self.trusted(now) and now >= self.writable_from
+
     def fetch_s(self, tokens: int, zone: ZoneId) -> float:
         """Returns how long it takes to bring tokens to an engine."""
         slower = 1.0 if zone == self.zone else _OTHER_ZONE
@@ -159,12 +185,23 @@
             holder = self.holder(key, now)
             if holder is not None:
                 plans.append(PartPlan(fetch=holder))
-            elif may_save and not self._is_saving(key, now):
-                plans.append(PartPlan(save=self._target(key, part, now)))
+            elif any(key in book.parts for book in self.books.values()):
+                plans.append(PartPlan(miss=Miss.UNHEARD))
+            elif self._is_saving(key, now):
+                plans.append(PartPlan(miss=Miss.SAVING))
+            elif not may_save:
+                plans.append(PartPlan(miss=Miss.REPLACED))
             else:
-                plans.append(PartPlan())
+                plans.append(self._save(key, part, now))
         return plans
 
+    def _save(self, key: PartKey, part: Part, now: float) -> PartPlan:
+        target = self._target(key, part, now)
+        if target is not None:
+            return PartPlan(save=target, miss=Miss.NEW)
+        writable = any(book.writable(now) for book in self.books.values())
+        return PartPlan(miss=Miss.NO_ROOM if writable else Miss.CLOSED)
+
     def holder(self, key: PartKey, now: float) -> ServiceName | None:
         """Returns the store to read a part from, the quickest if several."""
         best = None
@@ -220,11 +257,8 @@
         reserved = self._reserved()
 
         def fits(name: ServiceName, book: StoreBook) -> bool:
-            return (
-                book.trusted(now)
-                and now >= book.writable_from
-                and book.has_room(part.tokens + reserved.get(name, 0))
-            )
+            tokens = part.tokens + reserved.get(name, 0)
+            return book.writable(now) and book.has_room(tokens)
 
         names = [name for name, book in self.books.items() if fits(name, book)]
         return max(
