Cache: parts of weights that no engine has any more are freed

Ruled out: lost news alone (the account's 'not whole' is the same cause: stores refuse saves that the books believe to fit). Change: the entries that poll a store list it and free, finished or not, what is of a version that all engines have left, 2.2 s after the last one left it; a fetch lasts 1.6 s, and only an engine with the same weights makes one. Calls name the store's start and end in 0.6 s. Freed twice is freed once, so that no lease is needed.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -13,6 +13,7 @@
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.lifetimes import Lifetimes
 from magnolialug.policy.listed import Listed
+from magnolialug.policy.oldweights import EngineWeights
 from magnolialug.policy.ring import Ring
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import (
@@ -89,6 +90,15 @@
             if peer.serves(model) and not peer.leaving
         ]
 
+    def engine_weights(self) -> list[EngineWeights]:
+        """Returns what is known of the weights of all listed engines."""
+        return [
+            EngineWeights(endpoint, model, peer.weights(model))
+            for endpoint, peer in self.peers.items()
+            if peer.load is not None
+            for model in peer.all_weights()
+        ]
+
     def engine_memory(self, service: ServiceName) -> int:
         """Returns the memory of a service's engines in tokens, 0 for none."""
         routing = self._routing
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -28,6 +28,7 @@
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means
 from magnolialug.entry.silencewatch import SilenceWatch
+from magnolialug.entry.storekeeper import StoreKeeper
 from magnolialug.entry.storewatch import StoreWatch
 from magnolialug.entry.waitingroom import WaitingRoom
 from magnolialug.events import Event, emit, explain
@@ -116,6 +117,14 @@
             self._entries.keeps,
             self.talk,
         )
+        self._keeper = StoreKeeper(
+            self._cache,
+            cache_calls,
+            reactor.seconds,
+            self.directory.engine_weights,
+            self._stores.address,
+            self._entries.keeps,
+        )
         self._placer = Placer(
             self.directory,
             settings.zone,
@@ -401,5 +410,6 @@
         self._note_weights(now)
         self._orders.tick()
         self._cache.tick(now)
+        self._keeper.tick(now)
         self.loads.tick(now)
         self.directory.trim()
--- a/magnolialug/entry/storepoll.py
+++ b/magnolialug/entry/storepoll.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CacheStore
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import ServiceName
@@ -75,6 +76,11 @@
         self._heard = False
         self._behind = True
 
+    @property
+    def address(self) -> Address:
+        """Where the store is."""
+        return self._store.address
+
     async def run(self) -> None:
         """Polls whenever that is this entry's turn, until cancelled."""
         while True:
--- a/magnolialug/entry/storewatch.py
+++ b/magnolialug/entry/storewatch.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CacheStore, Routing
 from magnolialug.entry.peertalk import PeerTalk
 from magnolialug.entry.storepoll import StorePoll
@@ -72,6 +73,11 @@
             if name not in self._tasks:
                 self._follow(name, store, address, token_bytes)
 
+    def address(self, name: ServiceName) -> Address | None:
+        """Returns where a store is, None if it is not configured."""
+        poll = self._polls.get(name)
+        return poll.address if poll else None
+
     def stop(self) -> None:
         """Ends all tasks."""
         for name in list(self._tasks):
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -78,6 +78,8 @@
     STORE_HEARD = 4210
     STORE_LOST = 4211
     STORE_LISTED = 4212
+    PARTS_FREED = 4213
+    FREE_FAILED = 4214
     REPORT_REFUSED = 4220
     REGISTRATION_FAILED = 4221
     LEASE_WON = 4300
@@ -139,6 +141,8 @@
     Event.STORE_HEARD: "A store of cache parts answers.",
     Event.STORE_LOST: "A store of cache parts does not answer.",
     Event.STORE_LISTED: "A store told all the parts that it holds.",
+    Event.PARTS_FREED: "Parts of replaced weights were freed.",
+    Event.FREE_FAILED: "Replaced parts could not be freed; tried again later.",
     Event.REPORT_REFUSED: "Another entry's load report is malformed.",
     Event.REGISTRATION_FAILED: "This entry could not register itself.",
     Event.LEASE_WON: "This process gives the orders to engines from now on.",
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -1,11 +1,13 @@
 """Calls to a store of cache parts: what it holds and what has changed."""
 
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
+from magnolialug.policy.cachemap import PartKey
 from magnolialug.policy.cachenews import CacheChange
 from magnolialug.result import Code, Failure, failed
 
@@ -13,6 +15,7 @@
 
 _SLACK_S = 0.35
 _LIST_S = 2.0
+_FREE_S = 0.8
 
 
 class CacheEvents(msgspec.Struct, frozen=True):
@@ -35,12 +38,18 @@
 
 
 class CacheList(msgspec.Struct, frozen=True):
-    """All whole parts that a store holds."""
+    """All that a store holds.
+
+    Attributes:
+      unfinished: parts that are being written, or broke off; they keep the
+        space that was reserved for them.
+    """
 
     epoch: int
     next: int
     parts: tuple[CacheChange, ...]
     born_ms: int = 0
+    unfinished: tuple[CacheChange, ...] = ()
 
 
 class _WireEvents(msgspec.Struct):
@@ -60,11 +69,17 @@
 
 
 class _WireList(msgspec.Struct):
-    """The body of `GET /kv-list`; a row is [salt, part, tokens, model]."""
+    """The body of `GET /kv-list`.
+
+    Attributes:
+      held: rows of [salt, part, tokens, model].
+      partial: rows of [salt, part, tokens written, tokens reserved].
+    """
 
     epoch: int
     next: int
     held: list[list[Any]] = []
+    partial: list[list[Any]] = []
     born: int = 0
 
 
@@ -110,7 +125,36 @@
             CacheChange(True, salt, part, tokens)
             for salt, part, tokens, *_ in row.held
         )
-        return CacheList(row.epoch, row.next, parts, row.born)
+        unfinished = tuple(
+            CacheChange(False, salt, part, reserved)
+            for salt, part, _, reserved, *_ in row.partial
+        )
+        return CacheList(row.epoch, row.next, parts, row.born, unfinished)
+
+    async def free(
+        self,
+        address: Address,
+        epoch: int,
+        until_ms: int,
+        parts: Sequence[PartKey],
+    ) -> None | Failure:
+        """Frees parts at once.
+
+        Args:
+          epoch: the start of the store that holds them.
+          until_ms: on the servers' clock; a call that arrives later is
+            refused.
+        """
+        body = {"parts": parts, "epoch": epoch, "until_ms": until_ms}
+        request = request_bytes(
+            "POST", address[0], "/kv-free", msgspec.json.encode(body)
+        )
+        reply = await self._client.ask(address, request, _FREE_S)
+        if isinstance(reply, NoReply):
+            return failed(Code.STORE_UNAVAILABLE, reply.end.value)
+        if reply.status != 200:
+            return failed(Code.STORE_UNAVAILABLE, f"status {reply.status}")
+        return None
 
 
 def _typed(reply: Reply | NoReply, form: type):
--- a/magnolialug/standin/partstore.py
+++ b/magnolialug/standin/partstore.py
@@ -23,6 +23,7 @@
       lose_events: how many further events are never told.
       most_polls: polls that wait at once; more are refused.
       refused: how many were.
+      freed: parts that it was told to free and held.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self.lose_events = 0
         self.most_polls = 12
         self.refused = 0
+        self.freed: list[tuple[str, str]] = []
         self._waiting = 0
         self._events: list[list] = []
 
@@ -83,9 +85,12 @@
         self._events.clear()
 
     def answer(self, conn, req: Received) -> None:
-        """Answers a poll or a list."""
+        """Answers a poll, a list, or a call to free parts."""
         if self.mute:
             return
+        if req.target == "/kv-free":
+            conn.reply(req, self._free(msgspec.json.decode(req.body)), b"{}")
+            return
         if req.target == "/kv-list":
             conn.reply(req, 200, self.said(self._list()))
             return
@@ -112,10 +117,26 @@
             "next": len(self._events),
             "lost": since > len(self._events),
             "events": news,
-            "clock_ms": self.clock.seconds() * 1000 + 5000,
+            "clock_ms": self._clock_ms(),
         }
         conn.reply(req, 200, self.said(body))
 
+    def _free(self, body: dict) -> int:
+        """Frees parts; returns the status."""
+        late = body["until_ms"] < self._clock_ms()
+        if body["epoch"] != self.epoch or late:
+            return 409
+        for salt, name in body["parts"]:
+            if self.parts.pop((salt, name), None) is None:
+                continue
+            self.freed.append((salt, name))
+            number = len(self._events) + 1
+            self._events.append([number, "-", salt, name, 0, "m"])
+        return 200
+
+    def _clock_ms(self) -> float:
+        return self.clock.seconds() * 1000 + 5000
+
     def _list(self) -> dict:
         held = [
             [salt, name, part.tokens, "m"]
@@ -126,4 +147,9 @@
             "epoch": self.epoch,
             "next": len(self._events),
             "held": held,
+            "partial": [
+                [salt, name, part.tokens // 2, part.tokens]
+                for (salt, name), part in self.parts.items()
+                if not part.whole
+            ],
         }
