Placement: who waits in vain is told so at once, and when to come back

Change: the turns of the last two seconds tell how long the queue takes; who will be late and cannot have a turn while its caller waits is refused, with the time that the queue will take.

--- a/magnolialug/entry/waitingroom.py
+++ b/magnolialug/entry/waitingroom.py
@@ -8,7 +8,13 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.policy.turns import Waiting, in_turn, patience_s
+from magnolialug.policy.turns import (
+    TurnRate,
+    Waiting,
+    in_turn,
+    in_vain,
+    patience_s,
+)
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["WaitingRoom"]
@@ -25,9 +31,11 @@
 # takes that long. Half of it lost 30 callers on a day of overload after their
 # prompts had been read.
 _MARGIN_S = 1.0
-# When a refused caller may come back: what holds an engine's memory now is
-# written in two to four seconds.
+# When a refused caller may come back: when those who wait have had their turns,
+# and within these bounds. What holds an engine's memory now is written in two
+# to four seconds.
 _RETRY_AFTER_S = 1.0
+_RETRY_AFTER_BOUNDS_S = (0.5, 3.0)
 
 
 class _Row(msgspec.Struct):
@@ -63,6 +71,7 @@
         self._rows: dict[int, _Row] = {}
         self._numbers = itertools.count()
         self._timer = None
+        self._rate = TurnRate()
 
     @property
     def waiting(self) -> int:
@@ -108,26 +117,39 @@
         now = self._clock.seconds()
         waiting = [row.waiting for row in self._rows.values()]
         ordered = in_turn(waiting, now, _FIRST_EVENT_S)
-        for place in ordered:
-            if now >= place.ends_at:
-                self._end(place, _no_room())
-        self._let_go(place for place in ordered if now < place.ends_at)
+        left = self._refuse(ordered, now)
+        self._let_go(left, now)
         self._look_later()
 
-    def _let_go(self, ordered: Iterable[Waiting]) -> None:
+    def _refuse(self, ordered: list[Waiting], now: float) -> list[Waiting]:
+        """Refuses those who wait in vain; returns the others."""
+        per_s = self._rate.per_s(now)
+        vain = [place for place in ordered if now >= place.ends_at]
+        if per_s is not None:
+            vain = in_vain(ordered, now, _FIRST_EVENT_S, per_s)
+        for place in vain:
+            self._end(place, self._no_room(per_s))
+        return [place for place in ordered if place.number in self._rows]
+
+    def _no_room(self, per_s: float | None) -> Failure:
+        after_s = _RETRY_AFTER_S
+        if per_s is not None:
+            least_s, most_s = _RETRY_AFTER_BOUNDS_S
+            after_s = min(most_s, max(least_s, len(self._rows) / per_s))
+        reason = "no engine has memory for it in time"
+        return failed(Code.NO_ROOM, reason, retry_after_s=after_s)
+
+    def _let_go(self, ordered: Iterable[Waiting], now: float) -> None:
         """Lets prompts go until one does not fit; nobody overtakes it."""
         for place in ordered:
-            if not self._fits(self._rows[place.number].call):
+            row = self._rows.get(place.number)
+            if row is None:
+                # Its caller left when an earlier one was let go.
+                continue
+            if not self._fits(row.call):
                 return
+            self._rate.went(now)
             self._end(place, None)
 
     def _end(self, place: Waiting, result: Failure | None) -> None:
         self._rows.pop(place.number).turn.callback(result)
-
-
-def _no_room() -> Failure:
-    return failed(
-        Code.NO_ROOM,
-        "no engine had memory for it",
-        retry_after_s=_RETRY_AFTER_S,
-    )
--- a/magnolialug/policy/turns.py
+++ b/magnolialug/policy/turns.py
@@ -1,10 +1,11 @@
 """Which waiting prompt goes to an engine next, and which waits in vain."""
 
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
-__all__ = ["Waiting", "in_turn", "patience_s"]
+__all__ = ["TurnRate", "Waiting", "in_turn", "in_vain", "patience_s"]
 
 # Callers abandon a stream after the longest of these without an event: two
 # seconds, four times the target, eight times the longest pause on time. One
@@ -12,6 +13,10 @@
 _LEAST_PATIENCE_S = 2.0
 _TARGETS = 4.0
 _PAUSES = 8.0
+# Turns are counted over this time. In two seconds an engine here lets some four
+# long prompts go; with less than three in all the rate says nothing.
+_COUNTED_S = 2.0
+_TELLING = 3
 # How far ahead of its time a prompt goes that takes all of an engine's memory.
 # Room for a large one comes seldom, and small ones took it as soon as it came:
 # the largest tenth of the long prompts earned 0.30 of its worth on a day on
@@ -38,6 +43,25 @@
     size: float = 0.0
 
 
+class TurnRate:
+    """How many prompts have had their turn lately."""
+
+    def __init__(self) -> None:
+        self._at: deque[float] = deque()
+
+    def went(self, now: float) -> None:
+        """Counts a prompt that had its turn."""
+        self._at.append(now)
+
+    def per_s(self, now: float) -> float | None:
+        """Returns the turns in a second, None if too few have been seen."""
+        while self._at and now - self._at[0] >= _COUNTED_S:
+            self._at.popleft()
+        if len(self._at) < _TELLING:
+            return None
+        return len(self._at) / _COUNTED_S
+
+
 def patience_s(target_s: float, gap_s: float) -> float:
     """Returns how long a caller waits for an event before it leaves."""
     return max(_LEAST_PATIENCE_S, _TARGETS * target_s, _PAUSES * gap_s)
@@ -64,3 +88,28 @@
         return row.priority, late, due - _SIZE_S * row.size
 
     return sorted(waiting, key=key)
+
+
+def in_vain(
+    ordered: Sequence[Waiting], now: float, first_event_s: float, per_s: float
+) -> list[Waiting]:
+    """Returns the prompts whose turn will not come while their caller waits.
+
+    Only of those who will be late: whoever can still be in time goes ahead of
+    all others, and turns come in bursts. Refused now, a caller can come back
+    when the others have gone; one that waited first has three seconds less
+    to be served in.
+
+    Args:
+      ordered: as they will have their turns.
+      per_s: turns in a second.
+    """
+    vain = []
+    ahead = 0
+    for row in ordered:
+        late = now + first_event_s > row.target_at
+        if late and now + (ahead + 1) / per_s > row.ends_at:
+            vain.append(row)
+        else:
+            ahead += 1
+    return vain
