--- a/magnolialug/ctl/account.py
+++ b/magnolialug/ctl/account.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from magnolialug.ctl.records import read_records, time_of
-from magnolialug.policy.cachemap import Miss
+from magnolialug.policy.partplan import Miss
 
 __all__ = ["Account", "Ending", "Reread", "account", "as_tables"]
 
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -9,6 +9,7 @@
 from magnolialug.config.routing import Routing
 from magnolialug.entry.peer import Peer
 from magnolialug.events import Event, emit
+from magnolialug.homes.keeper import EndpointFacts
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.lifetimes import Lifetimes
@@ -16,11 +17,7 @@
 from magnolialug.policy.oldweights import EngineWeights
 from magnolialug.policy.ring import Ring
 from magnolialug.policy.rollout import Rollout
-from magnolialug.policy.sharedload import (
-    EngineShare,
-    LoadReport,
-    Placement,
-)
+from magnolialug.policy.sharedload import WorkShare
 
 __all__ = ["Directory"]
 
@@ -75,12 +72,12 @@
         Args:
           root: what the order goes by; every entry gets the same one.
         """
-        ring = self._rings.get(service)
-        if ring is None:
-            peers = self._by_service.get(service, ())
-            names = [p.listed.endpoint for p in peers if not p.leaving]
-            ring = self._rings[service] = Ring(names)
-        return [self.peers[name] for name in ring.candidates(root, count)]
+        names = self._ring(service).candidates(root, count)
+        return [self.peers[name] for name in names]
+
+    def size(self, service: ServiceName) -> int:
+        """Returns how many peers of a service may get new work."""
+        return len(self._ring(service))
 
     def engines_with(self, model: str) -> list[Peer]:
         """Returns the engines that serve a model and do not leave."""
@@ -181,37 +178,15 @@
             closed = peer.listed.endpoint in rollout.closed
             peer.closed_until = now + _LOADING_S if closed else 0.0
 
-    def shared(self, report: LoadReport, now: float) -> None:
-        """Takes another entry's work at the engines."""
-        named = set()
-        for share in report.engines:
-            peer = self.peers.get(share.endpoint)
-            if peer is None or peer.load is None:
-                continue
-            if not _is_another(peer, share.born_ms):
-                peer.load.shared(report.entry, share, now)
-                named.add(share.endpoint)
-        for endpoint, peer in self.peers.items():
-            if peer.load is not None and endpoint not in named:
-                peer.load.unshared(report.entry)
-        for placement in report.placements:
-            self.placed(placement)
-
-    def placed(self, placement: Placement) -> None:
-        """Takes what another entry has sent to an engine."""
-        peer = self.peers.get(placement.endpoint)
-        if peer is None or peer.load is None:
-            return
-        if not _is_another(peer, placement.born_ms):
-            peer.load.placed_elsewhere(placement)
+    def facts(self, endpoint: EndpointId) -> EndpointFacts | None:
+        """Returns what its home must know of an endpoint that is listed."""
+        peer = self.peers.get(endpoint)
+        return peer.facts(self._reactor.seconds()) if peer else None
 
-    def own_load(self) -> tuple[EngineShare, ...]:
-        """Returns this entry's work at the engines where it has some."""
-        return tuple(
-            peer.load.share(endpoint, peer.listed.born_ms)
-            for endpoint, peer in self.peers.items()
-            if peer.load is not None and peer.load.running
-        )
+    def share(self, endpoint: EndpointId) -> WorkShare | None:
+        """Returns this entry's work at an endpoint that is listed."""
+        peer = self.peers.get(endpoint)
+        return peer.share(self._reactor.seconds()) if peer else None
 
     def replace(self, entries: Iterable[Listed]) -> None:
         """Takes the whole registry as it is now."""
@@ -258,6 +233,14 @@
         for peer in self.peers.values():
             peer.pool.close()
 
+    def _ring(self, service: ServiceName) -> Ring:
+        ring = self._rings.get(service)
+        if ring is None:
+            peers = self._by_service.get(service, ())
+            names = [p.listed.endpoint for p in peers if not p.leaving]
+            ring = self._rings[service] = Ring(names)
+        return ring
+
     def _restart(self, peer: Peer, entry: Listed) -> None:
         """Forgets all that was believed of an endpoint's earlier start.
 
--- a/magnolialug/entry/entrybook.py
+++ b/magnolialug/entry/entrybook.py
@@ -11,7 +11,6 @@
 from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
-from magnolialug.policy.cachenews import keeps
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
@@ -26,11 +25,16 @@
 
 
 class EntryRow(msgspec.Struct, frozen=True):
-    """An entry's registration."""
+    """An entry's registration.
+
+    Attributes:
+      cores: processors that it has; a larger one takes more for the others.
+    """
 
     host: str
     port: int
     zone: str
+    cores: float = 1.0
 
 
 class EntryBook(Take):
@@ -38,7 +42,8 @@
 
     Args:
       vm: the name of this machine.
-      on_count: is told how many entries there are when that changes.
+      on_change: is told of all entries, with the cores of each, when there
+        are others than before.
     """
 
     def __init__(
@@ -48,32 +53,24 @@
         row: EntryRow,
         clock: IReactorTime,
         random: Random,
-        on_count: Callable[[int], None],
+        on_change: Callable[[dict[Address, float]], None],
     ):
-        self.others: tuple[Address, ...] = ()
         self._kv = kv
         self._key = ENTRIES_PREFIX + vm
         self._row = row
         self._clock = clock
         self._random = random
-        self._on_count = on_count
+        self._on_change = on_change
         self._rows: dict[str, EntryRow] = {}
-        self._kept: dict[str, bool] = {}
         self._task: Deferred | None = None
         self._lease = 0
+        self._uncounted = False
 
     def start(self) -> None:
         """Begins to register this entry."""
         self._task = ensureDeferred(self._run())
         self._task.addErrback(lambda reason: reason.trap(CancelledError))
 
-    def keeps(self, store: str) -> bool:
-        """Whether this entry polls a store of cache parts for the others."""
-        if store not in self._kept:
-            me = (self._row.host, self._row.port)
-            self._kept[store] = keeps(me, self.others, store)
-        return self._kept[store]
-
     async def stop(self) -> None:
         """Takes this entry out."""
         task, self._task = self._task, None
@@ -93,7 +90,12 @@
     def changed(self, entry: KvEntry) -> None:
         """Takes one change."""
         self._put(entry)
-        self._count()
+        self._uncounted = True
+
+    def settled(self) -> None:
+        """Learns that all changes that came together have been told."""
+        if self._uncounted:
+            self._count()
 
     def _put(self, entry: KvEntry) -> None:
         if not entry.key.startswith(ENTRIES_PREFIX):
@@ -110,13 +112,10 @@
         self._rows[entry.key] = row
 
     def _count(self) -> None:
-        self.others = tuple(
-            (row.host, row.port)
-            for key, row in sorted(self._rows.items())
-            if key != self._key
-        )
-        self._kept.clear()
-        self._on_count(len(self.others) + 1)
+        self._uncounted = False
+        rows = {self._key: self._row, **self._rows}
+        cores = {(row.host, row.port): row.cores for row in rows.values()}
+        self._on_change(cores)
 
     async def _run(self) -> None:
         backoff = Backoff(base_s=0.3, limit_s=2.0)
@@ -133,12 +132,11 @@
         lease = await self._kv.grant(_TTL_S)
         if isinstance(lease, Failure):
             return lease
-        found = await self._kv.get(self._key)
-        if isinstance(found, Failure):
-            return found
-        revision = found.revision if found is not None else 0
         value = msgspec.json.encode(self._row)
-        swap = await self._kv.put_if(self._key, value, revision, lease)
+        swap = await self._kv.put_if(self._key, value, 0, lease)
+        if not isinstance(swap, Failure) and swap.current is not None:
+            revision = swap.current.revision
+            swap = await self._kv.put_if(self._key, value, revision, lease)
         if isinstance(swap, Failure):
             return swap
         if not swap.won:
--- a/magnolialug/entry/follower.py
+++ b/magnolialug/entry/follower.py
@@ -1,6 +1,6 @@
-"""Keeps one prefix of the key-value service in step."""
+"""Keeps what is read of the key-value service in step."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
@@ -14,6 +14,10 @@
 
 __all__ = ["Follower", "Take"]
 
+# All keys. A watch counts as a call for as long as it waits, and one for each
+# prefix made four calls of every change and of every quiet half minute.
+_ALL = ""
+
 
 class Take:
     """What a follower tells its owner; to be overridden.
@@ -27,6 +31,9 @@
     def changed(self, entry: KvEntry) -> None:
         """Takes one change."""
 
+    def settled(self) -> None:
+        """Learns that all changes that came together have been told."""
+
     def lost(self) -> None:
         """Learns that the service does not answer."""
 
@@ -35,23 +42,23 @@
 
 
 class Follower:
-    """Reads all entries under a prefix once, then what changes.
+    """Reads all entries once, then what changes, with one call at a time.
 
     The service rations calls over all machines. After an outage every
     machine would ask at the same moment, and the ration would be used up by
     calls that are refused; so pauses after a failure are drawn at random.
 
     Args:
+      takes: who is told of the entries under each prefix.
       wait_s: how long one call may wait at the service for a change.
-      pace_s: pause between calls, so that changes that come together are
-        fetched together.
+      pace_s: least time between two calls, so that changes that come
+        together are fetched together.
     """
 
     def __init__(
         self,
         kv: Kv,
-        prefix: str,
-        take: Take,
+        takes: Mapping[str, Take],
         clock: IReactorTime,
         random: Random,
         wait_s: float,
@@ -60,12 +67,12 @@
         self.in_touch = False
         self.revision = 0
         self._kv = kv
-        self.prefix = prefix
-        self._take = take
+        self._takes = takes
         self._clock = clock
         self._random = random
         self._wait_s = wait_s
         self._pace_s = pace_s
+        self._asked_at = float("-inf")
         self._task: Deferred | None = None
 
     def start(self) -> None:
@@ -91,37 +98,42 @@
                 continue
             backoff = Backoff(base_s=0.1, limit_s=1.0)
             self._heard(found)
-            if known:
-                await sleep(self._clock, self._pace_s)
+            pause_s = self._asked_at + self._pace_s - self._clock.seconds()
+            if known and pause_s > 0:
+                await sleep(self._clock, pause_s)
             known = True
 
     async def _snapshot(self) -> Snapshot | Failure:
-        return await self._kv.snapshot(self.prefix)
+        return await self._kv.snapshot(_ALL)
 
     async def _changes(self) -> Changes | Failure:
         wait_s = self._wait_s if self.in_touch else 0.0
-        return await self._kv.changes(self.prefix, self.revision, wait_s)
+        self._asked_at = self._clock.seconds()
+        return await self._kv.changes(_ALL, self.revision, wait_s)
 
     def _heard(self, found: Snapshot | Changes) -> None:
         if not self.in_touch:
             self.in_touch = True
-            emit(Event.KV_BACK, prefix=self.prefix, revision=found.revision)
-            self._take.back()
+            emit(Event.KV_BACK, revision=found.revision)
+            for take in self._takes.values():
+                take.back()
         self.revision = max(self.revision, found.revision)
         if isinstance(found, Snapshot):
-            self._take.snapshot(found.entries)
+            for prefix, take in self._takes.items():
+                rows = [e for e in found.entries if e.key.startswith(prefix)]
+                take.snapshot(rows)
             return
         for entry in found.entries:
-            self._take.changed(entry)
+            for prefix, take in self._takes.items():
+                if entry.key.startswith(prefix):
+                    take.changed(entry)
+        for take in self._takes.values():
+            take.settled()
 
     def _lost(self, failure: Failure) -> None:
         if not self.in_touch:
             return
         self.in_touch = False
-        emit(
-            Event.KV_LOST,
-            prefix=self.prefix,
-            revision=self.revision,
-            **explain(failure),
-        )
-        self._take.lost()
+        emit(Event.KV_LOST, revision=self.revision, **explain(failure))
+        for take in self._takes.values():
+            take.lost()
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.internet.defer import ensureDeferred
 
+from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.entrybook import ENTRIES_PREFIX, EntryBook, EntryRow
@@ -19,8 +20,7 @@
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.grace import NOTICED_S, Grace
 from magnolialug.entry.httpattempt import HttpAttempt
-from magnolialug.entry.loadshare import LoadShare
-from magnolialug.entry.orderlease import OrderLease
+from magnolialug.entry.orderlease import HOLDER_KEY, OrderLease
 from magnolialug.entry.orders import Orders
 from magnolialug.entry.peertalk import PeerTalk
 from magnolialug.entry.placer import Placer
@@ -28,18 +28,22 @@
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means
 from magnolialug.entry.silencewatch import SilenceWatch
-from magnolialug.entry.storekeeper import StoreKeeper
-from magnolialug.entry.storewatch import StoreWatch
-from magnolialug.entry.waitingroom import WaitingRoom
+from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, emit, explain
+from magnolialug.homes.homes import Homes
+from magnolialug.parts.asker import PartAsker
+from magnolialug.parts.cleaner import Cleaner
+from magnolialug.parts.desk import Desk
+from magnolialug.parts.messages import AskParts, Save, ToldParts
+from magnolialug.parts.watch import StoreWatch
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
 from magnolialug.platform.operator import OPERATOR_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX
 from magnolialug.platform.settings import Settings
-from magnolialug.policy.cachemap import CacheMap
 from magnolialug.policy.retry import Backoff, Budget
+from magnolialug.policy.storemap import StoreMap
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
@@ -53,14 +57,13 @@
 # on how many they are; half leaves room for both.
 _USED_RETRIES = 0.5
 # Watches return at once when something changes; this long when nothing does.
-_WATCH_S = 10.0
-# Heartbeats alone change no entry, but a start of many endpoints does; what
-# changes within this pause is fetched with one call. A leaving endpoint must
-# be known within two seconds, and serves on for as long.
-_REGISTRY_PACE_S = 0.2
-# Who the other entries are decides shares and whom to tell; a rolling restart
-# of 26 changes it twice a second.
-_ENTRIES_PACE_S = 1.0
+# A path that has gone silent is noticed by the kernel's probes, not by this.
+_WATCH_S = 25.0
+# What changes within this pause is fetched with one call. A leaving endpoint
+# must be known within two seconds, and so must a configuration.
+_PACE_S = 0.3
+# Entries that follow a store: its home, and the one that stands in for it.
+_HOMES = 2
 _DRAIN_STEP_S = 0.05
 # First and longest pause before a request goes to another endpoint. That one
 # is another machine, so there is nothing to wait for but a retry storm, and
@@ -105,36 +108,38 @@
         self.in_progress = 0
         self._reactor = reactor
         self._entries = self._entry_book(kv, reactor, random)
-        self.talk = PeerTalk(self._entries)
-        self._cache = CacheMap()
+        me = (settings.host, settings.internal_port)
+        self.talk = PeerTalk(me, reactor)
+        self.homes = Homes(me, self.directory, self.talk, reactor)
         self._bounds = WeightBounds(settings.bounds.weights_s)
-        self._stores = StoreWatch(
-            self._cache,
-            cache_calls,
-            reactor,
-            random,
-            self._newest,
-            self._entries.keeps,
-            self.talk,
-        )
-        self._keeper = StoreKeeper(
-            self._cache,
+        self._store_map = StoreMap()
+        self.stores = self._store_watch(cache_calls, reactor, random)
+        self._cleaner = Cleaner(
+            self.stores,
             cache_calls,
             reactor.seconds,
             self.directory.engine_weights,
-            self._stores.address,
-            self._entries.keeps,
+        )
+        parts = PartAsker(
+            self.homes.book,
+            self._store_map,
+            self.homes.questions,
+            self.talk.send,
         )
         self._placer = Placer(
             self.directory,
             settings.zone,
             reactor.seconds,
-            self._cache,
-            self._stores.addresses,
+            self._store_map,
+            parts.save,
             self._newest,
             self._bounds,
         )
-        self._room = WaitingRoom(reactor, self._placer.size, self._placer.fits)
+        self._placer.on_sent = self.homes.teller.sent
+        self._placer.on_change = self.homes.teller.changed
+        self._survey = Survey(
+            self._placer, self.homes.asker, parts, reactor.seconds
+        )
         self._underway: set[HttpAttempt] = set()
         self._silence = SilenceWatch(self.directory, calls, reactor.seconds)
         self._grace = Grace(
@@ -150,6 +155,7 @@
             random,
             settings.bounds.lease_s,
             self.directory.rolls_out,
+            self.homes.book.rank,
         )
         self._orders = Orders(
             self.directory,
@@ -159,45 +165,24 @@
             lambda: self.routes.weights,
             lambda reply: metrics.orders.add(1, {"reply": reply.value}),
         )
-        self.loads = LoadShare(
-            self.directory, self.talk, reactor, self._lease.name
+        self._follower = Follower(
+            kv,
+            {
+                OPERATOR_PREFIX: self.routes,
+                REGISTRY_PREFIX: self.registry,
+                ENTRIES_PREFIX: self._entries,
+                HOLDER_KEY: self._lease,
+            },
+            reactor,
+            random,
+            _WATCH_S,
+            _PACE_S,
         )
-        self._placer.on_change = self.loads.changed
-        self._placer.on_placed = self.loads.placed
-        self._followers = [
-            Follower(
-                kv,
-                ENTRIES_PREFIX,
-                self._entries,
-                reactor,
-                random,
-                _WATCH_S,
-                _ENTRIES_PACE_S,
-            ),
-            Follower(
-                kv,
-                OPERATOR_PREFIX,
-                self.routes,
-                reactor,
-                random,
-                _WATCH_S,
-            ),
-            Follower(
-                kv,
-                REGISTRY_PREFIX,
-                self.registry,
-                reactor,
-                random,
-                _WATCH_S,
-                _REGISTRY_PACE_S,
-            ),
-        ]
 
     def start(self) -> None:
         """Begins to read routes and endpoints."""
         self._observe()
-        for follower in self._followers:
-            follower.start()
+        self._follower.start()
         self._lease.start()
         self._entries.start()
         self._ticked()
@@ -249,10 +234,9 @@
             if not self.in_progress and not self._reading():
                 break
             await sleep(self._reactor, _DRAIN_STEP_S)
-        for follower in self._followers:
-            follower.stop()
-        self._stores.stop()
-        self.loads.stop()
+        self._follower.stop()
+        self.stores.stop()
+        self.homes.stop()
         if self._tick is not None and self._tick.active():
             self._tick.cancel()
         event = Event.STOP_FORCED if self.in_progress else Event.STOPPED
@@ -275,9 +259,32 @@
 
     def _entry_book(self, kv: Kv, reactor, random: Random) -> EntryBook:
         settings = self.settings
-        row = EntryRow(settings.host, settings.internal_port, settings.zone)
+        row = EntryRow(
+            settings.host,
+            settings.internal_port,
+            settings.zone,
+            settings.cores,
+        )
         return EntryBook(kv, settings.vm, row, reactor, random, self._counted)
 
+    def _store_watch(
+        self, calls: CacheCalls, reactor, random: Random
+    ) -> StoreWatch:
+        watch = StoreWatch(
+            self._store_map,
+            calls,
+            reactor,
+            random,
+            self._newest,
+            lambda store: self.homes.book.rank(store, _HOMES) < _HOMES,
+        )
+        desk = Desk(watch.book, reactor.seconds)
+        talk = self.talk
+        talk.takes(AskParts, lambda ask, home: talk.send(desk.ask(ask), home))
+        talk.takes(Save, lambda save, _: desk.save(save))
+        talk.takes(ToldParts, self.homes.questions.answered)
+        return watch
+
     def _call_means(self, random: Random) -> CallMeans:
         metrics = self.metrics
         return CallMeans(
@@ -292,7 +299,8 @@
                 backoff=lambda: Backoff(*_BACKOFF_S),
             ),
             placer=self._placer,
-            room=self._room,
+            survey=self._survey,
+            waits=self.homes.waits,
             underway=self._underway,
             clock=self.clock,
             metrics=metrics,
@@ -324,7 +332,8 @@
             "caller_connections",
             lambda: [(len(self.factory.channels), {})],
         )
-        metrics.observe("waiting", lambda: [(self._room.waiting, {})])
+        metrics.observe("waiting", lambda: [(self.homes.waits.waiting, {})])
+        metrics.observe("listed", lambda: [(self.homes.keeper.waiting, {})])
         metrics.observe("config_version", lambda: [(self.routes.version, {})])
         metrics.observe("ready", lambda: [(int(self.ready()), {})])
         metrics.observe(
@@ -333,10 +342,7 @@
         metrics.observe("entries", lambda: [(self.directory.entries, {})])
         metrics.observe(
             "kv_in_touch",
-            lambda: [
-                (int(row.in_touch), {"prefix": row.prefix})
-                for row in self._followers
-            ],
+            lambda: [(int(self._follower.in_touch), {})],
         )
         metrics.observe("endpoints", self.directory.states)
         metrics.observe("endpoint_connections", self.directory.connections)
@@ -350,16 +356,16 @@
         metrics.observe(
             "store_word_age_seconds",
             lambda: [
-                (self.clock() - book.heard_at, {"store": name})
-                for name, book in self._cache.books.items()
-                if book.epoch
+                (self.clock() - poll.book.heard_at, {"store": name})
+                for name, poll in self.stores.kept()
+                if poll.book.epoch
             ],
         )
 
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
         self.registry.configure(routing)
-        self._stores.configure(routing)
+        self.stores.configure(routing)
 
     def _newest(self, model: str) -> int:
         """Returns the newest version of a model that is known of.
@@ -380,8 +386,9 @@
         for model in told.union(self.routes.weights):
             self._bounds.heard(model, self._newest(model), now)
 
-    def _counted(self, entries: int) -> None:
-        self.directory.counted(entries)
+    def _counted(self, entries: dict[Address, float]) -> None:
+        self.homes.entries(entries)
+        self.directory.counted(len(entries))
         budget = self._new_budget()
         self._budget.limit = budget.limit
 
@@ -409,7 +416,7 @@
         self.registry.tick()
         self._note_weights(now)
         self._orders.tick()
-        self._cache.tick(now)
-        self._keeper.tick(now)
-        self.loads.tick(now)
+        self.stores.tick(now)
+        self._cleaner.tick(now)
+        self.homes.tick(now)
         self.directory.trim()
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -16,8 +16,9 @@
 from magnolialug.entry.placer import Placer
 from magnolialug.entry.progress import Served
 from magnolialug.entry.serving import Means, Serving
-from magnolialug.entry.waitingroom import WaitingRoom
+from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, explain
+from magnolialug.homes.waits import Waits
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure, failed
 
@@ -29,13 +30,15 @@
 
     Attributes:
       serving: what the retry loop needs.
-      room: where long prompts wait for memory.
+      survey: finds out what endpoints have to do.
+      waits: where long prompts wait for memory.
       underway: the attempts that the gateway watches for silence.
     """
 
     serving: Means
     placer: Placer
-    room: WaitingRoom
+    survey: Survey
+    waits: Waits
     underway: set[HttpAttempt]
     clock: Callable[[], float]
     metrics: GatewayMetrics
@@ -62,7 +65,8 @@
         self._log = RequestLog(call.name)
         self._carrier = HttpCarrier(
             means.placer,
-            means.room,
+            means.survey,
+            means.waits,
             means.underway,
             means.clock,
             call,
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -8,12 +8,15 @@
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.httpattempt import ForwardSink, HttpAttempt, Outcome
+from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.placer import Placed, Placer
 from magnolialug.entry.progress import Ended, Progress, Served
-from magnolialug.entry.waitingroom import WaitingRoom
+from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, explain
+from magnolialug.homes.waits import Waits
 from magnolialug.ids import EndpointId
+from magnolialug.policy.choice import choose
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
 from magnolialug.requestlog import RequestLog
@@ -21,6 +24,10 @@
 
 __all__ = ["HttpCarrier"]
 
+# Engines for whose memory a prompt waits at once. With more, homes promise
+# room that is taken elsewhere; with one, a prompt stands behind a slow answer
+# while others end.
+_LISTS = 4
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
 _ENDPOINT_AT_FAULT = (End.RESET, End.CLOSED, End.GARBAGE, End.SILENT)
@@ -31,14 +38,16 @@
 
     Args:
       placer: chooses the endpoints.
-      room: where long prompts wait for memory.
+      survey: finds out what they have to do.
+      waits: where long prompts wait for memory.
       underway: the attempts that the process watches for silence.
     """
 
     def __init__(
         self,
         placer: Placer,
-        room: WaitingRoom,
+        survey: Survey,
+        waits: Waits,
         underway: set[HttpAttempt],
         clock,
         call: ForwardCall,
@@ -51,7 +60,8 @@
         self._budget = budget
         self._metrics = metrics
         self._placer = placer
-        self._room = room
+        self._survey = survey
+        self._waits = waits
         self._underway = underway
         self._clock = clock
         self._call = call
@@ -65,10 +75,13 @@
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
         progress.seq = max(progress.seq, self._call.resume_after)
-        refused = await self._turn()
-        if refused is not None:
-            return refused
-        placed = self._placer.place(self._call, progress, self._avoid)
+        known = await self._survey.look(self._call, self._avoid)
+        turn = await self._turn(known)
+        if isinstance(turn, Failure):
+            return turn
+        placed = self._placer.place(
+            self._call, progress, self._avoid, known, turn
+        )
         if isinstance(placed, Failure):
             self._log.emit(Event.NOT_PLACED, **explain(placed))
             return self._kept_answer() or placed
@@ -84,19 +97,36 @@
             self._kept = outcome
         return outcome.ended
 
-    async def _turn(self) -> Failure | None:
-        """Waits until an engine has room for a first attempt."""
-        if self._number:
+    async def _turn(self, known: Known) -> EndpointId | Failure | None:
+        """Waits until an engine has room for a first attempt.
+
+        Returns:
+          the engine that has promised its memory; None if there is no need.
+        """
+        placer = self._placer
+        if self._number or not placer.is_large(self._call):
             return None
-        turn = self._room.enter(self._call)
-        if turn is None:
+        candidates = placer.compare(self._call, self._avoid, known)
+        best = choose(candidates)
+        if best is None or best.room or not best.sound:
             return None
+        sound = sorted(
+            (row for row in candidates if row.sound), key=lambda row: row.cost
+        )
+        bids = [
+            placer.bid(self._call, row.endpoint, known)
+            for row in sound[:_LISTS]
+        ]
         begun = self._clock()
-        refused = await turn
+        turn = await self._waits.enter(
+            placer.waiting(self._call),
+            bids,
+            placer.ahead_limit_s(self._call),
+        )
         self._waited_s = self._clock() - begun
-        if refused is not None:
-            self._log.emit(Event.NOT_PLACED, **explain(refused))
-        return refused
+        if isinstance(turn, Failure):
+            self._log.emit(Event.NOT_PLACED, **explain(turn))
+        return turn
 
     @property
     def state(self) -> CallState:
@@ -151,6 +181,7 @@
             priority=to.priority,
             unread=placed.unread,
             waited_s=round(self._waited_s, 3),
+            room=placed.room,
             fetched=sum(map(bool, to.fetch)),
             saved=sum(map(bool, to.save)),
             salt=to.salt,
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -1,13 +1,14 @@
 """The lease that lets one entry at a time give orders to engines."""
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import msgspec
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId
 from magnolialug.platform.kv import Kv, KvEntry
@@ -19,8 +20,6 @@
 __all__ = ["HOLDER_KEY", "Holder", "OrderLease"]
 
 HOLDER_KEY = "magnolialug/orders/holder"
-# Well within the time for which the service keeps its history.
-_WATCH_S = 10.0
 # The lease is shorter than the bound between two holders, so that a dead
 # holder is replaced sooner; a holder that was not giving orders when it died
 # needs no bound at all.
@@ -28,8 +27,17 @@
 _RENEWALS = 4
 # An order that leaves just before the lease ends needs this long to arrive.
 _MARGIN_S = 0.4
-# Waiting entries try at different moments when the lease falls free.
-_TRY_WITHIN_S = 0.2
+# When the lease falls free entries try one after another, in the order on
+# which they agree without talking. A try takes two calls, and is told of to
+# the others within a third of a second.
+_TRY_EVERY_S = 0.35
+_TRY_WITHIN_S = 0.05
+# Who is not among the first in that order waits for them, all dead or cut off,
+# this long at least and half as long again at most.
+_FIRST_TRIES = 3
+_LATER_S = 1.2
+# Entries that have just started do not yet know of each other.
+_SETTLE_S = 1.0
 
 
 class Holder(msgspec.Struct, frozen=True):
@@ -48,7 +56,7 @@
     wary: tuple[str, ...] | None = ()
 
 
-class OrderLease:
+class OrderLease(Take):
     """Holds or waits for the lease.
 
     The key that the lease keeps alive names its holder, and the revision at
@@ -69,6 +77,8 @@
       vm: the name of this machine.
       bound_s: time that must lie between the orders of two holders.
       on_rollout: is told what any holder is about to order.
+      rank: returns this entry's place among those that try for the lease,
+        at most the given number.
     """
 
     def __init__(
@@ -79,6 +89,7 @@
         random: Random,
         bound_s: float,
         on_rollout: Callable[[Rollout], None],
+        rank: Callable[[str, int], int],
     ):
         self.fence = 0
         self.name = f"{vm}.{secrets.token_hex(4)}"
@@ -91,6 +102,10 @@
         self._lease = 0
         self.announced: Rollout | None = None
         self._on_rollout = on_rollout
+        self._rank = rank
+        self._taken = True
+        self._before: Holder | None = None
+        self._freed: Deferred[None] | None = None
         self._writing = False
         self._wary: tuple[str, ...] | None = ()
         self._told_wary: tuple[str, ...] | None = ()
@@ -100,6 +115,33 @@
         self._ordered_at = 0.0
         self._task: Deferred | None = None
 
+    def snapshot(self, entries: Sequence[KvEntry]) -> None:
+        """Takes the key as it is now; who held it before is not known."""
+        self._before = None
+        if entries:
+            self.changed(entries[-1])
+        else:
+            self._is_free()
+
+    def changed(self, entry: KvEntry) -> None:
+        """Takes what a holder has written, or that the lease is free."""
+        if entry.value is None:
+            self._is_free()
+            return
+        self._taken = True
+        holder = _holder_of(entry)
+        if holder is None:
+            return
+        self._before = holder
+        if holder.rollout is not None:
+            self._on_rollout(holder.rollout)
+
+    def _is_free(self) -> None:
+        self._taken = False
+        freed, self._freed = self._freed, None
+        if freed is not None:
+            freed.callback(None)
+
     def start(self) -> None:
         """Begins to wait for the lease."""
         self._task = ensureDeferred(self._run())
@@ -195,11 +237,10 @@
 
     async def _run(self) -> None:
         backoff = Backoff(base_s=0.2, limit_s=1.0)
+        await sleep(self._clock, self._random.uniform(0.5, 1.0) * _SETTLE_S)
         while True:
-            before = await self._wait_until_free()
-            failure = before if isinstance(before, Failure) else None
-            if failure is None:
-                failure = await self._take(before)
+            await self._wait_until_free()
+            failure = await self._take(self._before)
             if failure is None:
                 await self._hold()
                 backoff = Backoff(base_s=0.2, limit_s=1.0)
@@ -207,38 +248,22 @@
                 emit(Event.LEASE_UNCERTAIN, **explain(failure))
                 await sleep(self._clock, backoff.next(self._random))
 
-    async def _wait_until_free(self) -> Holder | Failure | None:
-        """Returns who held the lease last, None if that is not known."""
-        found = await self._kv.snapshot(HOLDER_KEY)
-        if isinstance(found, Failure) or not found.entries:
-            return found if isinstance(found, Failure) else None
-        before = self._heard(found.entries[-1], None)
-        revision = found.revision
-        wait_s = _WATCH_S
+    async def _wait_until_free(self) -> None:
+        """Returns when the lease is free and it is this entry's turn."""
         while True:
-            # From the revision of the read: that of the key may lie further
-            # back than the service's history, which it would refuse.
-            changes = await self._kv.changes(HOLDER_KEY, revision, wait_s)
-            if isinstance(changes, Failure):
-                return changes
-            revision = changes.revision
-            if wait_s < _WATCH_S and not changes.entries:
-                return before
-            for entry in changes.entries:
-                wait_s = _WATCH_S
-                if entry.value is not None:
-                    before = self._heard(entry, before)
-                else:
-                    # Waiting entries try at different moments. Who sees
-                    # another one take it has made one call, not three.
-                    wait_s = self._random.uniform(0.0, _TRY_WITHIN_S)
-
-    def _heard(self, entry: KvEntry, before: Holder | None) -> Holder | None:
-        """Takes what another holder has written."""
-        holder = _holder_of(entry)
-        if holder is not None and holder.rollout is not None:
-            self._on_rollout(holder.rollout)
-        return holder or before
+            if self._taken:
+                self._freed = Deferred()
+                await self._freed
+            await sleep(self._clock, self._turn_s())
+            if not self._taken:
+                return
+
+    def _turn_s(self) -> float:
+        rank = self._rank(HOLDER_KEY, _FIRST_TRIES)
+        if rank < _FIRST_TRIES:
+            within = self._random.uniform(0.0, _TRY_WITHIN_S)
+            return rank * _TRY_EVERY_S + within
+        return self._random.uniform(1.0, 1.5) * _LATER_S
 
     async def _take(self, before: Holder | None) -> Failure | None:
         """Writes the key; a lost answer is read back.
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -4,15 +4,20 @@
 
 from magnolialug.carrier.pool import Pool
 from magnolialug.events import Event, emit
+from magnolialug.homes.keeper import EndpointFacts
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
 from magnolialug.policy.listed import Listed
+from magnolialug.policy.sharedload import EndpointState, WorkShare
 
 __all__ = ["Peer"]
 
 # Loading weights takes 1.3 s: an entry that was not told meets a loading
 # engine about four times.
 _TURNED_AWAY_S = 0.3
+# What the others do at a plain service counts for this long after it was
+# told. Its answers take a tenth of a second.
+_STATE_TRUST_S = 0.2
 
 
 class Peer:
@@ -40,6 +45,8 @@
         self.closed_until = 0.0
         self.heard_at = float("-inf")
         self.mute = False
+        self._running_elsewhere = 0
+        self._told_at = float("-inf")
         self._weights: dict[str, int] = dict(listed.weights)
         self._denied: dict[str, int] = {}
 
@@ -68,6 +75,40 @@
             self.mute = False
             emit(Event.ENDPOINT_BACK, endpoint=self.listed.endpoint)
 
+    def told(self, state: EndpointState, now: float) -> None:
+        """Takes what it has to do for the other entries."""
+        self._running_elsewhere = state.running
+        self._told_at = now
+        if self.load is not None:
+            self.load.elsewhere(state, now)
+
+    def taken(self, now: float) -> int:
+        """Returns the requests under way there, from all entries."""
+        told = now - self._told_at <= _STATE_TRUST_S
+        return self.running + (self._running_elsewhere if told else 0)
+
+    def facts(self, now: float) -> EndpointFacts:
+        """Returns what the home of its account must know."""
+        load = self.load
+        return EndpointFacts(
+            memory=load.memory if load else 0,
+            rate=load.rate if load else 0.0,
+            open=not self.leaving,
+            sound=self.sound(now),
+            born_ms=self.listed.born_ms,
+        )
+
+    def share(self, now: float) -> WorkShare:
+        """Returns this entry's work there, as it is told to its home."""
+        listed = self.listed
+        if self.load is not None:
+            return self.load.share(
+                listed.endpoint, self.heard_at, now, listed.born_ms
+            )
+        return WorkShare(
+            listed.endpoint, (), 0, self.running, born_ms=listed.born_ms
+        )
+
     def serves(self, model: str) -> bool:
         """Whether it has some version of a model."""
         return model in self._weights
--- a/magnolialug/entry/peertalk.py
+++ b/magnolialug/entry/peertalk.py
@@ -4,51 +4,56 @@
 from typing import Any
 
 import msgspec
+from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import DatagramProtocol
 
-from magnolialug.entry.entrybook import EntryBook
+from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
-from magnolialug.policy.cachenews import CacheNews
-from magnolialug.policy.sharedload import LoadReport
+from magnolialug.homes.messages import Ask, Told, Turn, Unwait, Wait, Work
+from magnolialug.parts.messages import AskParts, Save, ToldParts
 
-__all__ = ["PeerTalk"]
+__all__ = ["Message", "PeerTalk"]
 
 _BYTES = 8192
 
+Message = Ask | AskParts | Save | Told | ToldParts | Turn | Unwait | Wait | Work
+
 
 class PeerTalk(DatagramProtocol):
-    """Sends messages to all other entries, and takes theirs.
+    """Sends messages to other entries, and takes theirs.
 
     Datagrams get lost and overtake each other, and nothing is repeated here:
     who sends sees to it that a lost message is made good by a later one.
+
+    Args:
+      me: this entry's own address; what is sent there takes no socket.
     """
 
-    def __init__(self, book: EntryBook):
-        self._book = book
-        self._takers: dict[type, Callable[[Any], None]] = {}
+    def __init__(self, me: Address, clock: IReactorTime):
+        self._me = me
+        self._clock = clock
+        self._takers: dict[type, Callable[[Any, Address], None]] = {}
         self._encode = msgspec.msgpack.Encoder().encode
-        self._decode = msgspec.msgpack.Decoder(LoadReport | CacheNews).decode
+        self._decode = msgspec.msgpack.Decoder(Message).decode
 
     @property
     def open(self) -> bool:
         """Whether there is a socket."""
         return self.transport is not None
 
-    def takes(self, form: type, take: Callable[[Any], None]) -> None:
-        """Names who takes messages of a type."""
+    def takes(self, form: type, take: Callable[[Any, Address], None]) -> None:
+        """Names who takes messages of a type, and from whom they come."""
         self._takers[form] = take
 
-    def tell(self, message: LoadReport | CacheNews) -> int:
-        """Sends a message to all other entries; returns the bytes sent."""
-        if not self.open:
-            return 0
-        data = self._encode(message)
-        others = self._book.others
-        for address in others:
-            self.transport.write(data, address)
-        return len(data) * len(others)
-
-    def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
+    def send(self, message: Message, to: Address) -> None:
+        """Sends a message to one entry."""
+        if to == self._me:
+            take = self._takers[type(message)]
+            self._clock.callLater(0, take, message, to)
+        elif self.open:
+            self.transport.write(self._encode(message), to)
+
+    def datagramReceived(self, data: bytes, addr: Address) -> None:
         """Takes another entry's message."""
         if len(data) > _BYTES:
             return
@@ -57,4 +62,4 @@
         except msgspec.MsgspecError as exc:
             emit(Event.REPORT_REFUSED, peer=addr[0], reason=str(exc))
             return
-        self._takers[type(message)](message)
+        self._takers[type(message)](message, addr)
--- /dev/null
+++ b/magnolialug/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Homes of endpoints: one gateway keeps the account of each."""
--- /dev/null
+++ b/magnolialug/homes/homebook.py
@@ -0,0 +1,110 @@
+"""Which entry keeps the account of an endpoint."""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from magnolialug.carrier.pool import Address
+from magnolialug.ids import EndpointId
+from magnolialug.policy.ring import Ring
+
+__all__ = ["HomeBook"]
+
+# Entries that stand in, one for the other, when an endpoint's home does not
+# answer. With three, every fourth entry can be dead and one endpoint in
+# sixty-four has no home until their leases have run out.
+_STAND_INS = 3
+# A home that has not answered is left out until it answers a probe. The first
+# is sent after this long, each further one after twice the time. A question
+# that waits for a home in vain costs a request its timeout and what it would
+# have learned; a probe costs nobody anything.
+_FIRST_PROBE_S = 0.5
+_LONGEST_PROBE_S = 4.0
+
+
+class _Missing(msgspec.Struct):
+    """An entry that does not answer."""
+
+    probe_at: float
+    pause_s: float = _FIRST_PROBE_S
+
+
+class HomeBook:
+    """Draws the home of each endpoint, the same one at every entry.
+
+    Entries agree by consistent hashing over who is registered, without
+    talking. While they disagree, since one has not heard of a change or does
+    not reach a home, an endpoint has two homes that each know a part of its
+    work: estimates get worse, and nothing else.
+
+    Args:
+      me: this entry's own address.
+    """
+
+    def __init__(self, me: Address, clock: Callable[[], float]):
+        self.me = me
+        self._clock = clock
+        self._ring = Ring([_name(me)])
+        self._addresses = {_name(me): me}
+        self._missing: dict[Address, _Missing] = {}
+        self._homes: dict[EndpointId, tuple[Address, ...]] = {}
+
+    def entries(self, weights: Mapping[Address, float]) -> bool:
+        """Takes the registered entries, with the cores that each has.
+
+        Returns:
+          whether that changed anything.
+        """
+        weights = {self.me: weights.get(self.me, 1.0), **weights}
+        addresses = {_name(address): address for address in weights}
+        ring = Ring(
+            addresses,
+            {name: weights[address] for name, address in addresses.items()},
+        )
+        if ring == self._ring:
+            return False
+        self._ring = ring
+        self._addresses = addresses
+        self._homes.clear()
+        for gone in set(self._missing) - set(weights):
+            del self._missing[gone]
+        return True
+
+    def home(self, endpoint: EndpointId) -> Address:
+        """Returns the entry that keeps an endpoint's account."""
+        found = self._homes.get(endpoint)
+        if found is None:
+            names = self._ring.candidates(endpoint, _STAND_INS)
+            found = tuple(self._addresses[name] for name in names)
+            self._homes[endpoint] = found
+        there = (row for row in found if row not in self._missing)
+        return next(there, found[0])
+
+    def rank(self, task: str, most: int) -> int:
+        """Returns this entry's place among the first for a task, or `most`."""
+        names = self._ring.candidates(task, most)
+        me = _name(self.me)
+        return names.index(me) if me in names else most
+
+    def missed(self, address: Address) -> None:
+        """Learns that an entry has not answered."""
+        probe_at = self._clock() + _FIRST_PROBE_S
+        self._missing.setdefault(address, _Missing(probe_at))
+
+    def heard(self, address: Address) -> None:
+        """Learns that an entry answers."""
+        self._missing.pop(address, None)
+
+    def due(self) -> list[Address]:
+        """Returns entries that do not answer and are to be probed now."""
+        now = self._clock()
+        due = [a for a, row in self._missing.items() if now >= row.probe_at]
+        for address in due:
+            row = self._missing[address]
+            row.pause_s = min(_LONGEST_PROBE_S, 2 * row.pause_s)
+            row.probe_at = now + row.pause_s
+        return due
+
+
+def _name(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/magnolialug/parts/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of prompts that are kept in the platform's stores."""
--- /dev/null
+++ b/magnolialug/parts/asker.py
@@ -0,0 +1,105 @@
+"""Asks the homes of stores what to do with the parts of a prompt."""
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from magnolialug.carrier.pool import Address
+from magnolialug.homes.homebook import HomeBook
+from magnolialug.homes.questions import Questions
+from magnolialug.ids import ServiceName
+from magnolialug.parts.messages import AskedPart, AskParts, Save, ToldParts
+from magnolialug.policy.partplan import Stored
+from magnolialug.policy.prompt import Part
+from magnolialug.policy.storebook import PartKey, PartWord
+from magnolialug.policy.storemap import StoreMap
+
+__all__ = ["PartAsker"]
+
+# Stores that are asked about a part, one after the other, while the first
+# choice can neither give nor take it.
+_CHOICES = 3
+# What a store says that leaves a part to the next choice.
+_ELSEWHERE = (PartWord.UNHEARD, PartWord.FULL, PartWord.CLOSED)
+
+
+class PartAsker:
+    """Finds out where a prompt's shared parts are, or are to be kept.
+
+    Args:
+      book: tells who keeps the book of a store.
+      stores: the stores of the configuration.
+      send: sends a message to an entry.
+    """
+
+    def __init__(
+        self,
+        book: HomeBook,
+        stores: StoreMap,
+        questions: Questions,
+        send: Callable[[Save, Address], None],
+    ):
+        self._book = book
+        self._stores = stores
+        self._questions = questions
+        self._send = send
+
+    async def ask(
+        self, salts: Iterable[str], parts: Iterable[Part]
+    ) -> dict[PartKey, Stored]:
+        """Returns what the homes of stores tell of parts."""
+        rows = [(salt, part) for salt in salts for part in parts]
+        orders = {
+            (salt, part.name): self._stores.order((salt, part.name))
+            for salt, part in rows
+        }
+        stored: dict[PartKey, Stored] = {}
+        for choice in range(_CHOICES):
+            asked = [
+                AskedPart(orders[salt, part.name][choice], salt, part)
+                for salt, part in rows
+                if choice < len(orders[salt, part.name])
+                and _is_open(stored.get((salt, part.name)))
+            ]
+            if not asked:
+                break
+            for told in await self._ask(asked):
+                _take(stored, told)
+        return stored
+
+    def save(
+        self, salt: str, parts: Iterable[tuple[Part, ServiceName]]
+    ) -> None:
+        """Tells the homes that a request asks for parts to be saved."""
+        asked = [AskedPart(store, salt, part) for part, store in parts]
+        for home, rows in self._by_home(asked).items():
+            self._send(Save(tuple(rows)), home)
+
+    async def _ask(self, asked: list[AskedPart]) -> list[ToldParts]:
+        return await self._questions.ask(
+            {
+                home: partial(AskParts, parts=tuple(rows))
+                for home, rows in self._by_home(asked).items()
+            }
+        )
+
+    def _by_home(
+        self, asked: Iterable[AskedPart]
+    ) -> dict[Address, list[AskedPart]]:
+        by_home: dict[Address, list[AskedPart]] = {}
+        for row in asked:
+            home = self._book.home(row.store)
+            by_home.setdefault(home, []).append(row)
+        return by_home
+
+
+def _is_open(told: Stored | None) -> bool:
+    return told is None or told.word in _ELSEWHERE
+
+
+def _take(stored: dict[PartKey, Stored], told: ToldParts) -> None:
+    """Takes an answer; a second choice counts only if it can do more."""
+    for state in told.states:
+        key = (state.salt, state.name)
+        if key in stored and state.word in _ELSEWHERE:
+            continue
+        stored[key] = Stored(state.store, state.word, state.until_ms)
--- a/magnolialug/entry/storekeeper.py
+++ b/magnolialug/parts/cleaner.py
@@ -7,14 +7,14 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import ServiceName
-from magnolialug.platform.cachecalls import CacheCalls
-from magnolialug.policy.cachemap import CacheMap, PartKey, StoreBook
-from magnolialug.policy.cachenews import CacheChange
+from magnolialug.parts.watch import StoreWatch
+from magnolialug.platform.cachecalls import CacheCalls, CacheChange
 from magnolialug.policy.oldweights import EngineWeights, OldWeights
 from magnolialug.policy.salt import version_of
+from magnolialug.policy.storebook import PartKey, StoreBook
 from magnolialug.result import Failure
 
-__all__ = ["StoreKeeper"]
+__all__ = ["Cleaner"]
 
 # A look at what the engines have costs some microseconds for each.
 _LOOK_S = 0.5
@@ -27,33 +27,28 @@
 _VALID_S = 0.6
 
 
-class StoreKeeper:
-    """Keeps the stores that this entry polls free of replaced parts.
+class Cleaner:
+    """Keeps the stores whose books are kept here free of replaced parts.
 
     Two entries do so for each store. That needs no lease: a part that is
     freed twice is freed once, and neither frees what any engine can fetch.
 
     Args:
+      stores: the stores of the configuration.
       engines: returns the weights of all listed engines.
-      addresses: where the stores are.
-      keeps: tells whether a store is this entry's to keep.
     """
 
     def __init__(
         self,
-        cache: CacheMap,
+        stores: StoreWatch,
         calls: CacheCalls,
         clock: Callable[[], float],
         engines: Callable[[], Iterable[EngineWeights]],
-        addresses: Callable[[ServiceName], Address | None],
-        keeps: Callable[[ServiceName], bool],
     ):
-        self._cache = cache
+        self._stores = stores
         self._calls = calls
         self._clock = clock
         self._engines = engines
-        self._addresses = addresses
-        self._keeps = keeps
         self._old = OldWeights()
         self._look_at = 0.0
         self._ask_at: dict[ServiceName, float] = {}
@@ -64,24 +59,21 @@
             return
         self._look_at = now + _LOOK_S
         self._old.seen(self._engines(), now)
-        for name, book in self._cache.books.items():
-            if not self._keeps(name) or not book.trusted(now):
+        for name, poll in self._stores.kept():
+            if not poll.book.trusted(now) or now < self._ask_at.get(name, 0.0):
                 continue
-            if now < self._ask_at.get(name, 0.0):
-                continue
-            if any(self._is_old(salt, now) for salt, _ in book.parts):
+            if any(self._is_old(salt, now) for salt, _ in poll.book.parts):
                 self._ask_at[name] = now + _AGAIN_S
-                ensureDeferred(self._clean(name, book))
+                ensureDeferred(self._clean(name, poll.address, poll.book))
 
     def _is_old(self, salt: str, now: float) -> bool:
         model, version = version_of(salt)
         return 0 < version < self._old.unused_below(model, now)
 
-    async def _clean(self, name: ServiceName, book: StoreBook) -> None:
+    async def _clean(
+        self, name: ServiceName, address: Address, book: StoreBook
+    ) -> None:
         """Lists a store and frees what is old, finished or not."""
-        address = self._addresses(name)
-        if address is None:
-            return
         listed = await self._calls.list(address)
         if isinstance(listed, Failure):
             emit(Event.FREE_FAILED, store=name, **explain(listed))
--- /dev/null
+++ b/magnolialug/parts/desk.py
@@ -0,0 +1,58 @@
+"""Answers for the stores whose books this entry keeps."""
+
+from collections.abc import Callable
+
+from magnolialug.ids import ServiceName
+from magnolialug.parts.messages import (
+    AskParts,
+    PartState,
+    Save,
+    ToldParts,
+)
+from magnolialug.policy.storebook import PartWord, StoreBook
+
+__all__ = ["Desk"]
+
+
+class Desk:
+    """Says what stores hold, and counts the saves that are under way.
+
+    Args:
+      book: returns a store's book, None for one that is not configured; it
+        is kept for a while from then on.
+      clock: returns the time in seconds.
+    """
+
+    def __init__(
+        self,
+        book: Callable[[ServiceName], StoreBook | None],
+        clock: Callable[[], float],
+    ):
+        self._book = book
+        self._clock = clock
+
+    def ask(self, ask: AskParts) -> ToldParts:
+        """Returns what is to be done with some parts."""
+        now = self._clock()
+        states = []
+        for asked in ask.parts:
+            book = self._book(asked.store)
+            if book is None:
+                continue
+            part = asked.part
+            word = book.word((asked.salt, part.name), part.tokens, now)
+            held = word is PartWord.HELD
+            until_ms = book.fetch_until_ms() if held else 0
+            states.append(
+                PartState(asked.store, asked.salt, part.name, word, until_ms)
+            )
+        return ToldParts(ask.number, tuple(states))
+
+    def save(self, save: Save) -> None:
+        """Learns that parts will be saved."""
+        now = self._clock()
+        for asked in save.parts:
+            book = self._book(asked.store)
+            if book is not None:
+                part = asked.part
+                book.saving((asked.salt, part.name), part.tokens, now)
--- a/magnolialug/entry/storewatch.py
+++ b/magnolialug/parts/watch.py
@@ -1,19 +1,17 @@
-"""Follows what the stores of cache parts hold."""
+"""The stores of the configuration, and a book for each that is kept here."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
-from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CacheStore, Routing
-from magnolialug.entry.peertalk import PeerTalk
-from magnolialug.entry.storepoll import StorePoll
 from magnolialug.ids import ServiceName
+from magnolialug.parts.poll import StorePoll
 from magnolialug.platform.cachecalls import CacheCalls
-from magnolialug.policy.cachemap import CacheMap, StoreBook
-from magnolialug.policy.cachenews import CacheNews
+from magnolialug.policy.storebook import StoreBook
+from magnolialug.policy.storemap import StoreMap, StoreTraits
 
 __all__ = ["StoreWatch"]
 
@@ -22,32 +20,42 @@
     """One task for each store, that keeps its book.
 
     Args:
+      stores: is told of the stores of each configuration.
       newest: returns the newest version of a model that is known of.
-      keeps: tells whether this entry polls a store for the others.
-      talk: brings and takes what entries were answered.
+      keeps: tells whether this entry is home of a store.
     """
 
     def __init__(
         self,
-        cache: CacheMap,
+        stores: StoreMap,
         calls: CacheCalls,
         clock: IReactorTime,
         random: Random,
         newest: Callable[[str], int],
         keeps: Callable[[ServiceName], bool],
-        talk: PeerTalk,
     ):
-        self.addresses: dict[ServiceName, str] = {}
-        self._cache = cache
+        self.polls: dict[ServiceName, StorePoll] = {}
+        self._stores = stores
         self._calls = calls
         self._clock = clock
         self._random = random
         self._newest = newest
         self._keeps = keeps
-        self._talk = talk
-        self._polls: dict[ServiceName, StorePoll] = {}
         self._tasks: dict[ServiceName, Deferred] = {}
-        talk.takes(CacheNews, self._told)
+
+    def book(self, name: ServiceName) -> StoreBook | None:
+        """Returns a store's book for somebody who asks about it."""
+        poll = self.polls.get(name)
+        if poll is None:
+            return None
+        poll.asked()
+        return poll.book
+
+    def kept(self) -> Iterator[tuple[ServiceName, StorePoll]]:
+        """Yields the stores whose books are kept here."""
+        for name, poll in self.polls.items():
+            if poll.kept:
+                yield name, poll
 
     def configure(self, routing: Routing) -> None:
         """Takes the stores of a configuration."""
@@ -64,63 +72,58 @@
             ),
             default=0,
         )
+        self._stores.configure(
+            {
+                name: _traits(store, token_bytes)
+                for name, store in stores.items()
+            }
+        )
         for gone in set(self._tasks) - set(stores):
             self._drop(gone)
         for name, store in stores.items():
-            address = f"{store.address[0]}:{store.address[1]}"
-            if self.addresses.get(name) != address:
+            poll = self.polls.get(name)
+            if poll is not None and poll.address != store.address:
                 self._drop(name)
             if name not in self._tasks:
-                self._follow(name, store, address, token_bytes)
+                self._follow(name, store)
 
-    def address(self, name: ServiceName) -> Address | None:
-        """Returns where a store is, None if it is not configured."""
-        poll = self._polls.get(name)
-        return poll.address if poll else None
+    def tick(self, now: float) -> None:
+        """Forgets saves that were never reported."""
+        for poll in self.polls.values():
+            poll.book.tick(now)
 
     def stop(self) -> None:
         """Ends all tasks."""
         for name in list(self._tasks):
             self._drop(name)
 
-    def _follow(
-        self, name: ServiceName, store: CacheStore, address: str, size: int
-    ) -> None:
-        bytes_per_s = store.link_mbps * 1e6 / 8
-        book = StoreBook(
-            zone=store.zone,
-            capacity=store.capacity_tokens,
-            token_s=size / bytes_per_s if bytes_per_s else 0.0,
-            first_s=store.first_s,
-        )
-        self._cache.books[name] = book
-        self.addresses[name] = address
+    def _follow(self, name: ServiceName, store: CacheStore) -> None:
         poll = StorePoll(
             name,
-            store,
-            book,
-            self._cache,
+            store.address,
+            StoreBook(store.zone, store.capacity_tokens),
             self._calls,
             self._clock,
             self._random,
             self._newest,
             lambda: self._keeps(name),
-            self._talk.tell,
         )
-        self._polls[name] = poll
+        self.polls[name] = poll
         task = ensureDeferred(poll.run())
         task.addErrback(lambda reason: reason.trap(CancelledError))
         self._tasks[name] = task
 
-    def _told(self, news: CacheNews) -> None:
-        poll = self._polls.get(ServiceName(news.store))
-        if poll is not None:
-            poll.told(news)
-
     def _drop(self, name: ServiceName) -> None:
-        task = self._tasks.pop(name, None)
-        if task is not None:
-            task.cancel()
-        self._polls.pop(name, None)
-        self._cache.books.pop(name, None)
-        self.addresses.pop(name, None)
+        self._tasks.pop(name).cancel()
+        del self.polls[name]
+
+
+def _traits(store: CacheStore, token_bytes: int) -> StoreTraits:
+    bytes_per_s = store.link_mbps * 1e6 / 8
+    return StoreTraits(
+        address=f"{store.address[0]}:{store.address[1]}",
+        zone=store.zone,
+        capacity=store.capacity_tokens,
+        token_s=token_bytes / bytes_per_s if bytes_per_s else 0.0,
+        first_s=store.first_s,
+    )
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -7,17 +7,29 @@
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
-from magnolialug.policy.cachemap import PartKey
-from magnolialug.policy.cachenews import CacheChange
+from magnolialug.policy.storebook import PartKey
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["CacheCalls", "CacheEvents", "CacheList"]
+__all__ = ["CacheCalls", "CacheChange", "CacheEvents", "CacheList"]
 
 _SLACK_S = 0.35
 _LIST_S = 2.0
 _FREE_S = 0.8
 
 
+class CacheChange(msgspec.Struct, frozen=True):
+    """A part became whole, or is gone.
+
+    Attributes:
+      tokens: how many are stored now.
+    """
+
+    whole: bool
+    salt: str
+    part: str
+    tokens: int
+
+
 class CacheEvents(msgspec.Struct, frozen=True):
     """What has changed since a number.
 
--- a/magnolialug/platform/settings.py
+++ b/magnolialug/platform/settings.py
@@ -61,6 +61,7 @@
       internal_port: where processes of the system may listen for each
         other, the first of the range.
       heartbeat_s: how often an endpoint renews its entry.
+      cores: how much processor time this machine has.
     """
 
     vm: str
@@ -75,6 +76,7 @@
     heartbeat_s: float
     bounds: Bounds
     store: StoreRates
+    cores: float = 1.0
 
 
 class _FieldError(Exception):
@@ -155,6 +157,8 @@
         first_start=_get(table, "bootstrap", bool),
         internal_port=_first_port(table),
         heartbeat_s=_number(table, "heartbeatMs", 0.001),
+        cores=_number(table, "limits.cpuShare")
+        * _number(table, "limits.cpuCores"),
         bounds=_bounds(table),
         store=StoreRates(
             address=_address(table, "platform.address"),
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -1,12 +1,12 @@
 """What one entry knows of the work and the cache of a model engine."""
 
-from collections import OrderedDict
-
 import msgspec
 
 from magnolialug.ids import EndpointId
-from magnolialug.policy.prompt import Part, Prompt
-from magnolialug.policy.sharedload import EngineShare, Placement
+from magnolialug.policy.partcache import PartCache
+from magnolialug.policy.prompt import Prompt
+from magnolialug.policy.readingtime import PRIORITIES, reading_s
+from magnolialug.policy.sharedload import EndpointState, WorkShare, summed
 
 __all__ = ["EngineLoad", "Placed"]
 
@@ -18,19 +18,13 @@
 _FASTEST_RATE = 120_000.0
 # Time from the last prompt token read to the first event at the caller.
 _FIRST_EVENT_S = 0.09
-# What is ranked behind a prompt is still read a little, between its chunks,
-# and each running request makes every step longer. Fitted to the first events
-# of 2,500 prompts of two days: 3 us a token against 12, 5 ms a request.
-_BEHIND_SHARE = 0.25
-_RUNNING_S = 0.005
 # Weight of the newest answer in the learned rate.
 _NEWEST = 0.1
 # Prompts shorter than this say little of the rate.
 _TELLING_TOKENS = 2_000
-_PRIORITIES = 10
-# Reports are repeated four times a second; three lost in a row mean that the
-# sender is gone or cut off.
-_SILENT_S = 0.9
+# What the others do at an engine counts for this long after it was told. Long
+# prompts are read within it, so older word says little of the queue.
+_STATE_TRUST_S = 0.5
 
 
 class Placed(msgspec.Struct):
@@ -50,11 +44,6 @@
     reading: bool = True
 
 
-class _Shared(msgspec.Struct):
-    share: EngineShare
-    at: float
-
-
 class EngineLoad:
     """Beliefs about one engine, from what was sent and what came back.
 
@@ -67,80 +56,79 @@
         self.memory = memory
         self.slots = slots
         self.rate = _FIRST_RATE
-        self._others: dict[str, _Shared] = {}
+        self._others: EndpointState | None = None
+        self._others_at = float("-inf")
         self._running: dict[str, Placed] = {}
-        self._parts: OrderedDict[tuple[str, str], int] = OrderedDict()
-        self._cached = 0
+        self._parts = PartCache(memory)
 
     @property
     def running(self) -> int:
         """Own attempts under way."""
         return len(self._running)
 
-    def has(self, salt: str, part: Part) -> bool:
-        """Whether the engine is believed to hold a part."""
-        return (salt, part.name) in self._parts
+    def leading(self, salt: str, prompt: Prompt) -> int:
+        """Returns how many of a prompt's first parts were sent from here."""
+        return self._parts.leading(salt, prompt.shared)
 
-    def cached_tokens(self, salt: str, prompt: Prompt) -> int:
-        """Returns the length of the prompt's believed cached prefix."""
-        tokens = 0
-        for part in prompt.parts:
-            if (salt, part.name) not in self._parts:
-                break
-            tokens += part.tokens
-        return tokens
+    def elsewhere(self, state: EndpointState, now: float) -> None:
+        """Takes what the engine has to do for the other entries."""
+        self._others = state
+        self._others_at = now
+
+    def tick(self, now: float) -> None:
+        """Forgets what was told of the others long ago."""
+        if now - self._others_at > _STATE_TRUST_S:
+            self._others = None
 
     def ahead_s(self, priority: int) -> float:
         """Returns how long the engine reads before a new prompt's turn."""
-        tokens = 0.0
+        reading = self._reading()
         running = len(self._running)
-        for placed in self._running.values():
-            if placed.reading:
-                behind = placed.priority > priority
-                tokens += placed.unread * (_BEHIND_SHARE if behind else 1.0)
-        for row in self._others.values():
-            reading = row.share.reading
-            running += row.share.running
-            tokens += sum(reading[: priority + 1])
-            tokens += sum(reading[priority + 1 :]) * _BEHIND_SHARE
-        return tokens / self.rate + running * _RUNNING_S
+        if self._others is not None:
+            reading = summed((reading, self._others.reading))
+            running += self._others.running
+        return reading_s(reading, running, priority, self.rate)
 
     def room(self, tokens: int) -> float:
         """Returns the free share of memory after a request of that size."""
         held = sum(placed.held for placed in self._running.values())
-        held += sum(row.share.held for row in self._others.values())
+        if self._others is not None:
+            held += self._others.held
         return 1.0 - (held + tokens) / self.memory
 
     def first_event_s(self, priority: int, unread: int) -> float:
         """Returns the expected time to a new prompt's first event."""
         return self.ahead_s(priority) + unread / self.rate + _FIRST_EVENT_S
 
-    def share(self, endpoint: EndpointId, born_ms: int = 0) -> EngineShare:
-        """Returns this entry's own work, as it is told to others."""
-        reading = [0] * _PRIORITIES
-        held = 0
+    def share(
+        self, endpoint: EndpointId, heard_at: float, now: float, born_ms: int
+    ) -> WorkShare:
+        """Returns this entry's own work, as it is told to others.
+
+        Args:
+          heard_at: when the engine's last byte came.
+        """
+        rows = self._running.values()
+        oldest_at = min((placed.sent_at for placed in rows), default=now)
+        return WorkShare(
+            endpoint=endpoint,
+            reading=self._reading(),
+            held=sum(placed.held for placed in rows),
+            running=len(self._running),
+            heard_ms=_ms(now - heard_at),
+            oldest_ms=_ms(now - oldest_at),
+            born_ms=born_ms,
+        )
+
+    def _reading(self) -> tuple[int, ...]:
+        """Returns own prompt tokens to be read, by priority."""
+        reading = [0] * PRIORITIES
         for placed in self._running.values():
-            held += placed.held
             if placed.reading:
-                reading[min(placed.priority, _PRIORITIES - 1)] += placed.unread
+                reading[min(placed.priority, PRIORITIES - 1)] += placed.unread
         while reading and not reading[-1]:
             reading.pop()
-        running = len(self._running)
-        return EngineShare(endpoint, tuple(reading), held, running, born_ms)
-
-    def shared(self, entry: str, share: EngineShare, now: float) -> None:
-        """Takes another entry's work."""
-        self._others[entry] = _Shared(share, now)
-
-    def unshared(self, entry: str) -> None:
-        """Learns that another entry has no work here."""
-        self._others.pop(entry, None)
-
-    def tick(self, now: float) -> None:
-        """Forgets the work of entries that have gone silent."""
-        for entry, row in list(self._others.items()):
-            if now - row.at > _SILENT_S:
-                del self._others[entry]
+        return tuple(reading)
 
     def sent(
         self,
@@ -159,18 +147,7 @@
             sent_at=now,
             ahead_s=self.ahead_s(priority),
         )
-        for part in prompt.shared:
-            self._keep(salt, part)
-
-    def placed_elsewhere(self, placement: Placement) -> None:
-        """Counts what another entry has sent as cached from now on.
-
-        Alone an entry of 26 sees a twenty-sixth of what pushes parts out of
-        an engine's memory, and none of the parts that others have brought
-        there. Of the shared tokens that could have been found 43% were.
-        """
-        for part in placement.parts:
-            self._keep(placement.salt, part)
+        self._parts.keep(salt, prompt.shared)
 
     def first_event(self, name: str, now: float) -> None:
         """Learns from the time that the first event took."""
@@ -188,18 +165,10 @@
         """Counts an attempt out."""
         self._running.pop(name, None)
 
-    def forget_cache(self) -> None:
-        """Drops all beliefs about cached parts."""
-        self._parts.clear()
-        self._cached = 0
 
-    def _keep(self, salt: str, part: Part) -> None:
-        key = (salt, part.name)
-        if key in self._parts:
-            self._parts.move_to_end(key)
-            return
-        self._parts[key] = part.tokens
-        self._cached += part.tokens
-        while self._cached > self.memory and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._cached -= tokens
+_LONGEST_MS = 60_000
+
+
+def _ms(seconds: float) -> int:
+    """Returns whole milliseconds, a minute at most."""
+    return int(min(_LONGEST_MS, seconds * 1000))
--- /dev/null
+++ b/magnolialug/policy/partplan.py
@@ -0,0 +1,88 @@
+"""What to do with each shared part of a prompt."""
+
+import enum
+from collections.abc import Mapping
+
+import msgspec
+
+from magnolialug.ids import ServiceName
+from magnolialug.policy.storebook import PartKey, PartWord
+
+__all__ = ["Miss", "PartPlan", "Stored", "plan_of"]
+
+
+class Miss(enum.Enum):
+    """Why a part is not read from a store.
+
+    UNHEARD: a store holds it whose last word is too old, or its home says
+      nothing.
+    SAVING: it is being saved, which is not done yet.
+    REPLACED: it is of weights that are being replaced, and was not whole.
+    NO_ROOM: no store has it, and none has room.
+    CLOSED: no store has it, and none may be written to just now.
+    NEW: no store is known to have it; it is saved now.
+    """
+
+    UNHEARD = "unheard"
+    SAVING = "saving"
+    REPLACED = "replaced"
+    NO_ROOM = "no room"
+    CLOSED = "closed"
+    NEW = "new"
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """What the home of a store has told of a part.
+
+    Attributes:
+      until_ms: a fetch must have ended by then, on the servers' clock.
+    """
+
+    store: ServiceName
+    word: PartWord
+    until_ms: int = 0
+
+
+class PartPlan(msgspec.Struct, frozen=True):
+    """What to do with one part of a prompt.
+
+    Attributes:
+      fetch: the store that holds it, None if none does.
+      save: the store that is to keep it, None for none.
+      miss: why it is not fetched, None if it is.
+      until_ms: when a fetch is to be thrown away.
+    """
+
+    fetch: ServiceName | None = None
+    save: ServiceName | None = None
+    miss: Miss | None = None
+    until_ms: int = 0
+
+
+_MISSES = {
+    PartWord.UNHEARD: Miss.UNHEARD,
+    PartWord.SAVING: Miss.SAVING,
+    PartWord.FULL: Miss.NO_ROOM,
+    PartWord.CLOSED: Miss.CLOSED,
+}
+
+
+def plan_of(
+    key: PartKey, stored: Mapping[PartKey, Stored], may_save: bool
+) -> PartPlan:
+    """Returns what to do with a part.
+
+    Args:
+      stored: what the homes of stores have told.
+      may_save: whether parts of these weights are still saved.
+    """
+    told = stored.get(key)
+    if told is None:
+        return PartPlan(miss=Miss.UNHEARD)
+    if told.word is PartWord.HELD:
+        return PartPlan(fetch=told.store, until_ms=told.until_ms)
+    if told.word is not PartWord.ROOM:
+        return PartPlan(miss=_MISSES[told.word])
+    if not may_save:
+        return PartPlan(miss=Miss.REPLACED)
+    return PartPlan(save=told.store, miss=Miss.NEW)
--- a/magnolialug/policy/ring.py
+++ b/magnolialug/policy/ring.py
@@ -2,23 +2,25 @@
 
 import bisect
 from array import array
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 
-from magnolialug.ids import EndpointId
-
 __all__ = ["Ring"]
 
+# Of a member with weight 1; a member's share of what is drawn follows its
+# points, and ten of each digest keep unequal draws within a fifth.
 _DIGESTS = 5
+_MOST_DIGESTS = 20
 _POINT_BYTES = 6
 _DIGEST_BYTES = 60
 _INDEX_BITS = 16
 
 
-def _points(member: str) -> list[int]:
+def _points(member: str, weight: float) -> list[int]:
     """Returns a member's points; ten from each of a few digests."""
+    digests = min(_MOST_DIGESTS, max(1, round(_DIGESTS * weight)))
     points = []
-    for number in range(_DIGESTS):
+    for number in range(digests):
         data = f"{member}#{number}".encode()
         digest = blake2b(data, digest_size=_DIGEST_BYTES).digest()
         points += [
@@ -40,23 +42,39 @@
     member that joins or leaves moves only the prompts next to its points.
     A point and its member's index share one machine word, so that a ring of
     thousands of endpoints is small and is rebuilt without a stall.
+
+    Args:
+      weights: how much more than others a member is to be drawn; 1 for those
+        that are not named.
     """
 
-    def __init__(self, members: Iterable[EndpointId] = ()):
+    def __init__(
+        self,
+        members: Iterable[str] = (),
+        weights: Mapping[str, float] | None = None,
+    ):
+        weights = weights or {}
         self._members = sorted(set(members))
         self._points = array(
             "Q",
             sorted(
                 point << _INDEX_BITS | index
                 for index, member in enumerate(self._members)
-                for point in _points(member)
+                for point in _points(member, weights.get(member, 1.0))
             ),
         )
 
     def __len__(self) -> int:
         return len(self._members)
 
-    def candidates(self, root: str, count: int) -> list[EndpointId]:
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, Ring)
+            and self._members == other._members
+            and self._points == other._points
+        )
+
+    def candidates(self, root: str, count: int) -> list[str]:
         """Returns up to count distinct members, the preferred one first."""
         count = min(count, len(self._members))
         if not count:
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -1,29 +1,34 @@
-"""What entries tell each other of their work at the engines."""
+"""What entries tell each other of their work at the endpoints."""
+
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from magnolialug.ids import EndpointId
 from magnolialug.policy.prompt import Part
-from magnolialug.policy.rollout import Rollout
 
-__all__ = ["EngineShare", "LoadReport", "Placement"]
+__all__ = ["EndpointState", "Placement", "WorkShare", "summed"]
 
 
-class EngineShare(msgspec.Struct, frozen=True, array_like=True):
-    """One entry's work at one engine.
+class WorkShare(msgspec.Struct, frozen=True, array_like=True):
+    """One entry's work at one endpoint.
 
     Attributes:
       reading: prompt tokens sent that have brought no first event yet, by
         priority, 0 first.
       held: tokens of memory that its running requests take.
       running: how many those are.
-      born_ms: the start of the engine that it is at, 0 if not known.
+      heard_ms: time since this entry had the endpoint's last byte.
+      oldest_ms: time since the oldest of these requests was sent.
+      born_ms: the start of the endpoint that it is at, 0 if not known.
     """
 
     endpoint: EndpointId
     reading: tuple[int, ...]
     held: int
     running: int
+    heard_ms: int = 0
+    oldest_ms: int = 0
     born_ms: int = 0
 
 
@@ -41,19 +46,34 @@
     born_ms: int = 0
 
 
-class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
-    """One entry's work at all engines.
+class EndpointState(msgspec.Struct, frozen=True, array_like=True):
+    """What an endpoint has to do for all entries but the one that asks.
 
     Attributes:
-      entry: names one start of the sender.
-      number: counts its reports; an older one that arrives late is dropped.
-      rollout: the newest it knows, while that is news.
-      placements: made since the report before. A lost one is not repeated:
-        an engine that holds a part is then not preferred for it.
+      reading: as in a WorkShare, summed.
+      held: tokens of memory taken or promised.
+      running: requests under way.
+      found: how many of the asked prompt's first parts the engine holds.
+      silent: whether nobody who has work there has heard of it for too long.
+      waiting: prompts that wait for its memory.
+      born_ms: the start that this is known of, 0 if not known.
     """
 
-    entry: str
-    number: int
-    engines: tuple[EngineShare, ...]
-    rollout: Rollout | None = None
-    placements: tuple[Placement, ...] = ()
+    endpoint: EndpointId
+    reading: tuple[int, ...]
+    held: int
+    running: int
+    found: int = 0
+    silent: bool = False
+    waiting: int = 0
+    born_ms: int = 0
+
+
+def summed(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
+    """Returns the sums by place of rows of unequal length."""
+    total: list[int] = []
+    for row in rows:
+        total += [0] * (len(row) - len(total))
+        for place, tokens in enumerate(row):
+            total[place] += tokens
+    return tuple(total)
--- a/magnolialug/policy/turns.py
+++ b/magnolialug/policy/turns.py
@@ -1,7 +1,7 @@
 """Which waiting prompt goes to an engine next, and which waits in vain."""
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 import msgspec
 
@@ -91,25 +91,18 @@
 
 
 def in_vain(
-    ordered: Sequence[Waiting], now: float, first_event_s: float, per_s: float
-) -> list[Waiting]:
-    """Returns the prompts whose turn will not come while their caller waits.
+    row: Waiting, now: float, first_event_s: float, ahead: float, per_s: float
+) -> bool:
+    """Whether a prompt's turn will not come while its caller waits.
 
-    Only of those who will be late: whoever can still be in time goes ahead of
+    Only of one that will be late: whoever can still be in time goes ahead of
     all others, and turns come in bursts. Refused now, a caller can come back
     when the others have gone; one that waited first has three seconds less
     to be served in.
 
     Args:
-      ordered: as they will have their turns.
+      ahead: prompts that have their turns before.
       per_s: turns in a second.
     """
-    vain = []
-    ahead = 0
-    for row in ordered:
-        late = now + first_event_s > row.target_at
-        if late and now + (ahead + 1) / per_s > row.ends_at:
-            vain.append(row)
-        else:
-            ahead += 1
-    return vain
+    late = now + first_event_s > row.target_at
+    return late and now + (ahead + 1) / per_s > row.ends_at
--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -42,6 +42,9 @@
 leaseMs = 3000
 thawSlackMs = 300
 versionMs = 12000
+[limits]
+cpuShare = 1.0
+cpuCores = 1
 [platform]
 address = "{store_host}:{store_port}"
 writesPerS = 400
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -299,10 +299,11 @@
 
     def test_a_lost_answer_to_the_first_write_is_read_back(self):
         cluster = GatewayCluster(desks=0, engines=2)
+        self.assertNotIn(HOLDER_KEY, cluster.kv._rows)
         cluster.kv.faults.lose_answers = 1
+        cluster.pass_time(4)
         lease = cluster.kv._rows[HOLDER_KEY]
         self.assertIn(b"front-1", lease.value)
-        cluster.pass_time(4)
         name_weights(cluster, 2)
         cluster.kv.faults.lose_answers = 1
         cluster.pass_time(5)
--- /dev/null
+++ b/tests/homes/fleet.py
@@ -0,0 +1,149 @@
+"""Entries that keep accounts for each other, on a network in memory."""
+
+from collections import Counter
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+
+from magnolialug.homes.homes import Homes
+from magnolialug.homes.keeper import EndpointFacts
+from magnolialug.homes.messages import AskedEndpoint
+from magnolialug.ids import EndpointId
+from magnolialug.policy.sharedload import WorkShare
+from tests.network import LATENCY_S
+
+MEMORY = 140_000
+RATE = 75_000.0
+
+
+class Entry:
+    """One entry: its work at the engines, and its homes."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.address = (f"10.0.{number // 250}.{number % 250}", 7000)
+        self.work = {}
+        self.heard_ms = self.oldest_ms = 0
+        self.rollout = None
+        self.rollout_at = float("-inf")
+        self.takers = {}
+        self.alive = True
+        self.bytes = 0
+        self.messages = Counter()
+        self.homes = Homes(self.address, self, self, fleet.clock)
+
+    def facts(self, endpoint):
+        """Returns what is known of an engine."""
+        if endpoint not in self.fleet.engines:
+            return None
+        return EndpointFacts(
+            MEMORY, RATE, open=True, sound=True, born_ms=self.fleet.born_ms
+        )
+
+    def share(self, endpoint):
+        """Returns this entry's work at an engine."""
+        running, unread, held = self.work.get(endpoint, (0, 0, 0))
+        reading = (0, unread) if unread else ()
+        return WorkShare(
+            endpoint,
+            reading,
+            held,
+            running,
+            self.heard_ms,
+            self.oldest_ms,
+            self.fleet.born_ms,
+        )
+
+    def rolls_out(self, rollout):
+        """Takes a rollout."""
+        if self.rollout is None or rollout.number > self.rollout.number:
+            self.rollout = rollout
+            self.rollout_at = self.fleet.clock.seconds()
+
+    def takes(self, form, take):
+        """Names who takes messages of a type."""
+        self.takers[form] = take
+
+    def send(self, message, to):
+        """Sends a message; the network may lose it."""
+        if not self.alive:
+            return
+        if to != self.address:
+            self.bytes += len(msgspec.msgpack.encode(message))
+            self.messages[type(message).__name__] += 1
+        self.fleet.carry(self, message, to)
+
+    def take(self, message, sender):
+        """Takes a message."""
+        if self.alive:
+            self.takers[type(message)](message, sender)
+
+    def sends(self, endpoint, unread=12_000, held=12_000, placement=None):
+        """Sends a request to an engine."""
+        running, before, kept = self.work.get(endpoint, (0, 0, 0))
+        self.work[endpoint] = (running + 1, before + unread, kept + held)
+        self.homes.teller.sent(EndpointId(endpoint), placement)
+
+    def ends(self, endpoint):
+        """Learns that all requests at an engine are over."""
+        self.work.pop(endpoint, None)
+        self.homes.teller.changed(EndpointId(endpoint))
+
+
+class Fleet:
+    """Entries, engines and what lies between."""
+
+    def __init__(self, clock, entries, engines):
+        self.clock = clock
+        self.born_ms = 0
+        self.engines = [EndpointId(f"i-{n}") for n in range(engines)]
+        self.loses = lambda sender, to: False
+        self.entries = {}
+        self.latency_s = LATENCY_S
+        for number in range(entries):
+            self.join(number)
+        self.agree()
+
+    def join(self, number):
+        """Starts an entry."""
+        entry = Entry(self, number)
+        self.entries[entry.address] = entry
+        return entry
+
+    def agree(self):
+        """Tells all entries who is registered."""
+        weights = dict.fromkeys(self.entries, 1.0)
+        for entry in self.entries.values():
+            entry.homes.entries(weights)
+
+    def carry(self, sender, message, to):
+        """Brings a message to its receiver."""
+        receiver = self.entries.get(to)
+        if receiver is not None and not self.loses(sender.address, to):
+            delay_s = 0 if to == sender.address else self.latency_s
+            self.clock.callLater(
+                delay_s, receiver.take, message, sender.address
+            )
+
+    def pass_time(self, seconds, step=0.005):
+        """Lets time pass, with all entries' ticks."""
+        for _ in range(max(1, round(seconds / step))):
+            self.clock.advance(step)
+            now = self.clock.seconds()
+            for entry in self.entries.values():
+                if entry.alive:
+                    entry.homes.tick(now)
+
+    def ask(self, entry, endpoints, parts=(), salt=""):
+        """Returns what the homes tell an entry."""
+        found = []
+        rows = [AskedEndpoint(name, salt) for name in endpoints]
+        fut = ensureDeferred(entry.homes.asker.ask(rows, tuple(parts)))
+        fut.addCallback(found.append)
+        self.pass_time(0.03, 0.001)
+        return found[0]
+
+    def home(self, endpoint):
+        """Returns the entry that all others take for an engine's home."""
+        first = next(iter(self.entries.values()))
+        return self.entries[first.homes.book.home(endpoint)]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -32,6 +32,9 @@
 leaseMs = 3000
 thawSlackMs = 300
 versionMs = 12000
+[limits]
+cpuShare = 0.5
+cpuCores = 3
 [platform]
 address = "10.200.1.7:8744"
 writesPerS = 400
@@ -59,6 +62,7 @@
         self.assertEqual(2.0, settings.bounds.drain_s)
         self.assertEqual(3.0, settings.bounds.lease_s)
         self.assertEqual(("10.200.1.7", 8744), settings.store.address)
+        self.assertEqual(1.5, settings.cores)
 
     def test_a_role_without_callers(self):
         text = WHOLE.replace('front = "10.1.0.19:8749"\n', "")
@@ -71,6 +75,7 @@
             ("graceS = 8", 'graceS = "8"', "bounds.graceS", "8"),
             ("drainMs = 2000", "drainMs = -1", "bounds.drainMs", "-1"),
             ("drainMs = 2000", "drainMs = true", "bounds.drainMs", "True"),
+            ("cpuShare = 0.5", 'cpuShare = ""', "limits.cpuShare", ""),
             ("bootstrap = true", "bootstrap = 1", "bootstrap", "1"),
             (
                 'address = "10.200.1.7:8744"',
