--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -150,9 +150,8 @@
 
     def sweep(self, now: float) -> None:
         """Ends the attempt when nothing more can come of it in time."""
-        if now >= self._call.deadline or self._is_orphaned():
-            self._flight.silent()
-        elif self._is_overdue(now) and self._may_move():
+        over = now >= self._call.deadline or self._is_orphaned()
+        if over or (self._is_overdue(now) and self._may_move()):
             self._flight.silent()
 
     def _is_overdue(self, now: float) -> bool:
