Weights: the holder tells all entries which engines load; homes know versions

Entries fetch changes of the service up to a second late while much changes, and a refusal taught only the entry that met it. Few of these prompts may go to a second engine; their callers were told to come back after 1 s. Ruled out: orders late (they were given within the bound of the lease). Change: the holder sends what it is about to order to every entry; shares and answers of homes carry the versions that engines are known to have; an engine that denies one version has the only newer one. Who is turned away by an engine may come back at once, since the next engine can still be in time.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -46,6 +46,7 @@
 from magnolialug.platform.registry import REGISTRY_PREFIX
 from magnolialug.platform.settings import Settings
 from magnolialug.policy.retry import Backoff, Budget
+from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.storemap import StoreMap
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
@@ -143,6 +144,7 @@
             costs,
             Dispatcher(costs, self._store_map, self._newest),
             Told(teller.sent, teller.changed, parts.save),
+            self._bounds,
             reactor.seconds,
         )
         self._survey = Survey(
@@ -163,7 +165,7 @@
             reactor,
             random,
             settings.bounds.lease_s,
-            self.directory.rolls_out,
+            self._rolls_out,
             self.homes.book.rank,
         )
         self._orders = Orders(
@@ -376,6 +378,12 @@
         self.registry.configure(routing)
         self.stores.configure(routing)
 
+    def _rolls_out(self, rollout: Rollout, own: bool) -> None:
+        """Takes which engines load weights now, from the lease's holder."""
+        self.directory.rolls_out(rollout)
+        if own:
+            self.homes.teller.spread(rollout)
+
     def _newest(self, model: str) -> int:
         """Returns the newest version of a model that is known of.
 
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -34,6 +34,12 @@
 # A new start of an endpoint is known of this much later at most: it writes its
 # entry with its first heartbeat, 1.2 s. What was sent since may run there.
 _START_TOLD_S = 2.0
+# When a caller may come back whose request its endpoint has turned away. An
+# engine does so while it loads weights, or when it has others than were
+# expected: the next one can be in time if it comes at once. A plain service
+# that is full stays so for the time of an answer or more.
+_ENGINE_AGAIN_S = 0.05
+_PLAIN_AGAIN_S = 1.0
 # What is held back while it can still be replaced by another's answer.
 _KEPT_BYTES = 64 * 1024
 
@@ -303,7 +309,8 @@
         if self._answer.misdirected:
             code = Code.WRONG_ENDPOINT
         reason = f"status {self._answer.status}"
-        return failed(code, reason, executed=Executed.NO, retry_after_s=1.0)
+        after_s = _ENGINE_AGAIN_S if self.peer.load else _PLAIN_AGAIN_S
+        return failed(code, reason, executed=Executed.NO, retry_after_s=after_s)
 
     def _lost(self, end: End) -> Failure:
         return failed(Code.OUTCOME_UNKNOWN, f"the answer was {end.value}")
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -76,7 +76,8 @@
     Args:
       vm: the name of this machine.
       bound_s: time that must lie between the orders of two holders.
-      on_rollout: is told what any holder is about to order.
+      on_rollout: is told what any holder is about to order, and whether that
+        is this entry.
       rank: returns this entry's place among the first that try for the
         lease, FIRST for all others.
     """
@@ -88,7 +89,7 @@
         clock: IReactorTime,
         random: Random,
         bound_s: float,
-        on_rollout: Callable[[Rollout], None],
+        on_rollout: Callable[[Rollout, bool], None],
         rank: Callable[[str], int],
     ):
         self.fence = 0
@@ -134,7 +135,7 @@
             return
         self._before = holder
         if holder.rollout is not None:
-            self._on_rollout(holder.rollout)
+            self._on_rollout(holder.rollout, False)
 
     def _is_free(self) -> None:
         self._taken = False
@@ -233,7 +234,7 @@
     def _tell(self, rollout: Rollout | None) -> None:
         self.announced = rollout
         if rollout is not None:
-            self._on_rollout(rollout)
+            self._on_rollout(rollout, True)
 
     async def _run(self) -> None:
         backoff = Backoff(base_s=0.2, limit_s=1.0)
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -79,6 +79,8 @@
         """Takes what it has to do for the other entries."""
         self._running_elsewhere = state.running
         self._told_at = now
+        for model, version in state.weights.items():
+            self.heard_weights(model, version)
         if self.load is not None:
             self.load.elsewhere(state, now)
 
@@ -96,6 +98,7 @@
             open=not self.leaving,
             sound=self.sound(now),
             born_ms=self.listed.born_ms,
+            weights=self.all_weights(),
         )
 
     def share(self, now: float) -> WorkShare:
@@ -103,7 +106,11 @@
         listed = self.listed
         if self.load is not None:
             return self.load.share(
-                listed.endpoint, self.heard_at, now, listed.born_ms
+                listed.endpoint,
+                self.heard_at,
+                now,
+                listed.born_ms,
+                self.all_weights(),
             )
         return WorkShare(
             listed.endpoint, (), 0, self.running, born_ms=listed.born_ms
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -19,6 +19,7 @@
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.sharedload import Placement
+from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["Placed", "Placer", "Told"]
@@ -62,6 +63,7 @@
     """Takes the cheapest candidate, and counts what is sent to it.
 
     Args:
+      bounds: which versions have been named.
       clock: returns the time in seconds.
     """
 
@@ -72,6 +74,7 @@
         costs: Costs,
         dispatcher: Dispatcher,
         told: Told,
+        bounds: WeightBounds,
         clock: Callable[[], float],
     ):
         self._directory = directory
@@ -79,6 +82,7 @@
         self._costs = costs
         self._dispatcher = dispatcher
         self._told = told
+        self._bounds = bounds
         self._clock = clock
 
     def place(
@@ -188,7 +192,12 @@
         if answer.instance and answer.instance != to.endpoint:
             self._directory.found(peer, EndpointId(answer.instance))
         elif call.prompt is not None:
-            peer.denied_weights(call.prompt.model, to.weights)
+            model = call.prompt.model
+            peer.denied_weights(model, to.weights)
+            peer.heard_weights(
+                model, self._bounds.only_newer(model, to.weights)
+            )
+            self._told.changed(to.endpoint)
 
     def _any(self, call: ForwardCall, count: int) -> list[Candidate]:
         """Returns candidates by own beliefs, those tried before among them."""
--- a/magnolialug/homes/accounts.py
+++ b/magnolialug/homes/accounts.py
@@ -19,6 +19,7 @@
       open: whether it may get new work, now or soon.
       sound: whether nothing speaks against it at the moment.
       born_ms: its start, 0 if not known.
+      weights: the newest version that it is known to have, by model.
     """
 
     memory: int
@@ -26,6 +27,7 @@
     open: bool
     sound: bool
     born_ms: int
+    weights: dict[str, int] = {}
 
 
 class Accounts:
@@ -51,15 +53,15 @@
         account = self._accounts.get(endpoint)
         facts = self.facts(endpoint)
         born_ms = born_ms or (facts.born_ms if facts else 0)
-        if account is not None and (
+        if account is None or not (
             0 < born_ms < account.born_ms
             or _is_current(account, facts, born_ms)
         ):
-            account.born_ms = max(account.born_ms, born_ms)
-            return account
-        memory = facts.memory if facts else 0
-        account = EndpointAccount(endpoint, memory, born_ms)
-        self._accounts[endpoint] = account
+            memory = facts.memory if facts else 0
+            account = EndpointAccount(endpoint, memory, born_ms)
+            self._accounts[endpoint] = account
+        account.born_ms = max(account.born_ms, born_ms)
+        account.knows(facts.weights if facts else {})
         return account
 
     def forget_old(self, now: float) -> None:
--- a/magnolialug/homes/homebook.py
+++ b/magnolialug/homes/homebook.py
@@ -69,6 +69,11 @@
             del self._missing[gone]
         return True
 
+    @property
+    def others(self) -> list[Address]:
+        """All other registered entries."""
+        return [a for a in self._addresses.values() if a != self.me]
+
     def home(self, task: str) -> Address:
         """Returns the entry that keeps the account of an endpoint or store."""
         first = self._first(task)
--- a/magnolialug/homes/teller.py
+++ b/magnolialug/homes/teller.py
@@ -69,6 +69,18 @@
         if self._timer is None:
             self._timer = self._clock.callLater(_TELL_S, self._tell_changed)
 
+    def spread(self, rollout: Rollout) -> None:
+        """Tells all other entries which engines load weights now.
+
+        Engines turn away what comes while they load, and few requests may go
+        to a second one. The service tells of it too, up to a second later
+        while much changes.
+        """
+        self._number += 1
+        work = Work(self._entry, self._number, (), (), rollout)
+        for address in self._book.others:
+            self._send(work, address)
+
     def moved(self) -> None:
         """Learns that endpoints have other homes."""
         self._tell_all(self._active)
--- a/magnolialug/policy/endpointaccount.py
+++ b/magnolialug/policy/endpointaccount.py
@@ -1,6 +1,6 @@
 """The account of one endpoint: what all entries have told of it."""
 
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Mapping, Sequence
 
 import msgspec
 
@@ -73,16 +73,23 @@
         self.queue = TurnQueue()
         self._told: dict[str, _Told] = {}
         self._promises: dict[Hashable, _Promise] = {}
+        self._weights: dict[str, int] = {}
         self._heard_at = float("-inf")
 
     def told(self, entry: str, share: WorkShare, now: float) -> None:
         """Takes an entry's work, which replaces what it told before."""
         self._heard_at = max(self._heard_at, now - share.heard_ms / 1000)
+        self.knows(share.weights)
         if share.running:
             self._told[entry] = _Told(share, now)
         else:
             self._told.pop(entry, None)
 
+    def knows(self, weights: Mapping[str, int]) -> None:
+        """Takes the versions that somebody knows the endpoint to have."""
+        for model, version in weights.items():
+            self._weights[model] = max(version, self._weights.get(model, 0))
+
     def placed(self, placement: Placement) -> None:
         """Counts the parts of a prompt as held from now on."""
         self.parts.keep(placement.salt, placement.parts)
@@ -150,6 +157,7 @@
             silent=self.is_silent(now),
             waiting=len(self.queue),
             born_ms=self.born_ms,
+            weights=dict(self._weights),
         )
 
     def is_silent(self, now: float) -> bool:
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -110,12 +110,18 @@
         return self.ahead_s(priority) + unread / self.rate + _FIRST_EVENT_S
 
     def share(
-        self, endpoint: EndpointId, heard_at: float, now: float, born_ms: int
+        self,
+        endpoint: EndpointId,
+        heard_at: float,
+        now: float,
+        born_ms: int,
+        weights: dict[str, int],
     ) -> WorkShare:
         """Returns this entry's own work, as it is told to others.
 
         Args:
           heard_at: when the engine's last byte came.
+          weights: the versions that it is known to have.
         """
         rows = self._running.values()
         oldest_at = min((placed.sent_at for placed in rows), default=now)
@@ -127,6 +133,7 @@
             heard_ms=_ms(now - heard_at),
             oldest_ms=_ms(now - oldest_at),
             born_ms=born_ms,
+            weights=weights,
         )
 
     def _reading(self) -> tuple[int, ...]:
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -21,6 +21,7 @@
       heard_ms: time since this entry had the endpoint's last byte.
       oldest_ms: time since the oldest of these requests was sent.
       born_ms: the start of the endpoint that it is at, 0 if not known.
+      weights: the newest version that it is known to have, by model.
     """
 
     endpoint: EndpointId
@@ -30,6 +31,7 @@
     heard_ms: int = 0
     oldest_ms: int = 0
     born_ms: int = 0
+    weights: dict[str, int] = {}
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -57,6 +59,7 @@
       silent: whether nobody who has work there has heard of it for too long.
       waiting: prompts that wait for its memory.
       born_ms: the start that this is known of, 0 if not known.
+      weights: the newest version that anybody knows it to have, by model.
     """
 
     endpoint: EndpointId
@@ -67,6 +70,7 @@
     silent: bool = False
     waiting: int = 0
     born_ms: int = 0
+    weights: dict[str, int] = {}
 
 
 def summed(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
--- a/magnolialug/policy/weightbounds.py
+++ b/magnolialug/policy/weightbounds.py
@@ -32,6 +32,14 @@
             following = min(heard)
             heard[following] = min(oldest, heard[following])
 
+    def only_newer(self, model: str, version: int) -> int:
+        """Returns the only version named after another, 0 if not only one.
+
+        An engine that says it has not the one has the other.
+        """
+        newer = [v for v in self._heard.get(model, {}) if v > version]
+        return newer[0] if len(newer) == 1 else 0
+
     def usable_until(self, model: str, version: int) -> float:
         """Returns when prompts may no longer begin on a version."""
         newer = (
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -329,3 +329,51 @@
         ]
         first, second = ranks[0::2], ranks[1::2]
         self.assertTrue(max(first) < min(second), ranks)
+
+
+class LoadingTest(TestCase):
+    """What one entry learns of an engine's weights the others know."""
+
+    def started(self):
+        """Returns two gateways before one engine, and its version 1."""
+        cluster = GatewayCluster(desks=0, engines=1, vms=("front-1", "front-2"))
+        cluster.pass_time(2)
+        return cluster, next(iter(cluster.engines.values()))
+
+    def test_one_is_turned_away_and_nobody_else(self):
+        """An engine has taken new weights that no entry knows it to have.
+
+        Symptom: every entry has one request turned away by every engine.
+        Sequence: the holder of the orders is cut off after its order; each
+        entry goes on asking for the old version. Cause: a refusal taught only
+        the entry that met it.
+        """
+        cluster, engine = self.started()
+        name = {"model": "m", "version": 2}
+        for gateway in cluster.gateways:
+            gateway._orders.tick = lambda: None
+        cluster.write("op/version/m", name)
+        cluster.pass_time(1)
+        engine.version = 2
+        first = cluster.ask("/draft/x", seconds=0.3)
+        other = cluster.caller(("10.0.0.2", 80))
+        second = cluster.ask("/draft/x", caller=other, seconds=0.3)
+        self.assertEqual(503, first.last.status)
+        self.assertLess(float(first.last.headers["retry-after"]), 0.1)
+        self.assertEqual(200, second.last.status)
+
+    def test_all_are_told_at_once_which_engines_load(self):
+        """Much changes in the store while weights are rolled out.
+
+        Symptom: a hundred prompts a second are turned away by engines that
+        load. Cause: entries fetch changes up to a second late, and engines
+        are closed to new work for an eighth of one before they load.
+        """
+        cluster, engine = self.started()
+        second = cluster.gateways[1]
+        second._follower.stop()
+        cluster.write("op/version/m", {"model": "m", "version": 2})
+        while not engine.busy:
+            cluster.pass_time(0.01)
+        peer = second.directory.peers[engine.instance]
+        self.assertFalse(peer.sound(cluster.net.seconds()))
--- a/tests/policy/test_choices.py
+++ b/tests/policy/test_choices.py
@@ -151,11 +151,11 @@
         load.sent("a", "", prompt(3000, 50), 1000, 3, 0.0)
         load.sent("b", "", prompt(2000, 20), 2000, 0, 0.0)
         load.first_event("b", 0.2)
-        share = load.share("e", heard_at=0.2, now=0.5, born_ms=7)
+        share = load.share("e", 0.2, now=0.5, born_ms=7, weights={"m": 3})
         self.assertEqual((0, 0, 0, 1000), share.reading)
         self.assertEqual((5070, 2), (share.held, share.running))
         self.assertEqual((300, 500), (share.heard_ms, share.oldest_ms))
-        self.assertEqual(7, share.born_ms)
+        self.assertEqual((7, {"m": 3}), (share.born_ms, share.weights))
 
 
 class RolloutPlanTest(TestCase):
