Gateway: gauges apart; what asks about stores is wired in one place

Change: entry/gauges, parts/wiring; homes/homes is homes/wiring. No behaviour. Before/after: tests of entry, homes, parts, policy, ctl pass before and after.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -20,6 +20,7 @@
 from magnolialug.entry.gatewayintake import read_call
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.entry.gauges import observe_endpoints, observe_states
 from magnolialug.entry.grace import NOTICED_S, Grace
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.orderlease import HOLDER_KEY, OrderLease
@@ -33,12 +34,8 @@
 from magnolialug.entry.silencewatch import SilenceWatch
 from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, emit, explain
-from magnolialug.homes.homes import Homes
-from magnolialug.parts.asker import PartAsker
-from magnolialug.parts.cleaner import Cleaner
-from magnolialug.parts.desk import Desk
-from magnolialug.parts.messages import AskParts, Save, ToldParts
-from magnolialug.parts.watch import StoreWatch
+from magnolialug.homes.wiring import Homes
+from magnolialug.parts.wiring import Parts
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
@@ -47,7 +44,6 @@
 from magnolialug.platform.settings import Settings
 from magnolialug.policy.retry import Backoff, Budget
 from magnolialug.policy.rollout import Rollout
-from magnolialug.policy.storemap import StoreMap
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
@@ -69,8 +65,6 @@
 # What changes within such pauses is fetched with one call. A leaving endpoint
 # must be known within two seconds, and so must a configuration.
 _PACE_S = (0.25, 1.0)
-# Entries that follow a store: its home, and the one that stands in for it.
-_HOMES = 2
 _DRAIN_STEP_S = 0.05
 # First and longest pause before a request goes to another endpoint. That one
 # is another machine, so there is nothing to wait for but a retry storm, and
@@ -119,36 +113,35 @@
         self.talk = PeerTalk(me, reactor)
         self.homes = Homes(me, self.directory, self.talk, reactor)
         self._bounds = WeightBounds(settings.bounds.weights_s)
-        self._store_map = StoreMap()
-        self.stores = self._store_watch(cache_calls, reactor, random)
-        self._cleaner = Cleaner(
-            self.stores,
+        self.parts = Parts(
+            self.homes,
             cache_calls,
-            reactor.seconds,
+            self._newest,
             self.directory.engine_weights,
-        )
-        parts = PartAsker(
-            self.homes.book,
-            self._store_map,
-            self.homes.questions,
-            self.talk.send,
+            self.talk,
+            reactor,
+            random,
         )
         shortlist = Shortlist(
             self.directory, settings.zone, self._bounds, reactor.seconds
         )
-        costs = Costs(settings.zone, self._store_map, reactor.seconds)
+        costs = Costs(settings.zone, self.parts.map, reactor.seconds)
         teller = self.homes.teller
         self._placer = Placer(
             self.directory,
             shortlist,
             costs,
-            Dispatcher(costs, self._store_map, self._newest),
-            Told(teller.sent, teller.changed, parts.save),
+            Dispatcher(costs, self.parts.map, self._newest),
+            Told(teller.sent, teller.changed, self.parts.asker.save),
             self._bounds,
             reactor.seconds,
         )
         self._survey = Survey(
-            shortlist, costs, self.homes.asker, parts, reactor.seconds
+            shortlist,
+            costs,
+            self.homes.asker,
+            self.parts.asker,
+            reactor.seconds,
         )
         self._underway: set[HttpAttempt] = set()
         self._silence = SilenceWatch(self.directory, calls, reactor.seconds)
@@ -246,7 +239,7 @@
                 break
             await sleep(self._reactor, _DRAIN_STEP_S)
         self._follower.stop()
-        self.stores.stop()
+        self.parts.stop()
         self.homes.stop()
         if self._tick is not None and self._tick.active():
             self._tick.cancel()
@@ -278,24 +271,6 @@
         )
         return EntryBook(kv, settings.vm, row, reactor, random, self._counted)
 
-    def _store_watch(
-        self, calls: CacheCalls, reactor, random: Random
-    ) -> StoreWatch:
-        watch = StoreWatch(
-            self._store_map,
-            calls,
-            reactor,
-            random,
-            self._newest,
-            lambda store: self.homes.book.rank(store) < _HOMES,
-        )
-        desk = Desk(watch.book, reactor.seconds)
-        talk = self.talk
-        talk.takes(AskParts, lambda ask, home: talk.send(desk.ask(ask), home))
-        talk.takes(Save, lambda save, _: desk.save(save))
-        talk.takes(ToldParts, self.homes.questions.answered)
-        return watch
-
     def _call_means(self, random: Random) -> CallMeans:
         metrics = self.metrics
         return CallMeans(
@@ -337,46 +312,31 @@
 
     def _observe(self) -> None:
         """Measures states whenever metrics are read."""
-        metrics = self.metrics
-        metrics.observe("in_progress", lambda: [(self.in_progress, {})])
-        metrics.observe(
-            "caller_connections",
-            lambda: [(len(self.factory.channels), {})],
-        )
-        metrics.observe("waiting", lambda: [(self.homes.waits.waiting, {})])
-        metrics.observe("listed", lambda: [(self.homes.lists.waiting, {})])
-        metrics.observe("config_version", lambda: [(self.routes.version, {})])
-        metrics.observe("ready", lambda: [(int(self.ready()), {})])
-        metrics.observe(
-            "order_lease_held", lambda: [(int(self._lease.held), {})]
-        )
-        metrics.observe("entries", lambda: [(self.directory.entries, {})])
-        metrics.observe(
-            "kv_in_touch",
-            lambda: [(int(self._follower.in_touch), {})],
-        )
-        metrics.observe("endpoints", self.directory.states)
-        metrics.observe("endpoint_connections", self.directory.connections)
-        metrics.observe(
-            "retries_left",
-            lambda: [
-                (self._budget.left(name), {"service": name})
-                for name in self.directory.services
-            ],
+        observe_states(
+            self.metrics,
+            {
+                "in_progress": lambda: self.in_progress,
+                "caller_connections": lambda: len(self.factory.channels),
+                "config_version": lambda: self.routes.version,
+                "ready": lambda: int(self.ready()),
+                "order_lease_held": lambda: int(self._lease.held),
+                "entries": lambda: self.directory.entries,
+                "kv_in_touch": lambda: int(self._follower.in_touch),
+            },
         )
-        metrics.observe(
-            "store_word_age_seconds",
-            lambda: [
-                (self.clock() - poll.book.heard_at, {"store": name})
-                for name, poll in self.stores.kept()
-                if poll.book.epoch
-            ],
+        observe_endpoints(
+            self.metrics,
+            self.directory,
+            self.homes,
+            self.parts,
+            self._budget.left,
+            self.clock,
         )
 
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
         self.registry.configure(routing)
-        self.stores.configure(routing)
+        self.parts.configure(routing)
 
     def _rolls_out(self, rollout: Rollout, own: bool) -> None:
         """Takes which engines load weights now, from the lease's holder."""
@@ -439,6 +399,5 @@
         self.homes.tick(now)
 
     def _tidy(self, now: float) -> None:
-        self.stores.tick(now)
-        self._cleaner.tick(now)
+        self.parts.tick(now)
         self.directory.trim()
--- /dev/null
+++ b/magnolialug/entry/gauges.py
@@ -0,0 +1,54 @@
+"""States of a gateway that are measured whenever metrics are read."""
+
+from collections.abc import Callable, Iterator
+
+from magnolialug.entry.directory import Directory
+from magnolialug.entry.gatewaymetrics import GatewayMetrics
+from magnolialug.homes.wiring import Homes
+from magnolialug.parts.wiring import Parts
+
+__all__ = ["observe_endpoints", "observe_states"]
+
+Rows = list[tuple[float, dict]]
+
+
+def observe_states(
+    metrics: GatewayMetrics, states: dict[str, Callable[[], float]]
+) -> None:
+    """Measures single values, by their names."""
+    for name, value in states.items():
+        metrics.observe(name, lambda value=value: [(value(), {})])
+
+
+def observe_endpoints(
+    metrics: GatewayMetrics,
+    directory: Directory,
+    homes: Homes,
+    parts: Parts,
+    retries_left: Callable[[str], float],
+    clock: Callable[[], float],
+) -> None:
+    """Measures what is known of endpoints, services and stores.
+
+    Args:
+      retries_left: returns the retries that a service has left.
+      clock: returns the time in seconds.
+    """
+
+    def ages() -> Iterator[tuple[float, dict]]:
+        for name, poll in parts.watch.kept():
+            if poll.book.epoch:
+                yield clock() - poll.book.heard_at, {"store": name}
+
+    def retries() -> Rows:
+        return [
+            (retries_left(name), {"service": name})
+            for name in directory.services
+        ]
+
+    metrics.observe("endpoints", directory.states)
+    metrics.observe("endpoint_connections", directory.connections)
+    metrics.observe("retries_left", retries)
+    metrics.observe("store_word_age_seconds", lambda: list(ages()))
+    metrics.observe("waiting", lambda: [(homes.waits.waiting, {})])
+    metrics.observe("listed", lambda: [(homes.lists.waiting, {})])
--- a/magnolialug/measure/ablation.py
+++ b/magnolialug/measure/ablation.py
@@ -60,7 +60,7 @@
     Mechanism("fetch queue", "policy/enginecost.py", "_FETCH_QUEUE", "1.0"),
     Mechanism("fetch bound", "policy/storebook.py", "_FETCH_S", "4.0"),
     Mechanism("frees of old weights", "parts/cleaner.py", "_LOOK_S", "1e9"),
-    Mechanism("second store home", "entry/gateway.py", "_HOMES", "1"),
+    Mechanism("second store home", "parts/wiring.py", "_HOMES", "1"),
     Mechanism("stand-ins", "homes/homebook.py", "FIRST", "1"),
     Mechanism("patience", "entry/placer.py", "_TARGETS", "1e9"),
     Mechanism("health pauses", "policy/health.py", "_FIRST_PAUSE_S", "0.0"),
--- a/tests/entry/test_same_id.py
+++ b/tests/entry/test_same_id.py
@@ -161,7 +161,7 @@
         store.born_ms = FIRST
         cluster.pass_time(3)
         cluster.ask("/draft/x", parts="aa:9000,o:2000", seconds=2)
-        (poll,) = cluster.gateway.stores.polls.values()
+        (poll,) = cluster.gateway.parts.watch.polls.values()
         book = poll.book
         self.assertTrue(book.parts)
         store.parts.clear()
--- a/tests/homes/fleet.py
+++ b/tests/homes/fleet.py
@@ -6,8 +6,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from magnolialug.homes.accounts import EndpointFacts
-from magnolialug.homes.homes import Homes
 from magnolialug.homes.messages import AskedEndpoint
+from magnolialug.homes.wiring import Homes
 from magnolialug.ids import EndpointId
 from magnolialug.policy.sharedload import WorkShare
 from tests.network import LATENCY_S
--- a/tests/parts/test_cleaner.py
+++ b/tests/parts/test_cleaner.py
@@ -40,7 +40,7 @@
         self.assertEqual([2, 2], [e.version for e in cluster.engines.values()])
         self.assertEqual({}, store.parts)
         self.assertEqual(5, len(set(store.freed)))
-        (poll,) = cluster.gateway.stores.polls.values()
+        (poll,) = cluster.gateway.parts.watch.polls.values()
         self.assertEqual(0, poll.book.used)
 
     def test_new_parts_find_room_again(self):
@@ -76,8 +76,8 @@
         call arrives. Cause: the call did not say which start it was for.
         """
         cluster, store = self.started()
-        ((name, poll),) = cluster.gateway.stores.polls.items()
-        cleaner = cluster.gateway._cleaner
+        ((name, poll),) = cluster.gateway.parts.watch.polls.items()
+        cleaner = cluster.gateway.parts.cleaner
         store.restart()
         store.begin((OLD, "p0"), 2000)
         freed = []
--- a/tests/parts/test_homes_of_stores.py
+++ b/tests/parts/test_homes_of_stores.py
@@ -12,9 +12,18 @@
 VMS = tuple(f"front-{n}" for n in range(1, 13))
 
 
+def kept_books(cluster):
+    """Returns the books that are kept of the store, over all gateways."""
+    return [
+        poll.book
+        for gateway in cluster.gateways
+        for _, poll in gateway.parts.watch.kept()
+    ]
+
+
 def homes(cluster):
     """Returns the gateways that follow the store."""
-    return [g for g in cluster.gateways if list(g.stores.kept())]
+    return [g for g in cluster.gateways if list(g.parts.watch.kept())]
 
 
 class FleetTest(TestCase):
@@ -57,7 +66,9 @@
         for _ in range(50):
             cluster.pass_time(0.1)
             now = cluster.net.seconds()
-            kept = [p.book for g in homes(cluster) for _, p in g.stores.kept()]
+            kept = [
+                p.book for g in homes(cluster) for _, p in g.parts.watch.kept()
+            ]
             self.assertEqual(2, len(kept))
             self.assertTrue(all(book.trusted(now) for book in kept))
         self.assertEqual(0, store.refused)
@@ -108,7 +119,7 @@
         dead = {g.settings.host for g in homes(cluster)}
         for gateway in homes(cluster):
             gateway._entries._task.cancel()
-            gateway.stores.stop()
+            gateway.parts.stop()
         cluster.net.loses_datagram = lambda sender, receiver: (
             receiver[0] in dead or sender[0] in dead
         )
@@ -128,7 +139,9 @@
         store.restart()
         cluster.pass_time(2.5)
         kept = [
-            p.book.parts for g in homes(cluster) for _, p in g.stores.kept()
+            p.book.parts
+            for g in homes(cluster)
+            for _, p in g.parts.watch.kept()
         ]
         self.assertEqual([{}, {}], kept)
 
