Placement: who brings a part that is being read goes where it is read

The first reader was known at its engine's home alone, and the three engines asked about first need not include it; and a large prompt did not go to an engine with over a quarter of its target to be read, however much it would have had to read anew elsewhere. Change: who asks for a save names the engine, the store's home tells it to who asks about the part, and that engine is asked about too. A prompt waits only where no engine with room would begin soon; of those with room the cheapest is taken.

--- a/magnolialug/entry/costs.py
+++ b/magnolialug/entry/costs.py
@@ -71,6 +71,7 @@
             sound=peer.sound(now) and not (state and state.silent),
             room=self._has_room(call, peer, known),
             told=state is not None,
+            soon=self._is_soon(call, peer),
         )
 
     def content(self, call: ForwardCall, peer: Peer) -> bool:
@@ -135,8 +136,7 @@
     def _has_room(self, call: ForwardCall, peer: Peer, known: Known) -> bool:
         """Whether a large call would push nobody out of an engine.
 
-        Nor does it go ahead of those that wait for that engine, or where
-        much is read first.
+        Nor does it go ahead of those that wait for that engine.
         """
         load = peer.load
         if load is None or not is_large(call, load.memory):
@@ -146,6 +146,13 @@
             return False
         if load.room(0) >= 1.0:
             return True
-        if load.ahead_s(call.priority) > ahead_limit_s(call):
-            return False
         return load.room(call.prompt.memory_tokens) >= HEADROOM
+
+    def _is_soon(self, call: ForwardCall, peer: Peer) -> bool:
+        """Whether little is read at an engine before a large call's turn."""
+        load = peer.load
+        if load is None or not is_large(call, load.memory):
+            return True
+        if load.room(0) >= 1.0:
+            return True
+        return load.ahead_s(call.priority) <= ahead_limit_s(call)
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -17,7 +17,7 @@
 from magnolialug.events import Event, explain
 from magnolialug.homes.waits import Bid, Waits
 from magnolialug.ids import EndpointId
-from magnolialug.policy.choice import choose
+from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
 from magnolialug.requestlog import RequestLog
@@ -104,8 +104,7 @@
         Returns:
           the engine that has promised its memory; None if there is no need.
         """
-        best = choose(known.candidates)
-        if self._number or best is None or best.room or not best.sound:
+        if self._number or not must_wait(known.candidates):
             return None
         begun = self._clock()
         turn = await self._waits.enter(
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -51,12 +51,12 @@
     Attributes:
       sent: an attempt's endpoint, and the parts of its prompt.
       changed: an endpoint at which an attempt has come further, or ended.
-      saving: a salt, and the parts that will be saved under it.
+      saving: an engine, a salt, and the parts that it will save under it.
     """
 
     sent: Callable[[EndpointId, Placement | None], None]
     changed: Callable[[EndpointId], None]
-    saving: Callable[[str, list[tuple[Part, ServiceName]]], None]
+    saving: Callable[[EndpointId, str, list[tuple[Part, ServiceName]]], None]
 
 
 class Placer:
@@ -165,7 +165,7 @@
             )
             saves = self._dispatcher.saves(call.prompt, dispatch)
             if saves:
-                self._told.saving(dispatch.salt, saves)
+                self._told.saving(dispatch.endpoint, dispatch.salt, saves)
         self._told.sent(dispatch.endpoint, placement)
 
     def first_event(self, call: ForwardCall, peer: Peer) -> None:
--- a/magnolialug/entry/shortlist.py
+++ b/magnolialug/entry/shortlist.py
@@ -1,6 +1,6 @@
 """Which endpoints are compared for a call, the likely ones first."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.forwardcall import ForwardCall
@@ -51,25 +51,41 @@
         returns to where it was. A plain service keeps nothing, and the ones
         of this availability zone come first.
         """
-        now = self._clock()
         root = call.root or call.name
         if call.prompt is None:
             peers = self._directory.shortlist(call.service, root, _PLAIN)
             peers.sort(key=lambda peer: peer.listed.zone != self._zone)
         else:
             peers = self._directory.shortlist(call.service, root, count)
+        return self._usable(call, avoid, peers[:count])
+
+    def named(
+        self,
+        call: ForwardCall,
+        avoid: set[EndpointId],
+        endpoints: Iterable[EndpointId],
+    ) -> list[Peer]:
+        """Returns those of some endpoints that could take a call."""
+        found = (self._directory.peers.get(name) for name in endpoints)
+        peers = [peer for peer in found if peer and not peer.leaving]
+        return self._usable(call, avoid, peers)
+
+    def all_listed(self, call: ForwardCall, count: int) -> bool:
+        """Whether a shortlist of that length holds all endpoints."""
+        return count >= self._directory.size(call.service)
+
+    def _usable(
+        self, call: ForwardCall, avoid: set[EndpointId], peers: list[Peer]
+    ) -> list[Peer]:
+        now = self._clock()
         return [
             peer
-            for peer in peers[:count]
+            for peer in peers
             if peer.pool.room
             and peer.listed.endpoint not in avoid
             and not self._barred(call, peer, now)
         ]
 
-    def all_listed(self, call: ForwardCall, count: int) -> bool:
-        """Whether a shortlist of that length holds all endpoints."""
-        return count >= self._directory.size(call.service)
-
     def _barred(self, call: ForwardCall, peer: Peer, now: float) -> bool:
         """Whether a prompt would begin on weights too old to be of use."""
         if call.prompt is None or peer.load is None:
--- a/magnolialug/entry/survey.py
+++ b/magnolialug/entry/survey.py
@@ -58,18 +58,31 @@
         while True:
             known.count = next(rounds, _GROWTH * known.count)
             listed = self._shortlist.peers(call, avoid, known.count)
-            fresh = [p for p in listed if p.listed.endpoint not in peers]
-            await self._ask(call, fresh, known)
-            for peer in fresh:
-                rank = len(peers) if call.root else 0
-                peers[peer.listed.endpoint] = peer
-                known.candidates.append(
-                    self._costs.candidate(call, peer, rank, known)
-                )
+            await self._add(call, listed, known, peers)
+            readers = {row.reader for row in known.stored.values()} - {""}
+            reading = self._shortlist.named(call, avoid, readers)
+            await self._add(call, reading, known, peers)
             best = choose(known.candidates)
             if self._is_enough(call, best, peers, known.count):
                 return known
 
+    async def _add(
+        self,
+        call: ForwardCall,
+        listed: list[Peer],
+        known: Known,
+        peers: dict[EndpointId, Peer],
+    ) -> None:
+        """Asks about those that are new, and adds them to the candidates."""
+        fresh = [peer for peer in listed if peer.listed.endpoint not in peers]
+        await self._ask(call, fresh, known)
+        for peer in fresh:
+            rank = len(peers) if call.root else 0
+            peers[peer.listed.endpoint] = peer
+            known.candidates.append(
+                self._costs.candidate(call, peer, rank, known)
+            )
+
     def _is_enough(
         self,
         call: ForwardCall,
--- a/magnolialug/parts/asker.py
+++ b/magnolialug/parts/asker.py
@@ -6,7 +6,7 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.homes.homebook import HomeBook
 from magnolialug.homes.questions import Questions
-from magnolialug.ids import ServiceName
+from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.parts.messages import AskedPart, AskParts, Save, ToldParts
 from magnolialug.policy.partplan import Stored
 from magnolialug.policy.prompt import Part
@@ -67,12 +67,15 @@
         return stored
 
     def save(
-        self, salt: str, parts: Iterable[tuple[Part, ServiceName]]
+        self,
+        reader: EndpointId,
+        salt: str,
+        parts: Iterable[tuple[Part, ServiceName]],
     ) -> None:
-        """Tells the homes that a request asks for parts to be saved."""
+        """Tells the homes that an engine was asked to save parts."""
         asked = [AskedPart(store, salt, part) for part, store in parts]
         for home, rows in self._by_home(asked).items():
-            self._send(Save(tuple(rows)), home)
+            self._send(Save(reader, tuple(rows)), home)
 
     async def _ask(self, asked: list[AskedPart]) -> list[ToldParts]:
         return await self._questions.ask(
@@ -102,4 +105,6 @@
         key = (state.salt, state.name)
         if key in stored and state.word in _ELSEWHERE:
             continue
-        stored[key] = Stored(state.store, state.word, state.until_ms)
+        stored[key] = Stored(
+            state.store, state.word, state.until_ms, state.reader
+        )
--- a/magnolialug/parts/desk.py
+++ b/magnolialug/parts/desk.py
@@ -40,11 +40,12 @@
             if book is None:
                 continue
             part = asked.part
-            word = book.word((asked.salt, part.name), part.tokens, now)
+            key = (asked.salt, part.name)
+            word = book.word(key, part.tokens, now)
             held = word is PartWord.HELD
             until_ms = book.fetch_until_ms() if held else 0
             states.append(
-                PartState(asked.store, asked.salt, part.name, word, until_ms)
+                PartState(asked.store, *key, word, until_ms, book.reader(key))
             )
         return ToldParts(ask.number, tuple(states))
 
@@ -55,4 +56,5 @@
             book = self._book(asked.store)
             if book is not None:
                 part = asked.part
-                book.saving((asked.salt, part.name), part.tokens, now)
+                key = (asked.salt, part.name)
+                book.saving(key, part.tokens, save.reader, now)
--- a/magnolialug/parts/messages.py
+++ b/magnolialug/parts/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from magnolialug.ids import ServiceName
+from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.storebook import PartWord
 
@@ -29,6 +29,7 @@
 
     Attributes:
       until_ms: a fetch must have ended by then, on the servers' clock.
+      reader: the engine that reads it and will save it, "" for none.
     """
 
     store: ServiceName
@@ -36,6 +37,7 @@
     name: str
     word: PartWord
     until_ms: int = 0
+    reader: EndpointId = EndpointId("")
 
 
 class ToldParts(msgspec.Struct, frozen=True, array_like=True, tag="parts"):
@@ -46,6 +48,7 @@
 
 
 class Save(msgspec.Struct, frozen=True, array_like=True, tag="save"):
-    """A request has been sent that asks for parts to be saved."""
+    """An engine has been sent a request that asks for parts to be saved."""
 
+    reader: EndpointId
     parts: tuple[AskedPart, ...]
--- a/magnolialug/policy/choice.py
+++ b/magnolialug/policy/choice.py
@@ -6,7 +6,7 @@
 
 from magnolialug.ids import EndpointId
 
-__all__ = ["Candidate", "choose"]
+__all__ = ["Candidate", "choose", "must_wait"]
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -17,6 +17,8 @@
       sound: whether nothing speaks against it at the moment.
       room: whether it can take the request without pushing others out.
       told: whether its home has told what it has to do.
+      soon: whether it would begin with the request within a part of its
+        target.
     """
 
     endpoint: EndpointId
@@ -24,6 +26,7 @@
     sound: bool
     room: bool = True
     told: bool = True
+    soon: bool = True
 
 
 def choose(candidates: Sequence[Candidate]) -> Candidate | None:
@@ -43,3 +46,17 @@
         key=lambda candidate: (candidate.cost, candidate.endpoint),
         default=None,
     )
+
+
+def must_wait(candidates: Sequence[Candidate]) -> bool:
+    """Whether a request is better held back than sent to any endpoint.
+
+    While one with room would begin soon, the cheapest one may be another: it
+    reads the same prompt's parts just now, and reading them again would cost
+    all others more than this request's wait.
+    """
+    sound = [row for row in candidates if row.sound]
+    if not sound:
+        return False
+    told = [row for row in sound if row.told] or sound
+    return not any(row.room and row.soon for row in told)
--- a/magnolialug/policy/partplan.py
+++ b/magnolialug/policy/partplan.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from magnolialug.ids import ServiceName
+from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.policy.storebook import PartKey, PartWord
 
 __all__ = ["Miss", "PartPlan", "Stored", "plan_of"]
@@ -36,11 +36,13 @@
 
     Attributes:
       until_ms: a fetch must have ended by then, on the servers' clock.
+      reader: the engine that reads it and will save it, "" for none.
     """
 
     store: ServiceName
     word: PartWord
     until_ms: int = 0
+    reader: EndpointId = EndpointId("")
 
 
 class PartPlan(msgspec.Struct, frozen=True):
--- a/magnolialug/policy/storebook.py
+++ b/magnolialug/policy/storebook.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from magnolialug.ids import ZoneId
+from magnolialug.ids import EndpointId, ZoneId
 
 __all__ = ["PartKey", "PartWord", "StoreBook"]
 
@@ -54,6 +54,7 @@
 class _Saving(msgspec.Struct):
     tokens: int
     until: float
+    reader: EndpointId
 
 
 class StoreBook(msgspec.Struct):
@@ -130,9 +131,19 @@
         """
         self.writable_from = 0.0
 
-    def saving(self, key: PartKey, tokens: int, now: float) -> None:
-        """Counts a save that a request asks for."""
-        self.savings[key] = _Saving(tokens, now + _SAVE_S)
+    def saving(
+        self, key: PartKey, tokens: int, reader: EndpointId, now: float
+    ) -> None:
+        """Counts a save that a request asks its engine for."""
+        self.savings[key] = _Saving(tokens, now + _SAVE_S, reader)
+
+    def reader(self, key: PartKey) -> EndpointId:
+        """Returns the engine that reads a part and will save it, "" for none.
+
+        Whoever brings the same part meanwhile goes there, and finds it read.
+        """
+        saving = self.savings.get(key)
+        return saving.reader if saving else EndpointId("")
 
     def added(self, key: PartKey, tokens: int) -> None:
         """Takes the word that a part is whole."""
--- a/tests/parts/test_homes_of_stores.py
+++ b/tests/parts/test_homes_of_stores.py
@@ -1,10 +1,14 @@
 """Two entries follow each store; all others ask them."""
 
+import itertools
+
 from testtools import TestCase
 
+from magnolialug.homes.messages import Work
 from magnolialug.parts.asker import PartAsker
 from magnolialug.parts.messages import AskParts, PartState, Save, ToldParts
 from magnolialug.policy.prompt import Part
+from magnolialug.policy.sharedload import WorkShare
 from magnolialug.policy.storebook import PartWord
 from magnolialug.policy.storemap import StoreMap, StoreTraits
 from tests.gatewaycluster import GatewayCluster
@@ -29,6 +33,8 @@
 class FleetTest(TestCase):
     """Many entries, one store that holds four polls at once."""
 
+    numbers = itertools.count(1)
+
     def started(self, vms=VMS):
         """Returns a cluster whose entries know each other, and a store."""
         cluster = GatewayCluster(desks=0, engines=1, vms=vms)
@@ -108,6 +114,42 @@
         ]
         self.assertEqual(1, sum(map(bool, saves)))
 
+    def test_who_brings_it_meanwhile_goes_where_it_is_read(self):
+        """Callers bring the same dossier within a second, while load is high.
+
+        Symptom: it is read by several engines at once. Sequence: the first
+        one goes to an engine far down the prompt's ring, since those before
+        are busy; they are idle again, and the next ones ask about the first
+        three only. Cause: who reads a part was known at that engine's home
+        alone.
+        """
+        cluster = GatewayCluster(desks=0, engines=8, vms=VMS[:3])
+        cluster.pass_time(1)
+        cluster.add_store()
+        cluster.pass_time(3)
+        for engine in cluster.engines.values():
+            engine.work_s = 0.4
+            engine.save_s = 1.0
+        for far in list(cluster.engines)[:4]:
+            self.tell(cluster, far, 90_000)
+            for number in range(4):
+                caller = cluster.caller((f"10.0.0.{number % 3 + 1}", 80))
+                parts = f"aa:500,{far}:9000,o{number}:900"
+                cluster.send("/draft/x", caller, parts=parts, tokens="10400,50")
+                cluster.pass_time(0.1)
+                self.tell(cluster, far, 0)
+            self.assertEqual(4, sum(cluster.engines[far].ran.values()), far)
+            cluster.pass_time(3)
+
+    def tell(self, cluster, free, tokens):
+        """Tells of other entries' work at all engines but one."""
+        for engine in cluster.engines:
+            running = 9 if tokens and engine != free else 0
+            share = WorkShare(engine, (tokens,), tokens, running)
+            work = Work("x", next(self.numbers), (share,))
+            for gateway in cluster.gateways:
+                gateway.homes.keeper.work(work)
+
     def test_the_homes_die(self):
         """Both entries that follow a store are killed at the same moment.
 
@@ -229,7 +271,7 @@
 
     def test_a_save_is_told_to_the_home(self):
         asker, order, _, told = self.asker((None, None, None))
-        asker.save("s", [(Part("p", 10), order[0])])
+        asker.save("i-1", "s", [(Part("p", 10), order[0])])
         (save,) = told
         self.assertIsInstance(save, Save)
-        self.assertEqual(order[0], save.parts[0].store)
+        self.assertEqual(("i-1", order[0]), (save.reader, save.parts[0].store))
--- a/tests/policy/test_store_book.py
+++ b/tests/policy/test_store_book.py
@@ -24,17 +24,19 @@
         book = book_of(1000)
         self.assertEqual(PartWord.ROOM, book.word(KEY, 10, 0.0))
         self.assertEqual(PartWord.FULL, book.word(KEY, 950, 0.0))
-        book.saving(KEY, 10, 0.0)
+        book.saving(KEY, 10, "i-1", 0.0)
+        self.assertEqual("i-1", book.reader(KEY))
         self.assertEqual(PartWord.SAVING, book.word(KEY, 10, 0.1))
         self.assertEqual(PartWord.FULL, book.word(("", "q"), 935, 0.1))
         book.added(KEY, 10)
+        self.assertEqual("", book.reader(KEY))
         self.assertEqual(PartWord.HELD, book.word(KEY, 10, 0.1))
         self.assertEqual(PartWord.UNHEARD, book.word(KEY, 10, 2.0))
         self.assertEqual(PartWord.CLOSED, book.word(("", "q"), 10, 2.0))
 
     def test_a_save_that_is_never_reported_is_asked_for_again(self):
         book = book_of(1000)
-        book.saving(KEY, 10, 0.0)
+        book.saving(KEY, 10, "i-1", 0.0)
         book.heard_at = 4.5
         book.tick(4.5)
         self.assertEqual(PartWord.ROOM, book.word(KEY, 10, 4.5))
