Orders: what loads one version stays closed while a newer one is rolled out

Cause: a version was named while 10 to 14 engines loaded the one before. Change: an engine that has accepted an order for another version is closed and counted among those that load until it has that version, then waits again; what the holder hears of weights goes to the engine's home at once, and so does the least version that an engine can have.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -168,6 +168,7 @@
             reactor.seconds,
             lambda: self.routes.weights,
             lambda reply: metrics.orders.add(1, {"reply": reply.value}),
+            self.homes.teller.changed,
         )
         self._follower = Follower(
             kv,
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -26,6 +26,9 @@
 # they are some hundred milliseconds old. A count of orders that is lower
 # after that means that the engine has started anew and forgotten the order.
 _REPORT_LAG_S = 1.0
+# An engine that has accepted an order has the weights by then, or never will:
+# some take twice the usual time while many load.
+_TAKES_S = 4.0
 # Between the announcement and the order, what waits in an engine's queue can
 # start; what has not started by then is turned away.
 _CLOSED_S = 0.12
@@ -49,6 +52,7 @@
       failures: calls in a row that it did not answer.
       version: that it is to take.
       promised: the version that it was last ordered to take.
+      chosen: the version that it is closed for, 0 for none.
       born_ms: the start of the engine that all this is known of.
     """
 
@@ -60,8 +64,18 @@
     failures: int = 0
     version: int = 0
     promised: int = 0
+    chosen: int = 0
     born_ms: int = 0
 
+    def loads(self, weights: int, version: int, now: float) -> bool:
+        """Whether it takes another version than the one that is wanted.
+
+        One would notice prompts turned away by the hundred when a version is
+        named while engines load the one before: they would look open.
+        """
+        accepted = now - self.accepted_at < _TAKES_S
+        return accepted and weights < self.promised < version
+
     def tells(self, report: Report, now: float) -> bool:
         """Whether a report is from after the last accepted order."""
         lagging = now - self.accepted_at < _REPORT_LAG_S
@@ -74,6 +88,7 @@
     Args:
       named: returns the newest version that was named, by model.
       counted: is told the reply to each order.
+      heard: is told of engines whose weights were learned of.
     """
 
     def __init__(
@@ -84,6 +99,7 @@
         clock: Callable[[], float],
         named: Callable[[], dict[str, int]],
         counted: Callable[[OrderReply], None] = lambda reply: None,
+        heard: Callable[[EndpointId], None] = lambda endpoint: None,
     ):
         self._directory = directory
         self._lease = lease
@@ -91,6 +107,7 @@
         self._clock = clock
         self._named = named
         self._counted = counted
+        self._on_heard = heard
         self._engines: dict[EndpointId, _Engine] = {}
 
     def tick(self) -> None:
@@ -124,6 +141,9 @@
         peers = self._directory.engines_with(model)
         rows = [self._row(p, model, version, now) for p in peers]
         rollout = plan(model, version, rows, self._directory.rollout)
+        for row in rows:
+            if row.endpoint in rollout.closed and not row.loading:
+                self._engines[row.endpoint].chosen = version
         if rollout != self._lease.announced:
             self._lease.announce(rollout)
             return
@@ -155,11 +175,12 @@
             running=peer.running,
             current=peer.weights(model) >= version,
             closed=told is not None
-            and told.version == version
+            and told.version == version == state.chosen
             and peer.listed.endpoint in told.closed,
             failing=state.failures > _FAILURES,
             version=max(peer.weights(model), state.promised),
             barred=self._lease.barred(peer.listed.endpoint),
+            loading=state.loads(peer.weights(model), version, now),
         )
 
     def _state(self, peer: Peer) -> _Engine:
@@ -198,6 +219,8 @@
         if report.busy or not state.tells(report, self._clock()):
             return False
         outdated = peer.weights(model) < version
+        if state.chosen != version:
+            return False
         return outdated and self._lease.may_order(peer.listed.endpoint)
 
     async def _ask(self, peer: Peer) -> Report | None:
@@ -259,6 +282,7 @@
     def _heard(self, peer: Peer, model: str, version: int) -> None:
         if version > peer.weights(model):
             peer.heard_weights(model, version)
+            self._on_heard(peer.listed.endpoint)
             emit(
                 Event.WEIGHTS_TAKEN,
                 endpoint=peer.listed.endpoint,
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -81,6 +81,8 @@
         self._told_at = now
         for model, version in state.weights.items():
             self.heard_weights(model, version)
+        for model, version in state.least.items():
+            self.denied_weights(model, version - 1)
         if self.load is not None:
             self.load.elsewhere(state, now)
 
@@ -111,6 +113,7 @@
                 now,
                 listed.born_ms,
                 self.all_weights(),
+                self._unknown_weights(),
             )
         return WorkShare(
             listed.endpoint, (), 0, self.running, born_ms=listed.born_ms
@@ -135,6 +138,14 @@
         version = self._weights.get(model, 0)
         return version if denied is None else max(version, denied + 1)
 
+    def _unknown_weights(self) -> dict[str, int]:
+        """Returns the least version of models whose version is not known."""
+        return {
+            model: version + 1
+            for model, version in self._denied.items()
+            if version >= self._weights.get(model, 0)
+        }
+
     def heard_weights(self, model: str, version: int) -> None:
         """Takes the version that one of its answers was made with."""
         if version > self._weights.get(model, 0):
--- a/magnolialug/policy/endpointaccount.py
+++ b/magnolialug/policy/endpointaccount.py
@@ -74,12 +74,14 @@
         self._told: dict[str, _Told] = {}
         self._promises: dict[Hashable, _Promise] = {}
         self._weights: dict[str, int] = {}
+        self._least: dict[str, int] = {}
         self._heard_at = float("-inf")
 
     def told(self, entry: str, share: WorkShare, now: float) -> None:
         """Takes an entry's work, which replaces what it told before."""
         self._heard_at = max(self._heard_at, now - share.heard_ms / 1000)
         self.knows(share.weights)
+        _raise(self._least, share.least)
         if share.running:
             self._told[entry] = _Told(share, now)
         else:
@@ -87,8 +89,7 @@
 
     def knows(self, weights: Mapping[str, int]) -> None:
         """Takes the versions that somebody knows the endpoint to have."""
-        for model, version in weights.items():
-            self._weights[model] = max(version, self._weights.get(model, 0))
+        _raise(self._weights, weights)
 
     def placed(self, placement: Placement) -> None:
         """Counts the parts of a prompt as held from now on."""
@@ -158,6 +159,11 @@
             waiting=len(self.queue),
             born_ms=self.born_ms,
             weights=dict(self._weights),
+            least={
+                model: version
+                for model, version in self._least.items()
+                if version > self._weights.get(model, 0)
+            },
         )
 
     def is_silent(self, now: float) -> bool:
@@ -188,6 +194,11 @@
         return room >= HEADROOM
 
 
+def _raise(versions: dict[str, int], told: Mapping[str, int]) -> None:
+    for model, version in told.items():
+        versions[model] = max(version, versions.get(model, 0))
+
+
 def _reading_of(row: Queued) -> tuple[int, ...]:
     place = min(row.waiting.priority, PRIORITIES - 1)
     return (0,) * place + (row.unread,)
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -116,12 +116,14 @@
         now: float,
         born_ms: int,
         weights: dict[str, int],
+        least: dict[str, int],
     ) -> WorkShare:
         """Returns this entry's own work, as it is told to others.
 
         Args:
           heard_at: when the engine's last byte came.
           weights: the versions that it is known to have.
+          least: the oldest ones that it can have, where that is not known.
         """
         rows = self._running.values()
         oldest_at = min((placed.sent_at for placed in rows), default=now)
@@ -134,6 +136,7 @@
             oldest_ms=_ms(now - oldest_at),
             born_ms=born_ms,
             weights=weights,
+            least=least,
         )
 
     def _reading(self) -> tuple[int, ...]:
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -24,6 +24,7 @@
       failing: whether it does not answer.
       version: that it has, as far as is known.
       barred: whether it may not be ordered yet.
+      loading: whether it loads another version just now.
     """
 
     endpoint: EndpointId
@@ -33,6 +34,7 @@
     failing: bool
     version: int = 0
     barred: bool = False
+    loading: bool = False
 
 
 class Rollout(msgspec.Struct, frozen=True):
@@ -66,14 +68,18 @@
     that the first one has not reached go first. An engine that may not be
     ordered yet stays open. A closed one stays closed until it has the
     version; if it does not answer it keeps its place only while no other
-    waits for it, so that a dead engine does not hold up the rest.
+    waits for it, so that a dead engine does not hold up the rest. One that
+    loads another version stays closed until it has that, and waits again.
 
     Args:
       told: what was told last; it is returned when nothing changes.
     """
     outdated = [engine for engine in engines if not engine.current]
-    loading = [e for e in outdated if e.closed and not e.failing]
-    waiting = [e for e in outdated if not e.closed and not e.barred]
+    loading = [e for e in outdated if e.loading]
+    loading += [
+        e for e in outdated if e.closed and not e.failing and not e.loading
+    ]
+    waiting = [e for e in outdated if not (e.closed or e.barred or e.loading)]
     waiting.sort(key=lambda e: (e.failing, e.version, e.running, e.endpoint))
     free = at_once(len(engines)) - len(loading)
     closed = loading + waiting[: max(0, free)]
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -22,6 +22,7 @@
       oldest_ms: time since the oldest of these requests was sent.
       born_ms: the start of the endpoint that it is at, 0 if not known.
       weights: the newest version that it is known to have, by model.
+      least: the oldest version that it can have, where that is not known.
     """
 
     endpoint: EndpointId
@@ -32,6 +33,7 @@
     oldest_ms: int = 0
     born_ms: int = 0
     weights: dict[str, int] = {}
+    least: dict[str, int] = {}
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -60,6 +62,7 @@
       waiting: prompts that wait for its memory.
       born_ms: the start that this is known of, 0 if not known.
       weights: the newest version that anybody knows it to have, by model.
+      least: the oldest version that it can have, where that is not known.
     """
 
     endpoint: EndpointId
@@ -71,6 +74,7 @@
     waiting: int = 0
     born_ms: int = 0
     weights: dict[str, int] = {}
+    least: dict[str, int] = {}
 
 
 def summed(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_orders.py
@@ -110,6 +110,33 @@
         versions = [e.version for e in cluster.engines.values()]
         self.assertEqual([3] * 4, versions)
 
+    def test_an_engine_that_loads_is_not_opened_by_the_next_version(self):
+        """A second version is named while engines load the first.
+
+        Symptom: several hundred prompts a second are turned away by engines
+        that load. Sequence: two engines load version 2, version 3 is named;
+        the announcement for it leaves out the two, whom everybody then takes
+        to be open. Cause: only engines announced for the same version were
+        taken to be closed.
+        """
+        cluster = self.started(engines=6)
+        name_weights(cluster, 2)
+        while not any(e.busy for e in cluster.engines.values()):
+            cluster.pass_time(0.01)
+        cluster.pass_time(0.2)
+        name_weights(cluster, 3)
+        turned_away = 0
+        for _ in range(100):
+            busy = [n for n, e in cluster.engines.items() if e.busy]
+            for gateway in cluster.gateways:
+                peers = gateway.directory.peers
+                now = cluster.net.seconds()
+                turned_away += sum(peers[name].sound(now) for name in busy)
+            cluster.pass_time(0.05)
+        self.assertEqual(0, turned_away)
+        versions = [e.version for e in cluster.engines.values()]
+        self.assertEqual([3] * 6, versions)
+
     def test_an_engine_that_joins_with_old_weights_takes_the_new_ones(self):
         cluster = self.started()
         name_weights(cluster, 2)
--- a/tests/policy/test_choices.py
+++ b/tests/policy/test_choices.py
@@ -151,7 +151,9 @@
         load.sent("a", "", prompt(3000, 50), 1000, 3, 0.0)
         load.sent("b", "", prompt(2000, 20), 2000, 0, 0.0)
         load.first_event("b", 0.2)
-        share = load.share("e", 0.2, now=0.5, born_ms=7, weights={"m": 3})
+        share = load.share(
+            "e", 0.2, now=0.5, born_ms=7, weights={"m": 3}, least={}
+        )
         self.assertEqual((0, 0, 0, 1000), share.reading)
         self.assertEqual((5070, 2), (share.held, share.running))
         self.assertEqual((300, 500), (share.heard_ms, share.oldest_ms))
