Survey: a call that is given up while homes are asked is no failed task

What waited for both questions wrapped the cancellation in an error of its own, which ended the call as one of unknown outcome. Ruled out: the calls themselves (nothing had been sent). Change: the two questions are awaited one after the other, both under way.

--- a/magnolialug/entry/survey.py
+++ b/magnolialug/entry/survey.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from twisted.internet.defer import ensureDeferred, gatherResults
+from twisted.internet.defer import CancelledError, ensureDeferred
 
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.forwardcall import ForwardCall
@@ -115,11 +115,14 @@
             salts.add(salt)
         salts -= {"", *(salt for salt, _ in known.stored)}
         # Both questions are on their way before either answer is waited for.
-        asked = ensureDeferred(self._asker.ask(rows, shared))
         sought = ensureDeferred(self._parts.ask(salts, shared))
-        states, stored = await gatherResults(
-            [asked, sought], consumeErrors=True
-        )
+        try:
+            states = await self._asker.ask(rows, shared)
+            stored = await sought
+        except CancelledError:
+            sought.addErrback(lambda reason: reason.trap(CancelledError))
+            sought.cancel()
+            raise
         known.states.update(states)
         known.stored.update(stored)
         now = self._clock()
