Log: a failed attempt names its request by caller, path and body

Cause: engines ended one after the other, and no line showed whether they ran the same request: ids are new each time a caller asks. Before/after: the test failed for want of the field, passes.

--- a/magnolialug/entry/forwardcall.py
+++ b/magnolialug/entry/forwardcall.py
@@ -2,6 +2,7 @@
 
 from magnolialug.config.routing import Route
 from magnolialug.entry.call import Call
+from magnolialug.ids import RequestDigest
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.salt import salt_of
 
@@ -14,6 +15,7 @@
     """A request whose method, target, headers and body stay unchanged.
 
     Attributes:
+      digest: the same for each time that its caller sends it.
       headers: the caller's own that concern the endpoint, in order.
       prompt: None where the route carries no prompts.
       priority: 0 is the most urgent.
@@ -26,6 +28,7 @@
     target: bytes
     headers: HeaderList
     body: bytes
+    digest: RequestDigest
     prompt: Prompt | None = None
     priority: int = 0
     isolated: bool = False
--- a/magnolialug/entry/gatewayintake.py
+++ b/magnolialug/entry/gatewayintake.py
@@ -5,6 +5,7 @@
 from magnolialug.entry.gatewaychannel import GatewayRequest
 from magnolialug.ids import KindName, TeamId
 from magnolialug.platform.requests import Marks, read_marks
+from magnolialug.policy.digest import digest_of
 from magnolialug.policy.rank import rank
 from magnolialug.policy.routes import RouteTable, share_of
 from magnolialug.result import Code, Failure, failed
@@ -69,6 +70,7 @@
     wait_s = route.timeout_s
     if marks.wait_s is not None:
         wait_s = min(wait_s, marks.wait_s)
+    body = req.body()
     return ForwardCall(
         team=team.name,
         service=share_of(route, marks.request_id),
@@ -83,7 +85,8 @@
         method=req.method,
         target=req.uri,
         headers=marks.passed,
-        body=req.body(),
+        body=body,
+        digest=digest_of(team.name, req.uri, body),
         prompt=marks.prompt,
         priority=rank(team.priority, route.priority),
         isolated=team.isolated,
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -203,6 +203,7 @@
         self._log.emit(
             Event.ANSWERED,
             endpoint=to.endpoint,
+            digest=self._call.digest,
             ending=outcome.ended.ending.value,
             end=outcome.end.value,
             status=answer.status if answer else 0,
--- a/magnolialug/ids.py
+++ b/magnolialug/ids.py
@@ -10,6 +10,7 @@
     "EntryId",
     "Incarnation",
     "KindName",
+    "RequestDigest",
     "RequestId",
     "ServiceName",
     "StoreId",
@@ -27,6 +28,7 @@
 EntryId = NewType("EntryId", str)
 Incarnation = NewType("Incarnation", str)
 KindName = NewType("KindName", str)
+RequestDigest = NewType("RequestDigest", str)
 RequestId = NewType("RequestId", str)
 ServiceName = NewType("ServiceName", str)
 StoreId = NewType("StoreId", str)
--- a/magnolialug/measure/gatewayslopes.py
+++ b/magnolialug/measure/gatewayslopes.py
@@ -25,6 +25,7 @@
 from magnolialug.platform.operator import read_routing
 from magnolialug.platform.requests import endpoint_request, read_marks
 from magnolialug.policy.choice import choose
+from magnolialug.policy.digest import digest_of
 from magnolialug.policy.endpointaccount import EndpointAccount
 from magnolialug.policy.listed import Listed
 from magnolialug.policy.routes import RouteTable
@@ -52,6 +53,7 @@
     (b"authorization", b"Token nu6wsjnbanfqasnmgkcu"),
     (b"content-length", b"12000"),
 ]
+_BODY = b"x" * 12_000
 _SHARE = Share("llm", 1.0)
 _BORN_MS = 1_700_000_000_000
 # Endpoints that are asked about for one choice while engines are busy.
@@ -109,7 +111,8 @@
         method=b"POST",
         target=b"/a/b",
         headers=marks.passed,
-        body=b"x" * 12_000,
+        body=_BODY,
+        digest=digest_of("t1", b"/a/b", _BODY),
         prompt=marks.prompt,
     )
 
