--- a/magnolialug/entry/entrybook.py
+++ b/magnolialug/entry/entrybook.py
@@ -8,11 +8,11 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
-from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
+from magnolialug.take import Take
 from magnolialug.timing import sleep
 
 __all__ = ["ENTRIES_PREFIX", "EntryBook", "EntryRow"]
--- a/magnolialug/entry/follower.py
+++ b/magnolialug/entry/follower.py
@@ -1,18 +1,19 @@
 """Keeps what is read of the key-value service in step."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.events import Event, emit, explain
-from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
+from magnolialug.platform.kv import Changes, Kv, Snapshot
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure
+from magnolialug.take import Take
 from magnolialug.timing import sleep
 
-__all__ = ["Follower", "Take"]
+__all__ = ["Follower"]
 
 # All keys. A watch counts as a call for as long as it waits, and one for each
 # prefix made four calls of every change and of every quiet half minute.
@@ -22,28 +23,6 @@
 _QUICK = 3
 
 
-class Take:
-    """What a follower tells its owner; to be overridden.
-
-    Entries with value None were removed.
-    """
-
-    def snapshot(self, entries: Sequence[KvEntry]) -> None:
-        """Takes all entries as they are now."""
-
-    def changed(self, entry: KvEntry) -> None:
-        """Takes one change."""
-
-    def settled(self) -> None:
-        """Learns that all changes that came together have been told."""
-
-    def lost(self) -> None:
-        """Learns that the service does not answer."""
-
-    def back(self) -> None:
-        """Learns that the service answers again."""
-
-
 class Follower:
     """Reads all entries once, then what changes, with one call at a time.
 
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -8,7 +8,6 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
-from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.homes.homebook import FIRST
 from magnolialug.ids import EndpointId
@@ -16,6 +15,7 @@
 from magnolialug.policy.retry import Backoff
 from magnolialug.policy.rollout import Rollout
 from magnolialug.result import Code, Failure, failed
+from magnolialug.take import Take
 from magnolialug.timing import sleep
 
 __all__ = ["HOLDER_KEY", "Holder", "OrderLease"]
--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -6,13 +6,13 @@
 
 from magnolialug.config.routing import Routing
 from magnolialug.entry.directory import Directory
-from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.platform.kv import KvEntry
 from magnolialug.platform.registry import endpoint_id_of, read_listed
 from magnolialug.policy.listed import Listed
 from magnolialug.result import Code, Failure, failed
+from magnolialug.take import Take
 
 __all__ = ["Registry"]
 
--- a/magnolialug/entry/routebook.py
+++ b/magnolialug/entry/routebook.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 
 from magnolialug.config.routing import Routing
-from magnolialug.entry.follower import Take
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import KvEntry
 from magnolialug.platform.operator import (
@@ -14,6 +13,7 @@
 )
 from magnolialug.policy.routes import RouteTable
 from magnolialug.result import Failure
+from magnolialug.take import Take
 
 __all__ = ["RouteBook"]
 
--- /dev/null
+++ b/magnolialug/take.py
@@ -0,0 +1,29 @@
+"""Who is told of what changes in the key-value service."""
+
+from collections.abc import Sequence
+
+from magnolialug.platform.kv import KvEntry
+
+__all__ = ["Take"]
+
+
+class Take:
+    """What a follower tells its owner; to be overridden.
+
+    Entries with value None were removed.
+    """
+
+    def snapshot(self, entries: Sequence[KvEntry]) -> None:
+        """Takes all entries as they are now."""
+
+    def changed(self, entry: KvEntry) -> None:
+        """Takes one change."""
+
+    def settled(self) -> None:
+        """Learns that all changes that came together have been told."""
+
+    def lost(self) -> None:
+        """Learns that the service does not answer."""
+
+    def back(self) -> None:
+        """Learns that the service answers again."""
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -11,8 +11,9 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
-from magnolialug.entry.follower import Follower, Take
+from magnolialug.entry.follower import Follower
 from magnolialug.standin.kv import KvStore
+from magnolialug.take import Take
 
 
 class Seen(Take):
