Bars: a request under which endpoints end goes to no more of them

Cause: callers saw engines end one after the other, and with each up to twenty other answers. One request, the same in caller, path and body, ends each endpoint that begins it. A gateway places it, sends it to a second endpoint on its own after the loss, and the caller asks again elsewhere under a new id; gateways knew requests by ids only, so what an end tells outlived neither the call nor the gateway. Class: a retry loop over callers and gateways that no single attempt's bound sees. Ruled out: one id sent too often (two at most), the retry budget (it was kept), endpoints that end for causes of their own (each end came 0.15 to 0.45 s after the same request). Change: a connection closed amid a request is followed by one probe; an endpoint that refuses it and has no other connection has ended. What it had is told to three entries drawn by the request's digest, which count. Two ends hold the request for a minute, since one fault can take down several endpoints; three bar it, in the key-value service, where it outlives all processes. Runs that had answered count half; a whole answer clears. What is under way and has not begun is called back. The caller gets 502, numbered 315, at once and without an invitation to return.

--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
@@ -86,8 +87,8 @@
         self._failed = failed
 
     def clientConnectionFailed(self, connector, reason) -> None:
-        """Reports a connection that could not be made."""
-        self._failed()
+        """Reports a connection that could not be made, and if refused."""
+        self._failed(reason.check(ConnectionRefusedError) is not None)
 
 
 class Pool:
@@ -164,21 +165,51 @@
             conn.close()
         self._idle.clear()
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Finds out whether the endpoint has ended.
+
+        It has if it refuses a connection and no other one is left: one that
+        has too many refuses further ones too.
+
+        Args:
+          done: is told.
+        """
+
+        def opened(conn: Connection) -> None:
+            conn.close()
+            done(False)
+
+        def failed(refused: bool) -> None:
+            done(refused and not self._all)
+
+        self._dial(opened, failed)
+
     def _connect(self, flight: Flight) -> None:
+        def opened(conn: Connection) -> None:
+            if flight.over:
+                self._free(conn)
+            else:
+                flight.begin(conn)
+
+        self._dial(opened, lambda _: flight.on_end(End.UNSENT))
+
+    def _dial(
+        self,
+        on_open: Callable[[Connection], None],
+        on_failed: Callable[[bool], None],
+    ) -> None:
+        """Makes a connection, or tells that it failed and if it was refused."""
         self._connecting += 1
         self._opened()
 
         def opened(conn: Connection) -> None:
             self._connecting -= 1
             self._all.add(conn)
-            if flight.over:
-                self._free(conn)
-            else:
-                flight.begin(conn)
+            on_open(conn)
 
-        def failed() -> None:
+        def failed(refused: bool) -> None:
             self._connecting -= 1
-            flight.on_end(End.UNSENT)
+            on_failed(refused)
 
         conn = Connection(self._clock, opened, self._free, self._gone)
         factory = _Factory(lambda _: conn, failed)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -7,6 +7,8 @@
 import msgspec
 from twisted.internet.defer import ensureDeferred
 
+from magnolialug.bars.barbook import BARS_PREFIX
+from magnolialug.bars.wiring import Bars
 from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.costs import Costs
@@ -35,6 +37,7 @@
 from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, emit, explain
 from magnolialug.homes.wiring import Homes
+from magnolialug.ids import RequestDigest
 from magnolialug.parts.wiring import Parts
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
@@ -112,6 +115,9 @@
         me = (settings.host, settings.internal_port)
         self.talk = PeerTalk(me, reactor)
         self.homes = Homes(me, self.directory, self.talk, reactor)
+        self.bars = Bars(
+            self.homes.book, self.talk, kv, reactor, self._break_off
+        )
         self._bounds = WeightBounds(settings.bounds.weights_s)
         self.parts = Parts(
             self.homes,
@@ -176,6 +182,7 @@
                 OPERATOR_PREFIX: self.routes,
                 REGISTRY_PREFIX: self.registry,
                 ENTRIES_PREFIX: self._entries,
+                BARS_PREFIX: self.bars.written,
                 HOLDER_KEY: self._lease,
             },
             reactor,
@@ -288,6 +295,7 @@
             placer=self._placer,
             survey=self._survey,
             waits=self.homes.waits,
+            bars=self.bars,
             underway=self._underway,
             clock=self.clock,
             metrics=metrics,
@@ -322,6 +330,7 @@
                 "ready": lambda: int(self.ready()),
                 "order_lease_held": lambda: int(self._lease.held),
                 "entries": lambda: self.directory.entries,
+                "requests_barred": lambda: len(self.bars.written),
                 "kv_in_touch": lambda: int(self._follower.in_touch),
             },
         )
@@ -334,6 +343,12 @@
             self.clock,
         )
 
+    def _break_off(self, digest: RequestDigest) -> None:
+        """Ends what is under way of a request that ends endpoints."""
+        for attempt in list(self._underway):
+            if attempt.digest == digest:
+                attempt.break_off()
+
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
         self.registry.configure(routing)
@@ -398,6 +413,7 @@
         self._note_weights(now)
         self._orders.tick()
         self.homes.tick(now)
+        self.bars.tick(now)
 
     def _tidy(self, now: float) -> None:
         self.parts.tick(now)
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.python.failure import Failure as TwistedFailure
 
+from magnolialug.bars.wiring import Bars
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaychannel import GatewayRequest
@@ -32,6 +33,7 @@
       serving: what the retry loop needs.
       survey: finds out what endpoints have to do.
       waits: where long prompts wait for memory.
+      bars: knows the requests that go to no endpoint.
       underway: the attempts that the gateway watches for silence.
     """
 
@@ -39,6 +41,7 @@
     placer: Placer
     survey: Survey
     waits: Waits
+    bars: Bars
     underway: set[HttpAttempt]
     clock: Callable[[], float]
     metrics: GatewayMetrics
@@ -67,6 +70,7 @@
             means.placer,
             means.survey,
             means.waits,
+            means.bars,
             means.underway,
             means.clock,
             call,
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -82,6 +82,7 @@
       answer: the response head, None if none came.
       first_event_s: time from sending to the first piece of the body.
       sent_at: when the request was sent.
+      begun: whether part of the body came.
       kept: the body of a failure that was kept back.
     """
 
@@ -90,6 +91,7 @@
     first_event_s: float = 0.0
     end: End = End.WHOLE
     sent_at: float = 0.0
+    begun: bool = False
     kept: bytes = b""
 
 
@@ -126,6 +128,8 @@
         self.sent_at = now
         self.heard_at = now
         self.answered = False
+        self.begun = False
+        self.digest = call.digest
         self._call = call
         self._progress = progress
         self._sink = sink
@@ -160,6 +164,11 @@
         if over or (self._is_overdue(now) and self._may_move()):
             self._flight.silent()
 
+    def break_off(self) -> None:
+        """Stops a request that ends endpoints before this one begins it."""
+        if not self.begun:
+            self._flight.drop()
+
     def _is_overdue(self, now: float) -> bool:
         """Whether another endpoint is the better bet, if one may be tried.
 
@@ -216,6 +225,7 @@
     def on_data(self, data: bytes) -> None:
         """Takes a piece of the endpoint's body."""
         self._heard()
+        self.begun = True
         if self._stage is _Stage.PASSING:
             self._deliver(data)
         elif self._stage is _Stage.GATHERING:
@@ -279,6 +289,7 @@
         outcome = self._outcome(end)
         outcome.end = end
         outcome.sent_at = self.sent_at
+        outcome.begun = self.begun
         outcome.answer = self._answer
         outcome.first_event_s = self._first_event_s
         done.callback(outcome)
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.defer import CancelledError
 
+from magnolialug.bars.wiring import Bars
 from magnolialug.carrier.taker import End
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
@@ -31,7 +32,8 @@
 _LISTS = 4
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
-_ENDPOINT_AT_FAULT = (End.RESET, End.CLOSED, End.GARBAGE, End.SILENT)
+_CLOSED_ON_US = (End.RESET, End.CLOSED)
+_ENDPOINT_AT_FAULT = (*_CLOSED_ON_US, End.GARBAGE, End.SILENT)
 
 
 class HttpCarrier:
@@ -41,6 +43,7 @@
       placer: chooses the endpoints.
       survey: finds out what they have to do.
       waits: where long prompts wait for memory.
+      bars: knows the requests that go to no endpoint.
       underway: the attempts that the process watches for silence.
     """
 
@@ -49,6 +52,7 @@
         placer: Placer,
         survey: Survey,
         waits: Waits,
+        bars: Bars,
         underway: set[HttpAttempt],
         clock,
         call: ForwardCall,
@@ -63,6 +67,7 @@
         self._placer = placer
         self._survey = survey
         self._waits = waits
+        self._bars = bars
         self._underway = underway
         self._clock = clock
         self._call = call
@@ -75,14 +80,7 @@
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
-        progress.seq = max(progress.seq, self._call.resume_after)
-        known = await self._survey.look(self._call, self._avoid)
-        turn = await self._turn(known)
-        if isinstance(turn, Failure):
-            return turn
-        placed = self._placer.place(
-            self._call, progress, self._avoid, known, turn
-        )
+        placed = await self._place(progress)
         if isinstance(placed, Failure):
             self._log.emit(Event.NOT_PLACED, **explain(placed))
             return self._kept_answer() or placed
@@ -98,6 +96,21 @@
             self._kept = outcome
         return outcome.ended
 
+    async def _place(self, progress: Progress) -> Placed | Failure:
+        """Returns an endpoint, or why there is none."""
+        progress.seq = max(progress.seq, self._call.resume_after)
+        barred = self._bars.refusal(self._call.digest)
+        if barred:
+            return barred
+        known = await self._survey.look(self._call, self._avoid)
+        turn = await self._turn(known)
+        if isinstance(turn, Failure):
+            return turn
+        # What is told while a call waits counts: the next thing is the send.
+        return self._bars.refusal(self._call.digest) or self._placer.place(
+            self._call, progress, self._avoid, known, turn
+        )
+
     async def _turn(self, known: Known) -> EndpointId | Failure | None:
         """Waits until an engine has room for a first attempt.
 
@@ -113,8 +126,6 @@
             ahead_limit_s(self._call),
         )
         self._waited_s = self._clock() - begun
-        if isinstance(turn, Failure):
-            self._log.emit(Event.NOT_PLACED, **explain(turn))
         return turn
 
     def _bids(self, known: Known) -> list[Bid]:
@@ -247,7 +258,8 @@
         return Served(None, progress.seq, first_at - self._call.arrived)
 
     def _learn(self, peer: Peer, dispatch: Dispatch, outcome: Outcome) -> None:
-        """Takes what the attempt tells of its endpoint."""
+        """Takes what the attempt tells of its endpoint, and of the request."""
+        self._learn_of_request(peer, outcome)
         answer = outcome.answer
         if answer is not None and answer.misdirected:
             self._placer.misdirected(self._call, peer, dispatch, answer)
@@ -266,6 +278,21 @@
         else:
             peer.health.probing = False
 
+    def _learn_of_request(self, peer: Peer, outcome: Outcome) -> None:
+        """Notes whether the endpoint lived through the request.
+
+        One that leaves ends in order with what it has left.
+        """
+        answer = outcome.answer
+        if answer is not None and answer.not_run:
+            return
+        if outcome.end is End.WHOLE:
+            self._bars.survived(self._call.digest)
+        elif outcome.end in _CLOSED_ON_US and not peer.leaving:
+            self._bars.lost(
+                peer.start, peer.pool, self._call.digest, outcome.begun
+            )
+
 
 def _named_sources(
     prompt: Prompt | None, to: Dispatch
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -5,6 +5,7 @@
 from magnolialug.carrier.pool import Pool
 from magnolialug.events import Event, emit
 from magnolialug.homes.accounts import EndpointFacts
+from magnolialug.ids import EndpointId
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
 from magnolialug.policy.listed import Listed
@@ -50,6 +51,12 @@
         self._weights: dict[str, int] = dict(listed.weights)
         self._denied: dict[str, int] = {}
 
+    @property
+    def start(self) -> EndpointId:
+        """Names this start of the endpoint, also where ids are kept."""
+        born = f"/{self.listed.born_ms}" if self.listed.born_ms else ""
+        return EndpointId(f"{self.listed.endpoint}{born}")
+
     @property
     def leaving(self) -> bool:
         """Whether no new work may go to it."""
--- a/magnolialug/entry/peertalk.py
+++ b/magnolialug/entry/peertalk.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import DatagramProtocol
 
+from magnolialug.bars.messages import Bar, Blamed, Survived
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
 from magnolialug.homes.messages import Ask, Told, Turn, Unwait, Wait, Work
@@ -16,7 +17,20 @@
 
 _BYTES = 8192
 
-Message = Ask | AskParts | Save | Told | ToldParts | Turn | Unwait | Wait | Work
+Message = (
+    Ask
+    | AskParts
+    | Bar
+    | Blamed
+    | Save
+    | Survived
+    | Told
+    | ToldParts
+    | Turn
+    | Unwait
+    | Wait
+    | Work
+)
 
 
 class PeerTalk(DatagramProtocol):
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -48,6 +48,9 @@
     CANCELLED = 2006
     ANSWERED = 2008
     NOT_RETRIED = 2009
+    REQUEST_BARRED = 2010
+    BAR_LIFTED = 2011
+    BAR_UNWRITTEN = 2012
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
     CLAIM_MOVED = 2102
@@ -73,6 +76,7 @@
     ENDPOINT_REPLACED = 4106
     ENDPOINT_RESTARTED = 4107
     ENDPOINT_STALE = 4108
+    ENDPOINT_ENDED = 4109
     KV_LOST = 4200
     KV_BACK = 4201
     STORE_HEARD = 4210
@@ -111,6 +115,9 @@
     Event.CANCELLED: "The caller left; the endpoint's work is stopped.",
     Event.ANSWERED: "An attempt ended without a whole answer; how.",
     Event.NOT_RETRIED: "A request goes nowhere else; the reason.",
+    Event.REQUEST_BARRED: "Endpoints ended under a request; it goes to none.",
+    Event.BAR_LIFTED: "A request that went to no endpoint may go again.",
+    Event.BAR_UNWRITTEN: "A bar could not be written; tried again later.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
     Event.CLAIM_MOVED: "A claim moved after its attempt was sealed unrun.",
@@ -135,6 +142,7 @@
     Event.ENDPOINT_REPLACED: "Another endpoint has an endpoint's address.",
     Event.ENDPOINT_RESTARTED: "An endpoint started again under its id.",
     Event.ENDPOINT_STALE: "An entry of an endpoint that is gone; not used.",
+    Event.ENDPOINT_ENDED: "An endpoint has ended; how many requests it had.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
--- a/magnolialug/homes/homebook.py
+++ b/magnolialug/homes/homebook.py
@@ -76,7 +76,7 @@
 
     def home(self, task: str) -> Address:
         """Returns the entry that keeps the account of an endpoint or store."""
-        first = self._first(task)
+        first = self.first(task)
         there = (row for row in first if row not in self._missing)
         return next(there, first[0])
 
@@ -85,10 +85,11 @@
 
         It is FIRST for one that is not among them.
         """
-        first = self._first(task)
+        first = self.first(task)
         return first.index(self.me) if self.me in first else FIRST
 
-    def _first(self, task: str) -> tuple[Address, ...]:
+    def first(self, task: str) -> tuple[Address, ...]:
+        """Returns the entries that take a task, the first choice first."""
         found = self._homes.get(task)
         if found is None:
             names = self._ring.candidates(task, FIRST)
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -49,6 +49,7 @@
     ATTEMPTS_SPENT = 312
     WRONG_ENDPOINT = 313
     NO_ROOM = 314
+    BARRED = 315
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -163,6 +164,11 @@
         ),
         (Code.QUEUE_FULL, 503, "The endpoint's queue is full."),
         (Code.NO_ROOM, 503, "No endpoint has room."),
+        (
+            Code.BARRED,
+            502,
+            "Endpoints ended under the same request; it goes to no other.",
+        ),
         (
             Code.WRONG_ENDPOINT,
             503,
--- a/tests/network.py
+++ b/tests/network.py
@@ -4,6 +4,7 @@
     ConnectionDone,
     ConnectionLost,
     ConnectionRefusedError,
+    TCPTimedOutError,
 )
 from twisted.internet.interfaces import IPushProducer, ITCPTransport
 from twisted.internet.task import Clock
@@ -167,9 +168,10 @@
         address = (host, port)
         self.dialled.append(address)
         if address in self.dark:
-            self.callLater(timeout, self._fail, factory)
+            self.callLater(timeout, self._fail, factory, TCPTimedOutError())
         elif address not in self.servers:
-            self.callLater(LATENCY_S, self._fail, factory)
+            refused = ConnectionRefusedError()
+            self.callLater(LATENCY_S, self._fail, factory, refused)
         else:
             self.callLater(LATENCY_S, self._join, address, factory)
 
@@ -187,13 +189,12 @@
         for _ in range(max(1, round(seconds / step))):
             self.advance(step)
 
-    def _fail(self, factory):
-        reason = Failure(ConnectionRefusedError())
-        factory.clientConnectionFailed(None, reason)
+    def _fail(self, factory, error):
+        factory.clientConnectionFailed(None, Failure(error))
 
     def _join(self, address, factory):
         if address not in self.servers:
-            self._fail(factory)
+            self._fail(factory, ConnectionRefusedError())
             return
         self._pair(factory.buildProtocol(None), self.servers[address])
 
--- /dev/null
+++ b/tests/policy/test_blame.py
@@ -0,0 +1,81 @@
+"""Which requests are kept back, and which are cleared."""
+
+from testtools import TestCase
+
+from magnolialug.policy.answered import Answered
+from magnolialug.policy.blamebook import BlameBook, Verdict
+
+
+class BlameBookTest(TestCase):
+    """Ends are counted by endpoint and request."""
+
+    def verdicts(self, rows):
+        """Returns the verdicts of ends: endpoint, answered, time."""
+        book = BlameBook()
+        return [book.ended("d", *row) for row in rows]
+
+    def test_two_ends_hold_a_request_and_three_bar_it(self):
+        rows = [(f"i-{n}", False, float(n)) for n in range(4)]
+        self.assertEqual(
+            [Verdict.FREE, Verdict.HELD, Verdict.BARRED, Verdict.BARRED],
+            self.verdicts(rows),
+        )
+
+    def test_one_endpoint_ends_once_however_many_tell_it(self):
+        rows = [("i-1", False, 0.0)] * 4
+        self.assertEqual([Verdict.FREE] * 4, self.verdicts(rows))
+
+    def test_runs_that_had_answered_count_half(self):
+        rows = [(f"i-{n}", True, float(n)) for n in range(6)]
+        self.assertEqual(
+            [Verdict.FREE] * 3 + [Verdict.HELD] * 2 + [Verdict.BARRED],
+            self.verdicts(rows),
+        )
+
+    def test_the_worse_of_two_words_of_one_end_counts(self):
+        rows = [
+            ("i-1", True, 0.0),
+            ("i-1", False, 0.0),
+            ("i-2", False, 1.0),
+        ]
+        self.assertEqual(Verdict.HELD, self.verdicts(rows)[-1])
+
+    def test_ends_long_ago_count_no_more(self):
+        rows = [("i-1", False, 0.0), ("i-2", False, 601.0)]
+        self.assertEqual([Verdict.FREE] * 2, self.verdicts(rows))
+
+    def test_a_whole_answer_clears_a_request(self):
+        book = BlameBook()
+        book.ended("d", "i-1", False, 0.0)
+        book.survived("d")
+        self.assertEqual(Verdict.FREE, book.ended("d", "i-2", False, 1.0))
+        self.assertEqual(("i-2",), book.ends("d"))
+
+    def test_what_is_remembered_is_bounded(self):
+        book = BlameBook()
+        for number in range(10_001):
+            book.ended(f"d{number}", "i-1", False, 0.0)
+        self.assertEqual((), book.ends("d0"))
+        self.assertEqual(("i-1",), book.ends("d10000"))
+
+
+class AnsweredTest(TestCase):
+    """An answer clears a request of the ends of one fault."""
+
+    def test_ends_together_are_one_fault(self):
+        answered = Answered()
+        answered.add("d")
+        for now in (5.0, 5.0, 5.9):
+            self.assertTrue(answered.clears("d", now))
+        self.assertFalse(answered.clears("d", 6.1))
+        self.assertFalse(answered.clears("d", 6.2))
+
+    def test_what_was_never_answered_is_not_cleared(self):
+        self.assertFalse(Answered().clears("d", 0.0))
+
+    def test_what_is_remembered_is_bounded(self):
+        answered = Answered()
+        for number in range(4097):
+            answered.add(f"d{number}")
+        self.assertFalse(answered.clears("d0", 0.0))
+        self.assertTrue(answered.clears("d4096", 0.0))
