Ctl: operators list and lift bars

Cause: a request that is barred stays so; whoever mends it, or the endpoint, could only remove the key by hand. Change: magnolialug-ctl bars and lift.

--- a/magnolialug/bars/barbook.py
+++ b/magnolialug/bars/barbook.py
@@ -13,7 +13,7 @@
 from magnolialug.result import Code, Failure, failed
 from magnolialug.take import Take
 
-__all__ = ["BARS_PREFIX", "BarBook"]
+__all__ = ["BARS_PREFIX", "BarBook", "BarValue"]
 
 BARS_PREFIX = "magnolialug/bars/"
 # A bar that could not be written is tried again after this long. All entries
@@ -24,7 +24,7 @@
 _MOST_BARS = 1000
 
 
-class _Value(msgspec.Struct, frozen=True):
+class BarValue(msgspec.Struct, frozen=True):
     """What the key-value service keeps of a bar, for its operators."""
 
     ended: tuple[EndpointId, ...]
@@ -104,7 +104,7 @@
             self._lift(digest)
             return
         try:
-            value = msgspec.json.decode(entry.value, type=_Value)
+            value = msgspec.json.decode(entry.value, type=BarValue)
         except msgspec.MsgspecError as exc:
             bad = failed(Code.BAD_ENTRY, str(exc), entry.key)
             emit(Event.ENTRY_REFUSED, key=entry.key, **explain(bad))
@@ -153,7 +153,7 @@
             self._write_at = self._clock.seconds() + _WRITE_AGAIN_S
 
     async def _write_one(self, digest: RequestDigest, row: _Row) -> None:
-        value = msgspec.json.encode(_Value(row.ended))
+        value = msgspec.json.encode(BarValue(row.ended))
         swap = await self._kv.put_if(BARS_PREFIX + digest, value, 0)
         if isinstance(swap, Failure):
             emit(Event.BAR_UNWRITTEN, digest=digest, **explain(swap))
--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -22,6 +22,7 @@
 from magnolialug.confstore import Head, apply_text, read_doc, read_head
 from magnolialug.ctl.account import account, as_tables
 from magnolialug.ctl.accountplot import draw_account
+from magnolialug.ctl.bars import bar_lines, lift_bar
 from magnolialug.ctl.diff import differences
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
@@ -40,6 +41,9 @@
   show              the configuration in force
   history           accepted changes, the newest first
   status            the version in force in every process
+  bars              requests that go to no endpoint, since endpoints ended
+                    under them, and which those were
+  lift DIGEST       let such a request go to endpoints again
   explain REQUEST   how a request was decided, from JSON logs on stdin
   account           how calls ended, where their time went, and what was
                     read again and why, from JSON logs on stdin
@@ -81,6 +85,15 @@
         )
 
     async def run(self, name: str, arguments: list[str]) -> int:
+        """Runs a command against the key-value service."""
+        if name == "bars":
+            return _print_lines(await bar_lines(self._kv))
+        if name == "lift":
+            failure = await lift_bar(self._kv, arguments[0])
+            return _fail(failure) if failure else 0
+        return await self._run_on_head(name, arguments)
+
+    async def _run_on_head(self, name: str, arguments: list[str]) -> int:
         """Runs a command on the head that is in force."""
         texts = [_folder_text(folder) for folder in arguments]
         if None in texts:
@@ -152,6 +165,14 @@
     return 0
 
 
+def _print_lines(lines: list[str] | Failure) -> int:
+    if isinstance(lines, Failure):
+        return _fail(lines)
+    for line in lines:
+        print(line)
+    return 0
+
+
 def _print_history(head: Head) -> int:
     for change in head.changes:
         at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.at))
@@ -223,7 +244,8 @@
 
 
 _OFFLINE = {"validate": _validate, "explain": _explain, "hash-key": _hash_key}
-_ARGUMENTS = {"validate": 1, "plan": 1, "apply": 1, "explain": 1}
+_ARGUMENTS = {"validate": 1, "plan": 1, "apply": 1, "explain": 1, "lift": 1}
+_ONLINE = ("plan", "apply", "show", "history", "status", "bars", "lift")
 
 
 def run() -> None:
@@ -231,7 +253,7 @@
     flags, rest = parse("magnolialug-ctl", _SUMMARY, _GROUPS)
     setup_logging(flags.log_format, flags.log_level)
     name, *arguments = rest or [""]
-    known = {*_OFFLINE, "account", "plan", "apply", "show", "history", "status"}
+    known = {*_OFFLINE, *_ONLINE, "account"}
     if name not in known or len(arguments) != _ARGUMENTS.get(name, 0):
         print(
             f"magnolialug-ctl: bad command {' '.join(rest)!r}; see --help",
