Pool: what takes a connection and closes it at once has ended too

Cause: the soak's new kind of trouble, a caller that sends again and again what ends endpoints, showed 9 to 11 ends under one request. Its endpoints stand behind a proxy that takes connections and resets them, as load balancers do; the probe took that for a living endpoint. Ruled out: counting and telling (no entry had logged an end at all). Change: a probe that is closed within 0.1 s counts as refused. A gateway that takes no note is found.

--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from twisted.internet.error import ConnectionRefusedError
-from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
 from magnolialug.carrier.connection import Connection
@@ -15,6 +15,9 @@
 # An opening packet that is dropped at a full queue is sent again after a
 # second, so waiting longer gains one more try at a peer that is in trouble.
 CONNECT_S = 0.9
+# A connection that is closed this soon, before anything was asked on it, was
+# not taken by an endpoint: it closes idle ones after seconds.
+_PROBE_S = 0.1
 
 Address = tuple[str, int]
 
@@ -168,21 +171,32 @@
     def probe(self, done: Callable[[bool], None]) -> None:
         """Finds out whether the endpoint has ended.
 
-        It has if it refuses a connection and no other one is left: one that
-        has too many refuses further ones too.
+        It has if it refuses a connection, or whatever stands before it closes
+        one at once, and no other one is left: an endpoint that has too many
+        refuses further ones too, and keeps those.
 
         Args:
           done: is told.
         """
+        timers: list[IDelayedCall] = []
 
         def opened(conn: Connection) -> None:
+            timers.append(self._reactor.callLater(_PROBE_S, spared, conn))
+
+        def spared(conn: Connection) -> None:
             conn.close()
             done(False)
 
+        def gone(conn: Connection) -> None:
+            self._gone(conn)
+            if timers[0].active():
+                timers[0].cancel()
+                done(not self._all)
+
         def failed(refused: bool) -> None:
             done(refused and not self._all)
 
-        self._dial(opened, failed)
+        self._dial(opened, failed, gone)
 
     def _connect(self, flight: Flight) -> None:
         def opened(conn: Connection) -> None:
@@ -191,12 +205,16 @@
             else:
                 flight.begin(conn)
 
-        self._dial(opened, lambda _: flight.on_end(End.UNSENT))
+        def failed(refused: bool) -> None:
+            flight.on_end(End.UNSENT)
+
+        self._dial(opened, failed, self._gone)
 
     def _dial(
         self,
         on_open: Callable[[Connection], None],
         on_failed: Callable[[bool], None],
+        on_gone: Callable[[Connection], None],
     ) -> None:
         """Makes a connection, or tells that it failed and if it was refused."""
         self._connecting += 1
@@ -211,7 +229,7 @@
             self._connecting -= 1
             on_failed(refused)
 
-        conn = Connection(self._clock, opened, self._free, self._gone)
+        conn = Connection(self._clock, opened, self._free, on_gone)
         factory = _Factory(lambda _: conn, failed)
         host, port = self.address
         self._reactor.connectTCP(host, port, factory, timeout=CONNECT_S)
--- a/magnolialug/soak/ledger.py
+++ b/magnolialug/soak/ledger.py
@@ -169,6 +169,12 @@
         elif answer.status in _DENIALS and row.form is not Form.PROBE:
             self.broken("DENIED", f"status {answer.status}", name)
 
+    def refused(self, row: Sent, status: int) -> None:
+        """Notes the status of a request that no endpoint can answer."""
+        row.status = status
+        row.told_not_run = status in _NOT_RUN
+        self.outcomes[f"harmful {status}"] += 1
+
     def _check_success(self, row: Sent, answer: Answer) -> None:
         stamp = answer.headers.get("x-response-stamp", "")
         if not stamp:
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -68,6 +68,8 @@
     """Runs machines, callers and troubles, and watches the promises.
 
     Attributes:
+      asker: sends single requests.
+      harmed_until: when the newest harmful request comes no more.
       random: decides everything that is decided by chance.
 
     Args:
@@ -76,13 +78,14 @@
 
     def __init__(self, reactor, planned: Plan, done: Callable[[Report], None]):
         self.random = Random(planned.seed)
+        self.harmed_until = 0.0
         self._reactor = reactor
         self._plan = planned
         self._done = done
         self._ids = iter(range(1, 1_000_000_000))
         self._counts: Counter[str] = Counter()
         self._timers: list = []
-        self._asker = Asker(reactor)
+        self.asker = Asker(reactor)
         self._block = Block()
         self.ledger = Ledger(reactor.seconds, EVENTS)
         self.world = World(reactor, self._block, self.ledger, self.touched)
@@ -93,7 +96,7 @@
         ]
         self.fronts = [self._front(m) for m in self.machines]
         self.clients = [self._client() for _ in range(planned.clients)]
-        self._probes = Probes(self, self._asker, self._block)
+        self._probes = Probes(self, self.asker, self._block)
 
     @property
     def now(self) -> float:
@@ -199,7 +202,7 @@
         for front in self.fronts:
             address = self._block.ready(front.machine.number)
             ask = request_bytes("GET", address[0], "/readyz")
-            fut = self._asker.ask(address, ask, _READY_S)
+            fut = self.asker.ask(address, ask, _READY_S)
             fut.addCallback(self._heard_ready, front)
 
     def _heard_ready(self, reply, front: Front) -> None:
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/troubles.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from magnolialug.soak.harm import MARK, send_again, some_form
 from magnolialug.soak.proxy import Path
 from magnolialug.standin.endpoint import Fault
 
@@ -15,7 +16,12 @@
 _GAP_S = 0.7
 _SERIES = 3
 _FIRST_SEED_OF_ALL = 1000
-_LATER_KINDS = ("restart_endpoint", "restart_part_store", "foreign_entries")
+_LATER_KINDS = (
+    "restart_endpoint",
+    "restart_part_store",
+    "foreign_entries",
+    "harmful_request",
+)
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
@@ -199,6 +205,16 @@
     soak.later(back_s, soak.world.revive, slot, service)
 
 
+def harmful_request(soak: "Soak") -> None:
+    """A caller sends again and again what ends each endpoint that begins it."""
+    if soak.now < soak.harmed_until:
+        # Two at once leave no endpoint up for long, and so show little.
+        return
+    body = MARK + soak.new_id().encode()
+    soak.harmed_until = soak.now + _for_s(soak, 7.0, 9.0)
+    send_again(soak, body, some_form(soak), soak.harmed_until)
+
+
 def restart_endpoint(soak: "Soak") -> None:
     """An endpoint starts again under its id, and knows nothing of before."""
     slot = soak.some_slot()
@@ -330,6 +346,7 @@
         store_nonsense,
         bad_answers,
         crash_endpoint,
+        harmful_request,
         restart_endpoint,
         restart_part_store,
         foreign_entries,
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -7,6 +7,7 @@
 from twisted.web.server import Site
 
 from magnolialug.soak.block import Block
+from magnolialug.soak.harm import MARK, HarmRecord
 from magnolialug.soak.ledger import Ledger
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.standin.endpoint import EndpointStandin, Received
@@ -30,6 +31,10 @@
 # Room for all that a run saves.
 _STORE_TOKENS = 1_000_000
 _HEARTBEATS_S = 3.6
+# An endpoint has begun a harmful request, and not answered it, by then.
+_BEGUN_S = 0.005
+_BACK_S = 1.5
+_FAULTY_S = 8.0
 
 
 class Engine(ModelServerStandin):
@@ -69,6 +74,7 @@
       slots: endpoints by their number.
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
+      harms: what each harmful request has done, by its body.
 
     Args:
       touched: tells whether a request's machine and the store are calm.
@@ -88,6 +94,7 @@
         self.weights = 1
         self.store_troubled_until = 0.0
         self.slots: list[Slot] = []
+        self.harms: dict[bytes, HarmRecord] = {}
         self.walls: dict[str, tuple[str, int]] = {}
         self.part_store = PartStoreStandin(reactor, "i-store")
         self._reactor = reactor
@@ -234,6 +241,8 @@
             return
         if slot.endpoint is endpoint:
             self._check_drain(slot, req, machine)
+            if req.body.startswith(MARK):
+                self._harmed(slot, req, machine)
         if slot.service == "llm":
             self._check_walls(endpoint, req)
 
@@ -244,6 +253,35 @@
             detail = f"{late:.2f} s after {slot.endpoint.instance} left"
             self._ledger.broken("DRAIN", detail, req.request_id)
 
+    def _harmed(self, slot: Slot, req: Received, machine: str) -> None:
+        """Ends an endpoint that has begun a harmful request."""
+        record = self.harms.setdefault(req.body, HarmRecord())
+        known_from = record.known_from
+        if self._reactor.seconds() > known_from + _SLACK_S:
+            record.late += self._touched(machine, known_from)
+        if record.too_late:
+            detail = f"sent on after {len(record.ended)} endpoints had ended"
+            self._ledger.broken("BUDGET", detail, req.request_id)
+        self._reactor.callLater(
+            _BEGUN_S, self._end_under, slot, slot.endpoint, req, record
+        )
+
+    def _end_under(
+        self, slot: Slot, endpoint, req: Received, record: HarmRecord
+    ) -> None:
+        waits = any(conn.current is req for conn in endpoint.open)
+        if slot.endpoint is not endpoint or not waits:
+            return
+        now = self._reactor.seconds()
+        record.ended.append(now)
+        slot.faulty_until = now + _FAULTY_S
+        self.crash(slot)
+        self._reactor.callLater(_BACK_S, self._revive_after, slot)
+
+    def _revive_after(self, slot: Slot) -> None:
+        if slot.endpoint is None:
+            self.revive(slot)
+
     def _check_walls(self, engine: Engine, req: Received) -> None:
         """Checks that one salt never serves two teams or two versions."""
         salt = req.headers.get("x-cache-salt", "")
--- a/tests/carrier/test_probe.py
+++ b/tests/carrier/test_probe.py
@@ -57,6 +57,22 @@
         self.net.advance_by(0.003, 0.001)
         self.assertEqual([False], self.told)
 
+    def test_one_behind_something_that_takes_and_closes_has(self):
+        taken = []
+        server = EndpointStandin(self.net, "i-1")
+        build = server.buildProtocol
+
+        def build_and_close(addr):
+            conn = build(addr)
+            taken.append(conn)
+            self.net.callLater(0.01, lambda: conn.transport.abortConnection())
+            return conn
+
+        server.buildProtocol = build_and_close
+        self.net.servers[ADDRESS] = server
+        self.assertTrue(self.probe())
+        self.assertEqual(1, len(taken))
+
     def test_one_that_does_not_answer_is_not_known_to_have(self):
         self.net.dark.add(ADDRESS)
         self.assertFalse(self.probe())
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from magnolialug.bars.wiring import Bars
 from magnolialug.cmd import gateway
 from magnolialug.entry import serving
 from magnolialug.entry.gatewaysink import GatewaySink
@@ -38,8 +39,16 @@
     GatewaySink.cut = GatewaySink.whole
 
 
+def forget():
+    """Takes no note of endpoints that end."""
+    Bars.lost = lambda *_: None
+
+
 if __name__ == "__main__":
-    {"repeat": repeat, "go-back": go_back, "look-whole": look_whole}[
-        sys.argv.pop(1)
-    ]()
+    {
+        "repeat": repeat,
+        "go-back": go_back,
+        "look-whole": look_whole,
+        "forget": forget,
+    }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -67,3 +67,20 @@
 
     def test_a_cut_answer_that_looks_whole_is_found(self):
         self.assertIn("ORDER", self.sabotaged("look-whole", "bad_answers"))
+
+    def test_a_request_that_ends_endpoints_is_kept_back(self):
+        """Endpoints end behind something that takes connections and closes.
+
+        Symptom: eleven endpoints end under one request. Sequence: an endpoint
+        ends; the probe that follows is taken by what stands before it, and
+        closed. Cause: only a refused connection was taken for the end.
+        """
+        code, report = self.soak(
+            "--seed=2001", "--minutes=0.3", "--only=harmful_request"
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["outcomes"]["harmful 502"], 20)
+
+    def test_a_request_that_ends_endpoints_and_is_sent_on_is_found(self):
+        self.assertIn("BUDGET", self.sabotaged("forget", "harmful_request"))
