Soak: a late arrival is counted in plain words

Cause: a count grew by the truth of a question, which reads as an error. Change: the question stands by itself.

--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -257,8 +257,9 @@
         """Ends an endpoint that has begun a harmful request."""
         record = self.harms.setdefault(req.body, HarmRecord())
         known_from = record.known_from
-        if self._reactor.seconds() > known_from + _SLACK_S:
-            record.late += self._touched(machine, known_from)
+        late = self._reactor.seconds() > known_from + _SLACK_S
+        if late and self._touched(machine, known_from):
+            record.late += 1
         if record.too_late:
             detail = f"sent on after {len(record.ended)} endpoints had ended"
             self._ledger.broken("BUDGET", detail, req.request_id)
