Watch client: the field's terms for what follows the key-value service

Cause: 'follower', 'take' and 'told' had to be learned before the code that reads the key-value service could be followed. Change: the class is WatchClient, and those it reports to are WatchSubscribers; no behaviour changes. Before/after: the tests of both files pass, before and after.

--- a/magnolialug/bars/barbook.py
+++ b/magnolialug/bars/barbook.py
@@ -11,7 +11,7 @@
 from magnolialug.ids import EndpointId, RequestDigest
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.result import Code, Failure, failed
-from magnolialug.take import Take
+from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["BARS_PREFIX", "BarBook", "BarValue"]
 
@@ -42,7 +42,7 @@
         return self.until == float("inf")
 
 
-class BarBook(Take):
+class BarBook(WatchSubscriber):
     """Keeps the bars in the key-value service, where they outlive entries.
 
     A bar that only lived in entries would be gone with them, and the request
--- a/magnolialug/entry/entrybook.py
+++ b/magnolialug/entry/entrybook.py
@@ -12,8 +12,8 @@
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
-from magnolialug.take import Take
 from magnolialug.timing import sleep
+from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["ENTRIES_PREFIX", "EntryBook", "EntryRow"]
 
@@ -37,7 +37,7 @@
     cores: float = 1.0
 
 
-class EntryBook(Take):
+class EntryBook(WatchSubscriber):
     """Registers this entry under a lease and knows the others.
 
     Args:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -15,7 +15,6 @@
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatcher import Dispatcher
 from magnolialug.entry.entrybook import ENTRIES_PREFIX, EntryBook, EntryRow
-from magnolialug.entry.follower import Follower
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaycall import CallMeans, GatewayCall
 from magnolialug.entry.gatewaychannel import GatewayFactory, GatewayRequest
@@ -35,6 +34,7 @@
 from magnolialug.entry.shortlist import Shortlist
 from magnolialug.entry.silencewatch import SilenceWatch
 from magnolialug.entry.survey import Survey
+from magnolialug.entry.watchclient import WatchClient
 from magnolialug.events import Event, emit, explain
 from magnolialug.homes.wiring import Homes
 from magnolialug.ids import RequestDigest
@@ -176,7 +176,7 @@
             lambda reply: metrics.orders.add(1, {"reply": reply.value}),
             self.homes.teller.changed,
         )
-        self._follower = Follower(
+        self._watch_client = WatchClient(
             kv,
             {
                 OPERATOR_PREFIX: self.routes,
@@ -194,7 +194,7 @@
     def start(self) -> None:
         """Begins to read routes and endpoints."""
         self._observe()
-        self._follower.start()
+        self._watch_client.start()
         self._lease.start()
         self._entries.start()
         self._ticked()
@@ -246,7 +246,7 @@
             if not self.in_progress and not self._reading():
                 break
             await sleep(self._reactor, _DRAIN_STEP_S)
-        self._follower.stop()
+        self._watch_client.stop()
         self.parts.stop()
         self.homes.stop()
         if self._tick is not None and self._tick.active():
@@ -331,7 +331,7 @@
                 "order_lease_held": lambda: int(self._lease.held),
                 "entries": lambda: self.directory.entries,
                 "requests_barred": lambda: len(self.bars.written),
-                "kv_in_touch": lambda: int(self._follower.in_touch),
+                "kv_in_touch": lambda: int(self._watch_client.in_touch),
             },
         )
         observe_endpoints(
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -15,8 +15,8 @@
 from magnolialug.policy.retry import Backoff
 from magnolialug.policy.rollout import Rollout
 from magnolialug.result import Code, Failure, failed
-from magnolialug.take import Take
 from magnolialug.timing import sleep
+from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["HOLDER_KEY", "Holder", "OrderLease"]
 
@@ -56,7 +56,7 @@
     wary: tuple[str, ...] | None = ()
 
 
-class OrderLease(Take):
+class OrderLease(WatchSubscriber):
     """Holds or waits for the lease.
 
     The key that the lease keeps alive names its holder, and the revision at
--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -12,7 +12,7 @@
 from magnolialug.platform.registry import endpoint_id_of, read_listed
 from magnolialug.policy.listed import Listed
 from magnolialug.result import Code, Failure, failed
-from magnolialug.take import Take
+from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["Registry"]
 
@@ -21,7 +21,7 @@
 _RETURN_S = 2.0
 
 
-class Registry(Take):
+class Registry(WatchSubscriber):
     """Feeds the directory, and doubts what lapses around an outage.
 
     Endpoints renew their entries in the service. While it is away they
--- a/magnolialug/entry/routebook.py
+++ b/magnolialug/entry/routebook.py
@@ -13,12 +13,12 @@
 )
 from magnolialug.policy.routes import RouteTable
 from magnolialug.result import Failure
-from magnolialug.take import Take
+from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["RouteBook"]
 
 
-class RouteBook(Take):
+class RouteBook(WatchSubscriber):
     """Applies whole configurations of higher versions only.
 
     Reads can be stale and notices can come late; one would notice a removed
--- a/magnolialug/entry/follower.py
+++ b/magnolialug/entry/watchclient.py
@@ -1,4 +1,4 @@
-"""Keeps what is read of the key-value service in step."""
+"""Keeps a local copy of the key-value service up to date."""
 
 from collections.abc import Mapping
 from random import Random
@@ -10,37 +10,37 @@
 from magnolialug.platform.kv import Changes, Kv, Snapshot
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure
-from magnolialug.take import Take
 from magnolialug.timing import sleep
+from magnolialug.watchsubscriber import WatchSubscriber
 
-__all__ = ["Follower"]
+__all__ = ["WatchClient"]
 
-# All keys. A watch counts as a call for as long as it waits, and one for each
-# prefix made four calls of every change and of every quiet half minute.
+# One watch over all keys costs one call a change; one for each prefix would
+# cost as many as there are prefixes.
 _ALL = ""
-# Calls in a row that are made soon after each other: most changes come alone,
+# Calls that follow each other without a longer pause: most changes come alone,
 # or in two or three steps.
-_QUICK = 3
+_QUICK_CALLS = 3
 
 
-class Follower:
-    """Reads all entries once, then what changes, with one call at a time.
+class WatchClient:
+    """Reads all entries once, then the changes, with one watch at a time.
 
-    The service rations calls over all machines. After an outage every
-    machine would ask at the same moment, and the ration would be used up by
-    calls that are refused; so pauses after a failure are drawn at random.
+    The service has a quota for all machines together. Pauses after a failure
+    are drawn at random, because calls of the whole fleet at the end of an
+    outage would use up the quota and be refused.
 
     Args:
-      takes: who is told of the entries under each prefix.
+      subscribers: receive the entries under their prefix.
       wait_s: how long one call may wait at the service for a change.
-      pace_s: least and longest time between two calls while much changes,
-        so that changes that come together are fetched together.
+      pace_s: shortest and longest time between two calls while much changes,
+        so that one call returns several changes.
     """
 
     def __init__(
         self,
         kv: Kv,
-        takes: Mapping[str, Take],
+        subscribers: Mapping[str, WatchSubscriber],
         clock: IReactorTime,
         random: Random,
         wait_s: float,
@@ -49,7 +49,7 @@
         self.in_touch = False
         self.revision = 0
         self._kv = kv
-        self._takes = takes
+        self._subscribers = subscribers
         self._clock = clock
         self._random = random
         self._wait_s = wait_s
@@ -59,12 +59,12 @@
         self._task: Deferred | None = None
 
     def start(self) -> None:
-        """Begins to follow."""
+        """Begins to watch."""
         self._task = ensureDeferred(self._run())
         self._task.addErrback(lambda reason: reason.trap(CancelledError))
 
     def stop(self) -> None:
-        """Ends the following."""
+        """Ends the watch."""
         task, self._task = self._task, None
         if task is not None:
             task.cancel()
@@ -98,7 +98,7 @@
             self._in_a_row = 0
             return
         self._in_a_row += 1
-        doubled = max(0, self._in_a_row - _QUICK)
+        doubled = max(0, self._in_a_row - _QUICK_CALLS)
         pause_s = min(longest_s, least_s * 2**doubled)
         await sleep(self._clock, max(0.0, pause_s - took_s))
 
@@ -114,25 +114,25 @@
         if not self.in_touch:
             self.in_touch = True
             emit(Event.KV_BACK, revision=found.revision)
-            for take in self._takes.values():
-                take.back()
+            for subscriber in self._subscribers.values():
+                subscriber.back()
         self.revision = max(self.revision, found.revision)
         if isinstance(found, Snapshot):
-            for prefix, take in self._takes.items():
+            for prefix, subscriber in self._subscribers.items():
                 rows = [e for e in found.entries if e.key.startswith(prefix)]
-                take.snapshot(rows)
+                subscriber.snapshot(rows)
             return
         for entry in found.entries:
-            for prefix, take in self._takes.items():
+            for prefix, subscriber in self._subscribers.items():
                 if entry.key.startswith(prefix):
-                    take.changed(entry)
-        for take in self._takes.values():
-            take.settled()
+                    subscriber.changed(entry)
+        for subscriber in self._subscribers.values():
+            subscriber.settled()
 
     def _lost(self, failure: Failure) -> None:
         if not self.in_touch:
             return
         self.in_touch = False
         emit(Event.KV_LOST, revision=self.revision, **explain(failure))
-        for take in self._takes.values():
-            take.lost()
+        for subscriber in self._subscribers.values():
+            subscriber.lost()
--- a/magnolialug/take.py
+++ b/magnolialug/watchsubscriber.py
@@ -1,14 +1,14 @@
-"""Who is told of what changes in the key-value service."""
+"""What a watch of the key-value service reports to its subscribers."""
 
 from collections.abc import Sequence
 
 from magnolialug.platform.kv import KvEntry
 
-__all__ = ["Take"]
+__all__ = ["WatchSubscriber"]
 
 
-class Take:
-    """What a follower tells its owner; to be overridden.
+class WatchSubscriber:
+    """Receives the state of some keys; to be overridden.
 
     Entries with value None were removed.
     """
@@ -20,7 +20,7 @@
         """Takes one change."""
 
     def settled(self) -> None:
-        """Learns that all changes that came together have been told."""
+        """Learns that all changes that came together have been reported."""
 
     def lost(self) -> None:
         """Learns that the service does not answer."""
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -371,7 +371,7 @@
         """
         cluster, engine = self.started()
         second = cluster.gateways[1]
-        second._follower.stop()
+        second._watch_client.stop()
         cluster.write("op/version/m", {"model": "m", "version": 2})
         while not engine.busy:
             cluster.pass_time(0.01)
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_watch_client.py
@@ -11,12 +11,12 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
-from magnolialug.entry.follower import Follower
+from magnolialug.entry.watchclient import WatchClient
 from magnolialug.standin.kv import KvStore
-from magnolialug.take import Take
+from magnolialug.watchsubscriber import WatchSubscriber
 
 
-class Seen(Take):
+class Seen(WatchSubscriber):
     """Notes when each key was seen to change."""
 
     def __init__(self, clock):
@@ -38,7 +38,7 @@
         self.settles += 1
 
 
-class FollowerTest(TestCase):
+class WatchClientTest(TestCase):
     """Few calls, and no change seen late."""
 
     def setUp(self):
@@ -47,11 +47,11 @@
         self.kv = KvStore(self.clock)
         self.seen, self.other = Seen(self.clock), Seen(self.clock)
         takes = {"a/": self.seen, "b/": self.other}
-        follower = Follower(
+        watch_client = WatchClient(
             self.kv, takes, self.clock, Random(1), 25.0, (0.25, 1.0)
         )
-        follower.start()
-        self.addCleanup(follower.stop)
+        watch_client.start()
+        self.addCleanup(watch_client.stop)
         self.pass_time(5)
 
     def pass_time(self, seconds):
