Watch client: a watch whose answer was lost is noticed within a second

The answers to the watches that waited were lost, their connections stayed open, and each watch waited on for its 25 s while every other call was answered again. All gateways that were not restarted refused a new route and a new key with 404 and 401 for up to 17 s after the service's return. The logs show it: no KV_LOST between 17 and 34 s, and CONFIG_IN_FORCE 23 only from processes started after the outage. Change: while a watch waits, the service's revision is read each 0.8 s as a stale read. No answer, or a revision that the watch does not reach within 0.2 s, ends the watch; the changes are then asked for without a wait, and all entries are read if those skip what the revision promises (a test that stood already found that case: history dropped while watches are deaf). Two of the three new tests fail without the change; the third (checks do not end a quiet watch) guards its cost.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -21,6 +21,12 @@
 # Calls that follow each other without a longer pause: most changes come alone,
 # or in two or three steps.
 _QUICK_CALLS = 3
+# A watch whose answer was lost cannot be told from a quiet one. The service is
+# asked for its revision this often meanwhile, well within the shortest bound
+# for a configuration, 2 s.
+_CHECK_INTERVAL_S = 0.8
+# A change that is on its way to the watch when the service answers the check.
+_CHECK_SLACK_S = 0.2
 
 
 class WatchClient:
@@ -55,6 +61,7 @@
         self._wait_s = wait_s
         self._pace_s = pace_s
         self._in_a_row = 0
+        self._is_confirmed = True
         self._asked_at = float("-inf")
         self._task: Deferred | None = None
 
@@ -105,10 +112,55 @@
     async def _snapshot(self) -> Snapshot | Failure:
         return await self._kv.snapshot(_ALL)
 
-    async def _changes(self) -> Changes | Failure:
-        wait_s = self._wait_s if self.in_touch else 0.0
+    async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
-        return await self._kv.changes(_ALL, self.revision, wait_s)
+        if self.in_touch and self._is_confirmed:
+            return await self._wait_for_changes()
+        self._is_confirmed = True
+        found = await self._kv.changes(_ALL, self.revision, 0.0)
+        if isinstance(found, Failure) or found.entries:
+            return found
+        # While the service drops its history, watches skip changes.
+        skipped = found.revision > self.revision
+        return await self._snapshot() if skipped else found
+
+    async def _wait_for_changes(self) -> Changes | Failure:
+        """Waits at the service until a change, or until the watch is stale.
+
+        The answer to a watch is lost when the service stops answering while
+        something changes; its connection stays open, and every other call is
+        answered again. Without a check the process would go on with an old
+        configuration until the wait is over.
+        """
+        watch = ensureDeferred(
+            self._kv.changes(_ALL, self.revision, self._wait_s)
+        )
+        check = ensureDeferred(self._until_stale(watch))
+        check.addErrback(lambda reason: reason.trap(CancelledError))
+        try:
+            return await watch
+        except CancelledError:
+            if self._is_confirmed:
+                raise
+            return Changes((), self.revision)
+        finally:
+            check.cancel()
+
+    async def _until_stale(self, watch: Deferred) -> None:
+        """Cancels a watch once the service is ahead of it, or unreachable."""
+        while True:
+            await sleep(self._clock, _CHECK_INTERVAL_S)
+            newest = await self._kv.newest_revision()
+            if isinstance(newest, Failure):
+                reason = newest.reason
+                break
+            if newest > self.revision:
+                await sleep(self._clock, _CHECK_SLACK_S)
+                reason = f"the service is at revision {newest}"
+                break
+        emit(Event.WATCH_STALE, revision=self.revision, reason=reason)
+        self._is_confirmed = False
+        watch.cancel()
 
     def _heard(self, found: Snapshot | Changes) -> None:
         if not self.in_touch:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -79,6 +79,7 @@
     ENDPOINT_ENDED = 4109
     KV_LOST = 4200
     KV_BACK = 4201
+    WATCH_STALE = 4202
     STORE_HEARD = 4210
     STORE_LOST = 4211
     STORE_LISTED = 4212
@@ -146,6 +147,7 @@
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
+    Event.WATCH_STALE: "A watch has missed a change, or cannot be checked.",
     Event.STORE_HEARD: "A store of cache parts answers.",
     Event.STORE_LOST: "A store of cache parts does not answer.",
     Event.STORE_LISTED: "A store told all the parts that it holds.",
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -79,6 +79,12 @@
             tenth and is not rationed.
         """
 
+    async def newest_revision(self) -> int | Failure:
+        """Returns the service's newest revision, possibly seconds old.
+
+        It costs a tenth of a call and does not count towards the quota.
+        """
+
     async def changes(
         self, prefix: str, after: int, wait_s: float
     ) -> Changes | Failure:
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -33,6 +33,8 @@
 _WATCH_SLACK_S = 1.0
 _WATCH_S = 10.0
 _PAGES = 100
+# No key begins so: a range of it is empty and tells the revision alone.
+_NO_KEYS = "magnolialug/no-such-keys/"
 
 
 class _Item(msgspec.Struct):
@@ -168,6 +170,13 @@
             query["after"] = page.items[-1].key
         return failed(Code.KV_NONSENSE, "pages without end", "pathPrefix")
 
+    async def newest_revision(self) -> int | Failure:
+        """Returns the service's newest revision, possibly seconds old."""
+        query = {"pathPrefix": _NO_KEYS, "serializable": 1}
+        reply = await self._call("GET", "kv-range", query)
+        page = self._typed(reply, _Page, "kv-range")
+        return page if isinstance(page, Failure) else page.as_of
+
     async def changes(
         self, prefix: str, after: int, wait_s: float
     ) -> Changes | Failure:
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -86,6 +86,11 @@
             return rows
         return Snapshot(tuple(rows), self.revision)
 
+    async def newest_revision(self) -> int | Failure:
+        """Returns the newest revision."""
+        self._expire()
+        return self._refusal("revision") or self.revision
+
     async def changes(
         self, prefix: str, after: int, wait_s: float
     ) -> Changes | Failure:
@@ -185,6 +190,12 @@
             watcher in self._watchers and self._watchers.remove(watcher)
         )
 
+    def lose_watches(self) -> None:
+        """Never answers the watches that wait now; they stay open."""
+        waiting, self._waiting = self._waiting, []
+        for _, timer in waiting:
+            timer.cancel()
+
     def end_watches(self) -> None:
         """Ends every watch, as a restart of the service does."""
         self._cuts += 1
@@ -200,6 +211,8 @@
         return failed(Code.KV_TIMEOUT) if self.faults.down else None
 
     def _over_ration(self, call: str) -> bool:
+        if call == "revision":
+            return False
         faults = self.faults
         name = "writes_left" if call == "write" else "reads_left"
         left = getattr(faults, name)
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -47,11 +47,11 @@
         self.kv = KvStore(self.clock)
         self.seen, self.other = Seen(self.clock), Seen(self.clock)
         takes = {"a/": self.seen, "b/": self.other}
-        watch_client = WatchClient(
+        self.watch_client = WatchClient(
             self.kv, takes, self.clock, Random(1), 25.0, (0.25, 1.0)
         )
-        watch_client.start()
-        self.addCleanup(watch_client.stop)
+        self.watch_client.start()
+        self.addCleanup(self.watch_client.stop)
         self.pass_time(5)
 
     def pass_time(self, seconds):
@@ -93,6 +93,30 @@
         self.assertLess(max(late), 1.05)
         self.assertLess(self.seen.settles, 12)
 
+    def test_a_change_behind_a_lost_watch_is_seen_within_the_bound(self):
+        """The answer to a watch is lost in an outage; the path stays open."""
+        self.kv.lose_watches()
+        at = self.write("a/1")
+        self.pass_time(2)
+        self.assertIn("a/1", self.seen.at)
+        self.assertLess(self.seen.at["a/1"] - at, 1.5)
+
+    def test_an_outage_is_noticed_while_a_watch_waits(self):
+        """A service that falls silent closes no connection."""
+        self.kv.lose_watches()
+        self.kv.faults.down = True
+        self.pass_time(2)
+        self.assertFalse(self.watch_client.in_touch)
+        self.kv.faults.down = False
+        self.pass_time(2)
+        self.assertTrue(self.watch_client.in_touch)
+
+    def test_checks_of_a_quiet_watch_do_not_end_it(self):
+        """A check is cheap; a watch that is asked anew is not."""
+        before = self.kv.calls["watch"]
+        self.pass_time(15)
+        self.assertEqual(0, self.kv.calls["watch"] - before)
+
     def test_each_is_told_to_those_whose_it_is(self):
         self.write("a/1")
         self.write("b/1")
