Gateway: a hang-up in the first moments of a process does not end it

The handler of SIGHUP was set when the reactor ran, half a second after the start; until then the default action ends the process. The platform sends it whenever settings change. Change: the program takes over the signal before its imports, keeps a hang-up, and delivers it when the handler is there. Before/after: the process test (a hang-up while the settings are read from a FIFO) ends by signal 1 before, and as a bad settings file after. What comes before the interpreter runs the program's first line cannot be caught by the program.

--- a/magnolialug/cmd/runner.py
+++ b/magnolialug/cmd/runner.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from magnolialug.cmd.flagset import EXIT_FAILED
+from magnolialug.cmd.hangup import HANGUPS
 from magnolialug.events import tell_dropped
 from magnolialug.logwriter import LogWriter
 from magnolialug.result import Failure
@@ -36,7 +37,7 @@
         signal.signal(signal.SIGTERM, self._signalled)
         signal.signal(signal.SIGINT, self._signalled)
         if self._on_hangup:
-            signal.signal(signal.SIGHUP, self._hung_up)
+            HANGUPS.deliver_to(self._hung_up)
         ensureDeferred(self._begin()).addErrback(self._crashed)
 
     async def _begin(self) -> None:
