Cold start: one process's share of what a cold endpoint tolerates

Change: each process sends one request per interval, its equal share of the rate, the first after a random part of an interval. Weighed against counting at the endpoint's owner, which uses the rate in full but holds only while its messages arrive; the bound counts gateways that are cut off too.

--- /dev/null
+++ b/tests/policy/test_cold_start.py
@@ -0,0 +1,70 @@
+"""What a fleet of processes sends to an endpoint that has just started.
+
+The pattern: endpoints come back together, and every process finds them idle
+at the same moment.
+"""
+
+from random import Random
+
+from testtools import TestCase
+
+from magnolialug.policy.coldstart import ColdStart
+
+COLD_S = 3.0
+PER_S = 17.0
+# The bound that the platform sets: half as much again, and five.
+MOST_PER_S = PER_S * 1.5 + 5
+
+
+def busiest_second(processes, seed, step_s=0.01):
+    """Returns the most sent in any second by processes that never pause."""
+    random = Random(seed)
+    fleet = [ColdStart(random) for _ in range(processes)]
+    for cold in fleet:
+        cold.limit(COLD_S, PER_S / processes)
+        cold.begin(0.0, COLD_S)
+    sent = []
+    for step in range(round(COLD_S / step_s)):
+        now = step * step_s
+        for cold in fleet:
+            if cold.may_send(now):
+                cold.sent(now)
+                sent.append(now)
+    return max(sum(at <= when < at + 1 for when in sent) for at in sent)
+
+
+class ColdStartTest(TestCase):
+    """Shares of what a cold endpoint tolerates."""
+
+    def test_a_fleet_stays_below_the_bound(self):
+        for processes in (1, 4, 26, 68, 360):
+            for seed in range(5):
+                self.assertLess(busiest_second(processes, seed), MOST_PER_S)
+
+    def test_a_fleet_uses_most_of_the_rate(self):
+        for processes in (4, 26):
+            self.assertGreater(busiest_second(processes, 1), 0.7 * PER_S)
+
+    def test_a_warm_endpoint_is_not_limited(self):
+        cold = ColdStart(Random(1))
+        cold.limit(COLD_S, 1.0)
+        for now in range(3):
+            self.assertTrue(cold.may_send(now / 100))
+            cold.sent(now / 100)
+        cold.begin(1.0, COLD_S)
+        self.assertTrue(cold.may_send(1.0 + COLD_S))
+
+    def test_a_request_that_was_just_sent_counts(self):
+        """The start is learned of after the first requests have been sent."""
+        cold = ColdStart(Random(1))
+        cold.limit(COLD_S, 1.0)
+        cold.sent(0.0)
+        cold.begin(0.1, COLD_S)
+        self.assertFalse(cold.may_send(0.9))
+        self.assertAlmostEqual(0.1, cold.wait_s(0.9))
+
+    def test_a_service_without_cold_starts_is_not_presumed_cold(self):
+        cold = ColdStart(Random(1))
+        cold.limit(0.0, 0.0)
+        self.assertFalse(cold.presume(0.0))
+        self.assertTrue(cold.may_send(0.0))
