Evacuated zones get nothing, and cold endpoints their bounded share

Orders under op/evacuate/ were not read at all, and nothing bounded what an endpoint gets that has just started. Both rules belong together: a zone that is taken back holds endpoints that have turned cold meanwhile. Change: one subscriber of the watch keeps the evacuated zones, and the directory marks their endpoints; every place that sends asks accepts_work: the ring, candidates named as readers, grants, the choice itself (also of candidates that were probed before), rollout commands, reports of silent engines. Stores of cache parts are not endpoints and stay. A cold endpoint is left out of the candidates while this process's share is used up; a start is learned from the registry, and presumed when an endpoint answers that could not be reached, at another start, and at an evacuation's end. Refused at once and truly: 316 when a service has no zone left, 317 with the time to the next share. Bad orders: 610.

--- a/magnolialug/config/routing.py
+++ b/magnolialug/config/routing.py
@@ -111,13 +111,21 @@
 
 
 class RoutedService(msgspec.Struct, frozen=True):
-    """A service that requests go to, or a store of cache parts."""
+    """A service that requests go to, or a store of cache parts.
+
+    Attributes:
+      cold_start_s: how long its endpoints are cold after a start.
+      cold_per_s: requests a second that a cold endpoint tolerates, from all
+        processes together; 0 for no limit.
+    """
 
     name: ServiceName
     health_path: str = "/healthz"
     connections: int = 64
     engine: EngineTraits | None = None
     store: CacheStore | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class RouteTeam(msgspec.Struct, frozen=True):
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from random import Random
 
 import msgspec
 
@@ -10,7 +11,8 @@
 from magnolialug.entry.peer import Peer
 from magnolialug.events import Event, emit
 from magnolialug.homes.accounts import EndpointFacts
-from magnolialug.ids import EndpointId, ServiceName
+from magnolialug.ids import EndpointId, ServiceName, ZoneId
+from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.lifetimes import Lifetimes
 from magnolialug.policy.listed import Listed
@@ -37,9 +39,15 @@
     Args:
       reactor: for connections and time.
       opened: is told of each new connection to an endpoint.
+      random: spreads this process's first requests to cold endpoints.
     """
 
-    def __init__(self, reactor, opened: Callable[[], None] = lambda: None):
+    def __init__(
+        self,
+        reactor,
+        opened: Callable[[], None] = lambda: None,
+        random: Random | None = None,
+    ):
         self.peers: dict[EndpointId, Peer] = {}
         self.entries = 1
         self.rollout: Rollout | None = None
@@ -48,22 +56,57 @@
         self._rings: dict[ServiceName, Ring] = {}
         self._lifetimes = Lifetimes()
         self._routing: Routing | None = None
+        self._evacuated: frozenset[ZoneId] = frozenset()
         self._reactor = reactor
         self._opened = opened
+        self._random = random or Random()
 
     def counted(self, entries: int) -> None:
         """Takes how many entries share the endpoints."""
         self.entries = entries
         for peer in self.peers.values():
-            peer.pool.limit = self._connections(peer.listed)
+            self._limit(peer)
 
     def configure(self, routing: Routing) -> None:
         """Takes the services' limits of a configuration."""
         self._routing = routing
         for peer in self.peers.values():
-            peer.pool.limit = self._connections(peer.listed)
+            self._limit(peer)
             peer.load = peer.load or self._load(peer.listed)
 
+    def evacuate(self, zones: frozenset[ZoneId]) -> None:
+        """Gives no new work to the endpoints of some zones, only.
+
+        What runs there goes on.
+        """
+        self._evacuated = zones
+        self._rings.clear()
+        for peer in self.peers.values():
+            was_evacuated = peer.evacuated
+            peer.evacuated = peer.listed.zone in zones
+            if was_evacuated and not peer.evacuated:
+                peer.presume_cold(self._reactor.seconds())
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Whether every endpoint that serves a service is evacuated."""
+        peers = self._by_service.get(service, ())
+        serving = [peer for peer in peers if not peer.leaving]
+        return bool(serving) and all(peer.evacuated for peer in serving)
+
+    def cold_wait_s(self, service: ServiceName) -> float | None:
+        """Returns the time until a service's cold endpoints take a request.
+
+        Returns:
+          None if that is not what keeps requests from them.
+        """
+        now = self._reactor.seconds()
+        waits = [
+            peer.cold.wait_s(now)
+            for peer in self._by_service.get(service, ())
+            if peer.accepts_work
+        ]
+        return min(waits) if waits and min(waits) > 0 else None
+
     def shortlist(
         self, service: ServiceName, root: str, count: int
     ) -> list[Peer]:
@@ -80,11 +123,11 @@
         return len(self._ring(service))
 
     def engines_with(self, model: str) -> list[Peer]:
-        """Returns the engines that serve a model and do not leave."""
+        """Returns the engines that serve a model and accept work."""
         return [
             peer
             for peer in self.peers.values()
-            if peer.serves(model) and not peer.leaving
+            if peer.serves(model) and peer.accepts_work
         ]
 
     def engine_weights(self) -> list[EngineWeights]:
@@ -119,7 +162,7 @@
             emit(Event.ENDPOINT_LEAVING, endpoint=entry.endpoint)
             peer.pool.close()
             self._rings.pop(entry.service, None)
-        peer.relist(entry)
+        peer.relist(entry, self._reactor.seconds())
 
     def unlisted(self, endpoint: EndpointId) -> None:
         """Takes an endpoint out; what is under way there goes on."""
@@ -237,7 +280,7 @@
         ring = self._rings.get(service)
         if ring is None:
             peers = self._by_service.get(service, ())
-            names = [p.listed.endpoint for p in peers if not p.leaving]
+            names = [p.listed.endpoint for p in peers if p.accepts_work]
             ring = self._rings[service] = Ring(names)
         return ring
 
@@ -258,7 +301,7 @@
             self._lifetimes.over(entry.endpoint, peer.listed.born_ms)
         self._remove(peer)
         peer.ended_at = self._reactor.seconds()
-        self._add(entry)
+        self._add(entry).presume_cold(peer.ended_at)
 
     def _remove(self, peer: Peer) -> None:
         del self.peers[peer.listed.endpoint]
@@ -292,7 +335,7 @@
             )
             self.misplaced(peer)
 
-    def _add(self, entry: Listed) -> None:
+    def _add(self, entry: Listed) -> Peer:
         self._displace(entry)
         pool = Pool(
             self._reactor,
@@ -301,7 +344,11 @@
             self._reactor.seconds,
             self._opened,
         )
-        peer = Peer(entry, pool, self._load(entry))
+        cold = ColdStart(self._random)
+        peer = Peer(entry, pool, self._load(entry), cold)
+        self._limit(peer)
+        peer.relist(entry, self._reactor.seconds())
+        peer.evacuated = entry.zone in self._evacuated
         self.peers[entry.endpoint] = peer
         self._by_service.setdefault(entry.service, []).append(peer)
         self._rings.pop(entry.service, None)
@@ -313,6 +360,16 @@
             address=f"{entry.address[0]}:{entry.address[1]}",
             leaving=entry.leaving,
         )
+        return peer
+
+    def _limit(self, peer: Peer) -> None:
+        """Sets this entry's shares of what an endpoint takes from all."""
+        peer.pool.limit = self._connections(peer.listed)
+        service = self._service(peer.listed)
+        if service is not None:
+            peer.cold.limit(
+                service.cold_start_s, service.cold_per_s / self.entries
+            )
 
     def _load(self, entry: Listed) -> EngineLoad | None:
         service = self._service(entry)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -15,6 +15,7 @@
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatcher import Dispatcher
 from magnolialug.entry.entrybook import ENTRIES_PREFIX, EntryBook, EntryRow
+from magnolialug.entry.evacuations import Evacuations
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaycall import CallMeans, GatewayCall
 from magnolialug.entry.gatewaychannel import GatewayFactory, GatewayRequest
@@ -42,7 +43,7 @@
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
-from magnolialug.platform.operator import OPERATOR_PREFIX
+from magnolialug.platform.operator import EVACUATION_PREFIX, OPERATOR_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX
 from magnolialug.platform.settings import Settings
 from magnolialug.policy.retry import Backoff, Budget
@@ -102,7 +103,7 @@
         self.clock: Callable[[], float] = reactor.seconds
         self.metrics = metrics
         self.directory = Directory(
-            reactor, lambda: metrics.connections_made.add(1)
+            reactor, lambda: metrics.connections_made.add(1), random
         )
         self.routes = RouteBook(self._routed)
         self.registry = Registry(self.directory, reactor)
@@ -180,6 +181,9 @@
             kv,
             {
                 OPERATOR_PREFIX: self.routes,
+                EVACUATION_PREFIX: Evacuations(
+                    settings.zones, self.directory.evacuate
+                ),
                 REGISTRY_PREFIX: self.registry,
                 ENTRIES_PREFIX: self._entries,
                 BARS_PREFIX: self.bars.written,
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -271,6 +271,7 @@
             peer.health.answered(False)
         elif outcome.end is End.UNSENT or outcome.end in _ENDPOINT_AT_FAULT:
             peer.health.broke(self._clock())
+            peer.unreachable = outcome.end is End.UNSENT
         elif answer is not None:
             peer.health.answered(answer.status < 500)
             if answer.weights and self._call.prompt:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -6,6 +6,7 @@
 from magnolialug.events import Event, emit
 from magnolialug.homes.accounts import EndpointFacts
 from magnolialug.ids import EndpointId
+from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
 from magnolialug.policy.listed import Listed
@@ -28,20 +29,32 @@
       listed: its newest registry entry.
       running: attempts under way from this process.
       gone: whether the registry dropped it, or another has its address.
+      evacuated: whether its availability zone is evacuated.
       ended_at: when it was learned that it has started anew; None if not.
       closed_until: its engine loads weights and turns new work away.
       heard_at: when the last byte came from it.
       mute: whether it has been silent for too long while it had work.
+      unreachable: whether the newest connection to it could not be made.
+      cold: bounds its new work after a start.
       load: what is known of its engine, None for a plain service.
     """
 
-    def __init__(self, listed: Listed, pool: Pool, load: EngineLoad | None):
+    def __init__(
+        self,
+        listed: Listed,
+        pool: Pool,
+        load: EngineLoad | None,
+        cold: ColdStart,
+    ):
+        self.cold = cold
+        self.unreachable = False
         self.listed = listed
         self.pool = pool
         self.load = load
         self.health = Health()
         self.running = 0
         self.gone = False
+        self.evacuated = False
         self.ended_at: float | None = None
         self.closed_until = 0.0
         self.heard_at = float("-inf")
@@ -59,15 +72,28 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether no new work may go to it."""
+        """Whether it ends soon, or has ended."""
         return self.gone or self.listed.leaving
 
+    @property
+    def accepts_work(self) -> bool:
+        """Whether new work may go to it, now or after a moment."""
+        return not self.leaving and not self.evacuated
+
+    def may_send(self, now: float) -> bool:
+        """Whether new work may go to it at this moment."""
+        return self.accepts_work and self.cold.may_send(now)
+
     def state(self, now: float) -> str:
         """Returns one word for what is believed of it."""
         if self.leaving:
             return "leaving"
+        if self.evacuated:
+            return "evacuated"
         if now < self.closed_until:
             return "closed"
+        if self.cold.is_cold(now):
+            return "cold"
         return "up" if self.sound(now) else "suspected"
 
     def sound(self, now: float) -> bool:
@@ -78,10 +104,26 @@
     def heard(self, now: float) -> None:
         """Learns that bytes came from it."""
         self.heard_at = now
+        if self.mute or self.unreachable:
+            self.presume_cold(now)
+        self.unreachable = False
         if self.mute:
             self.mute = False
             emit(Event.ENDPOINT_BACK, endpoint=self.listed.endpoint)
 
+    def presume_cold(self, now: float) -> None:
+        """Learns that it may have started a moment ago."""
+        if self.cold.presume(now):
+            self._log_cold(self.cold.length_s)
+
+    def _log_cold(self, left_s: float) -> None:
+        emit(
+            Event.ENDPOINT_COLD,
+            endpoint=self.listed.endpoint,
+            left_s=round(left_s, 3),
+            interval_s=round(self.cold.interval_s, 3),
+        )
+
     def told(self, state: EndpointState, now: float) -> None:
         """Takes what it has to do for the other entries."""
         self._running_elsewhere = state.running
@@ -104,7 +146,7 @@
         return EndpointFacts(
             memory=load.memory if load else 0,
             rate=load.rate if load else 0.0,
-            open=not self.leaving,
+            open=self.accepts_work,
             sound=self.sound(now),
             born_ms=self.listed.born_ms,
             weights=self.all_weights(),
@@ -176,8 +218,10 @@
         """
         self.closed_until = max(self.closed_until, now + _TURNED_AWAY_S)
 
-    def relist(self, listed: Listed) -> None:
+    def relist(self, listed: Listed, now: float) -> None:
         """Takes a newer registry entry of the same start."""
+        if listed.cold_s > 0 and self.cold.begin(now, listed.cold_s):
+            self._log_cold(listed.cold_s)
         born_ms = listed.born_ms or self.listed.born_ms
         self.listed = msgspec.structs.replace(listed, born_ms=born_ms)
         for model, version in listed.weights.items():
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -26,6 +26,9 @@
 
 _TARGETS = 1.5
 _LEAST_PATIENCE_S = 0.1
+# An evacuation lasts seconds at least; callers come back at intervals that
+# neither flood the service nor waste its return.
+_EVACUATED_RETRY_S = 2.0
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -101,14 +104,14 @@
           known: what was found out for this choice.
           turn: the engine that has promised its memory, None for none.
         """
-        candidates = known.candidates
+        candidates = [row for row in known.candidates if self._is_open(row)]
         best = self._promised(candidates, turn) or choose(candidates)
         if best is None and avoid and call.kind.idempotent:
             candidates = self._any(call, known.count)
             best = choose(candidates)
         peer = self._directory.peers.get(best.endpoint) if best else None
         if peer is None:
-            return failed(Code.NO_ENDPOINT, retry_after_s=1.0)
+            return self._no_endpoint(call.service)
         return Placed(
             peer,
             self._dispatcher.dispatch(call, peer, progress.seq, known),
@@ -145,6 +148,7 @@
     ) -> None:
         """Counts an attempt at its endpoint."""
         peer.running += 1
+        peer.cold.sent(now)
         placement = None
         if peer.health.streak:
             peer.health.probing = True
@@ -199,6 +203,20 @@
             )
             self._told.changed(to.endpoint)
 
+    def _is_open(self, candidate: Candidate) -> bool:
+        """Whether an endpoint still accepts work, after a wait for instance."""
+        peer = self._directory.peers.get(candidate.endpoint)
+        return peer is not None and peer.may_send(self._clock())
+
+    def _no_endpoint(self, service: ServiceName) -> Failure:
+        """Returns why no endpoint of a service can be sent anything."""
+        if self._directory.is_evacuated(service):
+            return failed(Code.EVACUATED, retry_after_s=_EVACUATED_RETRY_S)
+        wait_s = self._directory.cold_wait_s(service)
+        if wait_s is not None:
+            return failed(Code.COLD, retry_after_s=wait_s)
+        return failed(Code.NO_ENDPOINT, retry_after_s=1.0)
+
     def _any(self, call: ForwardCall, count: int) -> list[Candidate]:
         """Returns candidates by own beliefs, those tried before among them."""
         known = Known(count)
@@ -214,6 +232,7 @@
     ) -> Candidate | None:
         """Returns the candidate that has promised its memory, if it may."""
         peer = self._directory.peers.get(turn) if turn else None
-        if peer is None or peer.leaving or not peer.sound(self._clock()):
+        now = self._clock()
+        if not peer or not peer.may_send(now) or not peer.sound(now):
             return None
         return next((row for row in candidates if row.endpoint == turn), None)
--- a/magnolialug/entry/shortlist.py
+++ b/magnolialug/entry/shortlist.py
@@ -67,7 +67,7 @@
     ) -> list[Peer]:
         """Returns those of some endpoints that could take a call."""
         found = (self._directory.peers.get(name) for name in endpoints)
-        peers = [peer for peer in found if peer and not peer.leaving]
+        peers = [peer for peer in found if peer and peer.accepts_work]
         return self._usable(call, avoid, peers)
 
     def all_listed(self, call: ForwardCall, count: int) -> bool:
@@ -82,6 +82,7 @@
             peer
             for peer in peers
             if peer.pool.room
+            and peer.cold.may_send(now)
             and peer.listed.endpoint not in avoid
             and not self._barred(call, peer, now)
         ]
--- a/magnolialug/entry/silencewatch.py
+++ b/magnolialug/entry/silencewatch.py
@@ -69,6 +69,8 @@
     def _probe(self, peer: Peer, now: float) -> None:
         if not peer.mute or peer.gone:
             del self._probed[peer]
+        elif peer.evacuated:
+            self._probed[peer] = now
         elif now - self._probed[peer] >= _PROBE_S:
             self._probed[peer] = now
             if peer.load is None:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -77,6 +77,10 @@
     ENDPOINT_RESTARTED = 4107
     ENDPOINT_STALE = 4108
     ENDPOINT_ENDED = 4109
+    ZONE_EVACUATED = 4110
+    ZONE_RETURNED = 4111
+    EVACUATION_REFUSED = 4112
+    ENDPOINT_COLD = 4113
     KV_LOST = 4200
     KV_BACK = 4201
     WATCH_STALE = 4202
@@ -144,6 +148,10 @@
     Event.ENDPOINT_RESTARTED: "An endpoint started again under its id.",
     Event.ENDPOINT_STALE: "An entry of an endpoint that is gone; not used.",
     Event.ENDPOINT_ENDED: "An endpoint has ended; how many requests it had.",
+    Event.ZONE_EVACUATED: "Nothing more is sent to a zone's endpoints.",
+    Event.ZONE_RETURNED: "A zone's endpoints take new work again.",
+    Event.EVACUATION_REFUSED: "An evacuation order was not obeyed.",
+    Event.ENDPOINT_COLD: "An endpoint is cold; it gets little new work.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
--- a/magnolialug/platform/operator.py
+++ b/magnolialug/platform/operator.py
@@ -1,5 +1,6 @@
 """The operator's configuration and orders, as they lie in the store."""
 
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -20,9 +21,11 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "EVACUATION_PREFIX",
     "OPERATOR_PREFIX",
     "WEIGHTS_PREFIX",
     "NamedWeights",
+    "read_evacuation",
     "read_routing",
     "read_weights",
 ]
@@ -30,6 +33,7 @@
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 WEIGHTS_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 _FORMS = {
     "idempotent": RouteType.IDEMPOTENT,
@@ -86,6 +90,8 @@
     max_in_flight: int = 1
     managed: bool = False
     first_ms: float = msgspec.field(name="first_ms", default=0.0)
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _WireTeam(msgspec.Struct, rename="camel"):
@@ -160,6 +166,8 @@
         connections=row.max_connections,
         engine=engine,
         store=store,
+        cold_start_s=row.cold_start_s,
+        cold_per_s=row.cold_per_s,
     )
 
 
@@ -231,3 +239,24 @@
         return msgspec.json.decode(value, type=NamedWeights)
     except msgspec.MsgspecError as exc:
         return failed(Code.BAD_CONFIG_VALUE, str(exc), key, value[:80])
+
+
+def read_evacuation(
+    key: str, value: bytes, zones: Collection[str]
+) -> ZoneId | Failure:
+    """Returns the availability zone that a key names.
+
+    Args:
+      value: an object; it has no fields yet.
+      zones: the names of the zones that exist.
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if zone not in zones:
+        known = ", ".join(sorted(zones))
+        reason = f"must be one of the availability zones {known}"
+        return failed(Code.BAD_EVACUATION, reason, key, zone)
+    try:
+        msgspec.json.decode(value, type=dict[str, Any])
+    except msgspec.MsgspecError as exc:
+        return failed(Code.BAD_EVACUATION, str(exc), key, value[:80])
+    return ZoneId(zone)
--- a/magnolialug/policy/listed.py
+++ b/magnolialug/policy/listed.py
@@ -13,7 +13,7 @@
     Attributes:
       endpoint: its id; one that starts again may keep it.
       leaving: whether it has said that it takes no new work.
-      cold_s: how much longer it is slow after its start.
+      cold_s: how much longer it is cold after its start.
       beat: counts its heartbeats.
       weights: the version of each model that it has loaded.
       born_ms: when it was started, by its own clock in Unix milliseconds; 0
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -50,6 +50,8 @@
     WRONG_ENDPOINT = 313
     NO_ROOM = 314
     BARRED = 315
+    EVACUATED = 316
+    COLD = 317
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -71,6 +73,7 @@
     CONFIG_MISSING = 607
     BAD_SETTINGS = 608
     BAD_ENTRY = 609
+    BAD_EVACUATION = 610
     KV_TIMEOUT = 700
     KV_ERROR = 701
     KV_REFUSED = 702
@@ -164,6 +167,16 @@
         ),
         (Code.QUEUE_FULL, 503, "The endpoint's queue is full."),
         (Code.NO_ROOM, 503, "No endpoint has room."),
+        (
+            Code.COLD,
+            503,
+            "The endpoints have just started and take little new work.",
+        ),
+        (
+            Code.EVACUATED,
+            503,
+            "All availability zones with endpoints for it are evacuated.",
+        ),
         (
             Code.BARRED,
             502,
@@ -221,6 +234,7 @@
         (Code.CONFIG_MISSING, 503, "No configuration is known yet."),
         (Code.BAD_SETTINGS, 400, "A field of the settings file is wrong."),
         (Code.BAD_ENTRY, 502, "An endpoint's registry entry is malformed."),
+        (Code.BAD_EVACUATION, 400, "The evacuation order is malformed."),
         (Code.KV_TIMEOUT, 504, "The key-value service did not answer."),
         (Code.KV_ERROR, 502, "The key-value service answered an error."),
         (Code.KV_REFUSED, 503, "The key-value service did nothing."),
--- /dev/null
+++ b/tests/entry/test_cold_endpoints.py
@@ -0,0 +1,123 @@
+"""Endpoints that have just started, and how much reaches them.
+
+The pattern: endpoints come back after a crash, a silence or an evacuation,
+look idle to every gateway at once, and crash under what is sent.
+"""
+
+from testtools import TestCase
+
+from magnolialug.standin.endpoint import Fault
+from tests.gatewaycluster import GatewayCluster, config
+
+COLD_S = 3.0
+PER_S = 6.0
+# The bound that the platform sets: half as much again, and five.
+MOST_PER_S = PER_S * 1.5 + 5
+VMS = ("front-1", "front-2", "front-3")
+
+
+def operator():
+    """Returns a configuration whose plain endpoints have cold starts."""
+    base = config()
+    desk = {
+        **base["services"][0],
+        "coldStartS": COLD_S,
+        "coldPerS": PER_S,
+    }
+    return {**base, "services": [desk, *base["services"][1:]]}
+
+
+class ColdEndpointTest(TestCase):
+    """Three gateways under load, and an endpoint that comes back."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster = GatewayCluster(
+            desks=2, engines=0, operator=operator(), vms=VMS
+        )
+        self.cluster.pass_time(2)
+        self.desk = self.cluster.desks["i-desk1"]
+        self.arrivals = []
+        self.desk.on_arrival = lambda req: self.arrivals.append(
+            self.cluster.net.seconds()
+        )
+
+    def load(self, seconds, per_s=60):
+        """Sends requests through all gateways; returns their callers."""
+        callers = []
+        for number in range(round(seconds * per_s)):
+            address = (f"10.0.0.{1 + number % len(VMS)}", 80)
+            caller = self.cluster.caller(address)
+            callers.append(self.cluster.send("/read/x", caller=caller))
+            self.cluster.pass_time(1 / per_s)
+        return callers
+
+    def busiest_second(self):
+        """Returns the most arrivals at the endpoint in any second."""
+        return max(
+            sum(at <= when < at + 1 for when in self.arrivals)
+            for at in self.arrivals or [0.0]
+        )
+
+    def test_a_warm_endpoint_gets_its_half(self):
+        self.load(2)
+        self.assertGreater(self.busiest_second(), MOST_PER_S)
+
+    def test_one_that_has_just_started_gets_little(self):
+        self.cluster.start_again(self.desk, 5000, told=False)
+        self.cluster.relist(
+            self.desk, born=5000, coldRemainingMs=int(COLD_S * 1000)
+        )
+        self.cluster.pass_time(0.3)
+        self.arrivals.clear()
+        callers = self.load(COLD_S - 0.4)
+        self.assertGreater(len(self.arrivals), 0)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+        self.assertEqual({200}, {c.last.status for c in callers[:-5]})
+
+    def test_one_that_turns_cold_again_gets_little(self):
+        self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
+        self.cluster.pass_time(0.3)
+        self.arrivals.clear()
+        self.load(COLD_S - 0.4)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+
+    def test_one_of_an_evacuated_zone_gets_little_when_it_is_taken_back(self):
+        """Its entry tells that it is cold a heartbeat after the return."""
+        other = self.cluster.add_desk("b")
+        self.cluster.write("op/evacuate/a", {})
+        self.cluster.pass_time(1)
+        self.cluster.remove("op/evacuate/a")
+        self.cluster.pass_time(0.3)
+        self.arrivals.clear()
+        self.load(COLD_S - 0.4)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+        self.assertGreater(len(other.seen), 60)
+
+    def test_one_that_refused_connections_gets_little_when_it_is_back(self):
+        """It crashed and started again; no entry has told of it yet."""
+        listening = self.cluster.net.servers.pop(self.desk.address)
+        self.desk.faults[:] = [Fault.RESET_BEFORE] * 20
+        self.load(1)
+        for conn in list(self.desk.open):
+            conn.transport.abortConnection()
+        self.load(1)
+        self.desk.faults.clear()
+        self.cluster.net.servers[self.desk.address] = listening
+        self.arrivals.clear()
+        self.load(COLD_S)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+
+    def test_a_service_whose_endpoints_are_all_cold_says_when_to_return(self):
+        self.cluster.remove("servers/i-desk2")
+        self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
+        self.cluster.pass_time(0.3)
+        callers = self.load(1, per_s=30)
+        self.cluster.pass_time(0.5)
+        refused = [c for c in callers if c.last.status == 503]
+        self.assertGreater(len(refused), 5)
+        for caller in refused:
+            after_s = float(caller.last.headers["retry-after"])
+            self.assertGreater(after_s, 0)
+            self.assertLess(after_s, len(VMS) / PER_S + 0.1)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -4,7 +4,11 @@
 from testtools import TestCase
 
 from magnolialug.config.routing import RouteType
-from magnolialug.platform.operator import read_routing, read_weights
+from magnolialug.platform.operator import (
+    read_evacuation,
+    read_routing,
+    read_weights,
+)
 from magnolialug.platform.registry import read_listed
 from magnolialug.result import Code, Failure
 from tests.gatewaycluster import config
@@ -123,3 +127,35 @@
             failure = read_listed("servers/i-1", value)
             self.assertEqual(Code.BAD_ENTRY, failure.code, value)
             self.assertEqual("servers/i-1", failure.field, value)
+
+
+class EvacuationTest(TestCase):
+    """Orders to evacuate an availability zone."""
+
+    ZONES = ("a", "b")
+
+    def test_the_key_names_the_zone(self):
+        zone = read_evacuation("op/evacuate/a", b"{}", self.ZONES)
+        self.assertEqual("a", zone)
+
+    def test_an_unknown_zone_is_named_with_those_that_exist(self):
+        failure = read_evacuation("op/evacuate/c", b"{}", self.ZONES)
+        self.assertIs(Code.BAD_EVACUATION, failure.code)
+        self.assertEqual("op/evacuate/c", failure.field)
+        self.assertEqual("c", failure.value)
+        self.assertIn("a, b", failure.reason)
+
+    def test_a_value_that_is_no_object_is_named(self):
+        for value in (b"", b"\xff", b"[]", b"1"):
+            failure = read_evacuation("op/evacuate/a", value, self.ZONES)
+            self.assertIsInstance(failure, Failure)
+            self.assertIs(Code.BAD_EVACUATION, failure.code)
+            self.assertEqual("op/evacuate/a", failure.field)
+
+    def test_a_service_tells_what_its_cold_endpoints_tolerate(self):
+        services = [{"name": "s", "coldStartS": 3.0, "coldPerS": 17.0}]
+        value = msgspec.json.encode(config(services=services))
+        routing, problems = read_routing(value)
+        self.assertEqual([], problems)
+        self.assertEqual(3.0, routing.services["s"].cold_start_s)
+        self.assertEqual(17.0, routing.services["s"].cold_per_s)
