Quarantine: the field's terms for requests that crash endpoints

Cause: bars, blame, verdicts and endpoints that have ended had to be learned; a newcomer knows poison requests, crash counts and a quarantine. Change: package quarantine/ (was bars/), CrashDetector, CrashCounter, QuarantineList, the ctl commands quarantine and release, events 2010 to 2012 and 4109 and code 315 by their new names (numbers as before). Comments give reasons only. Keys in the store and tags of datagrams stay, so that entries of two releases understand each other during a rolling upgrade. No behaviour changes. Before/after: the tests of quarantine, ctl, poison requests and docs pass.

--- a/magnolialug/bars/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Requests under which endpoints end, and which go to no more of them."""
--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -22,10 +22,10 @@
 from magnolialug.confstore import Head, apply_text, read_doc, read_head
 from magnolialug.ctl.account import account, as_tables
 from magnolialug.ctl.accountplot import draw_account
-from magnolialug.ctl.bars import bar_lines, lift_bar
 from magnolialug.ctl.diff import differences
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
+from magnolialug.ctl.quarantine import quarantine_lines, release
 from magnolialug.events import setup_logging
 from magnolialug.platform.http import HttpClient
 from magnolialug.platform.kvhttp import KvHttp
@@ -41,9 +41,9 @@
   show              the configuration in force
   history           accepted changes, the newest first
   status            the version in force in every process
-  bars              requests that go to no endpoint, since endpoints ended
+  quarantine        requests that endpoints crashed under
                     under them, and which those were
-  lift DIGEST       let such a request go to endpoints again
+  release DIGEST    take a request out of the quarantine
   explain REQUEST   how a request was decided, from JSON logs on stdin
   account           how calls ended, where their time went, and what was
                     read again and why, from JSON logs on stdin
@@ -86,10 +86,10 @@
 
     async def run(self, name: str, arguments: list[str]) -> int:
         """Runs a command against the key-value service."""
-        if name == "bars":
-            return _print_lines(await bar_lines(self._kv))
-        if name == "lift":
-            failure = await lift_bar(self._kv, arguments[0])
+        if name == "quarantine":
+            return _print_lines(await quarantine_lines(self._kv))
+        if name == "release":
+            failure = await release(self._kv, arguments[0])
             return _fail(failure) if failure else 0
         return await self._run_on_head(name, arguments)
 
@@ -244,8 +244,16 @@
 
 
 _OFFLINE = {"validate": _validate, "explain": _explain, "hash-key": _hash_key}
-_ARGUMENTS = {"validate": 1, "plan": 1, "apply": 1, "explain": 1, "lift": 1}
-_ONLINE = ("plan", "apply", "show", "history", "status", "bars", "lift")
+_ARGUMENTS = {"validate": 1, "plan": 1, "apply": 1, "explain": 1, "release": 1}
+_ONLINE = (
+    "plan",
+    "apply",
+    "show",
+    "history",
+    "status",
+    "quarantine",
+    "release",
+)
 
 
 def run() -> None:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -7,8 +7,6 @@
 import msgspec
 from twisted.internet.defer import ensureDeferred
 
-from magnolialug.bars.barbook import BARS_PREFIX
-from magnolialug.bars.wiring import Bars
 from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.costs import Costs
@@ -49,6 +47,8 @@
 from magnolialug.policy.retry import Backoff, Budget
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.weightbounds import WeightBounds
+from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
+from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
 
@@ -116,7 +116,7 @@
         me = (settings.host, settings.internal_port)
         self.talk = PeerTalk(me, reactor)
         self.homes = Homes(me, self.directory, self.talk, reactor)
-        self.bars = Bars(
+        self.quarantine = Quarantine(
             self.homes.book, self.talk, kv, reactor, self._break_off
         )
         self._bounds = WeightBounds(settings.bounds.weights_s)
@@ -191,7 +191,7 @@
                 ),
                 REGISTRY_PREFIX: self.registry,
                 ENTRIES_PREFIX: self._entries,
-                BARS_PREFIX: self.bars.written,
+                QUARANTINE_KEYS: self.quarantine.written,
                 HOLDER_KEY: self._lease,
             },
             reactor,
@@ -304,7 +304,7 @@
             placer=self._placer,
             survey=self._survey,
             waits=self.homes.waits,
-            bars=self.bars,
+            quarantine=self.quarantine,
             underway=self._underway,
             clock=self.clock,
             metrics=metrics,
@@ -339,7 +339,7 @@
                 "ready": lambda: int(self.ready()),
                 "order_lease_held": lambda: int(self._lease.held),
                 "entries": lambda: self.directory.entries,
-                "requests_barred": lambda: len(self.bars.written),
+                "requests_quarantined": lambda: len(self.quarantine.written),
                 "kv_in_touch": lambda: int(self._watch_client.in_touch),
             },
         )
@@ -422,7 +422,7 @@
         self._note_weights(now)
         self._orders.tick()
         self.homes.tick(now)
-        self.bars.tick(now)
+        self.quarantine.tick(now)
 
     def _tidy(self, now: float) -> None:
         self.parts.tick(now)
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -6,7 +6,6 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.python.failure import Failure as TwistedFailure
 
-from magnolialug.bars.wiring import Bars
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaychannel import GatewayRequest
@@ -20,6 +19,7 @@
 from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, explain
 from magnolialug.homes.waits import Waits
+from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure, failed
 
@@ -33,7 +33,7 @@
       serving: what the retry loop needs.
       survey: finds out what endpoints have to do.
       waits: where long prompts wait for memory.
-      bars: knows the requests that go to no endpoint.
+      quarantine: refuses requests that crash endpoints.
       underway: the attempts that the gateway watches for silence.
     """
 
@@ -41,7 +41,7 @@
     placer: Placer
     survey: Survey
     waits: Waits
-    bars: Bars
+    quarantine: Quarantine
     underway: set[HttpAttempt]
     clock: Callable[[], float]
     metrics: GatewayMetrics
@@ -70,7 +70,7 @@
             means.placer,
             means.survey,
             means.waits,
-            means.bars,
+            means.quarantine,
             means.underway,
             means.clock,
             call,
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -2,7 +2,6 @@
 
 from twisted.internet.defer import CancelledError
 
-from magnolialug.bars.wiring import Bars
 from magnolialug.carrier.taker import End
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
@@ -21,6 +20,7 @@
 from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
+from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Failure
 
@@ -43,7 +43,7 @@
       placer: chooses the endpoints.
       survey: finds out what they have to do.
       waits: where long prompts wait for memory.
-      bars: knows the requests that go to no endpoint.
+      quarantine: refuses requests that crash endpoints.
       underway: the attempts that the process watches for silence.
     """
 
@@ -52,7 +52,7 @@
         placer: Placer,
         survey: Survey,
         waits: Waits,
-        bars: Bars,
+        quarantine: Quarantine,
         underway: set[HttpAttempt],
         clock,
         call: ForwardCall,
@@ -67,7 +67,7 @@
         self._placer = placer
         self._survey = survey
         self._waits = waits
-        self._bars = bars
+        self._quarantine = quarantine
         self._underway = underway
         self._clock = clock
         self._call = call
@@ -101,17 +101,17 @@
     async def _place(self, progress: Progress) -> Placed | Failure:
         """Returns an endpoint, or why there is none."""
         progress.seq = max(progress.seq, self._call.resume_after)
-        barred = self._bars.refusal(self._call.digest)
-        if barred:
-            return barred
+        refusal = self._quarantine.refusal(self._call.digest)
+        if refusal:
+            return refusal
         known = await self._survey.look(self._call, self._avoid)
         turn = await self._turn(known)
         if isinstance(turn, Failure):
             return turn
-        # What is told while a call waits counts: the next thing is the send.
-        return self._bars.refusal(self._call.digest) or self._placer.place(
-            self._call, progress, self._avoid, known, turn
-        )
+        # The request may have been quarantined while it waited.
+        return self._quarantine.refusal(
+            self._call.digest
+        ) or self._placer.place(self._call, progress, self._avoid, known, turn)
 
     async def _turn(self, known: Known) -> EndpointId | Failure | None:
         """Waits until an engine has room for a first attempt.
@@ -290,9 +290,9 @@
         if answer is not None and answer.not_run:
             return
         if outcome.end is End.WHOLE:
-            self._bars.survived(self._call.digest)
+            self._quarantine.survived(self._call.digest)
         elif outcome.end in _CLOSED_ON_US and not peer.leaving:
-            self._bars.lost(
+            self._quarantine.lost(
                 peer.start, peer.pool, self._call.digest, outcome.begun
             )
 
--- a/magnolialug/entry/peertalk.py
+++ b/magnolialug/entry/peertalk.py
@@ -7,7 +7,6 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import DatagramProtocol
 
-from magnolialug.bars.messages import Bar, Blamed, Survived
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
 from magnolialug.homes.messages import Ask, Told, Turn, Unwait, Wait, Work
@@ -17,6 +16,11 @@
     Save,
     ToldParts,
 )
+from magnolialug.quarantine.messages import (
+    CrashReport,
+    Quarantined,
+    Survived,
+)
 
 __all__ = ["Message", "PeerTalk"]
 
@@ -25,8 +29,8 @@
 Message = (
     Ask
     | AskParts
-    | Bar
-    | Blamed
+    | CrashReport
+    | Quarantined
     | CancelSave
     | Save
     | Survived
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -48,9 +48,9 @@
     CANCELLED = 2006
     ANSWERED = 2008
     NOT_RETRIED = 2009
-    REQUEST_BARRED = 2010
-    BAR_LIFTED = 2011
-    BAR_UNWRITTEN = 2012
+    REQUEST_QUARANTINED = 2010
+    REQUEST_RELEASED = 2011
+    QUARANTINE_UNWRITTEN = 2012
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
     CLAIM_MOVED = 2102
@@ -76,7 +76,7 @@
     ENDPOINT_REPLACED = 4106
     ENDPOINT_RESTARTED = 4107
     ENDPOINT_STALE = 4108
-    ENDPOINT_ENDED = 4109
+    ENDPOINT_CRASHED = 4109
     ZONE_EVACUATED = 4110
     ZONE_RETURNED = 4111
     EVACUATION_REFUSED = 4112
@@ -120,9 +120,9 @@
     Event.CANCELLED: "The caller left; the endpoint's work is stopped.",
     Event.ANSWERED: "An attempt ended without a whole answer; how.",
     Event.NOT_RETRIED: "A request goes nowhere else; the reason.",
-    Event.REQUEST_BARRED: "Endpoints ended under a request; it goes to none.",
-    Event.BAR_LIFTED: "A request that went to no endpoint may go again.",
-    Event.BAR_UNWRITTEN: "A bar could not be written; tried again later.",
+    Event.REQUEST_QUARANTINED: "A request is kept from endpoints.",
+    Event.REQUEST_RELEASED: "A request is out of the quarantine.",
+    Event.QUARANTINE_UNWRITTEN: "A quarantine was not written; retried.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
     Event.CLAIM_MOVED: "A claim moved after its attempt was sealed unrun.",
@@ -147,7 +147,7 @@
     Event.ENDPOINT_REPLACED: "Another endpoint has an endpoint's address.",
     Event.ENDPOINT_RESTARTED: "An endpoint started again under its id.",
     Event.ENDPOINT_STALE: "An entry of an endpoint that is gone; not used.",
-    Event.ENDPOINT_ENDED: "An endpoint has ended; how many requests it had.",
+    Event.ENDPOINT_CRASHED: "An endpoint has crashed; requests that it had.",
     Event.ZONE_EVACUATED: "Nothing more is sent to a zone's endpoints.",
     Event.ZONE_RETURNED: "A zone's endpoints take new work again.",
     Event.EVACUATION_REFUSED: "An evacuation order was not obeyed.",
--- a/magnolialug/policy/gate.py
+++ b/magnolialug/policy/gate.py
@@ -13,13 +13,13 @@
 from magnolialug.ids import Incarnation
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["DISPATCH_REACH_S", "KEEP_S", "Gate", "Record", "Verdict"]
+__all__ = ["DISPATCH_REACH_S", "KEEP_S", "Gate", "Record", "Term"]
 
 DISPATCH_REACH_S = 120.0
 KEEP_S = 900.0
 
 
-class Verdict(enum.Enum):
+class Term(enum.Enum):
     """What to do with a dispatch."""
 
     ADMIT = "admit"
@@ -72,7 +72,7 @@
 
     def dispatch(
         self, attempt: Attempt, now: float
-    ) -> tuple[Verdict, Failure | None]:
+    ) -> tuple[Term, Failure | None]:
         """Decides on a dispatch.
 
         Returns:
@@ -81,18 +81,18 @@
           failure for one that did not run and never will.
         """
         if attempt.incarnation != self.incarnation:
-            return Verdict.REFUSE, failed(Code.STALE_INCARNATION)
+            return Term.REFUSE, failed(Code.STALE_INCARNATION)
         record = self._records.get(attempt.key)
         if record and record.state is AttemptState.SEALED:
-            return Verdict.REFUSE, record.failure
+            return Term.REFUSE, record.failure
         if record:
-            return Verdict.ATTACH, None
+            return Term.ATTACH, None
         refusal = self._refusal(attempt, now)
         if refusal:
             self._put(attempt, AttemptState.SEALED, now, refusal)
-            return Verdict.REFUSE, refusal
+            return Term.REFUSE, refusal
         self._put(attempt, AttemptState.QUEUED, now)
-        return Verdict.ADMIT, None
+        return Term.ADMIT, None
 
     def hand_over(self, attempt: Attempt, now: float) -> bool:
         """Marks the attempt as run; false if it may not be run."""
--- /dev/null
+++ b/magnolialug/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Poison requests, which crash endpoints, and their quarantine."""
--- /dev/null
+++ b/magnolialug/quarantine/wiring.py
@@ -0,0 +1,136 @@
+"""Wires crash detection, crash counts and the quarantine."""
+
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from magnolialug.carrier.pool import Address, Pool
+from magnolialug.events import Event, emit
+from magnolialug.homes.homebook import HomeBook
+from magnolialug.homes.wiring import Talk
+from magnolialug.ids import EndpointId, RequestDigest
+from magnolialug.platform.kv import Kv
+from magnolialug.policy.answered import Answered
+from magnolialug.policy.crashcounter import CrashCounter, Term
+from magnolialug.quarantine.crashdetector import CrashDetector
+from magnolialug.quarantine.messages import (
+    CrashReport,
+    Loss,
+    Quarantined,
+    Survived,
+)
+from magnolialug.quarantine.quarantinelist import QuarantineList
+from magnolialug.result import Failure
+
+__all__ = ["Quarantine"]
+
+# Two crashes may be chance. Callers retry within seconds, and a fault that
+# takes down many endpoints is over after this time.
+_TEMPORARY_S = 60.0
+# Keeps a datagram of one crash within 1,400 bytes, at 40 bytes a request.
+_LOSSES_PER_MESSAGE = 32
+# Bounds the memory for requests that were reported and not answered since.
+_MOST_REPORTED = 10_000
+
+
+class Quarantine:
+    """Detects poison requests and keeps them from endpoints.
+
+    A poison request arrives at any entry, so no single one sees all of its
+    crashes. Each entry reports what it lost in a crash to a few others, drawn
+    by the request's digest. These count, tell all entries of a request that
+    is to be quarantined, and write it to the key-value service.
+
+    Attributes:
+      written: the quarantine list in the key-value service.
+
+    Args:
+      homes: draws the entries that count, and the one that writes.
+      on_quarantined: receives the digest of each newly quarantined request.
+    """
+
+    def __init__(
+        self,
+        homes: HomeBook,
+        talk: Talk,
+        kv: Kv,
+        clock: IReactorTime,
+        on_quarantined: Callable[[RequestDigest], None],
+    ):
+        self._homes = homes
+        self._talk = talk
+        self._clock = clock
+        self._answered = Answered()
+        self._counter = CrashCounter()
+        self._crashes = CrashDetector(self._crashed)
+        self._reported: dict[RequestDigest, None] = {}
+        self.written = QuarantineList(
+            kv,
+            clock,
+            lambda digest: homes.home(digest) == homes.me,
+            on_quarantined,
+        )
+        talk.takes(CrashReport, lambda report, _: self._count(report))
+        talk.takes(
+            Survived, lambda told, _: self._counter.survived(told.digest)
+        )
+        talk.takes(Quarantined, lambda told, _: self.written.told(told))
+
+    def refusal(self, digest: RequestDigest) -> Failure | None:
+        """Returns why a request may go to no endpoint, None if it may."""
+        return self.written.refusal(digest)
+
+    def lost(
+        self,
+        endpoint: EndpointId,
+        pool: Pool,
+        digest: RequestDigest,
+        answered: bool,
+    ) -> None:
+        """Learns that an endpoint has closed a connection amid a request."""
+        self._crashes.lost(endpoint, pool, Loss(digest, answered))
+
+    def survived(self, digest: RequestDigest) -> None:
+        """Learns that an endpoint has answered a request in full."""
+        self._answered.add(digest)
+        if self._reported and digest in self._reported:
+            del self._reported[digest]
+            for home in self._homes.first(digest):
+                self._talk.send(Survived(digest), home)
+
+    def tick(self, now: float) -> None:
+        """Forgets and writes what is due."""
+        self.written.tick(now)
+
+    def _crashed(self, endpoint: EndpointId, losses: tuple[Loss, ...]) -> None:
+        emit(Event.ENDPOINT_CRASHED, endpoint=endpoint, lost=len(losses))
+        now = self._clock.seconds()
+        by_home: dict[Address, list[Loss]] = {}
+        for loss in set(losses):
+            if self._answered.clears(loss.digest, now):
+                continue
+            self._reported[loss.digest] = None
+            # Its own too: an entry that is cut off still counts.
+            for home in {self._homes.me, *self._homes.first(loss.digest)}:
+                by_home.setdefault(home, []).append(loss)
+        while len(self._reported) > _MOST_REPORTED:
+            del self._reported[next(iter(self._reported))]
+        for home, rows in by_home.items():
+            for begin in range(0, len(rows), _LOSSES_PER_MESSAGE):
+                told = tuple(rows[begin : begin + _LOSSES_PER_MESSAGE])
+                self._talk.send(CrashReport(endpoint, told), home)
+
+    def _count(self, report: CrashReport) -> None:
+        """Counts a crash, and tells all entries of the poison requests."""
+        now = self._clock.seconds()
+        for loss in report.losses:
+            term = self._counter.record_crash(
+                loss.digest, report.endpoint, loss.answered, now
+            )
+            if term is Term.NONE:
+                continue
+            for_s = _TEMPORARY_S if term is Term.TEMPORARY else 0.0
+            ended = self._counter.endpoints(loss.digest)
+            message = Quarantined(loss.digest, ended, int(for_s * 1000))
+            for entry in (self._homes.me, *self._homes.others):
+                self._talk.send(message, entry)
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -49,7 +49,7 @@
     ATTEMPTS_SPENT = 312
     WRONG_ENDPOINT = 313
     NO_ROOM = 314
-    BARRED = 315
+    QUARANTINED = 315
     EVACUATED = 316
     COLD = 317
     OUTCOME_UNKNOWN = 400
@@ -178,9 +178,9 @@
             "All availability zones with endpoints for it are evacuated.",
         ),
         (
-            Code.BARRED,
+            Code.QUARANTINED,
             502,
-            "Endpoints ended under the same request; it goes to no other.",
+            "Endpoints crashed under the same request; it is quarantined.",
         ),
         (
             Code.WRONG_ENDPOINT,
--- a/magnolialug/sidecar/app.py
+++ b/magnolialug/sidecar/app.py
@@ -12,7 +12,7 @@
 from magnolialug.ids import EndpointId, StoreId, new_incarnation
 from magnolialug.metrics import Metrics
 from magnolialug.policy.blocks import token_count
-from magnolialug.policy.gate import Gate, Verdict
+from magnolialug.policy.gate import Gate, Term
 from magnolialug.policy.lineup import Claimant, Lineup
 from magnolialug.policy.load import merge_tokens
 from magnolialug.policy.stored import Tier
@@ -249,9 +249,9 @@
         now = self.clock.seconds()
         attempt = dispatch.attempt
         verdict, failure = self.gate.dispatch(attempt, now)
-        if verdict is Verdict.REFUSE:
+        if verdict is Term.REFUSE:
             self.send_refusal(link, attempt, failure)
-        elif verdict is Verdict.ATTACH:
+        elif verdict is Term.ATTACH:
             state = self.gate.ask(attempt, False, now)
             callers.reattach(self, link, attempt, state, dispatch.resume_after)
         else:
--- a/tests/ctl/test_bars.py
+++ b/tests/ctl/test_quarantine.py
@@ -1,12 +1,12 @@
-"""Bars as operators see and lift them."""
+"""The quarantine as operators see it."""
 
 import msgspec
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
-from magnolialug.bars.barbook import BARS_PREFIX
-from magnolialug.ctl.bars import bar_lines, lift_bar
+from magnolialug.ctl.quarantine import quarantine_lines, release
+from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from magnolialug.result import Code
 from magnolialug.standin.kv import KvStore
 
@@ -18,8 +18,8 @@
         super().setUp()
         self.kv = KvStore(Clock())
         value = msgspec.json.encode({"ended": ["i-1", "i-2", "i-3"]})
-        self.kv._write(BARS_PREFIX + "aa", value, 0)
-        self.kv._write(BARS_PREFIX + "bb", b"nonsense", 0)
+        self.kv._write(QUARANTINE_KEYS + "aa", value, 0)
+        self.kv._write(QUARANTINE_KEYS + "bb", b"nonsense", 0)
         self.kv._write("magnolialug/entries/vm", b"{}", 0)
 
     def result(self, work):
@@ -29,17 +29,17 @@
         return found[0]
 
     def test_each_bar_has_a_line(self):
-        one, other = self.result(bar_lines(self.kv))
+        one, other = self.result(quarantine_lines(self.kv))
         self.assertEqual("aa i-1 i-2 i-3", one)
         self.assertTrue(other.startswith("bb malformed"))
 
-    def test_a_bar_is_lifted_once(self):
-        self.assertIsNone(self.result(lift_bar(self.kv, "aa")))
-        self.assertEqual(1, len(self.result(bar_lines(self.kv))))
-        failure = self.result(lift_bar(self.kv, "aa"))
+    def test_a_request_is_released_once(self):
+        self.assertIsNone(self.result(release(self.kv, "aa")))
+        self.assertEqual(1, len(self.result(quarantine_lines(self.kv))))
+        failure = self.result(release(self.kv, "aa"))
         self.assertEqual(Code.UNKNOWN_REQUEST, failure.code)
 
     def test_a_service_that_is_down_is_said(self):
         self.kv.faults.down = True
-        self.assertIsInstance(self.result(bar_lines(self.kv)).code, Code)
-        self.assertIsInstance(self.result(lift_bar(self.kv, "aa")).code, Code)
+        self.assertIsInstance(self.result(quarantine_lines(self.kv)).code, Code)
+        self.assertIsInstance(self.result(release(self.kv, "aa")).code, Code)
--- a/tests/policy/test_blame.py
+++ b/tests/policy/test_crash_counter.py
@@ -3,33 +3,38 @@
 from testtools import TestCase
 
 from magnolialug.policy.answered import Answered
-from magnolialug.policy.blamebook import BlameBook, Verdict
+from magnolialug.policy.crashcounter import CrashCounter, Term
 
 
-class BlameBookTest(TestCase):
+class CrashCounterTest(TestCase):
     """Ends are counted by endpoint and request."""
 
-    def verdicts(self, rows):
-        """Returns the verdicts of ends: endpoint, answered, time."""
-        book = BlameBook()
-        return [book.ended("d", *row) for row in rows]
+    def terms(self, rows):
+        """Returns the terms of ends: endpoint, answered, time."""
+        book = CrashCounter()
+        return [book.record_crash("d", *row) for row in rows]
 
     def test_two_ends_hold_a_request_and_three_bar_it(self):
         rows = [(f"i-{n}", False, float(n)) for n in range(4)]
         self.assertEqual(
-            [Verdict.FREE, Verdict.HELD, Verdict.BARRED, Verdict.BARRED],
-            self.verdicts(rows),
+            [
+                Term.NONE,
+                Term.TEMPORARY,
+                Term.PERMANENT,
+                Term.PERMANENT,
+            ],
+            self.terms(rows),
         )
 
     def test_one_endpoint_ends_once_however_many_tell_it(self):
         rows = [("i-1", False, 0.0)] * 4
-        self.assertEqual([Verdict.FREE] * 4, self.verdicts(rows))
+        self.assertEqual([Term.NONE] * 4, self.terms(rows))
 
     def test_runs_that_had_answered_count_half(self):
         rows = [(f"i-{n}", True, float(n)) for n in range(6)]
         self.assertEqual(
-            [Verdict.FREE] * 3 + [Verdict.HELD] * 2 + [Verdict.BARRED],
-            self.verdicts(rows),
+            [Term.NONE] * 3 + [Term.TEMPORARY] * 2 + [Term.PERMANENT],
+            self.terms(rows),
         )
 
     def test_the_worse_of_two_words_of_one_end_counts(self):
@@ -38,25 +43,25 @@
             ("i-1", False, 0.0),
             ("i-2", False, 1.0),
         ]
-        self.assertEqual(Verdict.HELD, self.verdicts(rows)[-1])
+        self.assertEqual(Term.TEMPORARY, self.terms(rows)[-1])
 
     def test_ends_long_ago_count_no_more(self):
         rows = [("i-1", False, 0.0), ("i-2", False, 601.0)]
-        self.assertEqual([Verdict.FREE] * 2, self.verdicts(rows))
+        self.assertEqual([Term.NONE] * 2, self.terms(rows))
 
     def test_a_whole_answer_clears_a_request(self):
-        book = BlameBook()
-        book.ended("d", "i-1", False, 0.0)
+        book = CrashCounter()
+        book.record_crash("d", "i-1", False, 0.0)
         book.survived("d")
-        self.assertEqual(Verdict.FREE, book.ended("d", "i-2", False, 1.0))
-        self.assertEqual(("i-2",), book.ends("d"))
+        self.assertEqual(Term.NONE, book.record_crash("d", "i-2", False, 1.0))
+        self.assertEqual(("i-2",), book.endpoints("d"))
 
     def test_what_is_remembered_is_bounded(self):
-        book = BlameBook()
+        book = CrashCounter()
         for number in range(10_001):
-            book.ended(f"d{number}", "i-1", False, 0.0)
-        self.assertEqual((), book.ends("d0"))
-        self.assertEqual(("i-1",), book.ends("d10000"))
+            book.record_crash(f"d{number}", "i-1", False, 0.0)
+        self.assertEqual((), book.endpoints("d0"))
+        self.assertEqual(("i-1",), book.endpoints("d10000"))
 
 
 class AnsweredTest(TestCase):
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -2,11 +2,11 @@
 
 import sys
 
-from magnolialug.bars.wiring import Bars
 from magnolialug.cmd import gateway
 from magnolialug.entry import serving
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.routebook import RouteBook
+from magnolialug.quarantine.wiring import Quarantine
 
 
 def repeat():
@@ -41,7 +41,7 @@
 
 def forget():
     """Takes no note of endpoints that end."""
-    Bars.lost = lambda *_: None
+    Quarantine.lost = lambda *_: None
 
 
 if __name__ == "__main__":
