Soak: evacuated zones and cold endpoints

Change: a kind of trouble evacuates a zone for 1 to 9 s and takes it back with cold endpoints; every arrival is judged (EVAC, FAILBACK).

--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -88,7 +88,14 @@
         self.asker = Asker(reactor)
         self._block = Block()
         self.ledger = Ledger(reactor.seconds, EVENTS)
-        self.world = World(reactor, self._block, self.ledger, self.touched)
+        self._kinds = planned.only or kinds_of(planned.seed)
+        self.world = World(
+            reactor,
+            self._block,
+            self.ledger,
+            self.touched,
+            cold_starts="evacuate_zone" in self._kinds,
+        )
         self.machines = [self._machine(n) for n in range(planned.machines)]
         self.kv_proxies = [
             self._proxy(self.world.kv_address, self._block.store(m.number))
@@ -222,8 +229,8 @@
             client.start()
         self._probes.start()
         planned = self._plan
-        kinds = planned.only or kinds_of(planned.seed)
-        for at, name in plan(self.random, planned.seconds, kinds):
+        self.world.zones.has_begun = True
+        for at, name in plan(self.random, planned.seconds, self._kinds):
             self.later(at, self._trouble, name)
         self.later(self._plan.seconds, self._heal)
 
@@ -235,6 +242,9 @@
         """Ends what would not end by itself."""
         world = self.world
         world.kv.faults = type(world.kv.faults)()
+        for zone in "ab":
+            if world.zones.evacuated(zone):
+                world.take_back(zone)
         for proxy in [*self.kv_proxies, *(f.proxy for f in self.fronts)]:
             proxy.delay_s = 0.0
             proxy.opens(Path.OPEN)
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/troubles.py
@@ -22,6 +22,9 @@
     "foreign_entries",
     "harmful_request",
 )
+# Drawn from this seed on.
+_FIRST_SEED_OF_ZONES = 3000
+_ZONE_KINDS = ("evacuate_zone",)
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
@@ -32,9 +35,12 @@
     with more to draw from each would play another run, and a fault that one
     has found would go unwatched.
     """
-    if seed >= _FIRST_SEED_OF_ALL:
-        return tuple(TROUBLES)
-    return tuple(name for name in TROUBLES if name not in _LATER_KINDS)
+    left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_ZONES:
+        left_out += _ZONE_KINDS
+    if seed < _FIRST_SEED_OF_ALL:
+        left_out += _LATER_KINDS
+    return tuple(name for name in TROUBLES if name not in left_out)
 
 
 def plan(
@@ -255,6 +261,17 @@
     soak.later(4.0, soak.replace, slot, slot.endpoint)
 
 
+def evacuate_zone(soak: "Soak") -> None:
+    """A zone is evacuated, and taken back with cold endpoints."""
+    zones = soak.world.zones
+    zone = soak.random.choice("ab")
+    for_s = _for_s(soak, 1.0, 9.0)
+    if zones.evacuated(zone):
+        return
+    soak.world.evacuate(zone)
+    soak.later(for_s, soak.world.take_back, zone)
+
+
 def cut_endpoint(soak: "Soak") -> None:
     """The way to an endpoint is cut, or its connections are lost."""
     slot = soak.some_slot()
@@ -351,6 +368,7 @@
         restart_part_store,
         foreign_entries,
         drain_endpoint,
+        evacuate_zone,
         cut_endpoint,
         cut_callers,
         change_config,
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -10,6 +10,7 @@
 from magnolialug.soak.harm import MARK, HarmRecord
 from magnolialug.soak.ledger import Ledger
 from magnolialug.soak.proxy import Path, Proxy
+from magnolialug.soak.zones import COLD_PER_S, COLD_S, ZoneChecks
 from magnolialug.standin.endpoint import EndpointStandin, Received
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
@@ -75,9 +76,11 @@
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
       harms: what each harmful request has done, by its body.
+      zones: the evacuated zones and the cold endpoints.
 
     Args:
       touched: tells whether a request's machine and the store are calm.
+      cold_starts: whether endpoints are cold after a start.
     """
 
     def __init__(
@@ -88,7 +91,10 @@
         touched: Callable[[str, float], bool],
         desks: int = 3,
         engines: int = 3,
+        cold_starts: bool = False,
     ):
+        self.zones = ZoneChecks(reactor.seconds, touched, ledger.broken)
+        self._cold_starts = cold_starts
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
         self.weights = 1
@@ -128,7 +134,11 @@
         version = len(self.versions) + 1
         host, port = self.part_store_address
         store = cache_store(_STORE, f"{host}:{port}", _STORE_TOKENS)
-        self.write("op/config", _config(version, store))
+        config = _config(version, store)
+        if self._cold_starts:
+            for row in config["services"][:2]:
+                row.update(coldStartS=COLD_S, coldPerS=COLD_PER_S)
+        self.write("op/config", config)
         self.versions.append(self._reactor.seconds())
 
     def name_weights(self) -> None:
@@ -137,6 +147,25 @@
         value = {"model": "m", "version": self.weights}
         self.write("op/version/m", value)
 
+    def evacuate(self, zone: str) -> None:
+        """Asks that nothing more be sent to a zone."""
+        self.write(f"op/evacuate/{zone}", {})
+        self.zones.evacuate(zone)
+
+    def take_back(self, zone: str) -> None:
+        """Ends an evacuation; the zone's endpoints have turned cold."""
+        self.zones.take_back(zone)
+        for slot in self.slots:
+            if slot.zone == zone and slot.endpoint is not None:
+                self._turn_cold(slot)
+                self.relist(slot)
+        self.remove(f"op/evacuate/{zone}")
+
+    def _turn_cold(self, slot: Slot) -> None:
+        if self._cold_starts:
+            slot.row["coldRemainingMs"] = int(COLD_S * 1000)
+            self.zones.starts(slot.endpoint.instance)
+
     def store_trouble(self, for_s: float) -> None:
         """Learns that something is done to the key-value service."""
         until = self._reactor.seconds() + for_s
@@ -241,6 +270,9 @@
             return
         if slot.endpoint is endpoint:
             self._check_drain(slot, req, machine)
+            self.zones.arrived(
+                endpoint.instance, slot.zone, req.request_id, machine, sent_at
+            )
             if req.body.startswith(MARK):
                 self._harmed(slot, req, machine)
         if slot.service == "llm":
@@ -309,6 +341,8 @@
             "sequence": 1,
             "models": weights if slot.service == "llm" else [],
         }
+        if self.zones.has_begun:
+            self._turn_cold(slot)
         self.relist(slot)
 
     def relist(self, slot: Slot) -> None:
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -4,8 +4,10 @@
 
 from magnolialug.cmd import gateway
 from magnolialug.entry import serving
+from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.routebook import RouteBook
+from magnolialug.policy.coldstart import ColdStart
 from magnolialug.quarantine.wiring import Quarantine
 
 
@@ -44,11 +46,23 @@
     Quarantine.lost = lambda *_: None
 
 
+def stay():
+    """Obeys no evacuation."""
+    Directory.evacuate = lambda *_: None
+
+
+def rush():
+    """Sends to cold endpoints as to any other."""
+    ColdStart.may_send = lambda *_: True
+
+
 if __name__ == "__main__":
     {
         "repeat": repeat,
         "go-back": go_back,
         "look-whole": look_whole,
         "forget": forget,
+        "stay": stay,
+        "rush": rush,
     }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -84,3 +84,19 @@
 
     def test_a_request_that_ends_endpoints_and_is_sent_on_is_found(self):
         self.assertIn("BUDGET", self.sabotaged("forget", "harmful_request"))
+
+    def test_evacuations_and_cold_endpoints_break_no_promise(self):
+        code, report = self.soak(
+            "--seed=3001",
+            "--minutes=0.3",
+            "--only=evacuate_zone,crash_endpoint,kill_machine",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["troubles"]["evacuate_zone"], 1)
+
+    def test_an_evacuation_that_is_not_obeyed_is_found(self):
+        self.assertIn("EVAC", self.sabotaged("stay", "evacuate_zone"))
+
+    def test_cold_endpoints_that_are_run_over_are_found(self):
+        self.assertIn("FAILBACK", self.sabotaged("rush", "evacuate_zone"))
