Prefix cache: the field's terms for the store of prompt parts

Cause: desks, books, words and homes of stores had to be learned before the code could be read. Change: package prefixcache/ (was parts/): StoreIndexService, StorePoller, StorePollers, GarbageCollector, PartQueryClient; policy/storeindex with PartStatus. Tags of datagrams stay. No behaviour changes. Before/after: tests of prefixcache, policy, measure, entry pass.

--- a/magnolialug/entry/costs.py
+++ b/magnolialug/entry/costs.py
@@ -10,7 +10,7 @@
 from magnolialug.policy.choice import Candidate
 from magnolialug.policy.endpointaccount import HEADROOM
 from magnolialug.policy.enginecost import engine_cost_s
-from magnolialug.policy.storebook import PartWord
+from magnolialug.policy.storeindex import PartStatus
 from magnolialug.policy.storemap import StoreMap
 
 __all__ = ["Costs"]
@@ -118,7 +118,7 @@
         for number, part in enumerate(prompt.parts):
             if number >= own:
                 told = known.stored.get((salt, part.name))
-                if told is None or told.word is not PartWord.HELD:
+                if told is None or told.word is not PartStatus.HELD:
                     break
                 store = self._stores.traits.get(told.store)
                 if store is None:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -37,7 +37,6 @@
 from magnolialug.events import Event, emit, explain
 from magnolialug.homes.wiring import Homes
 from magnolialug.ids import RequestDigest
-from magnolialug.parts.wiring import Parts
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
@@ -47,6 +46,7 @@
 from magnolialug.policy.retry import Backoff, Budget
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.weightbounds import WeightBounds
+from magnolialug.prefixcache.wiring import PrefixCache
 from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.result import Code, Failure, failed
@@ -120,7 +120,7 @@
             self.homes.book, self.talk, kv, reactor, self._break_off
         )
         self._bounds = WeightBounds(settings.bounds.weights_s)
-        self.parts = Parts(
+        self.prefix_cache = PrefixCache(
             self.homes,
             cache_calls,
             self._newest,
@@ -132,18 +132,18 @@
         shortlist = Shortlist(
             self.directory, settings.zone, self._bounds, reactor.seconds
         )
-        costs = Costs(settings.zone, self.parts.map, reactor.seconds)
+        costs = Costs(settings.zone, self.prefix_cache.map, reactor.seconds)
         teller = self.homes.teller
         self._placer = Placer(
             self.directory,
             shortlist,
             costs,
-            Dispatcher(costs, self.parts.map, self._newest),
+            Dispatcher(costs, self.prefix_cache.map, self._newest),
             Told(
                 teller.sent,
                 teller.changed,
-                self.parts.asker.save,
-                self.parts.asker.cancel_save,
+                self.prefix_cache.queries.save,
+                self.prefix_cache.queries.cancel_save,
             ),
             self._bounds,
             reactor.seconds,
@@ -152,7 +152,7 @@
             shortlist,
             costs,
             self.homes.asker,
-            self.parts.asker,
+            self.prefix_cache.queries,
             reactor.seconds,
         )
         self._underway: set[HttpAttempt] = set()
@@ -256,7 +256,7 @@
                 break
             await sleep(self._reactor, _DRAIN_STEP_S)
         self._watch_client.stop()
-        self.parts.stop()
+        self.prefix_cache.stop()
         self.homes.stop()
         if self._tick is not None and self._tick.active():
             self._tick.cancel()
@@ -347,7 +347,7 @@
             self.metrics,
             self.directory,
             self.homes,
-            self.parts,
+            self.prefix_cache,
             self._budget.left,
             self.clock,
         )
@@ -361,7 +361,7 @@
     def _routed(self, routing: Routing) -> None:
         self.directory.configure(routing)
         self.registry.configure(routing)
-        self.parts.configure(routing)
+        self.prefix_cache.configure(routing)
 
     def _rolls_out(self, rollout: Rollout, own: bool) -> None:
         """Takes which engines load weights now, from the lease's holder."""
@@ -425,5 +425,5 @@
         self.quarantine.tick(now)
 
     def _tidy(self, now: float) -> None:
-        self.parts.tick(now)
+        self.prefix_cache.tick(now)
         self.directory.trim()
--- a/magnolialug/entry/gauges.py
+++ b/magnolialug/entry/gauges.py
@@ -5,7 +5,7 @@
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.homes.wiring import Homes
-from magnolialug.parts.wiring import Parts
+from magnolialug.prefixcache.wiring import PrefixCache
 
 __all__ = ["observe_endpoints", "observe_states"]
 
@@ -24,7 +24,7 @@
     metrics: GatewayMetrics,
     directory: Directory,
     homes: Homes,
-    parts: Parts,
+    parts: PrefixCache,
     retries_left: Callable[[str], float],
     clock: Callable[[], float],
 ) -> None:
@@ -37,8 +37,8 @@
 
     def ages() -> Iterator[tuple[float, dict]]:
         for name, poll in parts.watch.kept():
-            if poll.book.epoch:
-                yield clock() - poll.book.heard_at, {"store": name}
+            if poll.index.epoch:
+                yield clock() - poll.index.heard_at, {"store": name}
 
     def retries() -> Rows:
         return [
--- a/magnolialug/entry/known.py
+++ b/magnolialug/entry/known.py
@@ -6,7 +6,7 @@
 from magnolialug.policy.choice import Candidate
 from magnolialug.policy.partplan import Stored
 from magnolialug.policy.sharedload import EndpointState
-from magnolialug.policy.storebook import PartKey
+from magnolialug.policy.storeindex import PartKey
 
 __all__ = ["Known"]
 
--- a/magnolialug/entry/peertalk.py
+++ b/magnolialug/entry/peertalk.py
@@ -10,11 +10,11 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
 from magnolialug.homes.messages import Ask, Told, Turn, Unwait, Wait, Work
-from magnolialug.parts.messages import (
-    AskParts,
-    CancelSave,
-    Save,
-    ToldParts,
+from magnolialug.prefixcache.messages import (
+    PartQuery,
+    PartReply,
+    SaveCancelled,
+    SaveNotice,
 )
 from magnolialug.quarantine.messages import (
     CrashReport,
@@ -28,14 +28,14 @@
 
 Message = (
     Ask
-    | AskParts
+    | PartQuery
     | CrashReport
     | Quarantined
-    | CancelSave
-    | Save
+    | SaveCancelled
+    | SaveNotice
     | Survived
     | Told
-    | ToldParts
+    | PartReply
     | Turn
     | Unwait
     | Wait
--- a/magnolialug/entry/survey.py
+++ b/magnolialug/entry/survey.py
@@ -12,8 +12,8 @@
 from magnolialug.homes.asker import Asker
 from magnolialug.homes.messages import AskedEndpoint
 from magnolialug.ids import EndpointId
-from magnolialug.parts.asker import PartAsker
 from magnolialug.policy.choice import Candidate, choose
+from magnolialug.prefixcache.queryclient import PartQueryClient
 
 __all__ = ["Survey"]
 
@@ -41,7 +41,7 @@
         shortlist: Shortlist,
         costs: Costs,
         asker: Asker,
-        parts: PartAsker,
+        parts: PartQueryClient,
         clock: Callable[[], float],
     ):
         self._shortlist = shortlist
--- a/magnolialug/measure/gatewayslopes.py
+++ b/magnolialug/measure/gatewayslopes.py
@@ -30,7 +30,7 @@
 from magnolialug.policy.listed import Listed
 from magnolialug.policy.routes import RouteTable
 from magnolialug.policy.sharedload import Placement, WorkShare
-from magnolialug.policy.storebook import StoreBook
+from magnolialug.policy.storeindex import StoreIndex
 from magnolialug.policy.storemap import StoreMap
 from magnolialug.policy.weightbounds import WeightBounds
 
@@ -230,8 +230,8 @@
     return msgspec.json.encode({"version": 1, "tenants": rows})
 
 
-def _book(parts: int) -> StoreBook:
-    book = StoreBook("a", 10**9)
+def _book(parts: int) -> StoreIndex:
+    book = StoreIndex("a", 10**9)
     for number in range(parts):
         book.added(("/m/1", f"{number:08x}"), 8610)
     return book
--- a/magnolialug/parts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Shared parts of prompts that are kept in the platform's stores."""
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -7,7 +7,7 @@
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
-from magnolialug.policy.storebook import PartKey
+from magnolialug.policy.storeindex import PartKey
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["CacheCalls", "CacheChange", "CacheEvents", "CacheList"]
--- a/magnolialug/policy/partplan.py
+++ b/magnolialug/policy/partplan.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from magnolialug.ids import EndpointId, ServiceName
-from magnolialug.policy.storebook import PartKey, PartWord
+from magnolialug.policy.storeindex import PartKey, PartStatus
 
 __all__ = ["Miss", "PartPlan", "Stored", "plan_of"]
 
@@ -40,7 +40,7 @@
     """
 
     store: ServiceName
-    word: PartWord
+    word: PartStatus
     until_ms: int = 0
     reader: EndpointId = EndpointId("")
 
@@ -62,10 +62,10 @@
 
 
 _MISSES = {
-    PartWord.UNHEARD: Miss.UNHEARD,
-    PartWord.SAVING: Miss.SAVING,
-    PartWord.FULL: Miss.NO_ROOM,
-    PartWord.CLOSED: Miss.CLOSED,
+    PartStatus.UNHEARD: Miss.UNHEARD,
+    PartStatus.SAVING: Miss.SAVING,
+    PartStatus.FULL: Miss.NO_ROOM,
+    PartStatus.CLOSED: Miss.CLOSED,
 }
 
 
@@ -81,9 +81,9 @@
     told = stored.get(key)
     if told is None:
         return PartPlan(miss=Miss.UNHEARD)
-    if told.word is PartWord.HELD:
+    if told.word is PartStatus.HELD:
         return PartPlan(fetch=told.store, until_ms=told.until_ms)
-    if told.word is not PartWord.ROOM:
+    if told.word is not PartStatus.ROOM:
         return PartPlan(miss=_MISSES[told.word])
     if not may_save:
         return PartPlan(miss=Miss.REPLACED)
--- a/magnolialug/policy/storebook.py
+++ b/magnolialug/policy/storeindex.py
@@ -6,7 +6,7 @@
 
 from magnolialug.ids import EndpointId, ZoneId
 
-__all__ = ["PartKey", "PartWord", "StoreBook"]
+__all__ = ["PartKey", "PartStatus", "StoreIndex"]
 
 # A store's word counts for this long for new requests. Polls are answered
 # within 0.5 s, so two missed ones end it; a dead store costs each request
@@ -32,15 +32,15 @@
 PartKey = tuple[str, str]
 
 
-class PartWord(enum.Enum):
-    """What a store's home says of one part.
+class PartStatus(enum.Enum):
+    """What a store's owner reports of one part.
 
     HELD: the store has it whole.
-    UNHEARD: it had it, but has not been heard for too long.
-    SAVING: somebody has asked for it to be saved, which is not done yet.
+    UNHEARD: the store had it, but has not answered for too long.
+    SAVING: an engine has been asked to save it, and has not finished.
     ROOM: it may be saved there.
     FULL: there is no room for it.
-    CLOSED: nothing may be written there just now.
+    CLOSED: the store may not be written to yet.
     """
 
     HELD = "held"
@@ -57,7 +57,7 @@
     reader: EndpointId
 
 
-class StoreBook(msgspec.Struct):
+class StoreIndex(msgspec.Struct):
     """Beliefs about a store, and the saves that have been asked for.
 
     Attributes:
@@ -86,16 +86,16 @@
         heard = self.epoch > 0 and self.clock_s is not None
         return heard and now - self.heard_at < TRUST_S
 
-    def word(self, key: PartKey, tokens: int, now: float) -> PartWord:
+    def status(self, key: PartKey, tokens: int, now: float) -> PartStatus:
         """Returns what is to be done with a part of a new request."""
         trusted = self.trusted(now)
         if key in self.parts:
-            return PartWord.HELD if trusted else PartWord.UNHEARD
+            return PartStatus.HELD if trusted else PartStatus.UNHEARD
         if key in self.savings:
-            return PartWord.SAVING
+            return PartStatus.SAVING
         if not trusted or now < self.writable_from:
-            return PartWord.CLOSED
-        return PartWord.ROOM if self._has_room(tokens) else PartWord.FULL
+            return PartStatus.CLOSED
+        return PartStatus.ROOM if self._has_room(tokens) else PartStatus.FULL
 
     def fetch_until_ms(self) -> int:
         """Returns when a fetch is to be thrown away, on the store's clock.
--- a/magnolialug/policy/storemap.py
+++ b/magnolialug/policy/storemap.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from magnolialug.ids import ServiceName, ZoneId
-from magnolialug.policy.storebook import PartKey
+from magnolialug.policy.storeindex import PartKey
 
 __all__ = ["StoreMap", "StoreTraits"]
 
--- /dev/null
+++ b/magnolialug/prefixcache/__init__.py
@@ -0,0 +1,1 @@
+"""KV cache of shared prompt parts, kept in the platform's stores."""
--- a/magnolialug/parts/cleaner.py
+++ b/magnolialug/prefixcache/garbagecollector.py
@@ -7,14 +7,14 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import ServiceName
-from magnolialug.parts.watch import StoreWatch
 from magnolialug.platform.cachecalls import CacheCalls, CacheChange
 from magnolialug.policy.oldweights import EngineWeights, OldWeights
 from magnolialug.policy.salt import version_of
-from magnolialug.policy.storebook import PartKey, StoreBook
+from magnolialug.policy.storeindex import PartKey, StoreIndex
+from magnolialug.prefixcache.storepollers import StorePollers
 from magnolialug.result import Failure
 
-__all__ = ["Cleaner"]
+__all__ = ["GarbageCollector"]
 
 # A look at what the engines have costs some microseconds for each.
 _LOOK_S = 0.5
@@ -27,8 +27,8 @@
 _VALID_S = 0.6
 
 
-class Cleaner:
-    """Keeps the stores whose books are kept here free of replaced parts.
+class GarbageCollector:
+    """Keeps the stores that this entry indexes free of replaced parts.
 
     Two entries do so for each store. That needs no lease: a part that is
     freed twice is freed once, and neither frees what any engine can fetch.
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        stores: StoreWatch,
+        stores: StorePollers,
         calls: CacheCalls,
         clock: Callable[[], float],
         engines: Callable[[], Iterable[EngineWeights]],
@@ -60,25 +60,25 @@
         self._look_at = now + _LOOK_S
         self._old.seen(self._engines(), now)
         for name, poll in self._stores.kept():
-            if not poll.book.trusted(now) or now < self._ask_at.get(name, 0.0):
+            if not poll.index.trusted(now) or now < self._ask_at.get(name, 0.0):
                 continue
-            if any(self._is_old(salt, now) for salt, _ in poll.book.parts):
+            if any(self._is_old(salt, now) for salt, _ in poll.index.parts):
                 self._ask_at[name] = now + _AGAIN_S
-                ensureDeferred(self._clean(name, poll.address, poll.book))
+                ensureDeferred(self._clean(name, poll.address, poll.index))
 
     def _is_old(self, salt: str, now: float) -> bool:
         model, version = version_of(salt)
         return 0 < version < self._old.unused_below(model, now)
 
     async def _clean(
-        self, name: ServiceName, address: Address, book: StoreBook
+        self, name: ServiceName, address: Address, index: StoreIndex
     ) -> None:
         """Lists a store and frees what is old, finished or not."""
         listed = await self._calls.list(address)
         if isinstance(listed, Failure):
             emit(Event.FREE_FAILED, store=name, **explain(listed))
             return
-        if not book.is_start(listed.epoch, listed.born_ms):
+        if not index.is_start(listed.epoch, listed.born_ms):
             return
         now = self._clock()
         rows = [
@@ -88,26 +88,26 @@
         ]
         while rows:
             batch, rows = rows[:_AT_ONCE], rows[_AT_ONCE:]
-            if not await self._free(name, address, book, batch):
+            if not await self._free(name, address, index, batch):
                 return
 
     async def _free(
         self,
         name: ServiceName,
         address: Address,
-        book: StoreBook,
+        index: StoreIndex,
         batch: Sequence[CacheChange],
     ) -> bool:
         keys: list[PartKey] = [(row.salt, row.part) for row in batch]
-        until_s = self._clock() + _VALID_S + book.clock_s
+        until_s = self._clock() + _VALID_S + index.clock_s
         failure = await self._calls.free(
-            address, book.epoch, int(until_s * 1000), keys
+            address, index.epoch, int(until_s * 1000), keys
         )
         if failure is not None:
             emit(Event.FREE_FAILED, store=name, **explain(failure))
             return False
         for key in keys:
-            book.removed(key)
+            index.removed(key)
         emit(
             Event.PARTS_FREED,
             store=name,
--- a/magnolialug/parts/messages.py
+++ b/magnolialug/prefixcache/messages.py
@@ -1,22 +1,26 @@
-"""What entries and the homes of stores tell each other, a datagram each."""
+"""Messages between entries and the owners of stores, a datagram each.
+
+The tags stay as they are: entries of two releases talk to each other during a
+rolling upgrade.
+"""
 
 import msgspec
 
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.policy.prompt import Part
-from magnolialug.policy.storebook import PartWord
+from magnolialug.policy.storeindex import PartStatus
 
 __all__ = [
-    "AskParts",
-    "AskedPart",
-    "CancelSave",
+    "PartQuery",
+    "QueriedPart",
+    "SaveCancelled",
     "PartState",
-    "Save",
-    "ToldParts",
+    "SaveNotice",
+    "PartReply",
 ]
 
 
-class AskedPart(msgspec.Struct, frozen=True, array_like=True):
+class QueriedPart(msgspec.Struct, frozen=True, array_like=True):
     """A part of a prompt, and the store that is asked about it."""
 
     store: ServiceName
@@ -24,11 +28,11 @@
     part: Part
 
 
-class AskParts(msgspec.Struct, frozen=True, array_like=True, tag="parts?"):
-    """Asks a home what to do with some parts."""
+class PartQuery(msgspec.Struct, frozen=True, array_like=True, tag="parts?"):
+    """Asks an owner what to do with some parts."""
 
     number: int
-    parts: tuple[AskedPart, ...]
+    parts: tuple[QueriedPart, ...]
 
 
 class PartState(msgspec.Struct, frozen=True, array_like=True):
@@ -42,27 +46,27 @@
     store: ServiceName
     salt: str
     name: str
-    word: PartWord
+    word: PartStatus
     until_ms: int = 0
     reader: EndpointId = EndpointId("")
 
 
-class ToldParts(msgspec.Struct, frozen=True, array_like=True, tag="parts"):
-    """The answer to an AskParts."""
+class PartReply(msgspec.Struct, frozen=True, array_like=True, tag="parts"):
+    """The answer to an PartQuery."""
 
     number: int
     states: tuple[PartState, ...]
 
 
-class Save(msgspec.Struct, frozen=True, array_like=True, tag="save"):
+class SaveNotice(msgspec.Struct, frozen=True, array_like=True, tag="save"):
     """An engine has been sent a request that asks for parts to be saved."""
 
     reader: EndpointId
-    parts: tuple[AskedPart, ...]
+    parts: tuple[QueriedPart, ...]
 
 
-class CancelSave(msgspec.Struct, frozen=True, array_like=True, tag="unsave"):
+class SaveCancelled(msgspec.Struct, frozen=True, array_like=True, tag="unsave"):
     """The request that asked for parts to be saved did not run."""
 
     reader: EndpointId
-    parts: tuple[AskedPart, ...]
+    parts: tuple[QueriedPart, ...]
--- a/magnolialug/parts/asker.py
+++ b/magnolialug/prefixcache/queryclient.py
@@ -1,4 +1,4 @@
-"""Asks the homes of stores what to do with the parts of a prompt."""
+"""Asks the owners of stores what to do with the parts of a prompt."""
 
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -7,44 +7,44 @@
 from magnolialug.homes.homebook import HomeBook
 from magnolialug.homes.questions import Questions
 from magnolialug.ids import EndpointId, ServiceName
-from magnolialug.parts.messages import (
-    AskedPart,
-    AskParts,
-    CancelSave,
-    Save,
-    ToldParts,
-)
 from magnolialug.policy.partplan import Stored
 from magnolialug.policy.prompt import Part
-from magnolialug.policy.storebook import PartKey, PartWord
+from magnolialug.policy.storeindex import PartKey, PartStatus
 from magnolialug.policy.storemap import StoreMap
+from magnolialug.prefixcache.messages import (
+    PartQuery,
+    PartReply,
+    QueriedPart,
+    SaveCancelled,
+    SaveNotice,
+)
 
-__all__ = ["PartAsker"]
+__all__ = ["PartQueryClient"]
 
 # Stores that are asked about a part, one after the other, while the first
 # choice can neither give nor take it.
 _CHOICES = 3
-# What a store says that leaves a part to the next choice.
-_ELSEWHERE = (PartWord.UNHEARD, PartWord.FULL, PartWord.CLOSED)
+# States that leave a part to the next choice.
+_ELSEWHERE = (PartStatus.UNHEARD, PartStatus.FULL, PartStatus.CLOSED)
 
 
-class PartAsker:
+class PartQueryClient:
     """Finds out where a prompt's shared parts are, or are to be kept.
 
     Args:
-      book: tells who keeps the book of a store.
+      owners: tells who indexes a store.
       stores: the stores of the configuration.
       send: sends a message to an entry.
     """
 
     def __init__(
         self,
-        book: HomeBook,
+        owners: HomeBook,
         stores: StoreMap,
         questions: Questions,
-        send: Callable[[Save | CancelSave, Address], None],
+        send: Callable[[SaveNotice | SaveCancelled, Address], None],
     ):
-        self._book = book
+        self._owners = owners
         self._stores = stores
         self._questions = questions
         self._send = send
@@ -52,7 +52,7 @@
     async def ask(
         self, salts: Iterable[str], parts: Iterable[Part]
     ) -> dict[PartKey, Stored]:
-        """Returns what the homes of stores tell of parts."""
+        """Returns what the owners of stores report of parts."""
         rows = [(salt, part) for salt in salts for part in parts]
         orders = {
             (salt, part.name): self._stores.order((salt, part.name))
@@ -61,7 +61,7 @@
         stored: dict[PartKey, Stored] = {}
         for choice in range(_CHOICES):
             asked = [
-                AskedPart(orders[salt, part.name][choice], salt, part)
+                QueriedPart(orders[salt, part.name][choice], salt, part)
                 for salt, part in rows
                 if choice < len(orders[salt, part.name])
                 and _is_open(stored.get((salt, part.name)))
@@ -78,10 +78,10 @@
         salt: str,
         parts: Iterable[tuple[Part, ServiceName]],
     ) -> None:
-        """Tells the homes that an engine was asked to save parts."""
-        asked = [AskedPart(store, salt, part) for part, store in parts]
+        """Tells the owners that an engine was asked to save parts."""
+        asked = [QueriedPart(store, salt, part) for part, store in parts]
         for home, rows in self._by_home(asked).items():
-            self._send(Save(reader, tuple(rows)), home)
+            self._send(SaveNotice(reader, tuple(rows)), home)
 
     def cancel_save(
         self,
@@ -89,25 +89,25 @@
         salt: str,
         parts: Iterable[tuple[Part, ServiceName]],
     ) -> None:
-        """Tells the homes that an engine will not save parts after all."""
-        asked = [AskedPart(store, salt, part) for part, store in parts]
+        """Tells the owners that an engine will not save parts after all."""
+        asked = [QueriedPart(store, salt, part) for part, store in parts]
         for home, rows in self._by_home(asked).items():
-            self._send(CancelSave(reader, tuple(rows)), home)
+            self._send(SaveCancelled(reader, tuple(rows)), home)
 
-    async def _ask(self, asked: list[AskedPart]) -> list[ToldParts]:
+    async def _ask(self, asked: list[QueriedPart]) -> list[PartReply]:
         return await self._questions.ask(
             {
-                home: partial(AskParts, parts=tuple(rows))
+                home: partial(PartQuery, parts=tuple(rows))
                 for home, rows in self._by_home(asked).items()
             }
         )
 
     def _by_home(
-        self, asked: Iterable[AskedPart]
-    ) -> dict[Address, list[AskedPart]]:
-        by_home: dict[Address, list[AskedPart]] = {}
+        self, asked: Iterable[QueriedPart]
+    ) -> dict[Address, list[QueriedPart]]:
+        by_home: dict[Address, list[QueriedPart]] = {}
         for row in asked:
-            home = self._book.home(row.store)
+            home = self._owners.home(row.store)
             by_home.setdefault(home, []).append(row)
         return by_home
 
@@ -116,7 +116,7 @@
     return told is None or told.word in _ELSEWHERE
 
 
-def _take(stored: dict[PartKey, Stored], told: ToldParts) -> None:
+def _take(stored: dict[PartKey, Stored], told: PartReply) -> None:
     """Takes an answer; a second choice counts only if it can do more."""
     for state in told.states:
         key = (state.salt, state.name)
--- a/magnolialug/parts/poll.py
+++ b/magnolialug/prefixcache/storepoller.py
@@ -1,4 +1,4 @@
-"""Keeps one store's book, by asking the store what has changed."""
+"""Keeps one store's index up to date by polling its events."""
 
 from collections.abc import Callable, Iterable
 from random import Random
@@ -14,11 +14,11 @@
     CacheEvents,
 )
 from magnolialug.policy.salt import version_of
-from magnolialug.policy.storebook import StoreBook
+from magnolialug.policy.storeindex import StoreIndex
 from magnolialug.result import Failure
 from magnolialug.timing import sleep
 
-__all__ = ["StorePoll"]
+__all__ = ["StorePoller"]
 
 # Calls that wait less than 0.2 s are charged for. Just before an answer the
 # store's last word is two waits and a pause old, which must stay well within
@@ -27,39 +27,39 @@
 # Events gather for this long between calls: one call brings about ten.
 _PACE_S = 0.2
 _AGAIN_S = 0.3
-# An entry that is asked about a store keeps its book for this long, also if
-# it is none of the store's homes: the others do not answer somebody.
+# An entry that is asked about a store indexes it for this long even if it is
+# not an owner: the asker does not reach the owners.
 _ASKED_S = 3.0
 
 
-class StorePoll:
-    """Follows one store while this entry is home of it.
+class StorePoller:
+    """Polls one store while this entry owns it.
 
     Args:
-      book: what is believed of the store.
+      index: what is believed of the store.
       newest: returns the newest version of a model that is known of.
-      keeps: tells whether this entry is home of the store.
+      owns: tells whether this entry owns the store.
     """
 
     def __init__(
         self,
         name: ServiceName,
         address: Address,
-        book: StoreBook,
+        index: StoreIndex,
         calls: CacheCalls,
         clock: IReactorTime,
         random: Random,
         newest: Callable[[str], int],
-        keeps: Callable[[], bool],
+        owns: Callable[[], bool],
     ):
         self.address = address
-        self.book = book
+        self.index = index
         self._name = name
         self._calls = calls
         self._clock = clock
         self._random = random
         self._newest = newest
-        self._keeps = keeps
+        self._owns = owns
         self._asked_until = float("-inf")
         self._since = 0
         self._heard = False
@@ -67,10 +67,10 @@
     @property
     def kept(self) -> bool:
         """Whether this entry answers for the store."""
-        return self._keeps() or self._clock.seconds() < self._asked_until
+        return self._owns() or self._clock.seconds() < self._asked_until
 
     def asked(self) -> None:
-        """Learns that somebody takes this entry for the store's home."""
+        """Records that another entry takes this one for an owner."""
         self._asked_until = self._clock.seconds() + _ASKED_S
 
     async def run(self) -> None:
@@ -92,7 +92,7 @@
 
         What has changed meanwhile may be more than the store remembers.
         """
-        self.book.restarted(0, 0, self._clock.seconds())
+        self.index.restarted(0, 0, self._clock.seconds())
         self._since = 0
         self._heard = False
 
@@ -102,27 +102,27 @@
         self._heard = False
 
     async def _answered(self, found: CacheEvents, asked: float) -> None:
-        book = self.book
+        index = self.index
         if not self._heard:
             emit(Event.STORE_HEARD, store=self._name, epoch=found.epoch)
         self._heard = True
-        if not book.is_start(found.epoch, found.born_ms):
+        if not index.is_start(found.epoch, found.born_ms):
             await self._restarted(found)
         else:
             self._take(found.changes)
             self._since = max(self._since, found.next)
-            book.born_ms = book.born_ms or found.born_ms
-        book.heard_at = max(book.heard_at, asked)
+            index.born_ms = index.born_ms or found.born_ms
+        index.heard_at = max(index.heard_at, asked)
         if found.clock_ms:
-            book.clock_s = found.clock_ms / 1000 - self._clock.seconds()
+            index.clock_s = found.clock_ms / 1000 - self._clock.seconds()
 
     async def _restarted(self, found: CacheEvents) -> None:
-        book = self.book
-        fresh = book.epoch == 0
-        book.restarted(found.epoch, found.born_ms, self._clock.seconds())
+        index = self.index
+        fresh = index.epoch == 0
+        index.restarted(found.epoch, found.born_ms, self._clock.seconds())
         await self._catch_up(found)
-        if fresh and book.parts:
-            book.lived()
+        if fresh and index.parts:
+            index.lived()
 
     async def _catch_up(self, found: CacheEvents) -> None:
         """Reads what a store holds that has been heard for the first time."""
@@ -131,14 +131,14 @@
             self._since = found.next
             return
         listed = await self._calls.list(self.address)
-        if isinstance(listed, Failure) or not self.book.is_start(
+        if isinstance(listed, Failure) or not self.index.is_start(
             listed.epoch, listed.born_ms
         ):
-            self.book.epoch = 0
+            self.index.epoch = 0
             self._since = 0
             return
         for part in listed.parts:
-            self.book.added((part.salt, part.part), part.tokens)
+            self.index.added((part.salt, part.part), part.tokens)
         self._since = listed.next
         emit(Event.STORE_LISTED, store=self._name, parts=len(listed.parts))
 
@@ -146,9 +146,9 @@
         for change in changes:
             key = (change.salt, change.part)
             if change.whole and not self._closed(change.salt):
-                self.book.added(key, change.tokens)
+                self.index.added(key, change.tokens)
             elif not change.whole:
-                self.book.removed(key)
+                self.index.removed(key)
 
     def _closed(self, salt: str) -> bool:
         """Whether parts under a salt are not believed any more.
--- a/magnolialug/parts/watch.py
+++ b/magnolialug/prefixcache/storepollers.py
@@ -1,4 +1,4 @@
-"""The stores of the configuration, and a book for each that is kept here."""
+"""The stores of the configuration, and a poller for each that is owned."""
 
 from collections.abc import Callable, Iterator
 from random import Random
@@ -8,21 +8,21 @@
 
 from magnolialug.config.routing import CacheStore, Routing
 from magnolialug.ids import ServiceName
-from magnolialug.parts.poll import StorePoll
 from magnolialug.platform.cachecalls import CacheCalls
-from magnolialug.policy.storebook import StoreBook
+from magnolialug.policy.storeindex import StoreIndex
 from magnolialug.policy.storemap import StoreMap, StoreTraits
+from magnolialug.prefixcache.storepoller import StorePoller
 
-__all__ = ["StoreWatch"]
+__all__ = ["StorePollers"]
 
 
-class StoreWatch:
-    """One task for each store whose book is kept here.
+class StorePollers:
+    """One task for each store that this entry indexes.
 
     Args:
       stores: is told of the stores of each configuration.
       newest: returns the newest version of a model that is known of.
-      keeps: tells whether this entry is home of a store.
+      owns: tells whether this entry owns a store.
     """
 
     def __init__(
@@ -32,27 +32,27 @@
         clock: IReactorTime,
         random: Random,
         newest: Callable[[str], int],
-        keeps: Callable[[ServiceName], bool],
+        owns: Callable[[ServiceName], bool],
     ):
-        self.polls: dict[ServiceName, StorePoll] = {}
+        self.polls: dict[ServiceName, StorePoller] = {}
         self._stores = stores
         self._calls = calls
         self._clock = clock
         self._random = random
         self._newest = newest
-        self._keeps = keeps
+        self._owns = owns
         self._tasks: dict[ServiceName, Deferred] = {}
 
-    def book(self, name: ServiceName) -> StoreBook | None:
-        """Returns a store's book for somebody who asks about it."""
+    def index(self, name: ServiceName) -> StoreIndex | None:
+        """Returns a store's index for an entry that asks about it."""
         poll = self.polls.get(name)
         if poll is None:
             return None
         poll.asked()
-        return poll.book
+        return poll.index
 
-    def kept(self) -> Iterator[tuple[ServiceName, StorePoll]]:
-        """Yields the stores whose books are kept here."""
+    def kept(self) -> Iterator[tuple[ServiceName, StorePoller]]:
+        """Yields the stores that this entry indexes."""
         for name, poll in self.polls.items():
             if poll.kept:
                 yield name, poll
@@ -88,7 +88,7 @@
                 self.polls[name] = self._poll(name, store)
 
     def tick(self, now: float) -> None:
-        """Follows the stores whose books are kept here, and no others."""
+        """Polls the stores that this entry indexes, and no others."""
         for name, poll in self.polls.items():
             if not poll.kept:
                 self._rest(name)
@@ -96,23 +96,23 @@
                 task = ensureDeferred(poll.run())
                 task.addErrback(lambda reason: reason.trap(CancelledError))
                 self._tasks[name] = task
-            poll.book.tick(now)
+            poll.index.tick(now)
 
     def stop(self) -> None:
         """Ends all tasks."""
         for name in list(self.polls):
             self._drop(name)
 
-    def _poll(self, name: ServiceName, store: CacheStore) -> StorePoll:
-        return StorePoll(
+    def _poll(self, name: ServiceName, store: CacheStore) -> StorePoller:
+        return StorePoller(
             name,
             store.address,
-            StoreBook(store.zone, store.capacity_tokens),
+            StoreIndex(store.zone, store.capacity_tokens),
             self._calls,
             self._clock,
             self._random,
             self._newest,
-            lambda: self._keeps(name),
+            lambda: self._owns(name),
         )
 
     def _rest(self, name: ServiceName) -> None:
--- a/magnolialug/parts/wiring.py
+++ b/magnolialug/prefixcache/wiring.py
@@ -1,4 +1,4 @@
-"""Cache parts: this entry's books of stores, and its questions to others."""
+"""Wires store indexes, garbage collection and queries to other entries."""
 
 from collections.abc import Callable, Iterable
 from random import Random
@@ -7,28 +7,28 @@
 
 from magnolialug.config.routing import Routing
 from magnolialug.homes.wiring import Homes, Talk
-from magnolialug.parts.asker import PartAsker
-from magnolialug.parts.cleaner import Cleaner
-from magnolialug.parts.desk import Desk
-from magnolialug.parts.messages import (
-    AskParts,
-    CancelSave,
-    Save,
-    ToldParts,
-)
-from magnolialug.parts.watch import StoreWatch
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.policy.oldweights import EngineWeights
 from magnolialug.policy.storemap import StoreMap
+from magnolialug.prefixcache.garbagecollector import GarbageCollector
+from magnolialug.prefixcache.indexservice import StoreIndexService
+from magnolialug.prefixcache.messages import (
+    PartQuery,
+    PartReply,
+    SaveCancelled,
+    SaveNotice,
+)
+from magnolialug.prefixcache.queryclient import PartQueryClient
+from magnolialug.prefixcache.storepollers import StorePollers
 
-__all__ = ["Parts"]
+__all__ = ["PrefixCache"]
 
-# Entries that follow a store: its home, and the one that stands in for it.
-_HOMES = 2
+# Entries that index a store: its owner and a stand-in.
+_OWNERS = 2
 
 
-class Parts:
-    """Wires what follows stores to what asks about them.
+class PrefixCache:
+    """Indexes some stores, and queries other entries about the rest.
 
     Attributes:
       map: the stores of the configuration in force.
@@ -49,21 +49,27 @@
         random: Random,
     ):
         self.map = StoreMap()
-        self.watch = StoreWatch(
+        self.watch = StorePollers(
             self.map,
             calls,
             clock,
             random,
             newest,
-            lambda store: homes.book.rank(store) < _HOMES,
+            lambda store: homes.book.rank(store) < _OWNERS,
+        )
+        self.queries = PartQueryClient(
+            homes.book, self.map, homes.questions, talk.send
+        )
+        self.collector = GarbageCollector(
+            self.watch, calls, clock.seconds, engines
+        )
+        service = StoreIndexService(self.watch.index, clock.seconds)
+        talk.takes(
+            PartQuery, lambda ask, home: talk.send(service.ask(ask), home)
         )
-        self.asker = PartAsker(homes.book, self.map, homes.questions, talk.send)
-        self.cleaner = Cleaner(self.watch, calls, clock.seconds, engines)
-        desk = Desk(self.watch.book, clock.seconds)
-        talk.takes(AskParts, lambda ask, home: talk.send(desk.ask(ask), home))
-        talk.takes(Save, lambda save, _: desk.save(save))
-        talk.takes(CancelSave, lambda cancel, _: desk.cancel_save(cancel))
-        talk.takes(ToldParts, homes.questions.answered)
+        talk.takes(SaveNotice, lambda save, _: service.save(save))
+        talk.takes(SaveCancelled, lambda cancel, _: service.cancel_save(cancel))
+        talk.takes(PartReply, homes.questions.answered)
 
     def configure(self, routing: Routing) -> None:
         """Takes the stores of a configuration."""
@@ -72,7 +78,7 @@
     def tick(self, now: float) -> None:
         """Follows the stores that are this entry's, and frees old parts."""
         self.watch.tick(now)
-        self.cleaner.tick(now)
+        self.collector.tick(now)
 
     def stop(self) -> None:
         """Follows no store any more."""
--- a/tests/entry/test_same_id.py
+++ b/tests/entry/test_same_id.py
@@ -161,13 +161,13 @@
         store.born_ms = FIRST
         cluster.pass_time(3)
         cluster.ask("/draft/x", parts="aa:9000,o:2000", seconds=2)
-        (poll,) = cluster.gateway.parts.watch.polls.values()
-        book = poll.book
-        self.assertTrue(book.parts)
+        (poll,) = cluster.gateway.prefix_cache.watch.polls.values()
+        index = poll.index
+        self.assertTrue(index.parts)
         store.parts.clear()
         store.born_ms = SECOND
         cluster.pass_time(1)
-        self.assertEqual({}, book.parts)
+        self.assertEqual({}, index.parts)
 
 
 class AddressTest(TestCase):
--- a/tests/parts/test_cache_parts.py
+++ b/tests/prefixcache/test_cache_parts.py
@@ -117,8 +117,8 @@
         cluster.pass_time(1)
         cluster.ask("/draft/x", seconds=0.3)
         self.assertTrue(headers(cluster, "x-kv-fetch-from")[-1])
-        book = cluster.gateway.parts.watch.polls["cache"].book
-        self.assertNotIn(("/m/1", "late"), book.parts)
+        index = cluster.gateway.prefix_cache.watch.polls["cache"].index
+        self.assertNotIn(("/m/1", "late"), index.parts)
 
     def test_lost_events_cost_a_fetch_and_nothing_more(self):
         cluster, store = self.started()
@@ -169,8 +169,8 @@
         for _ in range(200):
             cluster.pass_time(0.02)
             now = cluster.net.seconds()
-            (poll,) = cluster.gateway.parts.watch.polls.values()
-            self.assertTrue(poll.book.trusted(now))
+            (poll,) = cluster.gateway.prefix_cache.watch.polls.values()
+            self.assertTrue(poll.index.trusted(now))
 
     def test_a_fresh_entry_reads_what_a_store_holds(self):
         cluster, store = self.started()
--- a/tests/parts/test_cleaner.py
+++ b/tests/prefixcache/test_garbage_collector.py
@@ -40,8 +40,8 @@
         self.assertEqual([2, 2], [e.version for e in cluster.engines.values()])
         self.assertEqual({}, store.parts)
         self.assertEqual(5, len(set(store.freed)))
-        (poll,) = cluster.gateway.parts.watch.polls.values()
-        self.assertEqual(0, poll.book.used)
+        (poll,) = cluster.gateway.prefix_cache.watch.polls.values()
+        self.assertEqual(0, poll.index.used)
 
     def test_new_parts_find_room_again(self):
         cluster, store = self.started(capacity=9000)
@@ -76,13 +76,16 @@
         call arrives. Cause: the call did not say which start it was for.
         """
         cluster, store = self.started()
-        ((name, poll),) = cluster.gateway.parts.watch.polls.items()
-        cleaner = cluster.gateway.parts.cleaner
+        ((name, poll),) = cluster.gateway.prefix_cache.watch.polls.items()
+        cleaner = cluster.gateway.prefix_cache.collector
         store.restart()
         store.begin((OLD, "p0"), 2000)
         freed = []
         work = cleaner._free(
-            name, store.address, poll.book, [CacheChange(True, OLD, "p0", 2000)]
+            name,
+            store.address,
+            poll.index,
+            [CacheChange(True, OLD, "p0", 2000)],
         )
         ensureDeferred(work).addCallback(freed.append)
         cluster.pass_time(0.1)
--- a/tests/parts/test_homes_of_stores.py
+++ b/tests/prefixcache/test_owners_of_stores.py
@@ -5,12 +5,17 @@
 from testtools import TestCase
 
 from magnolialug.homes.messages import Work
-from magnolialug.parts.asker import PartAsker
-from magnolialug.parts.messages import AskParts, PartState, Save, ToldParts
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.sharedload import WorkShare
-from magnolialug.policy.storebook import PartWord
+from magnolialug.policy.storeindex import PartStatus
 from magnolialug.policy.storemap import StoreMap, StoreTraits
+from magnolialug.prefixcache.messages import (
+    PartQuery,
+    PartReply,
+    PartState,
+    SaveNotice,
+)
+from magnolialug.prefixcache.queryclient import PartQueryClient
 from tests.gatewaycluster import GatewayCluster
 
 VMS = tuple(f"front-{n}" for n in range(1, 13))
@@ -19,15 +24,15 @@
 def kept_books(cluster):
     """Returns the books that are kept of the store, over all gateways."""
     return [
-        poll.book
+        poll.index
         for gateway in cluster.gateways
-        for _, poll in gateway.parts.watch.kept()
+        for _, poll in gateway.prefix_cache.watch.kept()
     ]
 
 
 def homes(cluster):
     """Returns the gateways that follow the store."""
-    return [g for g in cluster.gateways if list(g.parts.watch.kept())]
+    return [g for g in cluster.gateways if list(g.prefix_cache.watch.kept())]
 
 
 class FleetTest(TestCase):
@@ -73,7 +78,9 @@
             cluster.pass_time(0.1)
             now = cluster.net.seconds()
             kept = [
-                p.book for g in homes(cluster) for _, p in g.parts.watch.kept()
+                p.index
+                for g in homes(cluster)
+                for _, p in g.prefix_cache.watch.kept()
             ]
             self.assertEqual(2, len(kept))
             self.assertTrue(all(book.trusted(now) for book in kept))
@@ -161,7 +168,7 @@
         dead = {g.settings.host for g in homes(cluster)}
         for gateway in homes(cluster):
             gateway._entries._task.cancel()
-            gateway.parts.stop()
+            gateway.prefix_cache.stop()
         cluster.net.loses_datagram = lambda sender, receiver: (
             receiver[0] in dead or sender[0] in dead
         )
@@ -181,9 +188,9 @@
         store.restart()
         cluster.pass_time(2.5)
         kept = [
-            p.book.parts
+            p.index.parts
             for g in homes(cluster)
-            for _, p in g.parts.watch.kept()
+            for _, p in g.prefix_cache.watch.kept()
         ]
         self.assertEqual([{}, {}], kept)
 
@@ -206,14 +213,14 @@
     async def ask(self, homes):
         """Returns the answer of the only home."""
         (message,) = [make(1) for make in homes.values()]
-        assert isinstance(message, AskParts)
+        assert isinstance(message, PartQuery)
         self.asked.append([row.store for row in message.parts])
         states = tuple(
             PartState(row.store, row.salt, row.part.name, word, 5)
             for row in message.parts
             if (word := self.words.get(row.store))
         )
-        return [ToldParts(1, states)]
+        return [PartReply(1, states)]
 
 
 class ChoicesTest(TestCase):
@@ -232,7 +239,7 @@
         by_name = dict(zip(order, words, strict=True))
         questions = _Questions(by_name)
         told = []
-        asker = PartAsker(
+        asker = PartQueryClient(
             _Book(), stores, questions, lambda save, home: told.append(save)
         )
         return asker, order, questions, told
@@ -250,12 +257,12 @@
 
     def test_the_next_choice_is_asked_while_one_can_do_nothing(self):
         held, room, full, closed, saving, unheard = (
-            PartWord.HELD,
-            PartWord.ROOM,
-            PartWord.FULL,
-            PartWord.CLOSED,
-            PartWord.SAVING,
-            PartWord.UNHEARD,
+            PartStatus.HELD,
+            PartStatus.ROOM,
+            PartStatus.FULL,
+            PartStatus.CLOSED,
+            PartStatus.SAVING,
+            PartStatus.UNHEARD,
         )
         cases = (
             ((held, held, held), (0, held, 1)),
@@ -273,5 +280,5 @@
         asker, order, _, told = self.asker((None, None, None))
         asker.save("i-1", "s", [(Part("p", 10), order[0])])
         (save,) = told
-        self.assertIsInstance(save, Save)
+        self.assertIsInstance(save, SaveNotice)
         self.assertEqual(("i-1", order[0]), (save.reader, save.parts[0].store))
