Admission: prompts that will be late leave room for those that can be in time

All memory is full meanwhile, at the same arrivals: as soon as room comes it goes to prompts that are late already, so each that arrives must wait too. Besides, whether a prompt can be in time was judged by one figure, 0.35 s, for 2,000 and 30,000 tokens to read alike; by the log they take 0.2 to 0.6 s. Ruled out: cold endpoints (their share was not used up), dead engines, commands. Change: a waiting prompt is late by what it has to read itself; a late one is granted room only where 12% of the memory stays free beside it.

--- a/magnolialug/homes/lists.py
+++ b/magnolialug/homes/lists.py
@@ -14,8 +14,13 @@
 
 __all__ = ["Lists"]
 
-# Room is looked for this often while somebody waits; a look costs some 50 us.
+# Room is looked for this often while a prompt waits.
 _LOOK_S = 0.02
+# From a grant to the first event on a busy engine, without the time to read the
+# prompt itself.
+_FIRST_EVENT_S = 0.2
+# Prompt tokens a second of an engine that has not answered yet.
+_USUAL_RATE = 75_000.0
 
 Ticket = tuple[str, int]
 
@@ -77,6 +82,7 @@
             target_at=now + wait.target_ms / 1000,
             ends_at=now + wait.ends_ms / 1000,
             size=wait.tokens / max(1, account.memory),
+            first_event_s=_FIRST_EVENT_S + wait.unread / self._rate(wait),
         )
         row = Queued(
             ticket=ticket,
@@ -94,6 +100,10 @@
         self._say(ticket, wait.endpoint, word, after_s or 0.0)
         self._look_later()
 
+    def _rate(self, wait: Wait) -> float:
+        facts = self._accounts.facts(wait.endpoint)
+        return facts.rate if facts and facts.rate else _USUAL_RATE
+
     def _is_open(self, endpoint: EndpointId) -> bool:
         facts = self._accounts.facts(endpoint)
         return facts is not None and facts.open
--- a/magnolialug/policy/endpointaccount.py
+++ b/magnolialug/policy/endpointaccount.py
@@ -18,11 +18,13 @@
 
 __all__ = ["HEADROOM", "SHARE_TRUST_S", "EndpointAccount"]
 
-# What must be left free beside a large prompt: answers grow longer than their
-# callers expect. What is read and written is told of within milliseconds, so
-# little is needed: with 2% in place of 5% a fifth fewer prompts were refused
-# for want of room on the heaviest day, and none was pushed out.
+# Left free beside a large prompt, because answers grow longer than their callers
+# expect. Little is needed: what is read and written is reported within
+# milliseconds.
 HEADROOM = 0.02
+# Left free beside a large prompt that will be late, for about one that arrives
+# meanwhile and can still be in time.
+_LATE_HEADROOM = 0.12
 # What is promised to a prompt is kept for it this long: it takes two crossings
 # of the network until its request is told of.
 _PROMISE_S = 0.06
@@ -53,10 +55,7 @@
     """Adds up the shares of all entries at one endpoint.
 
     Entries that choose engines without knowing each other's work pile it up
-    on those that look idle to all of them at once. With 68 entries that were
-    told of each other about once a second, long prompts had their first event
-    after 1.0 s where 0.5 s had been expected, and prompts were pushed out of
-    engines while others were idle.
+    on those that look idle to all of them at once.
 
     Attributes:
       memory: its tokens, 0 for a plain service.
@@ -190,8 +189,9 @@
         ahead_s = reading_s(state.reading, state.running, priority, rate)
         if ahead_s > row.ahead_s:
             return False
+        headroom = _LATE_HEADROOM if row.waiting.is_late(now) else HEADROOM
         room = 1.0 - (state.held + row.tokens) / max(1, self.memory)
-        return room >= HEADROOM
+        return room >= headroom
 
 
 def _raise(versions: dict[str, int], told: Mapping[str, int]) -> None:
--- a/magnolialug/policy/turnqueue.py
+++ b/magnolialug/policy/turnqueue.py
@@ -9,8 +9,6 @@
 
 __all__ = ["Queued", "TurnQueue"]
 
-# Expected from a prompt's turn to its first event while engines are busy.
-_FIRST_EVENT_S = 0.35
 # When a refused caller may come back: when those who wait have had their
 # turns, and within these bounds. What holds an engine's memory now is written
 # in two to four seconds.
@@ -101,7 +99,7 @@
             return None
         ahead = 0.0
         for row in self._ordered(now):
-            vain = in_vain(row.waiting, now, _FIRST_EVENT_S, ahead, per_s)
+            vain = in_vain(row.waiting, now, ahead, per_s)
             if row.ticket == ticket:
                 return self._after_s(per_s) if vain else None
             if not vain:
@@ -125,7 +123,7 @@
     def _ordered(self, now: float) -> list[Queued]:
         rows = {row.waiting.number: row for row in self._rows.values()}
         waiting = [row.waiting for row in rows.values()]
-        ordered = in_turn(waiting, now, _FIRST_EVENT_S)
+        ordered = in_turn(waiting, now)
         return [rows[place.number] for place in ordered]
 
     def _after_s(self, per_s: float) -> float:
--- a/magnolialug/policy/turns.py
+++ b/magnolialug/policy/turns.py
@@ -13,15 +13,12 @@
 _LEAST_PATIENCE_S = 2.0
 _TARGETS = 4.0
 _PAUSES = 8.0
-# Turns are counted over this time. In two seconds an engine here lets some four
-# long prompts go; with less than three in all the rate says nothing.
+# The rate of grants is taken over this time, and fewer of them than that say
+# nothing.
 _COUNTED_S = 2.0
 _TELLING = 3
 # How far ahead of its time a prompt goes that takes all of an engine's memory.
-# Room for a large one comes seldom, and small ones took it as soon as it came:
-# the largest tenth of the long prompts earned 0.30 of its worth on a day on
-# which all of them earned 0.65. Worst class of three sets of heavy days: 0.55,
-# 0.49, 0.64 with nothing, 0.61, 0.54, 0.72 with this and nobody overtaking.
+# Room for a large one comes seldom; otherwise small ones would always take it.
 _SIZE_S = 5.0
 
 
@@ -34,6 +31,7 @@
       target_at: a first event by then is in time.
       ends_at: its caller waits no longer than that.
       size: the share of an engine's memory that it takes.
+      first_event_s: expected from its turn to its first event.
     """
 
     number: int
@@ -41,6 +39,11 @@
     target_at: float
     ends_at: float
     size: float = 0.0
+    first_event_s: float = 0.35
+
+    def is_late(self, now: float) -> bool:
+        """Whether its first event would be late if its turn came now."""
+        return now + self.first_event_s > self.target_at
 
 
 class TurnRate:
@@ -67,32 +70,24 @@
     return max(_LEAST_PATIENCE_S, _TARGETS * target_s, _PAUSES * gap_s)
 
 
-def in_turn(
-    waiting: Iterable[Waiting], now: float, first_event_s: float
-) -> list[Waiting]:
+def in_turn(waiting: Iterable[Waiting], now: float) -> list[Waiting]:
     """Returns the prompts in the order in which they may go.
 
-    Who can still be in time goes first, the nearest target first; then those
-    who will be late, the one first whose caller leaves first; large ones ahead
-    of their time. In the order of
-    arrival everybody would wait as long as the queue is, and as soon as that
-    is longer than the target nobody would be in time.
-
-    Args:
-      first_event_s: expected from a prompt's turn to its first event.
+    Prompts that can still be in time go first, the nearest target first; then
+    those that will be late, by when their callers leave. Large ones go ahead of
+    their time. In the order of arrival all would wait for the whole queue, and
+    once it is longer than the target none would be in time.
     """
 
     def key(row: Waiting) -> tuple[int, bool, float]:
-        late = now + first_event_s > row.target_at
-        due = row.ends_at if late else row.target_at
+        late = row.is_late(now)
+        due = row.ends_at if late else row.target_at - row.first_event_s
         return row.priority, late, due - _SIZE_S * row.size
 
     return sorted(waiting, key=key)
 
 
-def in_vain(
-    row: Waiting, now: float, first_event_s: float, ahead: float, per_s: float
-) -> bool:
+def in_vain(row: Waiting, now: float, ahead: float, per_s: float) -> bool:
     """Whether a prompt's turn will not come while its caller waits.
 
     Only of one that will be late: whoever can still be in time goes ahead of
@@ -104,5 +99,4 @@
       ahead: prompts that have their turns before.
       per_s: turns in a second.
     """
-    late = now + first_event_s > row.target_at
-    return late and now + (ahead + 1) / per_s > row.ends_at
+    return row.is_late(now) and now + (ahead + 1) / per_s > row.ends_at
--- a/tests/policy/test_turns.py
+++ b/tests/policy/test_turns.py
@@ -29,7 +29,7 @@
 STEP_S = 0.02
 
 
-def by_arrival(waiting, now, first_event_s):
+def by_arrival(waiting, now):
     """Orders prompts as they came."""
     return sorted(waiting, key=lambda row: row.number)
 
@@ -45,7 +45,7 @@
             number += 1
         ends = [end for end in ends if end > now]
         waiting = [row for row in waiting if row.ends_at > now]
-        for row in order(waiting, now, FIRST_S):
+        for row in order(waiting, now):
             if len(ends) >= PLACES:
                 break
             waiting.remove(row)
@@ -74,23 +74,31 @@
         later = Waiting(1, 1, target_at=8.0, ends_at=13.0)
         urgent = Waiting(9, 0, target_at=8.0, ends_at=14.0)
         rows = [later, fresher, late, urgent, fresh]
-        ordered = in_turn(rows, 10.0, FIRST_S)
+        ordered = in_turn(rows, 10.0)
         self.assertEqual([urgent, fresh, fresher, late, later], ordered)
 
+    def test_one_that_takes_long_to_read_is_late_sooner(self):
+        """Half a second before its target, reading it takes longer."""
+        quick = Waiting(1, 1, 10.6, 14.0, first_event_s=0.3)
+        slow = Waiting(2, 1, 10.5, 13.0, first_event_s=0.6)
+        self.assertFalse(quick.is_late(10.0))
+        self.assertTrue(slow.is_late(10.0))
+        self.assertEqual([quick, slow], in_turn([slow, quick], 10.0))
+
     def test_a_large_one_goes_ahead_of_its_time(self):
         small = Waiting(1, 1, target_at=11.0, ends_at=14.0, size=0.05)
         large = Waiting(2, 1, target_at=11.4, ends_at=14.4, size=0.25)
         later = Waiting(3, 1, target_at=12.5, ends_at=15.5, size=0.25)
-        ordered = in_turn([small, later, large], 10.0, FIRST_S)
+        ordered = in_turn([small, later, large], 10.0)
         self.assertEqual([large, small, later], ordered)
 
     def test_who_can_be_in_time_waits_on(self):
         fresh = Waiting(1, 1, target_at=10.9, ends_at=12.0)
-        self.assertFalse(in_vain(fresh, 10.0, FIRST_S, 9.0, per_s=2.0))
+        self.assertFalse(in_vain(fresh, 10.0, 9.0, per_s=2.0))
 
     def test_one_whose_time_is_over_waits_in_vain(self):
         over = Waiting(1, 1, target_at=9.0, ends_at=9.9)
-        self.assertTrue(in_vain(over, 10.0, FIRST_S, 0.0, per_s=50.0))
+        self.assertTrue(in_vain(over, 10.0, 0.0, per_s=50.0))
 
     def test_the_rate_of_turns(self):
         rate = TurnRate()
