Retries: what requests earn is used to nine tenths

Half of the ratio was kept unused, for restarts and for entries that disagree on their number; both concern what is saved up, not what requests earn. (Why attempts fail together: by digest, a request that fails once fails at each endpoint, also when its caller sends it again; no retry policy mends that.) Change: nine tenths of the ratio, and as before half of what may be saved up.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -59,10 +59,13 @@
 # What is over is looked for this often: idle connections whose time is over,
 # word that is no longer believed, stores whose home is another entry now.
 _TIDY_S = 0.25
-# Of the retries that all entries may save up, the part that is used. A
-# restarted entry begins with a full share, and entries disagree for a while
-# on how many they are; half leaves room for both.
-_USED_RETRIES = 0.5
+# Of the retries that may be saved up, the part that is used. A restarted entry
+# begins with a full share, and entries disagree for a while on how many they
+# are; half leaves room for both.
+_SAVED_SHARE = 0.5
+# Of the retries that requests earn, the part that is used. Neither restarts nor
+# the number of entries change what all entries earn together.
+_EARNED_SHARE = 0.9
 # Watches return at once when something changes; this long when nothing does.
 # A path that has gone silent is noticed by the kernel's probes, not by this.
 _WATCH_S = 25.0
@@ -401,8 +404,8 @@
     def _new_budget(self) -> Budget:
         bounds = self.settings.bounds
         return Budget(
-            ratio=bounds.retry_ratio * _USED_RETRIES,
-            limit=bounds.retry_extra * _USED_RETRIES / self.directory.entries,
+            ratio=bounds.retry_ratio * _EARNED_SHARE,
+            limit=bounds.retry_extra * _SAVED_SHARE / self.directory.entries,
         )
 
     def _reading(self) -> bool:
--- a/magnolialug/policy/endpointaccount.py
+++ b/magnolialug/policy/endpointaccount.py
@@ -18,9 +18,8 @@
 
 __all__ = ["HEADROOM", "SHARE_TRUST_S", "EndpointAccount"]
 
-# Left free beside a large prompt, because answers grow longer than their callers
-# expect. Little is needed: what is read and written is reported within
-# milliseconds.
+# Left free beside a large prompt, because answers grow longer than expected.
+# Little is needed: what is read and written is reported within milliseconds.
 HEADROOM = 0.02
 # Left free beside a large prompt that will be late, for about one that arrives
 # meanwhile and can still be in time.
