--- a/magnolialug/entry/waitrules.py
+++ b/magnolialug/entry/admissionrules.py
@@ -1,7 +1,7 @@
 """Which prompts wait for an engine's memory, and for how long."""
 
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.policy.turns import Waiting, patience_s
+from magnolialug.policy.admissionorder import Waiting, patience_s
 
 __all__ = ["ahead_limit_s", "is_large", "waiting_of"]
 
--- a/magnolialug/entry/shortlist.py
+++ b/magnolialug/entry/candidatelist.py
@@ -8,7 +8,7 @@
 from magnolialug.ids import EndpointId, ZoneId
 from magnolialug.policy.weightbounds import WeightBounds
 
-__all__ = ["Shortlist"]
+__all__ = ["CandidateList"]
 
 # Endpoints of a plain service among which those of this availability zone are
 # looked for.
@@ -18,7 +18,7 @@
 _BEGIN_MARGIN_S = 0.5
 
 
-class Shortlist:
+class CandidateList:
     """Draws a few endpoints of a service for each call.
 
     With thousands of endpoints comparing all of them would cost 15 ms a
--- a/magnolialug/entry/survey.py
+++ b/magnolialug/entry/candidateprober.py
@@ -1,21 +1,21 @@
-"""Asks about a call's endpoints: a few at first, more while none is good."""
+"""Probes a call's endpoints: a few at first, more while none is good."""
 
 from collections.abc import Callable, Mapping
 
 from twisted.internet.defer import CancelledError, ensureDeferred
 
+from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
-from magnolialug.entry.shortlist import Shortlist
-from magnolialug.homes.asker import Asker
-from magnolialug.homes.messages import AskedEndpoint
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.ids import EndpointId
+from magnolialug.owners.loadqueryclient import LoadQueryClient
+from magnolialug.owners.messages import QueriedEndpoint
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.prefixcache.queryclient import PartQueryClient
 
-__all__ = ["Survey"]
+__all__ = ["CandidateProber"]
 
 # Endpoints that are asked about in each round. Of two or three drawn ones the
 # less busy is nearly as good as the least busy of all while load is spread;
@@ -25,22 +25,22 @@
 _GROWTH = 4
 
 
-class Survey:
-    """Finds out what is needed for one choice.
+class CandidateProber:
+    """Collects what is needed for one choice.
 
     Args:
       shortlist: draws the endpoints.
       costs: judges what is found.
-      asker: asks the homes of endpoints.
-      parts: asks the homes of stores.
+      asker: asks the owners of endpoints.
+      parts: asks the owners of stores.
       clock: returns the time in seconds.
     """
 
     def __init__(
         self,
-        shortlist: Shortlist,
+        shortlist: CandidateList,
         costs: Costs,
-        asker: Asker,
+        asker: LoadQueryClient,
         parts: PartQueryClient,
         clock: Callable[[], float],
     ):
@@ -50,9 +50,11 @@
         self._parts = parts
         self._clock = clock
 
-    async def look(self, call: ForwardCall, avoid: set[EndpointId]) -> Known:
-        """Returns what the homes of some endpoints and parts tell."""
-        known = Known()
+    async def probe(
+        self, call: ForwardCall, avoid: set[EndpointId]
+    ) -> ProbeResults:
+        """Returns what the owners of some endpoints and parts report."""
+        known = ProbeResults()
         peers: dict[EndpointId, Peer] = {}
         rounds = iter(_ROUNDS)
         while True:
@@ -70,7 +72,7 @@
         self,
         call: ForwardCall,
         listed: list[Peer],
-        known: Known,
+        known: ProbeResults,
         peers: dict[EndpointId, Peer],
     ) -> None:
         """Asks about those that are new, and adds them to the candidates."""
@@ -100,7 +102,7 @@
         return self._shortlist.all_listed(call, count)
 
     async def _ask(
-        self, call: ForwardCall, peers: list[Peer], known: Known
+        self, call: ForwardCall, peers: list[Peer], known: ProbeResults
     ) -> None:
         """Asks about endpoints, and about parts under salts new among them."""
         if not peers:
@@ -111,7 +113,7 @@
         for peer in peers:
             weights = peer.weights(call.prompt.model) if call.prompt else 0
             salt = call.salt(weights) if weights else ""
-            rows.append(AskedEndpoint(peer.listed.endpoint, salt))
+            rows.append(QueriedEndpoint(peer.listed.endpoint, salt))
             salts.add(salt)
         salts -= {"", *(salt for salt, _ in known.stored)}
         # Both questions are on their way before either answer is waited for.
--- a/magnolialug/entry/costs.py
+++ b/magnolialug/entry/costs.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable
 
+from magnolialug.entry.admissionrules import ahead_limit_s, is_large
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
-from magnolialug.entry.waitrules import ahead_limit_s, is_large
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.ids import ZoneId
 from magnolialug.policy.choice import Candidate
-from magnolialug.policy.endpointaccount import HEADROOM
+from magnolialug.policy.endpointledger import HEADROOM
 from magnolialug.policy.enginecost import engine_cost_s
 from magnolialug.policy.storeindex import PartStatus
 from magnolialug.policy.storemap import StoreMap
@@ -47,7 +47,7 @@
         self._clock = clock
 
     def candidate(
-        self, call: ForwardCall, peer: Peer, rank: int, known: Known
+        self, call: ForwardCall, peer: Peer, rank: int, known: ProbeResults
     ) -> Candidate:
         """Returns an endpoint as a candidate for a call.
 
@@ -81,13 +81,13 @@
         ahead_s = peer.load.ahead_s(call.priority)
         return ahead_s <= _CONTENT_SHARE * call.route.target_s
 
-    def unread(self, call: ForwardCall, peer: Peer, known: Known) -> int:
+    def unread(self, call: ForwardCall, peer: Peer, known: ProbeResults) -> int:
         """Returns the prompt tokens that an endpoint would have to read."""
         if call.prompt is None or peer.load is None:
             return 0
         return self._reading(call, peer, known)[0]
 
-    def held(self, call: ForwardCall, peer: Peer, known: Known) -> int:
+    def held(self, call: ForwardCall, peer: Peer, known: ProbeResults) -> int:
         """Returns how many of a prompt's first parts an engine holds."""
         state = known.states.get(peer.listed.endpoint)
         if state is not None:
@@ -98,7 +98,7 @@
         return peer.load.leading(salt, call.prompt)
 
     def _engine_cost(
-        self, call: ForwardCall, peer: Peer, rank: int, known: Known
+        self, call: ForwardCall, peer: Peer, rank: int, known: ProbeResults
     ) -> float:
         unread, fetch_s = self._reading(call, peer, known)
         tokens = call.prompt.memory_tokens
@@ -107,7 +107,7 @@
         )
 
     def _reading(
-        self, call: ForwardCall, peer: Peer, known: Known
+        self, call: ForwardCall, peer: Peer, known: ProbeResults
     ) -> tuple[int, float]:
         """Returns the tokens to read and the time to fetch the others."""
         prompt = call.prompt
@@ -133,7 +133,9 @@
         work_s = _PLAIN_WORK_S * (1 + over / peer.listed.slots)
         return work_s + taken * _PLAIN_TAKEN_S
 
-    def _has_room(self, call: ForwardCall, peer: Peer, known: Known) -> bool:
+    def _has_room(
+        self, call: ForwardCall, peer: Peer, known: ProbeResults
+    ) -> bool:
         """Whether a large call would push nobody out of an engine.
 
         Nor does it go ahead of those that wait for that engine.
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -10,8 +10,8 @@
 from magnolialug.config.routing import Routing
 from magnolialug.entry.peer import Peer
 from magnolialug.events import Event, emit
-from magnolialug.homes.accounts import EndpointFacts
 from magnolialug.ids import EndpointId, ServiceName, ZoneId
+from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.lifetimes import Lifetimes
@@ -222,7 +222,7 @@
             peer.closed_until = now + _LOADING_S if closed else 0.0
 
     def facts(self, endpoint: EndpointId) -> EndpointFacts | None:
-        """Returns what its home must know of an endpoint that is listed."""
+        """Returns what its owner must know of an endpoint that is listed."""
         peer = self.peers.get(endpoint)
         return peer.facts(self._reactor.seconds()) if peer else None
 
--- a/magnolialug/entry/dispatcher.py
+++ b/magnolialug/entry/dispatcher.py
@@ -5,8 +5,8 @@
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.dispatch import FROM_ENGINE, Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.ids import ServiceName
 from magnolialug.policy.partplan import Miss, PartPlan, plan_of
 from magnolialug.policy.prompt import Part, Prompt
@@ -32,7 +32,11 @@
         self._newest = newest
 
     def dispatch(
-        self, call: ForwardCall, peer: Peer, resume_after: int, known: Known
+        self,
+        call: ForwardCall,
+        peer: Peer,
+        resume_after: int,
+        known: ProbeResults,
     ) -> Dispatch:
         """Returns what to tell an endpoint.
 
@@ -73,7 +77,7 @@
         ]
 
     def _plans(
-        self, prompt: Prompt, salt: str, weights: int, known: Known
+        self, prompt: Prompt, salt: str, weights: int, known: ProbeResults
     ) -> list[PartPlan]:
         """Returns what to do with each shared part; nothing if none may be."""
         if not self._stores.traits or not weights:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -9,6 +9,8 @@
 
 from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, Routing
+from magnolialug.entry.candidatelist import CandidateList
+from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatcher import Dispatcher
@@ -26,17 +28,15 @@
 from magnolialug.entry.orderlease import HOLDER_KEY, OrderLease
 from magnolialug.entry.orders import Orders
 from magnolialug.entry.peertalk import PeerTalk
-from magnolialug.entry.placer import Placer, Told
+from magnolialug.entry.placer import Listeners, Placer
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means
-from magnolialug.entry.shortlist import Shortlist
 from magnolialug.entry.silencewatch import SilenceWatch
-from magnolialug.entry.survey import Survey
 from magnolialug.entry.watchclient import WatchClient
 from magnolialug.events import Event, emit, explain
-from magnolialug.homes.wiring import Homes
 from magnolialug.ids import RequestDigest
+from magnolialug.owners.wiring import Ownership
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls
 from magnolialug.platform.kv import Kv
@@ -57,7 +57,7 @@
 # How often times are looked at: a deadline is met this much late at worst.
 _TICK_S = 0.05
 # What is over is looked for this often: idle connections whose time is over,
-# word that is no longer believed, stores whose home is another entry now.
+# word that is no longer believed, stores whose owner is another entry now.
 _TIDY_S = 0.25
 # Of the retries that may be saved up, the part that is used. A restarted entry
 # begins with a full share, and entries disagree for a while on how many they
@@ -118,13 +118,13 @@
         self._entries = self._entry_book(kv, reactor, random)
         me = (settings.host, settings.internal_port)
         self.talk = PeerTalk(me, reactor)
-        self.homes = Homes(me, self.directory, self.talk, reactor)
+        self.owners = Ownership(me, self.directory, self.talk, reactor)
         self.quarantine = Quarantine(
-            self.homes.book, self.talk, kv, reactor, self._break_off
+            self.owners.ring, self.talk, kv, reactor, self._break_off
         )
         self._bounds = WeightBounds(settings.bounds.weights_s)
         self.prefix_cache = PrefixCache(
-            self.homes,
+            self.owners,
             cache_calls,
             self._newest,
             self.directory.engine_weights,
@@ -132,29 +132,29 @@
             reactor,
             random,
         )
-        shortlist = Shortlist(
+        shortlist = CandidateList(
             self.directory, settings.zone, self._bounds, reactor.seconds
         )
         costs = Costs(settings.zone, self.prefix_cache.map, reactor.seconds)
-        teller = self.homes.teller
+        reporter = self.owners.load_reporter
         self._placer = Placer(
             self.directory,
             shortlist,
             costs,
             Dispatcher(costs, self.prefix_cache.map, self._newest),
-            Told(
-                teller.sent,
-                teller.changed,
+            Listeners(
+                reporter.sent,
+                reporter.changed,
                 self.prefix_cache.queries.save,
                 self.prefix_cache.queries.cancel_save,
             ),
             self._bounds,
             reactor.seconds,
         )
-        self._survey = Survey(
+        self._prober = CandidateProber(
             shortlist,
             costs,
-            self.homes.asker,
+            self.owners.load_queries,
             self.prefix_cache.queries,
             reactor.seconds,
         )
@@ -174,7 +174,7 @@
             random,
             settings.bounds.lease_s,
             self._rolls_out,
-            self.homes.book.rank,
+            self.owners.ring.rank,
         )
         self._orders = Orders(
             self.directory,
@@ -183,7 +183,7 @@
             reactor.seconds,
             lambda: self.routes.weights,
             lambda reply: metrics.orders.add(1, {"reply": reply.value}),
-            self.homes.teller.changed,
+            self.owners.load_reporter.changed,
         )
         self._watch_client = WatchClient(
             kv,
@@ -260,7 +260,7 @@
             await sleep(self._reactor, _DRAIN_STEP_S)
         self._watch_client.stop()
         self.prefix_cache.stop()
-        self.homes.stop()
+        self.owners.stop()
         if self._tick is not None and self._tick.active():
             self._tick.cancel()
         event = Event.STOP_FORCED if self.in_progress else Event.STOPPED
@@ -305,8 +305,8 @@
                 backoff=lambda: Backoff(*_BACKOFF_S),
             ),
             placer=self._placer,
-            survey=self._survey,
-            waits=self.homes.waits,
+            prober=self._prober,
+            admission=self.owners.admission_client,
             quarantine=self.quarantine,
             underway=self._underway,
             clock=self.clock,
@@ -349,7 +349,7 @@
         observe_endpoints(
             self.metrics,
             self.directory,
-            self.homes,
+            self.owners,
             self.prefix_cache,
             self._budget.left,
             self.clock,
@@ -370,7 +370,7 @@
         """Takes which engines load weights now, from the lease's holder."""
         self.directory.rolls_out(rollout)
         if own:
-            self.homes.teller.spread(rollout)
+            self.owners.load_reporter.spread(rollout)
 
     def _newest(self, model: str) -> int:
         """Returns the newest version of a model that is known of.
@@ -392,7 +392,7 @@
             self._bounds.heard(model, self._newest(model), now)
 
     def _counted(self, entries: dict[Address, float]) -> None:
-        self.homes.entries(entries)
+        self.owners.entries(entries)
         self.directory.counted(len(entries))
         budget = self._new_budget()
         self._budget.limit = budget.limit
@@ -424,7 +424,7 @@
         self.registry.tick()
         self._note_weights(now)
         self._orders.tick()
-        self.homes.tick(now)
+        self.owners.tick(now)
         self.quarantine.tick(now)
 
     def _tidy(self, now: float) -> None:
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -7,6 +7,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from magnolialug.config.routing import RouteType
+from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaychannel import GatewayRequest
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
@@ -16,9 +17,8 @@
 from magnolialug.entry.placer import Placer
 from magnolialug.entry.progress import Served
 from magnolialug.entry.serving import Means, Serving
-from magnolialug.entry.survey import Survey
 from magnolialug.events import Event, explain
-from magnolialug.homes.waits import Waits
+from magnolialug.owners.admissionclient import AdmissionClient
 from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Executed, Failure, failed
@@ -31,16 +31,16 @@
 
     Attributes:
       serving: what the retry loop needs.
-      survey: finds out what endpoints have to do.
-      waits: where long prompts wait for memory.
+      prober: finds out what endpoints have to do.
+      admission: where long prompts wait for memory.
       quarantine: refuses requests that crash endpoints.
       underway: the attempts that the gateway watches for silence.
     """
 
     serving: Means
     placer: Placer
-    survey: Survey
-    waits: Waits
+    prober: CandidateProber
+    admission: AdmissionClient
     quarantine: Quarantine
     underway: set[HttpAttempt]
     clock: Callable[[], float]
@@ -68,8 +68,8 @@
         self._log = RequestLog(call.name)
         self._carrier = HttpCarrier(
             means.placer,
-            means.survey,
-            means.waits,
+            means.prober,
+            means.admission,
             means.quarantine,
             means.underway,
             means.clock,
--- a/magnolialug/entry/gauges.py
+++ b/magnolialug/entry/gauges.py
@@ -4,7 +4,7 @@
 
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
-from magnolialug.homes.wiring import Homes
+from magnolialug.owners.wiring import Ownership
 from magnolialug.prefixcache.wiring import PrefixCache
 
 __all__ = ["observe_endpoints", "observe_states"]
@@ -23,7 +23,7 @@
 def observe_endpoints(
     metrics: GatewayMetrics,
     directory: Directory,
-    homes: Homes,
+    owners: Ownership,
     parts: PrefixCache,
     retries_left: Callable[[str], float],
     clock: Callable[[], float],
@@ -50,5 +50,5 @@
     metrics.observe("endpoint_connections", directory.connections)
     metrics.observe("retries_left", retries)
     metrics.observe("store_word_age_seconds", lambda: list(ages()))
-    metrics.observe("waiting", lambda: [(homes.waits.waiting, {})])
-    metrics.observe("listed", lambda: [(homes.lists.waiting, {})])
+    metrics.observe("waiting", lambda: [(owners.admission_client.waiting, {})])
+    metrics.observe("listed", lambda: [(owners.admission_queues.waiting, {})])
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -3,20 +3,20 @@
 from twisted.internet.defer import CancelledError
 
 from magnolialug.carrier.taker import End
+from magnolialug.entry.admissionrules import ahead_limit_s, waiting_of
 from magnolialug.entry.callstate import CallState, Phase
+from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.httpattempt import ForwardSink, HttpAttempt, Outcome
-from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.placer import Placed, Placer
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import Ended, Progress, Served
-from magnolialug.entry.survey import Survey
-from magnolialug.entry.waitrules import ahead_limit_s, waiting_of
 from magnolialug.events import Event, explain
-from magnolialug.homes.waits import Bid, Waits
 from magnolialug.ids import EndpointId
+from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
 from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
@@ -26,7 +26,7 @@
 
 __all__ = ["HttpCarrier"]
 
-# Engines for whose memory a prompt waits at once. With more, homes promise
+# Engines for whose memory a prompt waits at once. With more, owners promise
 # room that is taken elsewhere; with one, a prompt stands behind a slow answer
 # while others end.
 _LISTS = 4
@@ -41,8 +41,8 @@
 
     Args:
       placer: chooses the endpoints.
-      survey: finds out what they have to do.
-      waits: where long prompts wait for memory.
+      prober: finds out what they have to do.
+      admission: where long prompts wait for memory.
       quarantine: refuses requests that crash endpoints.
       underway: the attempts that the process watches for silence.
     """
@@ -50,8 +50,8 @@
     def __init__(
         self,
         placer: Placer,
-        survey: Survey,
-        waits: Waits,
+        prober: CandidateProber,
+        admission: AdmissionClient,
         quarantine: Quarantine,
         underway: set[HttpAttempt],
         clock,
@@ -65,8 +65,8 @@
         self._budget = budget
         self._metrics = metrics
         self._placer = placer
-        self._survey = survey
-        self._waits = waits
+        self._prober = prober
+        self._admission = admission
         self._quarantine = quarantine
         self._underway = underway
         self._clock = clock
@@ -104,7 +104,7 @@
         refusal = self._quarantine.refusal(self._call.digest)
         if refusal:
             return refusal
-        known = await self._survey.look(self._call, self._avoid)
+        known = await self._prober.probe(self._call, self._avoid)
         turn = await self._turn(known)
         if isinstance(turn, Failure):
             return turn
@@ -113,29 +113,31 @@
             self._call.digest
         ) or self._placer.place(self._call, progress, self._avoid, known, turn)
 
-    async def _turn(self, known: Known) -> EndpointId | Failure | None:
+    async def _turn(self, known: ProbeResults) -> EndpointId | Failure | None:
         """Waits until an engine has room for a first attempt.
 
         Returns:
-          the engine that has promised its memory; None if there is no need.
+          the engine that has reserved its memory; None if there is no need.
         """
         if self._number or not must_wait(known.candidates):
             return None
         begun = self._clock()
-        turn = await self._waits.enter(
+        turn = await self._admission.enqueue(
             waiting_of(self._call),
-            self._bids(known),
+            self._admission_requests(known),
             ahead_limit_s(self._call),
         )
         self._waited_s = self._clock() - begun
         return turn
 
-    def _bids(self, known: Known) -> list[Bid]:
+    def _admission_requests(
+        self, known: ProbeResults
+    ) -> list[AdmissionRequest]:
         """Returns what the call would take of the cheapest engines."""
         sound = [row for row in known.candidates if row.sound]
         sound.sort(key=lambda row: row.cost)
         return [
-            self._placer.bid(self._call, row.endpoint, known)
+            self._placer.admission_request(self._call, row.endpoint, known)
             for row in sound[:_LISTS]
         ]
 
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/orderlease.py
@@ -9,8 +9,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.events import Event, emit, explain
-from magnolialug.homes.homebook import FIRST
 from magnolialug.ids import EndpointId
+from magnolialug.owners.ownerring import FIRST
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
 from magnolialug.policy.rollout import Rollout
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -4,8 +4,8 @@
 
 from magnolialug.carrier.pool import Pool
 from magnolialug.events import Event, emit
-from magnolialug.homes.accounts import EndpointFacts
 from magnolialug.ids import EndpointId
+from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
@@ -141,7 +141,7 @@
         return self.running + (self._running_elsewhere if told else 0)
 
     def facts(self, now: float) -> EndpointFacts:
-        """Returns what the home of its account must know."""
+        """Returns what the owner of its ledger must know."""
         load = self.load
         return EndpointFacts(
             memory=load.memory if load else 0,
@@ -153,7 +153,7 @@
         )
 
     def share(self, now: float) -> WorkShare:
-        """Returns this entry's work there, as it is told to its home."""
+        """Returns this entry's work there, as it is told to its owner."""
         listed = self.listed
         if self.load is not None:
             return self.load.share(
--- a/magnolialug/entry/peertalk.py
+++ b/magnolialug/entry/peertalk.py
@@ -9,7 +9,14 @@
 
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
-from magnolialug.homes.messages import Ask, Told, Turn, Unwait, Wait, Work
+from magnolialug.owners.messages import (
+    AdmissionReply,
+    Dequeue,
+    Enqueue,
+    LoadQuery,
+    LoadReply,
+    LoadReport,
+)
 from magnolialug.prefixcache.messages import (
     PartQuery,
     PartReply,
@@ -27,19 +34,19 @@
 _BYTES = 8192
 
 Message = (
-    Ask
+    LoadQuery
     | PartQuery
     | CrashReport
     | Quarantined
     | SaveCancelled
     | SaveNotice
     | Survived
-    | Told
+    | LoadReply
     | PartReply
-    | Turn
-    | Unwait
-    | Wait
-    | Work
+    | AdmissionReply
+    | Dequeue
+    | Enqueue
+    | LoadReport
 )
 
 
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -4,17 +4,17 @@
 
 import msgspec
 
+from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.dispatcher import Dispatcher
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.entry.known import Known
 from magnolialug.entry.peer import Peer
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import Progress
-from magnolialug.entry.shortlist import Shortlist
-from magnolialug.homes.waits import Bid
 from magnolialug.ids import EndpointId, ServiceName
+from magnolialug.owners.admissionclient import AdmissionRequest
 from magnolialug.platform.requests import Answer
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.policy.prompt import Part
@@ -22,7 +22,7 @@
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["Placed", "Placer", "Told"]
+__all__ = ["Placed", "Placer", "Listeners"]
 
 _TARGETS = 1.5
 _LEAST_PATIENCE_S = 0.1
@@ -48,7 +48,7 @@
     room: float | None = None
 
 
-class Told(msgspec.Struct, frozen=True):
+class Listeners(msgspec.Struct, frozen=True):
     """Who is told of attempts.
 
     Attributes:
@@ -77,10 +77,10 @@
     def __init__(
         self,
         directory: Directory,
-        shortlist: Shortlist,
+        shortlist: CandidateList,
         costs: Costs,
         dispatcher: Dispatcher,
-        told: Told,
+        listeners: Listeners,
         bounds: WeightBounds,
         clock: Callable[[], float],
     ):
@@ -88,7 +88,7 @@
         self._shortlist = shortlist
         self._costs = costs
         self._dispatcher = dispatcher
-        self._told = told
+        self._listeners = listeners
         self._bounds = bounds
         self._clock = clock
 
@@ -97,7 +97,7 @@
         call: ForwardCall,
         progress: Progress,
         avoid: set[EndpointId],
-        known: Known,
+        known: ProbeResults,
         turn: EndpointId | None = None,
     ) -> Placed | Failure:
         """Returns an endpoint and what to tell it.
@@ -125,11 +125,13 @@
             None if peer.load is None else round(peer.load.room(0), 3),
         )
 
-    def bid(self, call: ForwardCall, endpoint: EndpointId, known: Known) -> Bid:
+    def admission_request(
+        self, call: ForwardCall, endpoint: EndpointId, known: ProbeResults
+    ) -> AdmissionRequest:
         """Returns what a large call would take of an engine."""
         peer = self._directory.peers[endpoint]
         unread = self._costs.unread(call, peer, known)
-        return Bid(endpoint, call.prompt.memory_tokens, unread)
+        return AdmissionRequest(endpoint, call.prompt.memory_tokens, unread)
 
     def patience_s(self, call: ForwardCall, expected_s: float) -> float:
         """Returns how long an attempt may stay without an answer.
@@ -173,14 +175,14 @@
             )
             saves = self._dispatcher.saves(call.prompt, dispatch)
             if saves:
-                self._told.saving(dispatch.endpoint, dispatch.salt, saves)
-        self._told.sent(dispatch.endpoint, placement)
+                self._listeners.saving(dispatch.endpoint, dispatch.salt, saves)
+        self._listeners.sent(dispatch.endpoint, placement)
 
     def first_event(self, call: ForwardCall, peer: Peer) -> None:
         """Learns that an attempt's prompt has been read."""
         if peer.load is not None:
             peer.load.first_event(call.name, self._clock())
-            self._told.changed(peer.listed.endpoint)
+            self._listeners.changed(peer.listed.endpoint)
 
     def not_run(self, call: ForwardCall, dispatch: Dispatch) -> None:
         """Learns that an attempt's endpoint has not run it and never will."""
@@ -189,14 +191,14 @@
         saves = self._dispatcher.saves(call.prompt, dispatch)
         if saves:
             endpoint, salt = dispatch.endpoint, dispatch.salt
-            self._told.save_cancelled(endpoint, salt, saves)
+            self._listeners.save_cancelled(endpoint, salt, saves)
 
     def over(self, call: ForwardCall, peer: Peer) -> None:
         """Counts an attempt out."""
         peer.running -= 1
         if peer.load is not None:
             peer.load.ended(call.name)
-        self._told.changed(peer.listed.endpoint)
+        self._listeners.changed(peer.listed.endpoint)
 
     def misdirected(
         self, call: ForwardCall, peer: Peer, to: Dispatch, answer: Answer
@@ -214,7 +216,7 @@
             peer.heard_weights(
                 model, self._bounds.only_newer(model, to.weights)
             )
-            self._told.changed(to.endpoint)
+            self._listeners.changed(to.endpoint)
 
     def _is_open(self, candidate: Candidate) -> bool:
         """Whether an endpoint still accepts work, after a wait for instance."""
@@ -232,7 +234,7 @@
 
     def _any(self, call: ForwardCall, count: int) -> list[Candidate]:
         """Returns candidates by own beliefs, those tried before among them."""
-        known = Known(count)
+        known = ProbeResults(count)
         return [
             self._costs.candidate(call, peer, rank, known)
             for rank, peer in enumerate(
--- a/magnolialug/entry/known.py
+++ b/magnolialug/entry/proberesults.py
@@ -8,16 +8,16 @@
 from magnolialug.policy.sharedload import EndpointState
 from magnolialug.policy.storeindex import PartKey
 
-__all__ = ["Known"]
+__all__ = ["ProbeResults"]
 
 
-class Known(msgspec.Struct):
+class ProbeResults(msgspec.Struct):
     """The endpoints that were asked about, and the answers.
 
     Attributes:
       count: how many of the first on the ring were looked at.
-      states: of the endpoints whose homes have answered.
-      stored: what the homes of stores tell of the prompt's shared parts.
+      states: of the endpoints whose owners have replied.
+      stored: what the owners of stores tell of the prompt's shared parts.
       candidates: the endpoints with their costs.
     """
 
--- a/magnolialug/homes/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Homes of endpoints: one gateway keeps the account of each."""
--- a/magnolialug/measure/ablation.py
+++ b/magnolialug/measure/ablation.py
@@ -40,18 +40,18 @@
 
 # The first row is the system as it is.
 MECHANISMS = (
-    Mechanism("nothing", "entry/waitrules.py", "_LARGE_SHARE", "0.04"),
-    Mechanism("waiting", "entry/waitrules.py", "_LARGE_SHARE", "9.0"),
+    Mechanism("nothing", "entry/admissionrules.py", "_LARGE_SHARE", "0.04"),
+    Mechanism("waiting", "entry/admissionrules.py", "_LARGE_SHARE", "9.0"),
     Mechanism("several lists", "entry/httpcarrier.py", "_LISTS", "1"),
-    Mechanism("large ones first", "policy/turns.py", "_SIZE_S", "0.0"),
-    Mechanism("early refusal", "policy/turns.py", "_TELLING", "10**9"),
-    Mechanism("asking more", "entry/survey.py", "_ROUNDS", "(3,)"),
-    Mechanism("asking anybody", "entry/survey.py", "_ROUNDS", "(1,)"),
-    Mechanism("what is ahead", "entry/waitrules.py", "_AHEAD_SHARE", "99.0"),
-    Mechanism("headroom", "policy/endpointaccount.py", "HEADROOM", "-0.1"),
+    Mechanism("large ones first", "policy/admissionorder.py", "_SIZE_S", "0.0"),
+    Mechanism("early refusal", "policy/admissionorder.py", "_TELLING", "10**9"),
+    Mechanism("asking more", "entry/candidateprober.py", "_ROUNDS", "(3,)"),
+    Mechanism("asking anybody", "entry/candidateprober.py", "_ROUNDS", "(1,)"),
     Mechanism(
-        "shared silence", "policy/endpointaccount.py", "_SILENT_S", "1e9"
+        "what is ahead", "entry/admissionrules.py", "_AHEAD_SHARE", "99.0"
     ),
+    Mechanism("headroom", "policy/endpointledger.py", "HEADROOM", "-0.1"),
+    Mechanism("shared silence", "policy/endpointledger.py", "_SILENT_S", "1e9"),
     Mechanism("own silence", "entry/silencewatch.py", "_SILENT_S", "1e9"),
     Mechanism("zone price", "entry/costs.py", "_OTHER_ZONE_S", "0.0"),
     Mechanism("room price", "policy/enginecost.py", "_ROOM_S", "0.0"),
@@ -65,8 +65,8 @@
         "_LOOK_S",
         "1e9",
     ),
-    Mechanism("second store home", "prefixcache/wiring.py", "_OWNERS", "1"),
-    Mechanism("stand-ins", "homes/homebook.py", "FIRST", "1"),
+    Mechanism("second store owner", "prefixcache/wiring.py", "_OWNERS", "1"),
+    Mechanism("stand-ins", "owners/ownerring.py", "FIRST", "1"),
     Mechanism("patience", "entry/placer.py", "_TARGETS", "1e9"),
     Mechanism("health pauses", "policy/health.py", "_FIRST_PAUSE_S", "0.0"),
 )
--- a/magnolialug/measure/gatewaycapacity.py
+++ b/magnolialug/measure/gatewaycapacity.py
@@ -21,9 +21,9 @@
 # 300,000 returning prompts with two shared parts each.
 _PARTS = 600_000
 # Entries that keep the book of a store.
-_STORE_HOMES = 2
-# Homes that are asked for one choice while engines are not full, and words of
-# the request's work: sent, first event, ended, and three repeats a second of
+_STORE_OWNERS = 2
+# Owners that are asked for one choice while engines are not full, and reports
+# of the request's work: sent, first event, ended, and three repeats a second of
 # two seconds' work.
 _ASKED = 3
 _WORDS = 9
@@ -44,9 +44,9 @@
     teams = TEAMS * cost["team known to a gateway"] / MB
     parts = (
         _PARTS
-        * _STORE_HOMES
+        * _STORE_OWNERS
         / ENTRIES
-        * cost["cache part known to the home of its store"]
+        * cost["cache part known to the owner of its store"]
         / MB
     )
     base = cost["process that imported magnolialug.entry.gateway"]
@@ -58,8 +58,8 @@
     )
     choice = cost["choice among 2,000 engines"]
     message_bytes = (
-        _ASKED * cost["question to a home on the wire"]
-        + _ASKED * cost["home's answer on the wire"]
+        _ASKED * cost["question to an owner on the wire"]
+        + _ASKED * cost["owner's answer on the wire"]
         + _WORDS * cost["word of work on the wire"]
     )
     message_us = _ASKED * (
@@ -116,7 +116,7 @@
             requests * message_bytes / 1e3,
             "KB/s",
             "4",
-            "three homes asked a request, whatever the fleet",
+            "three owners asked a request, whatever the fleet",
         ),
         Row(
             "gateway",
--- a/magnolialug/measure/gatewayslopes.py
+++ b/magnolialug/measure/gatewayslopes.py
@@ -13,20 +13,25 @@
     Routing,
     Share,
 )
+from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.costs import Costs
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatch import Dispatch
 from magnolialug.entry.eventcutter import EventCutter
 from magnolialug.entry.forwardcall import ForwardCall
-from magnolialug.entry.known import Known
-from magnolialug.entry.shortlist import Shortlist
-from magnolialug.homes.messages import Ask, AskedEndpoint, Told, Work
+from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.measure.slope import Slope, bytes_each, micros_each
+from magnolialug.owners.messages import (
+    LoadQuery,
+    LoadReply,
+    LoadReport,
+    QueriedEndpoint,
+)
 from magnolialug.platform.operator import read_routing
 from magnolialug.platform.requests import endpoint_request, read_marks
 from magnolialug.policy.choice import choose
 from magnolialug.policy.digest import digest_of
-from magnolialug.policy.endpointaccount import EndpointAccount
+from magnolialug.policy.endpointledger import EndpointLedger
 from magnolialug.policy.listed import Listed
 from magnolialug.policy.routes import RouteTable
 from magnolialug.policy.sharedload import Placement, WorkShare
@@ -137,12 +142,12 @@
 def _placement(engines: int) -> Slope:
     directory = _directory(engines)
     bounds = WeightBounds(bound_s=12.0)
-    shortlist = Shortlist(directory, "zone-1", bounds, lambda: 0.0)
+    shortlist = CandidateList(directory, "zone-1", bounds, lambda: 0.0)
     costs = Costs("zone-1", StoreMap(), lambda: 0.0)
     call = _call()
 
     def step() -> None:
-        known = Known(_COMPARED)
+        known = ProbeResults(_COMPARED)
         for rank, peer in enumerate(shortlist.peers(call, set(), _COMPARED)):
             known.candidates.append(costs.candidate(call, peer, rank, known))
         choose(known.candidates)
@@ -166,9 +171,9 @@
     EventCutter().feed(data)
 
 
-def _account() -> EndpointAccount:
+def _account() -> EndpointLedger:
     """Returns an engine's account with the work of eight entries."""
-    account = EndpointAccount("i-7f3a91c0001", 140_000, _BORN_MS)
+    account = EndpointLedger("i-7f3a91c0001", 140_000, _BORN_MS)
     for number in range(8):
         account.told(f"{number:08x}", _work_share(), 0.0)
     return account
@@ -178,31 +183,31 @@
     return WorkShare("i-7f3a91c0001", (0, 12_000), 24_000, 2, 12, 340, _BORN_MS)
 
 
-def _ask() -> Ask:
-    asked = AskedEndpoint("i-7f3a91c0001", "/seti96836/1")
-    return Ask("0a1b2c3d", 123_456, (asked,), _call().prompt.shared, 17)
+def _ask() -> LoadQuery:
+    asked = QueriedEndpoint("i-7f3a91c0001", "/seti96836/1")
+    return LoadQuery("0a1b2c3d", 123_456, (asked,), _call().prompt.shared, 17)
 
 
-def _work() -> Work:
+def _work() -> LoadReport:
     placement = Placement(
         "i-7f3a91c0001", "/seti96836/1", _call().prompt.shared, _BORN_MS
     )
-    return Work("0a1b2c3d", 123_456, (_work_share(),), (placement,))
+    return LoadReport("0a1b2c3d", 123_456, (_work_share(),), (placement,))
 
 
 def _message_slopes() -> list[Slope]:
     """Returns what one message between entries costs."""
     encode = msgspec.msgpack.Encoder().encode
-    decode = msgspec.msgpack.Decoder(Ask | Told | Work).decode
+    decode = msgspec.msgpack.Decoder(LoadQuery | LoadReply | LoadReport).decode
     account = _account()
-    told = Told(123_456, (account.state("0a1b2c3d", 0.0),))
+    told = LoadReply(123_456, (account.state("0a1b2c3d", 0.0),))
     sizes = {
-        "question to a home on the wire": encode(_ask()),
-        "home's answer on the wire": encode(told),
+        "question to an owner on the wire": encode(_ask()),
+        "owner's answer on the wire": encode(told),
         "word of work on the wire": encode(_work()),
     }
-    ask = sizes["question to a home on the wire"]
-    answer = sizes["home's answer on the wire"]
+    ask = sizes["question to an owner on the wire"]
+    answer = sizes["owner's answer on the wire"]
     slopes = [
         Slope(name, "B", len(data), len(data), len(data))
         for name, data in sizes.items()
@@ -274,7 +279,7 @@
             len(config) / 1e6,
         ),
         bytes_each("engine known to a gateway", _directory, 2000),
-        bytes_each("cache part known to the home of its store", _book, 20_000),
+        bytes_each("cache part known to the owner of its store", _book, 20_000),
         bytes_each(
             "team known to a gateway",
             lambda teams: RouteTable(_routing(1, teams)),
--- /dev/null
+++ b/magnolialug/owners/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of endpoints: load ledgers and admission queues, and their clients."""
--- /dev/null
+++ b/magnolialug/owners/admissionclient.py
@@ -0,0 +1,233 @@
+"""Prompts of this entry that wait for admission by the owners of engines."""
+
+import itertools
+from collections.abc import Callable, Iterable
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from magnolialug.carrier.pool import Address
+from magnolialug.ids import EndpointId
+from magnolialug.owners.messages import (
+    AdmissionReply,
+    AdmissionState,
+    Dequeue,
+    Enqueue,
+)
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.policy.admissionorder import Waiting
+from magnolialug.result import Code, Failure, failed
+
+__all__ = ["AdmissionClient", "AdmissionRequest"]
+
+# Well below the owner's expiry, so that lost datagrams do not drop a waiting
+# prompt.
+_RENEW_INTERVAL_S = 0.2
+# An owner that does not reply for this long is gone or cannot reach this entry.
+_SILENT_S = 0.5
+_RETRY_AFTER_S = 1.0
+
+
+class AdmissionRequest(msgspec.Struct, frozen=True):
+    """What a prompt would take of one engine.
+
+    Attributes:
+      tokens: of the engine's memory.
+      unread: tokens that it would have to read.
+    """
+
+    endpoint: EndpointId
+    tokens: int
+    unread: int
+
+
+class _Place(msgspec.Struct):
+    """A prompt's place in one engine's queue."""
+
+    request: AdmissionRequest
+    owner: Address
+    first: bool
+    heard_at: float
+    hopeless_after_s: float | None = None
+
+
+class _Row(msgspec.Struct):
+    waiting: Waiting
+    ahead_s: float
+    places: dict[EndpointId, _Place]
+    granted: Deferred
+
+
+class AdmissionClient:
+    """Enqueues a prompt for several engines; the first grant counts.
+
+    A queue in each entry would see neither the prompts of the others nor, in
+    time, what they send. A queue for each engine moves only when that engine
+    has room, so a prompt waits in a few of them.
+
+    Args:
+      entry: names this start of this process.
+      send: sends a message to an entry.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        ring: OwnerRing,
+        send: Callable[[Enqueue | Dequeue, Address], None],
+        clock: IReactorTime,
+    ):
+        self._entry = entry
+        self._ring = ring
+        self._send = send
+        self._clock = clock
+        self._rows: dict[int, _Row] = {}
+        self._numbers = itertools.count(1)
+        self._timer = None
+
+    @property
+    def waiting(self) -> int:
+        """How many prompts wait."""
+        return len(self._rows)
+
+    def enqueue(
+        self,
+        waiting: Waiting,
+        requests: Iterable[AdmissionRequest],
+        ahead_s: float,
+    ) -> Deferred[EndpointId | Failure | None]:
+        """Returns the engine that admits a prompt.
+
+        The result is a failure if no grant can come in time, and None if no
+        owner answers or all engines are gone: the prompt is then placed anew.
+
+        Args:
+          waiting: the prompt; its times are on this process's clock.
+          requests: the engines that it may go to, the best one first.
+          ahead_s: it is admitted only where less than this is to be read
+            first.
+        """
+        now = self._clock.seconds()
+        number = next(self._numbers)
+        places = {
+            request.endpoint: _Place(
+                request, self._ring.owner(request.endpoint), rank == 0, now
+            )
+            for rank, request in enumerate(requests)
+        }
+        granted: Deferred[EndpointId | Failure | None] = Deferred(
+            lambda _: self._end(number)
+        )
+        self._rows[number] = _Row(waiting, ahead_s, places, granted)
+        self._renew(number)
+        if self._timer is None and number in self._rows:
+            self._timer = self._clock.callLater(
+                _RENEW_INTERVAL_S, self._renew_all
+            )
+        return granted
+
+    def on_reply(self, reply: AdmissionReply, owner: Address) -> None:
+        """Takes an owner's reply."""
+        self._ring.heard(owner)
+        row = self._rows.get(reply.number)
+        if row is None:
+            self._leave(reply.number, owner)
+            return
+        place = row.places.get(reply.endpoint)
+        if place is None:
+            return
+        place.heard_at = self._clock.seconds()
+        if reply.state is AdmissionState.GRANTED:
+            self._finish(reply.number, reply.endpoint)
+        elif reply.state is AdmissionState.GONE:
+            del row.places[reply.endpoint]
+            if not row.places:
+                self._finish(reply.number, None)
+        else:
+            hopeless = reply.state is AdmissionState.HOPELESS
+            place.hopeless_after_s = reply.after_ms / 1000 if hopeless else None
+            self._give_up(reply.number, row)
+
+    def stop(self) -> None:
+        """Renews nothing more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _give_up(self, number: int, row: _Row) -> None:
+        """Refuses a prompt that is hopeless in all of its queues."""
+        hopeless = [place.hopeless_after_s for place in row.places.values()]
+        if None not in hopeless:
+            self._finish(number, _no_room(min(hopeless)))
+
+    def _renew_all(self) -> None:
+        self._timer = None
+        now = self._clock.seconds()
+        for number, row in list(self._rows.items()):
+            if now >= row.waiting.ends_at:
+                self._finish(number, _no_room(_RETRY_AFTER_S))
+                continue
+            self._drop_silent(number, row, now)
+            if number in self._rows:
+                self._renew(number)
+        if self._rows:
+            self._timer = self._clock.callLater(
+                _RENEW_INTERVAL_S, self._renew_all
+            )
+
+    def _drop_silent(self, number: int, row: _Row, now: float) -> None:
+        for endpoint, place in list(row.places.items()):
+            if now - place.heard_at >= _SILENT_S:
+                self._ring.missed(place.owner)
+                del row.places[endpoint]
+        if not row.places:
+            self._finish(number, None)
+
+    def _renew(self, number: int) -> None:
+        """Renews a prompt's places in all queues."""
+        row = self._rows[number]
+        now = self._clock.seconds()
+        for place in list(row.places.values()):
+            message = Enqueue(
+                entry=self._entry,
+                number=number,
+                endpoint=place.request.endpoint,
+                priority=row.waiting.priority,
+                tokens=place.request.tokens,
+                unread=place.request.unread,
+                target_ms=int((row.waiting.target_at - now) * 1000),
+                ends_ms=int((row.waiting.ends_at - now) * 1000),
+                ahead_ms=int(row.ahead_s * 1000),
+                lists=len(row.places),
+                first=place.first,
+            )
+            self._send(message, place.owner)
+
+    def _end(self, number: int) -> None:
+        """Removes a prompt from all queues."""
+        row = self._rows.pop(number, None)
+        if row is not None:
+            self._leave_all(number, row)
+
+    def _leave_all(self, number: int, row: _Row) -> None:
+        for owner in {place.owner for place in row.places.values()}:
+            self._leave(number, owner)
+
+    def _leave(self, number: int, owner: Address) -> None:
+        self._send(Dequeue(self._entry, number), owner)
+
+    def _finish(self, number: int, result: EndpointId | Failure | None) -> None:
+        """Ends a wait; the queues are left after the request has been sent.
+
+        Otherwise the reserved memory would be granted to the next prompt
+        before the owner learns of the request.
+        """
+        row = self._rows.pop(number)
+        row.granted.callback(result)
+        self._leave_all(number, row)
+
+
+def _no_room(after_s: float) -> Failure:
+    reason = "no engine has memory for it in time"
+    return failed(Code.NO_ROOM, reason, retry_after_s=after_s)
--- /dev/null
+++ b/magnolialug/owners/admissionqueues.py
@@ -0,0 +1,155 @@
+"""Admits waiting prompts, one queue for each engine."""
+
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from magnolialug.carrier.pool import Address
+from magnolialug.ids import EndpointId
+from magnolialug.owners.ledgers import Ledgers
+from magnolialug.owners.messages import (
+    AdmissionReply,
+    AdmissionState,
+    Dequeue,
+    Enqueue,
+)
+from magnolialug.policy.admissionorder import Waiting
+from magnolialug.policy.admissionqueue import Queued
+from magnolialug.policy.endpointledger import EndpointLedger
+
+__all__ = ["AdmissionQueues"]
+
+# Room is looked for this often while a prompt waits.
+_LOOK_INTERVAL_S = 0.02
+# From a grant to the first event on a busy engine, without the time to read the
+# prompt itself.
+_FIRST_EVENT_S = 0.2
+# Prompt tokens a second of an engine that has not answered yet.
+_USUAL_RATE = 75_000.0
+
+Ticket = tuple[str, int]
+
+
+class AdmissionQueues:
+    """The admission queues of the engines that this entry owns.
+
+    Args:
+      send: sends a message to an entry.
+    """
+
+    def __init__(
+        self,
+        ledgers: Ledgers,
+        send: Callable[[AdmissionReply, Address], None],
+        clock: IReactorTime,
+    ):
+        self._ledgers = ledgers
+        self._send = send
+        self._clock = clock
+        self._clients: dict[str, Address] = {}
+        self._timer = None
+
+    @property
+    def waiting(self) -> int:
+        """How many prompts wait in the queues here."""
+        return sum(len(ledger.queue) for ledger in self._ledgers)
+
+    def enqueue(self, message: Enqueue, client: Address) -> None:
+        """Adds a prompt to an engine's queue, or renews it, and replies."""
+        ticket = (message.entry, message.number)
+        self._clients[message.entry] = client
+        ledger = self._ledgers.of(message.endpoint)
+        if not self._is_open(message.endpoint):
+            self._reply(ticket, message.endpoint, AdmissionState.GONE)
+        elif ledger.has_promised(ticket):
+            self._reply(ticket, message.endpoint, AdmissionState.GRANTED)
+        else:
+            self._put(ledger, ticket, message)
+
+    def dequeue(self, message: Dequeue) -> None:
+        """Removes a prompt from all queues."""
+        for ledger in self._ledgers:
+            ledger.leave((message.entry, message.number))
+
+    def stop(self) -> None:
+        """Admits no more prompts."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _put(
+        self, ledger: EndpointLedger, ticket: Ticket, message: Enqueue
+    ) -> None:
+        now = self._clock.seconds()
+        waiting = Waiting(
+            number=0,
+            priority=message.priority,
+            target_at=now + message.target_ms / 1000,
+            ends_at=now + message.ends_ms / 1000,
+            size=message.tokens / max(1, ledger.memory),
+            first_event_s=_FIRST_EVENT_S + message.unread / self._rate(message),
+        )
+        row = Queued(
+            ticket=ticket,
+            waiting=waiting,
+            tokens=message.tokens,
+            unread=message.unread,
+            ahead_s=message.ahead_ms / 1000,
+            lists=message.lists,
+            first=message.first,
+            heard_at=now,
+        )
+        ledger.queue.put(row)
+        after_s = ledger.queue.hopeless_after_s(ticket, now)
+        hopeless = after_s is not None
+        state = AdmissionState.HOPELESS if hopeless else AdmissionState.QUEUED
+        self._reply(ticket, message.endpoint, state, after_s or 0.0)
+        self._look_later()
+
+    def _rate(self, message: Enqueue) -> float:
+        facts = self._ledgers.facts(message.endpoint)
+        return facts.rate if facts and facts.rate else _USUAL_RATE
+
+    def _is_open(self, endpoint: EndpointId) -> bool:
+        facts = self._ledgers.facts(endpoint)
+        return facts is not None and facts.open
+
+    def _look_later(self) -> None:
+        if self._timer is None and self.waiting:
+            self._timer = self._clock.callLater(_LOOK_INTERVAL_S, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        now = self._clock.seconds()
+        for ledger in self._ledgers:
+            if len(ledger.queue):
+                ledger.forget_old(now)
+                self._grant(ledger, now)
+        if not self.waiting:
+            self._clients.clear()
+        self._look_later()
+
+    def _grant(self, ledger: EndpointLedger, now: float) -> None:
+        endpoint = ledger.endpoint
+        if not self._is_open(endpoint):
+            for ticket in ledger.queue.clear():
+                self._reply(ticket, endpoint, AdmissionState.GONE)
+            return
+        facts = self._ledgers.facts(endpoint)
+        if not facts.sound or ledger.is_silent(now):
+            return
+        while row := ledger.grant_next(now, facts.rate):
+            self._reply(row.ticket, endpoint, AdmissionState.GRANTED)
+
+    def _reply(
+        self,
+        ticket: Ticket,
+        endpoint: EndpointId,
+        state: AdmissionState,
+        after_s: float = 0.0,
+    ) -> None:
+        entry, number = ticket
+        address = self._clients.get(entry)
+        if address is not None:
+            reply = AdmissionReply(number, endpoint, state, int(after_s * 1000))
+            self._send(reply, address)
--- a/magnolialug/homes/asker.py
+++ b/magnolialug/owners/loadqueryclient.py
@@ -1,26 +1,26 @@
-"""Asks the homes of endpoints what those have to do."""
+"""Asks the owners of endpoints what those have to do."""
 
 from collections.abc import Callable, Sequence
 from functools import partial
 
 from magnolialug.carrier.pool import Address
-from magnolialug.homes.homebook import HomeBook
-from magnolialug.homes.messages import Ask, AskedEndpoint, Told
-from magnolialug.homes.questions import Questions
 from magnolialug.ids import EndpointId
+from magnolialug.owners.messages import LoadQuery, LoadReply, QueriedEndpoint
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.owners.pendingqueries import PendingQueries
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import EndpointState
 
-__all__ = ["Asker"]
+__all__ = ["LoadQueryClient"]
 
 
-class Asker:
+class LoadQueryClient:
     """Asks about a few endpoints at the moment of a choice.
 
     Args:
       entry: names this start of this process.
-      book: tells who keeps the account of an endpoint.
+      book: tells who keeps the ledger of an endpoint.
       rollout: returns the newest rollout that this entry knows.
       on_rollout: is told of newer ones.
     """
@@ -28,37 +28,37 @@
     def __init__(
         self,
         entry: str,
-        book: HomeBook,
-        questions: Questions,
+        ring: OwnerRing,
+        pending: PendingQueries,
         rollout: Callable[[], Rollout | None],
         on_rollout: Callable[[Rollout], None],
     ):
         self._entry = entry
-        self._book = book
-        self._questions = questions
+        self._ring = ring
+        self._pending = pending
         self._rollout = rollout
         self._on_rollout = on_rollout
 
     async def ask(
-        self, endpoints: Sequence[AskedEndpoint], parts: tuple[Part, ...]
+        self, endpoints: Sequence[QueriedEndpoint], parts: tuple[Part, ...]
     ) -> dict[EndpointId, EndpointState]:
-        """Returns the states of those endpoints whose homes answer."""
+        """Returns the states of those endpoints whose owners answer."""
         rollout = self._rollout()
         known = rollout.number if rollout else 0
-        by_home: dict[Address, list[AskedEndpoint]] = {}
+        by_owner: dict[Address, list[QueriedEndpoint]] = {}
         for asked in endpoints:
-            home = self._book.home(asked.endpoint)
-            by_home.setdefault(home, []).append(asked)
-        answers: list[Told] = await self._questions.ask(
+            owner = self._ring.owner(asked.endpoint)
+            by_owner.setdefault(owner, []).append(asked)
+        answers: list[LoadReply] = await self._pending.ask(
             {
-                home: partial(
-                    Ask,
+                owner: partial(
+                    LoadQuery,
                     self._entry,
                     endpoints=tuple(rows),
                     parts=parts,
                     rollout=known,
                 )
-                for home, rows in by_home.items()
+                for owner, rows in by_owner.items()
             }
         )
         for told in answers:
--- a/magnolialug/homes/teller.py
+++ b/magnolialug/owners/loadreporter.py
@@ -1,33 +1,33 @@
-"""Tells the homes of endpoints of this entry's work there."""
+"""Reports this entry's work at endpoints to their owners."""
 
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
-from magnolialug.homes.homebook import HomeBook
-from magnolialug.homes.messages import Work
 from magnolialug.ids import EndpointId
+from magnolialug.owners.messages import LoadReport
+from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import Placement, WorkShare
 
-__all__ = ["Teller"]
+__all__ = ["LoadReporter"]
 
-# First events and ends are told this much later at most; what is sent is told
-# at once, since the next question can come within a millisecond.
-_TELL_S = 0.02
-# A share is repeated this often, since datagrams get lost and homes change.
+# First events and ends are gathered for this long. New requests are reported at
+# once, because the next query can come within a millisecond.
+_GATHER_S = 0.02
+# Makes good lost datagrams and changes of owners.
 _REPEAT_S = 0.5
-# A rollout is passed on for this long after it was heard.
-_NEWS_S = 6.0
+# A rollout is passed on for this long after it was learned of.
+_ROLLOUT_NEWS_S = 6.0
 
 
-class Teller:
-    """Sends shares: at once, soon, and again from time to time.
+class LoadReporter:
+    """Sends this entry's share of the load of each endpoint.
 
-    What it sends grows with this entry's own requests, whatever the number of
-    entries: three messages a request to one home, and two a second for each
-    endpoint where it has work.
+    The messages grow with this entry's own requests and not with the number of
+    entries: three a request to one owner, and two a second for each endpoint
+    where it has work.
 
     Args:
       entry: names this start of this process.
@@ -39,14 +39,14 @@
     def __init__(
         self,
         entry: str,
-        book: HomeBook,
+        ring: OwnerRing,
         share: Callable[[EndpointId], WorkShare | None],
         news: Callable[[], tuple[Rollout | None, float]],
-        send: Callable[[Work, Address], None],
+        send: Callable[[LoadReport, Address], None],
         clock: IReactorTime,
     ):
         self._entry = entry
-        self._book = book
+        self._ring = ring
         self._share = share
         self._news = news
         self._send = send
@@ -58,67 +58,66 @@
         self._repeated_at = 0.0
 
     def sent(self, endpoint: EndpointId, placement: Placement | None) -> None:
-        """Learns that a request has been sent to an endpoint."""
+        """Reports that a request has been sent to an endpoint."""
         self._changed.add(endpoint)
         placements = () if placement is None else (placement,)
-        self._tell(self._book.home(endpoint), [endpoint], placements)
+        self._report(self._ring.owner(endpoint), [endpoint], placements)
 
     def changed(self, endpoint: EndpointId) -> None:
-        """Learns that work at an endpoint has come further, or is over."""
+        """Reports soon that work at an endpoint has progressed or ended."""
         self._changed.add(endpoint)
         if self._timer is None:
-            self._timer = self._clock.callLater(_TELL_S, self._tell_changed)
+            self._timer = self._clock.callLater(_GATHER_S, self._report_changed)
 
     def spread(self, rollout: Rollout) -> None:
-        """Tells all other entries which engines load weights now.
+        """Announces to all other entries which engines load weights now.
 
-        Engines turn away what comes while they load, and few requests may go
-        to a second one. The service tells of it too, up to a second later
-        while much changes.
+        Engines reject requests while they load, and the retry budget is small.
+        The key-value service announces it too, up to a second later.
         """
         self._number += 1
-        work = Work(self._entry, self._number, (), (), rollout)
-        for address in self._book.others:
-            self._send(work, address)
+        report = LoadReport(self._entry, self._number, (), (), rollout)
+        for address in self._ring.others:
+            self._send(report, address)
 
     def moved(self) -> None:
-        """Learns that endpoints have other homes."""
-        self._tell_all(self._active)
+        """Reports all work again after a change of owners."""
+        self._report_all(self._active)
 
     def tick(self, now: float) -> None:
         """Repeats what is still true."""
         if now - self._repeated_at >= _REPEAT_S:
             self._repeated_at = now
-            self._tell_all(self._active)
+            self._report_all(self._active)
 
     def stop(self) -> None:
-        """Tells nothing more."""
+        """Reports nothing more."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
 
-    def _tell_changed(self) -> None:
+    def _report_changed(self) -> None:
         self._timer = None
-        self._tell_all(self._changed)
+        self._report_all(self._changed)
 
-    def _tell_all(self, endpoints: set[EndpointId]) -> None:
-        by_home: dict[Address, list[EndpointId]] = {}
+    def _report_all(self, endpoints: set[EndpointId]) -> None:
+        by_owner: dict[Address, list[EndpointId]] = {}
         for endpoint in endpoints:
-            home = self._book.home(endpoint)
-            by_home.setdefault(home, []).append(endpoint)
-        for home, rows in by_home.items():
-            self._tell(home, rows, ())
+            owner = self._ring.owner(endpoint)
+            by_owner.setdefault(owner, []).append(endpoint)
+        for owner, rows in by_owner.items():
+            self._report(owner, rows, ())
 
-    def _tell(
+    def _report(
         self,
-        home: Address,
+        owner: Address,
         endpoints: list[EndpointId],
         placements: tuple[Placement, ...],
     ) -> None:
-        """Sends the shares of some endpoints to their home.
+        """Sends the shares of some endpoints to their owner.
 
-        A share of nothing is told twice, so that the end of the last request
-        is not lost with one datagram.
+        An empty share is sent twice, so that the end of the last request is
+        not lost with one datagram.
         """
         shares = []
         for endpoint in endpoints:
@@ -133,12 +132,12 @@
                 shares.append(share)
         self._number += 1
         rollout, heard_at = self._news()
-        news = self._clock.seconds() - heard_at < _NEWS_S
-        work = Work(
+        news = self._clock.seconds() - heard_at < _ROLLOUT_NEWS_S
+        report = LoadReport(
             self._entry,
             self._number,
             tuple(shares),
             placements,
             rollout if news else None,
         )
-        self._send(work, home)
+        self._send(report, owner)
--- a/magnolialug/homes/homebook.py
+++ b/magnolialug/owners/ownerring.py
@@ -1,4 +1,4 @@
-"""Which entry keeps the account of an endpoint."""
+"""Consistent-hash ring that assigns an owner to each endpoint."""
 
 from collections.abc import Callable, Mapping
 
@@ -7,16 +7,14 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.policy.ring import Ring
 
-__all__ = ["FIRST", "HomeBook"]
+__all__ = ["FIRST", "OwnerRing"]
 
-# Entries that take a task, the later ones when those before do not answer. With
-# three, every fourth entry can be dead and one endpoint in
-# sixty-four has no home until their leases have run out.
+# Entries that may own a task, the later ones when those before do not answer.
+# With three, and a quarter of the entries dead, one task in sixty-four has no
+# owner until their leases expire.
 FIRST = 3
-# A home that has not answered is left out until it answers a probe. The first
-# is sent after this long, each further one after twice the time. A question
-# that waits for a home in vain costs a request its timeout and what it would
-# have learned; a probe costs nobody anything.
+# An owner that has not answered is left out until it answers a probe, so that
+# requests do not wait for it. Pauses between probes double.
 _FIRST_PROBE_S = 0.5
 _LONGEST_PROBE_S = 4.0
 
@@ -28,13 +26,12 @@
     pause_s: float = _FIRST_PROBE_S
 
 
-class HomeBook:
-    """Draws the home of each endpoint, the same one at every entry.
+class OwnerRing:
+    """Assigns the same owner to a task at every entry.
 
-    Entries agree by consistent hashing over who is registered, without
-    talking. While they disagree, since one has not heard of a change or does
-    not reach a home, an endpoint has two homes that each know a part of its
-    work: estimates get worse, and nothing else.
+    The ring holds the registered entries. While two entries disagree on them,
+    or one cannot reach an owner, an endpoint has two owners that each know a
+    part of its load. Estimates get worse then, and nothing else.
 
     Args:
       me: this entry's own address.
@@ -46,7 +43,7 @@
         self._ring = Ring([_name(me)])
         self._addresses = {_name(me): me}
         self._missing: dict[Address, _Missing] = {}
-        self._homes: dict[str, tuple[Address, ...]] = {}
+        self._owners: dict[str, tuple[Address, ...]] = {}
 
     def entries(self, weights: Mapping[Address, float]) -> bool:
         """Takes the registered entries, with the cores that each has.
@@ -64,7 +61,7 @@
             return False
         self._ring = ring
         self._addresses = addresses
-        self._homes.clear()
+        self._owners.clear()
         for gone in set(self._missing) - set(weights):
             del self._missing[gone]
         return True
@@ -74,8 +71,8 @@
         """All other registered entries."""
         return [a for a in self._addresses.values() if a != self.me]
 
-    def home(self, task: str) -> Address:
-        """Returns the entry that keeps the account of an endpoint or store."""
+    def owner(self, task: str) -> Address:
+        """Returns the entry that keeps the ledger of an endpoint or store."""
         first = self.first(task)
         there = (row for row in first if row not in self._missing)
         return next(there, first[0])
@@ -90,20 +87,20 @@
 
     def first(self, task: str) -> tuple[Address, ...]:
         """Returns the entries that take a task, the first choice first."""
-        found = self._homes.get(task)
+        found = self._owners.get(task)
         if found is None:
             names = self._ring.candidates(task, FIRST)
             found = tuple(self._addresses[name] for name in names)
-            self._homes[task] = found
+            self._owners[task] = found
         return found
 
     def missed(self, address: Address) -> None:
-        """Learns that an entry has not answered."""
+        """Records that an entry has not answered."""
         probe_at = self._clock() + _FIRST_PROBE_S
         self._missing.setdefault(address, _Missing(probe_at))
 
     def heard(self, address: Address) -> None:
-        """Learns that an entry answers."""
+        """Records that an entry answers."""
         self._missing.pop(address, None)
 
     def due(self) -> list[Address]:
--- a/magnolialug/policy/turns.py
+++ b/magnolialug/policy/admissionorder.py
@@ -1,11 +1,17 @@
-"""Which waiting prompt goes to an engine next, and which waits in vain."""
+"""Order in which waiting prompts are admitted, and which are hopeless."""
 
 from collections import deque
 from collections.abc import Iterable
 
 import msgspec
 
-__all__ = ["TurnRate", "Waiting", "in_turn", "in_vain", "patience_s"]
+__all__ = [
+    "GrantRate",
+    "Waiting",
+    "admission_order",
+    "is_hopeless",
+    "patience_s",
+]
 
 # Callers abandon a stream after the longest of these without an event: two
 # seconds, four times the target, eight times the longest pause on time. One
@@ -23,7 +29,7 @@
 
 
 class Waiting(msgspec.Struct, frozen=True):
-    """A prompt that waits for room.
+    """A prompt in an admission queue.
 
     Attributes:
       number: in the order of arrival.
@@ -31,7 +37,7 @@
       target_at: a first event by then is in time.
       ends_at: its caller waits no longer than that.
       size: the share of an engine's memory that it takes.
-      first_event_s: expected from its turn to its first event.
+      first_event_s: expected from its grant to its first event.
     """
 
     number: int
@@ -42,22 +48,22 @@
     first_event_s: float = 0.35
 
     def is_late(self, now: float) -> bool:
-        """Whether its first event would be late if its turn came now."""
+        """Whether its first event would be late if it were granted now."""
         return now + self.first_event_s > self.target_at
 
 
-class TurnRate:
-    """How many prompts have had their turn lately."""
+class GrantRate:
+    """The rate of recent grants."""
 
     def __init__(self) -> None:
         self._at: deque[float] = deque()
 
-    def went(self, now: float) -> None:
-        """Counts a prompt that had its turn."""
+    def record_grant(self, now: float) -> None:
+        """Counts a grant."""
         self._at.append(now)
 
     def per_s(self, now: float) -> float | None:
-        """Returns the turns in a second, None if too few have been seen."""
+        """Returns the grants in a second, None if too few have been seen."""
         while self._at and now - self._at[0] >= _COUNTED_S:
             self._at.popleft()
         if len(self._at) < _TELLING:
@@ -70,8 +76,8 @@
     return max(_LEAST_PATIENCE_S, _TARGETS * target_s, _PAUSES * gap_s)
 
 
-def in_turn(waiting: Iterable[Waiting], now: float) -> list[Waiting]:
-    """Returns the prompts in the order in which they may go.
+def admission_order(waiting: Iterable[Waiting], now: float) -> list[Waiting]:
+    """Returns the prompts in the order in which they are admitted.
 
     Prompts that can still be in time go first, the nearest target first; then
     those that will be late, by when their callers leave. Large ones go ahead of
@@ -87,16 +93,15 @@
     return sorted(waiting, key=key)
 
 
-def in_vain(row: Waiting, now: float, ahead: float, per_s: float) -> bool:
-    """Whether a prompt's turn will not come while its caller waits.
+def is_hopeless(row: Waiting, now: float, ahead: float, per_s: float) -> bool:
+    """Whether a grant will not come while the caller waits.
 
-    Only of one that will be late: whoever can still be in time goes ahead of
-    all others, and turns come in bursts. Refused now, a caller can come back
-    when the others have gone; one that waited first has three seconds less
-    to be served in.
+    Only a prompt that will be late is hopeless: one that can still be in time
+    goes ahead of all others, and grants come in bursts. A caller that is
+    refused now has more time left for its retry than one that waits first.
 
     Args:
-      ahead: prompts that have their turns before.
-      per_s: turns in a second.
+      ahead: prompts that are admitted before.
+      per_s: grants in a second.
     """
     return row.is_late(now) and now + (ahead + 1) / per_s > row.ends_at
--- a/magnolialug/policy/turnqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -5,32 +5,35 @@
 
 import msgspec
 
-from magnolialug.policy.turns import TurnRate, Waiting, in_turn, in_vain
+from magnolialug.policy.admissionorder import (
+    GrantRate,
+    Waiting,
+    admission_order,
+    is_hopeless,
+)
 
-__all__ = ["Queued", "TurnQueue"]
+__all__ = ["Queued", "AdmissionQueue"]
 
-# When a refused caller may come back: when those who wait have had their
-# turns, and within these bounds. What holds an engine's memory now is written
-# in two to four seconds.
+# Bounds of Retry-After. Answers that hold an engine's memory now are written
+# within seconds.
 _RETRY_AFTER_BOUNDS_S = (0.5, 3.0)
-# Who waits says so four times a second; three lost in a row mean that its
-# entry is gone.
+# Several times the renewal interval of the clients, so that lost datagrams do
+# not drop a waiting prompt.
 _TRUST_S = 0.8
 
 
 class Queued(msgspec.Struct):
-    """A prompt on the list.
+    """A prompt in the queue.
 
     Attributes:
       ticket: names it over all entries.
       tokens: of memory that it will take.
       unread: tokens that the engine will have to read.
-      ahead_s: it goes only when less than this is to be read first.
-      lists: on how many lists it is.
-      first: whether nobody overtakes it here. That is so on one of its lists:
-        large prompts that held up four engines each left a tenth of all
-        memory unused while others waited for it.
-      heard_at: when it was last said that it waits.
+      ahead_s: it is admitted only when less than this is to be read first.
+      lists: in how many queues it is.
+      first: whether no other overtakes it here. That holds in one of its
+        queues only; otherwise it would leave memory of all the others unused.
+      heard_at: when its place was last renewed.
     """
 
     ticket: Hashable
@@ -43,77 +46,78 @@
     heard_at: float
 
 
-class TurnQueue:
-    """One list for all entries.
+class AdmissionQueue:
+    """One admission queue for all entries.
 
-    An engine that admits more prompts than its memory holds pushes the newest
-    out again in the middle of its answer and reads it anew. That takes the
-    time in which others would have been written, so all stay longer, and the
-    memory stays full: one would notice engines that are congested long after
-    the load that caused it has gone. Entries that each held a list of their
-    own all saw the same room at the same moment.
+    An engine that takes more prompts than its memory holds preempts the newest
+    in the middle of its answer and reads it again. That slows all others, so
+    the memory stays full: engines stay congested long after the load that
+    caused it. Queues in each entry would all see the same room at the same
+    moment.
     """
 
     def __init__(self) -> None:
         self._rows: dict[Hashable, Queued] = {}
         self._numbers = itertools.count()
-        self._rate = TurnRate()
+        self._rate = GrantRate()
 
     def __len__(self) -> int:
         return len(self._rows)
 
     def tickets(self) -> list[Hashable]:
-        """Returns who is on the list."""
+        """Returns the tickets in the queue."""
         return list(self._rows)
 
     def put(self, row: Queued) -> None:
-        """Takes a prompt, or one that is on the list once more."""
+        """Adds a prompt, or renews its place."""
         before = self._rows.get(row.ticket)
         number = before.waiting.number if before else next(self._numbers)
         row.waiting = msgspec.structs.replace(row.waiting, number=number)
         self._rows[row.ticket] = row
 
     def drop(self, ticket: Hashable) -> None:
-        """Takes a prompt from the list."""
+        """Removes a prompt."""
         self._rows.pop(ticket, None)
 
     def clear(self) -> list[Hashable]:
-        """Takes all prompts from the list; returns their tickets."""
+        """Removes all prompts; returns their tickets."""
         tickets = self.tickets()
         self._rows.clear()
         return tickets
 
     def forget_silent(self, now: float) -> None:
-        """Drops prompts whose entries have not been heard for long."""
+        """Drops prompts whose places have not been renewed."""
         for row in list(self._rows.values()):
             if now - row.heard_at > _TRUST_S:
                 del self._rows[row.ticket]
 
-    def vain_s(self, ticket: Hashable, now: float) -> float | None:
-        """Returns when a prompt may come back if it waits in vain.
+    def hopeless_after_s(self, ticket: Hashable, now: float) -> float | None:
+        """Returns when a hopeless prompt may come back.
 
-        None if its turn can still come in time.
+        None for one that can still be granted in time.
         """
         per_s = self._rate.per_s(now)
         if per_s is None:
             return None
         ahead = 0.0
         for row in self._ordered(now):
-            vain = in_vain(row.waiting, now, ahead, per_s)
+            hopeless = is_hopeless(row.waiting, now, ahead, per_s)
             if row.ticket == ticket:
-                return self._after_s(per_s) if vain else None
-            if not vain:
+                return self._after_s(per_s) if hopeless else None
+            if not hopeless:
                 ahead += 1 / row.lists
         return None
 
-    def go(self, now: float, fits: Callable[[Queued], bool]) -> Queued | None:
-        """Takes the next prompt that fits from the list; None if there is none.
+    def take_next(
+        self, now: float, fits: Callable[[Queued], bool]
+    ) -> Queued | None:
+        """Removes and returns the next prompt that fits, None if there is none.
 
-        Nobody overtakes the first one that is to go here and does not fit.
+        No prompt overtakes one that has its first place here and does not fit.
         """
         for row in self._ordered(now):
             if fits(row):
-                self._rate.went(now)
+                self._rate.record_grant(now)
                 self.drop(row.ticket)
                 return row
             if row.first:
@@ -123,7 +127,7 @@
     def _ordered(self, now: float) -> list[Queued]:
         rows = {row.waiting.number: row for row in self._rows.values()}
         waiting = [row.waiting for row in rows.values()]
-        ordered = in_turn(waiting, now)
+        ordered = admission_order(waiting, now)
         return [rows[place.number] for place in ordered]
 
     def _after_s(self, per_s: float) -> float:
--- a/magnolialug/policy/choice.py
+++ b/magnolialug/policy/choice.py
@@ -16,7 +16,7 @@
       cost: expected seconds, penalties included.
       sound: whether nothing speaks against it at the moment.
       room: whether it can take the request without pushing others out.
-      told: whether its home has told what it has to do.
+      told: whether its owner has told what it has to do.
       soon: whether it would begin with the request within a part of its
         target.
     """
@@ -35,7 +35,7 @@
     If a switch takes this process off the network, all endpoints look bad at
     once; refusing everything would turn a short fault into an outage. So if
     none is sound, the cheapest of all is tried. One that nobody tells of
-    looks idle, and would be sent whatever comes: while the home of any sound
+    looks idle, and would be sent whatever comes: while the owner of any sound
     one has answered, only such are taken.
     """
     sound = [row for row in candidates if row.sound]
--- a/magnolialug/policy/endpointaccount.py
+++ b/magnolialug/policy/endpointledger.py
@@ -1,10 +1,11 @@
-"""The account of one endpoint: what all entries have told of it."""
+"""The load ledger of one endpoint, from the reports of all entries."""
 
 from collections.abc import Hashable, Mapping, Sequence
 
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.admissionqueue import AdmissionQueue, Queued
 from magnolialug.policy.partcache import PartCache
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.readingtime import PRIORITIES, reading_s
@@ -14,9 +15,8 @@
     WorkShare,
     summed,
 )
-from magnolialug.policy.turnqueue import Queued, TurnQueue
 
-__all__ = ["HEADROOM", "SHARE_TRUST_S", "EndpointAccount"]
+__all__ = ["HEADROOM", "SHARE_TRUST_S", "EndpointLedger"]
 
 # Left free beside a large prompt, because answers grow longer than expected.
 # Little is needed: what is read and written is reported within milliseconds.
@@ -44,13 +44,13 @@
 
 
 class _Promise(msgspec.Struct):
-    """Memory that is kept for a prompt that has been let go."""
+    """Memory that is reserved for a prompt that has been admitted."""
 
     row: Queued
     until: float
 
 
-class EndpointAccount:
+class EndpointLedger:
     """Adds up the shares of all entries at one endpoint.
 
     Entries that choose engines without knowing each other's work pile it up
@@ -68,7 +68,7 @@
         self.memory = memory
         self.born_ms = born_ms
         self.parts = PartCache(memory)
-        self.queue = TurnQueue()
+        self.queue = AdmissionQueue()
         self._told: dict[str, _Told] = {}
         self._promises: dict[Hashable, _Promise] = {}
         self._weights: dict[str, int] = {}
@@ -76,7 +76,7 @@
         self._heard_at = float("-inf")
 
     def told(self, entry: str, share: WorkShare, now: float) -> None:
-        """Takes an entry's work, which replaces what it told before."""
+        """Records an entry's share, which replaces the one before."""
         self._heard_at = max(self._heard_at, now - share.heard_ms / 1000)
         self.knows(share.weights)
         _raise(self._least, share.least)
@@ -104,25 +104,25 @@
         self.queue.forget_silent(now)
 
     def idle(self) -> bool:
-        """Whether nobody has told of any work."""
+        """Whether no entry has reported any work."""
         return not self._told
 
     def leave(self, ticket: Hashable) -> None:
-        """Takes a prompt from the list, and back what was promised to it."""
+        """Removes a prompt from the queue, and frees its reservation."""
         self.queue.drop(ticket)
         self._promises.pop(ticket, None)
 
     def has_promised(self, ticket: Hashable) -> bool:
-        """Whether memory is kept for a prompt."""
+        """Whether memory is reserved for a prompt."""
         return ticket in self._promises
 
-    def let_go(self, now: float, rate: float) -> Queued | None:
-        """Takes the next prompt from the list and keeps memory for it.
+    def grant_next(self, now: float, rate: float) -> Queued | None:
+        """Admits the next prompt and reserves memory for it.
 
         Args:
           rate: prompt tokens that the engine reads in a second.
         """
-        row = self.queue.go(now, lambda row: self._fits(row, now, rate))
+        row = self.queue.take_next(now, lambda row: self._fits(row, now, rate))
         if row is not None:
             self._promises[row.ticket] = _Promise(row, now + _PROMISE_S)
         return row
--- a/magnolialug/policy/partplan.py
+++ b/magnolialug/policy/partplan.py
@@ -14,7 +14,7 @@
 class Miss(enum.Enum):
     """Why a part is not read from a store.
 
-    UNHEARD: a store holds it whose last word is too old, or its home says
+    UNHEARD: a store holds it whose last word is too old, or its owner says
       nothing.
     SAVING: it is being saved, which is not done yet.
     REPLACED: it is of weights that are being replaced, and was not whole.
@@ -32,7 +32,7 @@
 
 
 class Stored(msgspec.Struct, frozen=True):
-    """What the home of a store has told of a part.
+    """What the owner of a store has told of a part.
 
     Attributes:
       until_ms: a fetch must have ended by then, on the servers' clock.
@@ -75,7 +75,7 @@
     """Returns what to do with a part.
 
     Args:
-      stored: what the homes of stores have told.
+      stored: what the owners of stores have told.
       may_save: whether parts of these weights are still saved.
     """
     told = stored.get(key)
--- a/magnolialug/prefixcache/queryclient.py
+++ b/magnolialug/prefixcache/queryclient.py
@@ -4,9 +4,9 @@
 from functools import partial
 
 from magnolialug.carrier.pool import Address
-from magnolialug.homes.homebook import HomeBook
-from magnolialug.homes.questions import Questions
 from magnolialug.ids import EndpointId, ServiceName
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.owners.pendingqueries import PendingQueries
 from magnolialug.policy.partplan import Stored
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.storeindex import PartKey, PartStatus
@@ -39,9 +39,9 @@
 
     def __init__(
         self,
-        owners: HomeBook,
+        owners: OwnerRing,
         stores: StoreMap,
-        questions: Questions,
+        questions: PendingQueries,
         send: Callable[[SaveNotice | SaveCancelled, Address], None],
     ):
         self._owners = owners
@@ -80,8 +80,8 @@
     ) -> None:
         """Tells the owners that an engine was asked to save parts."""
         asked = [QueriedPart(store, salt, part) for part, store in parts]
-        for home, rows in self._by_home(asked).items():
-            self._send(SaveNotice(reader, tuple(rows)), home)
+        for owner, rows in self._by_owner(asked).items():
+            self._send(SaveNotice(reader, tuple(rows)), owner)
 
     def cancel_save(
         self,
@@ -91,25 +91,25 @@
     ) -> None:
         """Tells the owners that an engine will not save parts after all."""
         asked = [QueriedPart(store, salt, part) for part, store in parts]
-        for home, rows in self._by_home(asked).items():
-            self._send(SaveCancelled(reader, tuple(rows)), home)
+        for owner, rows in self._by_owner(asked).items():
+            self._send(SaveCancelled(reader, tuple(rows)), owner)
 
     async def _ask(self, asked: list[QueriedPart]) -> list[PartReply]:
         return await self._questions.ask(
             {
-                home: partial(PartQuery, parts=tuple(rows))
-                for home, rows in self._by_home(asked).items()
+                owner: partial(PartQuery, parts=tuple(rows))
+                for owner, rows in self._by_owner(asked).items()
             }
         )
 
-    def _by_home(
+    def _by_owner(
         self, asked: Iterable[QueriedPart]
     ) -> dict[Address, list[QueriedPart]]:
-        by_home: dict[Address, list[QueriedPart]] = {}
+        by_owner: dict[Address, list[QueriedPart]] = {}
         for row in asked:
-            home = self._owners.home(row.store)
-            by_home.setdefault(home, []).append(row)
-        return by_home
+            owner = self._owners.owner(row.store)
+            by_owner.setdefault(owner, []).append(row)
+        return by_owner
 
 
 def _is_open(told: Stored | None) -> bool:
--- a/magnolialug/prefixcache/wiring.py
+++ b/magnolialug/prefixcache/wiring.py
@@ -6,7 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.config.routing import Routing
-from magnolialug.homes.wiring import Homes, Talk
+from magnolialug.owners.wiring import Ownership, Talk
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.policy.oldweights import EngineWeights
 from magnolialug.policy.storemap import StoreMap
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        homes: Homes,
+        owners: Ownership,
         calls: CacheCalls,
         newest: Callable[[str], int],
         engines: Callable[[], Iterable[EngineWeights]],
@@ -55,21 +55,21 @@
             clock,
             random,
             newest,
-            lambda store: homes.book.rank(store) < _OWNERS,
+            lambda store: owners.ring.rank(store) < _OWNERS,
         )
         self.queries = PartQueryClient(
-            homes.book, self.map, homes.questions, talk.send
+            owners.ring, self.map, owners.pending_queries, talk.send
         )
         self.collector = GarbageCollector(
             self.watch, calls, clock.seconds, engines
         )
         service = StoreIndexService(self.watch.index, clock.seconds)
         talk.takes(
-            PartQuery, lambda ask, home: talk.send(service.ask(ask), home)
+            PartQuery, lambda ask, owner: talk.send(service.ask(ask), owner)
         )
         talk.takes(SaveNotice, lambda save, _: service.save(save))
         talk.takes(SaveCancelled, lambda cancel, _: service.cancel_save(cancel))
-        talk.takes(PartReply, homes.questions.answered)
+        talk.takes(PartReply, owners.pending_queries.answered)
 
     def configure(self, routing: Routing) -> None:
         """Takes the stores of a configuration."""
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -6,9 +6,9 @@
 
 from magnolialug.carrier.pool import Address, Pool
 from magnolialug.events import Event, emit
-from magnolialug.homes.homebook import HomeBook
-from magnolialug.homes.wiring import Talk
 from magnolialug.ids import EndpointId, RequestDigest
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.owners.wiring import Talk
 from magnolialug.platform.kv import Kv
 from magnolialug.policy.answered import Answered
 from magnolialug.policy.crashcounter import CrashCounter, Term
@@ -45,19 +45,19 @@
       written: the quarantine list in the key-value service.
 
     Args:
-      homes: draws the entries that count, and the one that writes.
+      owners: draws the entries that count, and the one that writes.
       on_quarantined: receives the digest of each newly quarantined request.
     """
 
     def __init__(
         self,
-        homes: HomeBook,
+        owners: OwnerRing,
         talk: Talk,
         kv: Kv,
         clock: IReactorTime,
         on_quarantined: Callable[[RequestDigest], None],
     ):
-        self._homes = homes
+        self._owners = owners
         self._talk = talk
         self._clock = clock
         self._answered = Answered()
@@ -67,7 +67,7 @@
         self.written = QuarantineList(
             kv,
             clock,
-            lambda digest: homes.home(digest) == homes.me,
+            lambda digest: owners.owner(digest) == owners.me,
             on_quarantined,
         )
         talk.takes(CrashReport, lambda report, _: self._count(report))
@@ -95,8 +95,8 @@
         self._answered.add(digest)
         if self._reported and digest in self._reported:
             del self._reported[digest]
-            for home in self._homes.first(digest):
-                self._talk.send(Survived(digest), home)
+            for owner in self._owners.first(digest):
+                self._talk.send(Survived(digest), owner)
 
     def tick(self, now: float) -> None:
         """Forgets and writes what is due."""
@@ -105,20 +105,20 @@
     def _crashed(self, endpoint: EndpointId, losses: tuple[Loss, ...]) -> None:
         emit(Event.ENDPOINT_CRASHED, endpoint=endpoint, lost=len(losses))
         now = self._clock.seconds()
-        by_home: dict[Address, list[Loss]] = {}
+        by_owner: dict[Address, list[Loss]] = {}
         for loss in set(losses):
             if self._answered.clears(loss.digest, now):
                 continue
             self._reported[loss.digest] = None
             # Its own too: an entry that is cut off still counts.
-            for home in {self._homes.me, *self._homes.first(loss.digest)}:
-                by_home.setdefault(home, []).append(loss)
+            for owner in {self._owners.me, *self._owners.first(loss.digest)}:
+                by_owner.setdefault(owner, []).append(loss)
         while len(self._reported) > _MOST_REPORTED:
             del self._reported[next(iter(self._reported))]
-        for home, rows in by_home.items():
+        for owner, rows in by_owner.items():
             for begin in range(0, len(rows), _LOSSES_PER_MESSAGE):
                 told = tuple(rows[begin : begin + _LOSSES_PER_MESSAGE])
-                self._talk.send(CrashReport(endpoint, told), home)
+                self._talk.send(CrashReport(endpoint, told), owner)
 
     def _count(self, report: CrashReport) -> None:
         """Counts a crash, and tells all entries of the poison requests."""
@@ -132,5 +132,5 @@
             for_s = _TEMPORARY_S if term is Term.TEMPORARY else 0.0
             ended = self._counter.endpoints(loss.digest)
             message = Quarantined(loss.digest, ended, int(for_s * 1000))
-            for entry in (self._homes.me, *self._homes.others):
+            for entry in (self._owners.me, *self._owners.others):
                 self._talk.send(message, entry)
--- a/tests/entry/test_waiting_room.py
+++ b/tests/entry/test_admission.py
@@ -9,7 +9,7 @@
 TOKENS = "60000,100"
 
 
-class WaitingRoomTest(TestCase):
+class AdmissionTest(TestCase):
     """One engine, and more long prompts than its memory holds."""
 
     def started(self, gap_s, target_ms=400):
@@ -71,7 +71,7 @@
         cluster, engine = self.started(gap_s=1)
         for number in range(3):
             self.send(cluster, number)
-        self.assertEqual(1, cluster.gateway.homes.waits.waiting)
+        self.assertEqual(1, cluster.gateway.owners.admission_client.waiting)
         cluster.send("/draft/x", parts="bb:500,o:100", tokens="600,10")
         caller = cluster.ask("/book/x", 0.05, deadline_ms=900)
         self.assertEqual(3, len(engine.ran))
@@ -114,8 +114,8 @@
         cluster.pass_time(1.5)
         self.assertNotIn(callers[2].request_id, engine.ran)
         self.assertIn(callers[3].request_id, engine.ran)
-        self.assertEqual(0, cluster.gateway.homes.waits.waiting)
-        self.assertEqual(0, cluster.gateway.homes.lists.waiting)
+        self.assertEqual(0, cluster.gateway.owners.admission_client.waiting)
+        self.assertEqual(0, cluster.gateway.owners.admission_queues.waiting)
 
     def test_a_prompt_larger_than_any_memory_goes_to_an_idle_engine(self):
         cluster, engine = self.started(gap_s=0.1)
--- a/tests/entry/test_survey.py
+++ b/tests/entry/test_candidate_prober.py
@@ -1,4 +1,4 @@
-"""Questions to homes while a caller waits, and leaves."""
+"""PendingQueries to owners while a caller waits, and leaves."""
 
 from loguru import logger
 from testtools import TestCase
@@ -9,13 +9,13 @@
 
 
 class LeavingCallerTest(TestCase):
-    """A caller leaves before the homes have answered."""
+    """A caller leaves before the owners have answered."""
 
     def test_a_call_that_is_given_up_is_no_failed_task(self):
         """A machine stands still; its callers leave before it wakes.
 
         Symptom: line 9000 TASK_FAILED with a traceback for a call that was
-        only given up. Sequence: a call waits for homes that do not answer, its
+        only given up. Sequence: a call waits for owners that do not answer, its
         caller leaves, both questions are cancelled at once. Cause: what waits
         for both wraps the cancellation in an error of its own.
         """
--- a/tests/entry/test_evacuation.py
+++ b/tests/entry/test_evacuation.py
@@ -82,7 +82,7 @@
                 )
             )
             cluster.pass_time(0.05)
-        self.assertEqual(2, cluster.gateway.homes.waits.waiting)
+        self.assertEqual(2, cluster.gateway.owners.admission_client.waiting)
         evacuate(cluster)
         before = len(here.seen)
         cluster.pass_time(6)
--- a/tests/entry/test_same_id.py
+++ b/tests/entry/test_same_id.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 
 from magnolialug import events
-from magnolialug.homes.messages import Ask, AskedEndpoint, Work
+from magnolialug.owners.messages import LoadQuery, LoadReport, QueriedEndpoint
 from magnolialug.policy.logbounds import LogBounds
 from magnolialug.policy.prompt import Part, Prompt
 from magnolialug.policy.sharedload import Placement, WorkShare
@@ -49,9 +49,11 @@
         return cluster.gateway.directory.peers[engine.instance]
 
     def state(self, cluster, engine, *parts):
-        """Returns what the engine's home tells of it."""
-        asked = AskedEndpoint(engine.instance, "/m/1")
-        told = cluster.gateway.homes.keeper.ask(Ask("x", 1, (asked,), parts))
+        """Returns what the engine's owner tells of it."""
+        asked = QueriedEndpoint(engine.instance, "/m/1")
+        told = cluster.gateway.owners.ledger_service.answer(
+            LoadQuery("x", 1, (asked,), parts)
+        )
         return told.states[0]
 
     def test_its_cache_load_and_health_are_forgotten(self):
@@ -120,12 +122,12 @@
         self.assertEqual((1, 50_000), (after.found, after.held))
 
     def tell(self, cluster, engine, part, born_ms, number):
-        """Tells the engine's home of another entry's work at a start of it."""
+        """Tells the engine's owner of another entry's work at a start of it."""
         name = engine.instance
         share = WorkShare(name, (0, 50_000), 50_000, 9, 10, 10, born_ms)
         placement = Placement(name, "/m/1", (part,), born_ms)
-        work = Work("front-2.x", number, (share,), (placement,))
-        cluster.gateway.homes.keeper.work(work)
+        work = LoadReport("front-2.x", number, (share,), (placement,))
+        cluster.gateway.owners.ledger_service.record(work)
 
     def test_an_old_entry_does_not_bring_the_earlier_start_back(self):
         cluster, engine = self.started()
--- a/tests/homes/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of magnolialug.homes."""
--- a/tests/homes/fleet.py
+++ b/tests/owners/fleet.py
@@ -1,14 +1,14 @@
-"""Entries that keep accounts for each other, on a network in memory."""
+"""Entries that keep ledgers for each other, on a network in memory."""
 
 from collections import Counter
 
 import msgspec
 from twisted.internet.defer import ensureDeferred
 
-from magnolialug.homes.accounts import EndpointFacts
-from magnolialug.homes.messages import AskedEndpoint
-from magnolialug.homes.wiring import Homes
 from magnolialug.ids import EndpointId
+from magnolialug.owners.ledgers import EndpointFacts
+from magnolialug.owners.messages import QueriedEndpoint
+from magnolialug.owners.wiring import Ownership
 from magnolialug.policy.sharedload import WorkShare
 from tests.network import LATENCY_S
 
@@ -17,7 +17,7 @@
 
 
 class Entry:
-    """One entry: its work at the engines, and its homes."""
+    """One entry: its work at the engines, and its owners."""
 
     def __init__(self, fleet, number):
         self.fleet = fleet
@@ -30,7 +30,7 @@
         self.alive = True
         self.bytes = 0
         self.messages = Counter()
-        self.homes = Homes(self.address, self, self, fleet.clock)
+        self.owners = Ownership(self.address, self, self, fleet.clock)
 
     def facts(self, endpoint):
         """Returns what is known of an engine."""
@@ -82,12 +82,12 @@
         """Sends a request to an engine."""
         running, before, kept = self.work.get(endpoint, (0, 0, 0))
         self.work[endpoint] = (running + 1, before + unread, kept + held)
-        self.homes.teller.sent(EndpointId(endpoint), placement)
+        self.owners.load_reporter.sent(EndpointId(endpoint), placement)
 
     def ends(self, endpoint):
         """Learns that all requests at an engine are over."""
         self.work.pop(endpoint, None)
-        self.homes.teller.changed(EndpointId(endpoint))
+        self.owners.load_reporter.changed(EndpointId(endpoint))
 
 
 class Fleet:
@@ -114,7 +114,7 @@
         """Tells all entries who is registered."""
         weights = dict.fromkeys(self.entries, 1.0)
         for entry in self.entries.values():
-            entry.homes.entries(weights)
+            entry.owners.entries(weights)
 
     def carry(self, sender, message, to):
         """Brings a message to its receiver."""
@@ -132,18 +132,18 @@
             now = self.clock.seconds()
             for entry in self.entries.values():
                 if entry.alive:
-                    entry.homes.tick(now)
+                    entry.owners.tick(now)
 
     def ask(self, entry, endpoints, parts=(), salt=""):
-        """Returns what the homes tell an entry."""
+        """Returns what the owners tell an entry."""
         found = []
-        rows = [AskedEndpoint(name, salt) for name in endpoints]
-        fut = ensureDeferred(entry.homes.asker.ask(rows, tuple(parts)))
+        rows = [QueriedEndpoint(name, salt) for name in endpoints]
+        fut = ensureDeferred(entry.owners.load_queries.ask(rows, tuple(parts)))
         fut.addCallback(found.append)
         self.pass_time(0.03, 0.001)
         return found[0]
 
-    def home(self, endpoint):
-        """Returns the entry that all others take for an engine's home."""
+    def owner(self, endpoint):
+        """Returns the entry that all others take for an engine's owner."""
         first = next(iter(self.entries.values()))
-        return self.entries[first.homes.book.home(endpoint)]
+        return self.entries[first.owners.ring.owner(endpoint)]
--- a/tests/homes/test_waits.py
+++ b/tests/owners/test_admission_client.py
@@ -3,13 +3,13 @@
 from testtools import TestCase
 from twisted.internet.task import Clock
 
-from magnolialug.homes.waits import Bid
-from magnolialug.policy.turns import Waiting
+from magnolialug.owners.admissionclient import AdmissionRequest
+from magnolialug.policy.admissionorder import Waiting
 from magnolialug.result import Code, Failure
-from tests.homes.fleet import MEMORY, Fleet
+from tests.owners.fleet import MEMORY, Fleet
 
 
-class WaitsTest(TestCase):
+class AdmissionClientTest(TestCase):
     """The first engine with room takes the prompt."""
 
     def setUp(self):
@@ -33,26 +33,28 @@
             target_at=now + times.get("target_s", 0.6),
             ends_at=now + times.get("ends_s", 1.4),
         )
-        bids = [Bid(engine, tokens, tokens) for engine in engines]
+        bids = [AdmissionRequest(engine, tokens, tokens) for engine in engines]
         entry = entry or self.entries[1]
-        turn = entry.homes.waits.enter(waiting, bids, ahead_s=0.5)
+        turn = entry.owners.admission_client.enqueue(waiting, bids, ahead_s=0.5)
         turn.addCallback(self.turns.append)
         turn.addErrback(lambda reason: None)
         self.fleet.pass_time(0.01)
         return turn
 
-    def lists(self):
+    def places(self):
         """Returns how many places are taken on all lists."""
-        return sum(entry.homes.lists.waiting for entry in self.entries)
+        return sum(
+            entry.owners.admission_queues.waiting for entry in self.entries
+        )
 
     def test_it_goes_where_room_comes_first(self):
         self.fill("i-0", "i-1")
         self.wait()
         self.fleet.pass_time(0.3)
-        self.assertEqual(([], 2), (self.turns, self.lists()))
+        self.assertEqual(([], 2), (self.turns, self.places()))
         self.entries[0].ends("i-1")
         self.fleet.pass_time(0.06)
-        self.assertEqual((["i-1"], 0), (self.turns, self.lists()))
+        self.assertEqual((["i-1"], 0), (self.turns, self.places()))
 
     def test_room_for_one_is_given_to_one(self):
         """Sixty-eight lists see the same room at the same moment.
@@ -82,8 +84,8 @@
         turn = self.wait()
         turn.cancel()
         self.fleet.pass_time(0.01)
-        self.assertEqual(0, self.lists())
-        self.assertEqual(0, self.entries[1].homes.waits.waiting)
+        self.assertEqual(0, self.places())
+        self.assertEqual(0, self.entries[1].owners.admission_client.waiting)
 
     def test_who_is_not_let_go_in_time_is_refused(self):
         self.fill("i-0", "i-1")
@@ -92,19 +94,19 @@
         (refused,) = self.turns
         self.assertIsInstance(refused, Failure)
         self.assertEqual(Code.NO_ROOM, refused.code)
-        self.assertEqual(0, self.lists())
+        self.assertEqual(0, self.places())
 
     def test_who_waits_goes_on_when_a_home_dies(self):
-        """The home of an engine dies while prompts wait there.
+        """The owner of an engine dies while prompts wait there.
 
         Symptom: they are refused after a second although other engines have
-        room. Cause: only a home's word ended the wait.
+        room. Cause: only an owner's word ended the wait.
         """
         self.fill("i-0")
-        home = self.fleet.home("i-0")
-        entry = next(e for e in self.entries[1:] if e is not home)
+        owner = self.fleet.owner("i-0")
+        entry = next(e for e in self.entries[1:] if e is not owner)
         self.wait(entry, engines=("i-0",))
-        home.alive = False
+        owner.alive = False
         self.fleet.pass_time(0.8)
         self.assertEqual([None], self.turns)
 
@@ -113,7 +115,7 @@
         self.wait()
         self.fleet.engines.remove("i-0")
         self.fleet.pass_time(0.3)
-        self.assertEqual(([], 1), (self.turns, self.lists()))
+        self.assertEqual(([], 1), (self.turns, self.places()))
         self.fleet.engines.remove("i-1")
         self.fleet.pass_time(0.3)
         self.assertEqual([None], self.turns)
--- a/tests/homes/test_convergence.py
+++ b/tests/owners/test_convergence.py
@@ -1,4 +1,4 @@
-"""Whatever happened, homes know the truth soon after it has ended."""
+"""Whatever happened, owners know the truth soon after it has ended."""
 
 from random import Random
 
@@ -7,10 +7,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from twisted.internet.task import Clock
 
-from tests.homes.fleet import Fleet
+from tests.owners.fleet import Fleet
 
 ENTRIES, ENGINES = 5, 4
-# A probe of a home that was missing, a repeat of the shares, and the time for
+# A probe of an owner that was missing, a repeat of the shares, and the time for
 # which a dead entry's shares count.
 SETTLED_S = 6.5
 
@@ -94,7 +94,7 @@
     def one_hears_of_fewer(self, number):
         """An entry's view of who is registered lags behind."""
         weights = dict.fromkeys(list(self.fleet.entries)[:3], 1.0)
-        self.entry(number).homes.entries(weights)
+        self.entry(number).owners.entries(weights)
 
     @rule(seconds=st.floats(0.005, 1.0))
     def time_passes(self, seconds):
--- a/tests/homes/test_homes.py
+++ b/tests/owners/test_owners.py
@@ -1,4 +1,4 @@
-"""What entries know of each other's work, through the homes of engines."""
+"""What entries know of each other's work, through the owners of engines."""
 
 from random import Random
 
@@ -8,7 +8,7 @@
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import Placement
-from tests.homes.fleet import Fleet
+from tests.owners.fleet import Fleet
 
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
 
@@ -18,8 +18,8 @@
     return Fleet(Clock(), entries, engines)
 
 
-class AccountsTest(TestCase):
-    """One home knows what all entries do at its engine."""
+class LedgersTest(TestCase):
+    """One owner knows what all entries do at its engine."""
 
     def test_everybody_is_told_of_everybody_elses_work(self):
         fleet = fleet_of()
@@ -54,8 +54,8 @@
 
     def test_the_work_of_an_entry_that_dies_is_forgotten(self):
         fleet = fleet_of()
-        home = fleet.home("i-0")
-        one, other = [e for e in fleet.entries.values() if e is not home][:2]
+        owner = fleet.owner("i-0")
+        one, other = [e for e in fleet.entries.values() if e is not owner][:2]
         one.sends("i-0")
         fleet.pass_time(0.1)
         one.alive = False
@@ -63,7 +63,7 @@
         self.assertEqual(0, fleet.ask(other, ["i-0"])["i-0"].running)
 
     def test_a_home_that_dies_is_stood_in_for(self):
-        """The entry that keeps an engine's account is killed.
+        """The entry that keeps an engine's ledger is killed.
 
         Symptom: for the nine seconds until its lease has run out that engine
         looks idle to everybody, and gets whatever comes. Sequence: questions
@@ -71,11 +71,11 @@
         one, and nobody else was asked.
         """
         fleet = fleet_of()
-        home = fleet.home("i-0")
-        one, other = [e for e in fleet.entries.values() if e is not home][:2]
+        owner = fleet.owner("i-0")
+        one, other = [e for e in fleet.entries.values() if e is not owner][:2]
         one.sends("i-0")
         fleet.pass_time(0.1)
-        home.alive = False
+        owner.alive = False
         self.assertEqual({}, fleet.ask(other, ["i-0"]))
         fleet.ask(one, ["i-0"])
         fleet.pass_time(0.6)
@@ -83,16 +83,16 @@
 
     def test_a_home_that_is_back_is_asked_again(self):
         fleet = fleet_of()
-        home = fleet.home("i-0")
-        other = next(e for e in fleet.entries.values() if e is not home)
-        home.alive = False
+        owner = fleet.owner("i-0")
+        other = next(e for e in fleet.entries.values() if e is not owner)
+        owner.alive = False
         fleet.ask(other, ["i-0"])
-        self.assertNotEqual(home.address, other.homes.book.home("i-0"))
-        home.alive = True
+        self.assertNotEqual(owner.address, other.owners.ring.owner("i-0"))
+        owner.alive = True
         fleet.pass_time(1.5)
-        self.assertEqual(home.address, other.homes.book.home("i-0"))
+        self.assertEqual(owner.address, other.owners.ring.owner("i-0"))
         fleet.ask(other, ["i-0"])
-        self.assertEqual(home.address, other.homes.book.home("i-0"))
+        self.assertEqual(owner.address, other.owners.ring.owner("i-0"))
 
     def test_a_new_home_hears_of_all_work_at_once(self):
         fleet = fleet_of(entries=3, engines=12)
@@ -102,7 +102,7 @@
         fleet.pass_time(0.1)
         newcomer = fleet.join(77)
         fleet.agree()
-        moved = [e for e in fleet.engines if fleet.home(e) is newcomer]
+        moved = [e for e in fleet.engines if fleet.owner(e) is newcomer]
         self.assertGreater(len(moved), 0)
         fleet.pass_time(0.02)
         told = fleet.ask(newcomer, moved)
@@ -113,9 +113,9 @@
         large = next(iter(fleet.entries))
         weights = dict.fromkeys(fleet.entries, 0.4) | {large: 2.0}
         for entry in fleet.entries.values():
-            entry.homes.entries(weights)
+            entry.owners.entries(weights)
         kept = sum(
-            fleet.home(engine).address == large for engine in fleet.engines
+            fleet.owner(engine).address == large for engine in fleet.engines
         )
         self.assertTrue(50 < kept < 130, kept)
 
@@ -137,10 +137,10 @@
         holder's word lies in the store only.
         """
         fleet = fleet_of()
-        home = fleet.home("i-0")
-        cut_off = next(e for e in fleet.entries.values() if e is not home)
+        owner = fleet.owner("i-0")
+        cut_off = next(e for e in fleet.entries.values() if e is not owner)
         rollout = Rollout("m", 2, closed=("i-0",), number=3)
-        home.rolls_out(rollout)
+        owner.rolls_out(rollout)
         fleet.ask(cut_off, ["i-0"])
         self.assertEqual(rollout, cut_off.rollout)
 
@@ -151,13 +151,13 @@
     def told(self, *shares):
         """Returns whether an engine is silent after some words of entries."""
         fleet = fleet_of()
-        home = fleet.home("i-0")
+        owner = fleet.owner("i-0")
         for number, (heard_ms, oldest_ms) in enumerate(shares):
             entry = list(fleet.entries.values())[number]
             entry.heard_ms, entry.oldest_ms = heard_ms, oldest_ms
             entry.sends("i-0")
         fleet.pass_time(0.01)
-        return fleet.ask(home, ["i-0"])["i-0"].silent
+        return fleet.ask(owner, ["i-0"])["i-0"].silent
 
     def test_who_is_silent(self):
         """A quarter of the engines goes dark; each of 68 entries finds out.
@@ -253,7 +253,7 @@
             name = names[0]
             one.sends(name, placement=Placement(name, "/seti96836/1", parts))
             fleet.pass_time(0.03)
-            one.homes.teller.changed(name)
+            one.owners.load_reporter.changed(name)
             fleet.pass_time(0.03)
             one.ends(name)
             fleet.pass_time(0.01)
--- a/tests/policy/test_turns.py
+++ b/tests/policy/test_admission_order.py
@@ -11,11 +11,11 @@
 
 from testtools import TestCase
 
-from magnolialug.policy.turns import (
-    TurnRate,
+from magnolialug.policy.admissionorder import (
+    GrantRate,
     Waiting,
-    in_turn,
-    in_vain,
+    admission_order,
+    is_hopeless,
     patience_s,
 )
 
@@ -56,11 +56,11 @@
     return {name: count / number for name, count in counts.items()}
 
 
-class TurnsTest(TestCase):
+class AdmissionOrderTest(TestCase):
     """Who can still be in time goes before who cannot."""
 
     def test_most_are_in_time_where_in_order_of_arrival_few_are(self):
-        ordered = in_time(in_turn)
+        ordered = in_time(admission_order)
         queued = in_time(by_arrival)
         self.assertGreater(ordered["in time"], 0.75)
         self.assertLess(queued["in time"], 0.65)
@@ -74,7 +74,7 @@
         later = Waiting(1, 1, target_at=8.0, ends_at=13.0)
         urgent = Waiting(9, 0, target_at=8.0, ends_at=14.0)
         rows = [later, fresher, late, urgent, fresh]
-        ordered = in_turn(rows, 10.0)
+        ordered = admission_order(rows, 10.0)
         self.assertEqual([urgent, fresh, fresher, late, later], ordered)
 
     def test_one_that_takes_long_to_read_is_late_sooner(self):
@@ -83,28 +83,28 @@
         slow = Waiting(2, 1, 10.5, 13.0, first_event_s=0.6)
         self.assertFalse(quick.is_late(10.0))
         self.assertTrue(slow.is_late(10.0))
-        self.assertEqual([quick, slow], in_turn([slow, quick], 10.0))
+        self.assertEqual([quick, slow], admission_order([slow, quick], 10.0))
 
     def test_a_large_one_goes_ahead_of_its_time(self):
         small = Waiting(1, 1, target_at=11.0, ends_at=14.0, size=0.05)
         large = Waiting(2, 1, target_at=11.4, ends_at=14.4, size=0.25)
         later = Waiting(3, 1, target_at=12.5, ends_at=15.5, size=0.25)
-        ordered = in_turn([small, later, large], 10.0)
+        ordered = admission_order([small, later, large], 10.0)
         self.assertEqual([large, small, later], ordered)
 
     def test_who_can_be_in_time_waits_on(self):
         fresh = Waiting(1, 1, target_at=10.9, ends_at=12.0)
-        self.assertFalse(in_vain(fresh, 10.0, 9.0, per_s=2.0))
+        self.assertFalse(is_hopeless(fresh, 10.0, 9.0, per_s=2.0))
 
     def test_one_whose_time_is_over_waits_in_vain(self):
         over = Waiting(1, 1, target_at=9.0, ends_at=9.9)
-        self.assertTrue(in_vain(over, 10.0, 0.0, per_s=50.0))
+        self.assertTrue(is_hopeless(over, 10.0, 0.0, per_s=50.0))
 
     def test_the_rate_of_turns(self):
-        rate = TurnRate()
+        rate = GrantRate()
         self.assertIsNone(rate.per_s(0.0))
         for at in (1.0, 1.2, 1.4, 2.0):
-            rate.went(at)
+            rate.record_grant(at)
         self.assertEqual(2.0, rate.per_s(2.1))
         self.assertEqual(1.5, rate.per_s(3.1))
         self.assertIsNone(rate.per_s(3.3))
--- a/tests/policy/test_turn_queue.py
+++ b/tests/policy/test_admission_queue.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from magnolialug.policy.turnqueue import Queued, TurnQueue
-from magnolialug.policy.turns import Waiting
+from magnolialug.policy.admissionorder import Waiting
+from magnolialug.policy.admissionqueue import AdmissionQueue, Queued
 
 
 def row(name, target_at, ends_at, tokens=12_000, first=True, lists=1):
@@ -14,24 +14,26 @@
 
 def queue_of(*rows, turns=0):
     """Returns a list after some turns at time 9.9."""
-    queue = TurnQueue()
+    queue = AdmissionQueue()
     for number in range(turns):
         queue.put(row(f"gone{number}", 9.0, 20.0))
-        queue.go(9.9, lambda _: True)
+        queue.take_next(9.9, lambda _: True)
     for one in rows:
         queue.put(one)
     return queue
 
 
-class TurnQueueTest(TestCase):
-    """Who goes, who is overtaken, who waits in vain."""
+class AdmissionQueueTest(TestCase):
+    """Who goes, who is overtaken, who waits in hopeless."""
 
     def test_who_waits_in_vain_is_told_so_at_once(self):
         """Two turns a second, and five who will be late."""
         rows = [row(n, 9.0, 11.0 + n / 10) for n in range(5)]
         queue = queue_of(*rows, turns=4)
-        vain = [n for n in range(5) if queue.vain_s(n, 10.0) is not None]
-        self.assertEqual([2, 3, 4], vain)
+        hopeless = [
+            n for n in range(5) if queue.hopeless_after_s(n, 10.0) is not None
+        ]
+        self.assertEqual([2, 3, 4], hopeless)
 
     def test_who_is_on_several_lists_counts_on_each_for_a_part(self):
         """Prompts wait on four lists, and are refused as if on one.
@@ -42,12 +44,14 @@
         """
         rows = [row(n, 9.0, 11.0 + n / 10, lists=4) for n in range(5)]
         queue = queue_of(*rows, turns=4)
-        vain = [n for n in range(5) if queue.vain_s(n, 10.0) is not None]
-        self.assertEqual([], vain)
+        hopeless = [
+            n for n in range(5) if queue.hopeless_after_s(n, 10.0) is not None
+        ]
+        self.assertEqual([], hopeless)
 
     def test_nothing_is_in_vain_before_turns_have_been_seen(self):
         queue = queue_of(row("a", 9.0, 10.1), turns=2)
-        self.assertIsNone(queue.vain_s("a", 10.0))
+        self.assertIsNone(queue.hopeless_after_s("a", 10.0))
 
     def test_small_ones_overtake_only_on_its_other_lists(self):
         """A large prompt waits for four engines, and all of them wait for it.
@@ -63,13 +67,13 @@
         for first, expected in ((True, None), (False, "small")):
             large = row("large", 10.5, 14.0, 60_000, first)
             queue = queue_of(large, row("small", 11.4, 14.0))
-            went = queue.go(10.0, small)
+            went = queue.take_next(10.0, small)
             self.assertEqual(expected, went and went.ticket, first)
 
     def test_one_that_says_again_that_it_waits_keeps_its_place(self):
         queue = queue_of(row("a", 9.0, 14.0), row("b", 9.0, 14.0))
         queue.put(row("a", 9.0, 14.0))
-        self.assertEqual("a", queue.go(10.0, lambda _: True).ticket)
+        self.assertEqual("a", queue.take_next(10.0, lambda _: True).ticket)
         self.assertEqual(["b"], queue.tickets())
 
     def test_one_that_is_not_heard_of_is_dropped(self):
--- a/tests/policy/test_engine_cost.py
+++ b/tests/policy/test_engine_cost.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from magnolialug.ids import EndpointId
-from magnolialug.policy.endpointaccount import EndpointAccount
+from magnolialug.policy.endpointledger import EndpointLedger
 from magnolialug.policy.enginecost import engine_cost_s
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.prompt import Part, Prompt
@@ -19,19 +19,19 @@
 
 
 class Engine:
-    """One engine as its home and one of the other entries know it."""
+    """One engine as its owner and one of the other entries know it."""
 
     def __init__(self):
         self.load = EngineLoad(memory=142_000, slots=128)
-        self.account = EndpointAccount(EndpointId("i"), 142_000, 0)
+        self.ledger = EndpointLedger(EndpointId("i"), 142_000, 0)
 
     def placed(self, prompt):
         """Learns that some entry has sent a prompt."""
-        self.account.placed(Placement(EndpointId("i"), "s", prompt.shared))
+        self.ledger.placed(Placement(EndpointId("i"), "s", prompt.shared))
 
     def cost(self, prompt, fetch_s=0.0):
         """Returns the cost of a prompt, by what the engine holds."""
-        state = self.account.state("me", 0.0, "s", prompt.shared)
+        state = self.ledger.state("me", 0.0, "s", prompt.shared)
         held = sum(part.tokens for part in prompt.shared[: state.found])
         tokens = prompt.tokens_in + prompt.tokens_out
         unread = prompt.tokens_in - held
@@ -72,7 +72,7 @@
         engine.placed(prompt)
         for number in range(20):
             engine.placed(dossier(f"x{number}"))
-        state = engine.account.state("me", 0.0, "s", prompt.shared)
+        state = engine.ledger.state("me", 0.0, "s", prompt.shared)
         self.assertEqual(0, state.found)
 
     def test_reading_again_costs_more_than_the_callers_own_wait(self):
--- a/tests/policy/test_late_headroom.py
+++ b/tests/policy/test_late_headroom.py
@@ -7,18 +7,18 @@
 
 from testtools import TestCase
 
-from magnolialug.policy.endpointaccount import EndpointAccount
+from magnolialug.policy.admissionorder import Waiting
+from magnolialug.policy.admissionqueue import Queued
+from magnolialug.policy.endpointledger import EndpointLedger
 from magnolialug.policy.sharedload import WorkShare
-from magnolialug.policy.turnqueue import Queued
-from magnolialug.policy.turns import Waiting
 
 MEMORY = 100_000
 RATE = 100_000.0
 
 
-def account(held):
-    """Returns an engine's account with some of its memory taken."""
-    made = EndpointAccount("i-1", MEMORY, 0)
+def ledger(held):
+    """Returns an engine's ledger with some of its memory taken."""
+    made = EndpointLedger("i-1", MEMORY, 0)
     share = WorkShare("i-1", (), held, 8, heard_ms=0, oldest_ms=0)
     made.told("front-1", share, 10.0)
     return made
@@ -35,17 +35,17 @@
     """An engine with room for one more prompt."""
 
     def test_a_late_one_does_not_take_the_last_room(self):
-        made = account(held=83_000)
+        made = ledger(held=83_000)
         put(made, "late", target_at=9.0)
-        self.assertIsNone(made.let_go(10.0, RATE))
+        self.assertIsNone(made.grant_next(10.0, RATE))
 
     def test_one_that_can_be_in_time_takes_it(self):
-        made = account(held=83_000)
+        made = ledger(held=83_000)
         put(made, "late", target_at=9.0)
         put(made, "fresh", target_at=10.8)
-        self.assertEqual("fresh", made.let_go(10.0, RATE).ticket)
+        self.assertEqual("fresh", made.grant_next(10.0, RATE).ticket)
 
     def test_a_late_one_goes_where_more_is_free(self):
-        made = account(held=75_000)
+        made = ledger(held=75_000)
         put(made, "late", target_at=9.0)
-        self.assertEqual("late", made.let_go(10.0, RATE).ticket)
+        self.assertEqual("late", made.grant_next(10.0, RATE).ticket)
--- a/tests/policy/test_store_index.py
+++ b/tests/policy/test_store_index.py
@@ -18,7 +18,7 @@
 
 
 class StoreIndexTest(TestCase):
-    """What a store's home says of a part."""
+    """What a store's owner says of a part."""
 
     def test_words(self):
         book = book_of(1000)
@@ -76,7 +76,7 @@
 
 
 class PartPlanTest(TestCase):
-    """What becomes of a part, by the word of its store's home."""
+    """What becomes of a part, by the word of its store's owner."""
 
     def test_plans(self):
         cases = (
--- a/tests/prefixcache/test_owners_of_stores.py
+++ b/tests/prefixcache/test_owners_of_stores.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from magnolialug.homes.messages import Work
+from magnolialug.owners.messages import LoadReport
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.sharedload import WorkShare
 from magnolialug.policy.storeindex import PartStatus
@@ -30,7 +30,7 @@
     ]
 
 
-def homes(cluster):
+def owners(cluster):
     """Returns the gateways that follow the store."""
     return [g for g in cluster.gateways if list(g.prefix_cache.watch.kept())]
 
@@ -79,7 +79,7 @@
             now = cluster.net.seconds()
             kept = [
                 p.index
-                for g in homes(cluster)
+                for g in owners(cluster)
                 for _, p in g.prefix_cache.watch.kept()
             ]
             self.assertEqual(2, len(kept))
@@ -127,7 +127,7 @@
         Symptom: it is read by several engines at once. Sequence: the first
         one goes to an engine far down the prompt's ring, since those before
         are busy; they are idle again, and the next ones ask about the first
-        three only. Cause: who reads a part was known at that engine's home
+        three only. Cause: who reads a part was known at that engine's owner
         alone.
         """
         cluster = GatewayCluster(desks=0, engines=8, vms=VMS[:3])
@@ -153,9 +153,9 @@
         for engine in cluster.engines:
             running = 9 if tokens and engine != free else 0
             share = WorkShare(engine, (tokens,), tokens, running)
-            work = Work("x", next(self.numbers), (share,))
+            work = LoadReport("x", next(self.numbers), (share,))
             for gateway in cluster.gateways:
-                gateway.homes.keeper.work(work)
+                gateway.owners.ledger_service.record(work)
 
     def test_the_homes_die(self):
         """Both entries that follow a store are killed at the same moment.
@@ -165,8 +165,8 @@
         """
         cluster, store = self.started()
         cluster.ask("/draft/x", seconds=2)
-        dead = {g.settings.host for g in homes(cluster)}
-        for gateway in homes(cluster):
+        dead = {g.settings.host for g in owners(cluster)}
+        for gateway in owners(cluster):
             gateway._entries._task.cancel()
             gateway.prefix_cache.stop()
         cluster.net.loses_datagram = lambda sender, receiver: (
@@ -189,17 +189,17 @@
         cluster.pass_time(2.5)
         kept = [
             p.index.parts
-            for g in homes(cluster)
+            for g in owners(cluster)
             for _, p in g.prefix_cache.watch.kept()
         ]
         self.assertEqual([{}, {}], kept)
 
 
 class _Book:
-    """Has one home for all stores."""
+    """Has one owner for all stores."""
 
-    def home(self, store):
-        """Returns the home."""
+    def owner(self, store):
+        """Returns the owner."""
         return ("10.0.0.9", 7000)
 
 
@@ -210,9 +210,9 @@
         self.words = words
         self.asked = []
 
-    async def ask(self, homes):
-        """Returns the answer of the only home."""
-        (message,) = [make(1) for make in homes.values()]
+    async def ask(self, owners):
+        """Returns the answer of the only owner."""
+        (message,) = [make(1) for make in owners.values()]
         assert isinstance(message, PartQuery)
         self.asked.append([row.store for row in message.parts])
         states = tuple(
@@ -240,7 +240,7 @@
         questions = _Questions(by_name)
         told = []
         asker = PartQueryClient(
-            _Book(), stores, questions, lambda save, home: told.append(save)
+            _Book(), stores, questions, lambda save, owner: told.append(save)
         )
         return asker, order, questions, told
 
--- a/tests/promises/test_answers.py
+++ b/tests/promises/test_answers.py
@@ -98,9 +98,9 @@
             cluster = Cluster(bookings=0)
             outcome = self.ask(cluster)
             cluster.run(steps * 0.01)
-            home = outcome.sink.request_id.partition(".")[0]
-            cluster.net.unreachable.add(home)
-            cluster.start_sidecar(home)
+            owner = outcome.sink.request_id.partition(".")[0]
+            cluster.net.unreachable.add(owner)
+            cluster.start_sidecar(owner)
             self.check(cluster, outcome)
 
     def test_lost_attempt_then_no_endpoint(self):
@@ -200,9 +200,9 @@
         outcome = cluster.call(0, call)
         outcome.sink.gate = gate = Deferred()
         cluster.run(20)
-        home = outcome.sink.request_id.partition(".")[0]
+        owner = outcome.sink.request_id.partition(".")[0]
         produced = len(
-            next(iter(cluster.sidecars[home].answers._answers.values())).pieces
+            next(iter(cluster.sidecars[owner].answers._answers.values())).pieces
         )
         self.assertLessEqual(produced, 2 * WINDOW + 1)
         self.assertEqual(1, len(outcome.sink.pieces))
