Config: the region's default is home again

Cause: the rename of homes of endpoints had changed the word in the schema too; seen in docs/CONFIG.md, which is made from it. Change: the default as it was. Before/after: docs/CONFIG.md is as before the rename.

--- a/magnolialug/config/schema.py
+++ b/magnolialug/config/schema.py
@@ -57,7 +57,7 @@
         ),
     ),
     "zones": Section(
-        True, (Option("region", "str", "owner"), Option("hop_ms", "float", 0.5))
+        True, (Option("region", "str", "home"), Option("hop_ms", "float", 0.5))
     ),
     "models": Section(
         True,
