Soak: what reached an endpoint before it turned cold does not count

By the gateways' lines i-desk7 was sent 56 requests in the second before it turned cold (1796285524.98, the end of an evacuation of a second) and 8 to 14 in each second after: the check counted the second before too. The gateways kept to their shares. Change: arrivals count from the moment on at which the endpoint is cold.

--- a/magnolialug/soak/zones.py
+++ b/magnolialug/soak/zones.py
@@ -38,7 +38,7 @@
         self._touched = touched
         self._broken = broken
         self._evacuated: dict[str, float] = {}
-        self._cold_until: dict[str, float] = {}
+        self._cold_since: dict[str, float] = {}
         self._arrivals: dict[str, deque] = defaultdict(deque)
         self.has_begun = False
 
@@ -56,7 +56,7 @@
 
     def starts(self, instance: str) -> None:
         """Notes that an endpoint is cold from now on."""
-        self._cold_until[instance] = self._clock() + COLD_S
+        self._cold_since[instance] = self._clock()
 
     def arrived(
         self, instance: str, zone: str, request: str, machine: str, at: float
@@ -81,14 +81,16 @@
             self._broken("EVAC", detail, request)
 
     def _check_rate(self, instance: str, request: str, at: float) -> None:
-        """Counts what was sent and arrived within one second."""
+        """Counts what was sent and arrived in one second, while it was cold."""
         now = self._clock()
+        since = self._cold_since.get(instance)
+        if since is None or now >= since + COLD_S:
+            return
+        from_ = max(since, now - 1.0)
         recent = self._arrivals[instance]
         recent.append((now, at))
-        while recent[0][0] <= now - 1.0:
+        while recent[0][0] < from_:
             recent.popleft()
-        if now >= self._cold_until.get(instance, 0.0):
-            return
         count = sum(sent > now - 1.0 for _, sent in recent)
         if count > _MOST_PER_S:
             detail = f"{instance} got {count} requests in a second"
