Placement: what admits a prompt is named so

Cause: 'turn' and 'promised' had stayed where the admission queue is used. Change: _admit, admitted_by and _reserved; one docstring. No behaviour changes. Before/after: tests of admission, evacuation, quarantine and attempts pass.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -75,7 +75,7 @@
             peer.load = peer.load or self._load(peer.listed)
 
     def evacuate(self, zones: frozenset[ZoneId]) -> None:
-        """Gives no new work to the endpoints of some zones, only.
+        """Keeps new work from the endpoints of some zones, and of no others.
 
         What runs there goes on.
         """
--- a/magnolialug/entry/httpcarrier.py
+++ b/magnolialug/entry/httpcarrier.py
@@ -105,15 +105,18 @@
         if refusal:
             return refusal
         known = await self._prober.probe(self._call, self._avoid)
-        turn = await self._turn(known)
-        if isinstance(turn, Failure):
-            return turn
+        admitted_by = await self._admit(known)
+        if isinstance(admitted_by, Failure):
+            return admitted_by
         # The request may have been quarantined while it waited.
-        return self._quarantine.refusal(
-            self._call.digest
-        ) or self._placer.place(self._call, progress, self._avoid, known, turn)
+        refusal = self._quarantine.refusal(self._call.digest)
+        if refusal:
+            return refusal
+        return self._placer.place(
+            self._call, progress, self._avoid, known, admitted_by
+        )
 
-    async def _turn(self, known: ProbeResults) -> EndpointId | Failure | None:
+    async def _admit(self, known: ProbeResults) -> EndpointId | Failure | None:
         """Waits until an engine has room for a first attempt.
 
         Returns:
@@ -122,13 +125,13 @@
         if self._number or not must_wait(known.candidates):
             return None
         begun = self._clock()
-        turn = await self._admission.enqueue(
+        admitted_by = await self._admission.enqueue(
             waiting_of(self._call),
             self._admission_requests(known),
             ahead_limit_s(self._call),
         )
         self._waited_s = self._clock() - begun
-        return turn
+        return admitted_by
 
     def _admission_requests(
         self, known: ProbeResults
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -98,7 +98,7 @@
         progress: Progress,
         avoid: set[EndpointId],
         known: ProbeResults,
-        turn: EndpointId | None = None,
+        admitted_by: EndpointId | None = None,
     ) -> Placed | Failure:
         """Returns an endpoint and what to tell it.
 
@@ -106,10 +106,10 @@
 
         Args:
           known: what was found out for this choice.
-          turn: the engine that has promised its memory, None for none.
+          admitted_by: the engine that has reserved its memory, None for none.
         """
         candidates = [row for row in known.candidates if self._is_open(row)]
-        best = self._promised(candidates, turn) or choose(candidates)
+        best = self._reserved(candidates, admitted_by) or choose(candidates)
         if best is None and avoid and call.kind.idempotent:
             candidates = self._any(call, known.count)
             best = choose(candidates)
@@ -242,12 +242,14 @@
             )
         ]
 
-    def _promised(
-        self, candidates: list[Candidate], turn: EndpointId | None
+    def _reserved(
+        self, candidates: list[Candidate], admitted_by: EndpointId | None
     ) -> Candidate | None:
-        """Returns the candidate that has promised its memory, if it may."""
-        peer = self._directory.peers.get(turn) if turn else None
+        """Returns the candidate that has reserved memory, if it is usable."""
+        peer = self._directory.peers.get(admitted_by) if admitted_by else None
         now = self._clock()
         if not peer or not peer.may_send(now) or not peer.sound(now):
             return None
-        return next((row for row in candidates if row.endpoint == turn), None)
+        return next(
+            (row for row in candidates if row.endpoint == admitted_by), None
+        )
