Prefix cache: one function sends both notices of a save

Cause: save and cancel_save stood twice, but for the message. Change: _notify. No behaviour changes. Before/after: tests of prefixcache pass.

--- a/magnolialug/prefixcache/queryclient.py
+++ b/magnolialug/prefixcache/queryclient.py
@@ -79,9 +79,7 @@
         parts: Iterable[tuple[Part, ServiceName]],
     ) -> None:
         """Tells the owners that an engine was asked to save parts."""
-        asked = [QueriedPart(store, salt, part) for part, store in parts]
-        for owner, rows in self._by_owner(asked).items():
-            self._send(SaveNotice(reader, tuple(rows)), owner)
+        self._notify(SaveNotice, reader, salt, parts)
 
     def cancel_save(
         self,
@@ -90,9 +88,19 @@
         parts: Iterable[tuple[Part, ServiceName]],
     ) -> None:
         """Tells the owners that an engine will not save parts after all."""
-        asked = [QueriedPart(store, salt, part) for part, store in parts]
-        for owner, rows in self._by_owner(asked).items():
-            self._send(SaveCancelled(reader, tuple(rows)), owner)
+        self._notify(SaveCancelled, reader, salt, parts)
+
+    def _notify(
+        self,
+        form: type[SaveNotice | SaveCancelled],
+        reader: EndpointId,
+        salt: str,
+        parts: Iterable[tuple[Part, ServiceName]],
+    ) -> None:
+        """Sends one message to each owner of the stores of some parts."""
+        queried = [QueriedPart(store, salt, part) for part, store in parts]
+        for owner, rows in self._by_owner(queried).items():
+            self._send(form(reader, tuple(rows)), owner)
 
     async def _ask(self, asked: list[QueriedPart]) -> list[PartReply]:
         return await self._questions.ask(
