Owners: the last words of the old dialect in queries

Cause: an argument's docstring named a book that is a ring; askers and what is told. Change: ring, client, replies. No behaviour changes. Before/after: tests of owners, prefixcache, policy and members pass.

--- a/magnolialug/entry/candidateprober.py
+++ b/magnolialug/entry/candidateprober.py
@@ -31,8 +31,8 @@
     Args:
       shortlist: draws the endpoints.
       costs: judges what is found.
-      asker: asks the owners of endpoints.
-      parts: asks the owners of stores.
+      load: queries the owners of endpoints.
+      parts: queries the owners of stores.
       clock: returns the time in seconds.
     """
 
@@ -40,13 +40,13 @@
         self,
         shortlist: CandidateList,
         costs: Costs,
-        asker: LoadQueryClient,
+        load: LoadQueryClient,
         parts: PartQueryClient,
         clock: Callable[[], float],
     ):
         self._shortlist = shortlist
         self._costs = costs
-        self._asker = asker
+        self._load = load
         self._parts = parts
         self._clock = clock
 
@@ -119,7 +119,7 @@
         # Both questions are on their way before either answer is waited for.
         sought = ensureDeferred(self._parts.ask(salts, shared))
         try:
-            states = await self._asker.ask(rows, shared)
+            states = await self._load.ask(rows, shared)
             stored = await sought
         except CancelledError:
             sought.addErrback(lambda reason: reason.trap(CancelledError))
--- a/magnolialug/owners/loadqueryclient.py
+++ b/magnolialug/owners/loadqueryclient.py
@@ -1,4 +1,4 @@
-"""Asks the owners of endpoints what those have to do."""
+"""Queries the owners of endpoints for their load."""
 
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -16,11 +16,12 @@
 
 
 class LoadQueryClient:
-    """Asks about a few endpoints at the moment of a choice.
+    """Queries a few endpoints at the moment of a choice.
 
     Args:
       entry: names this start of this process.
-      book: tells who keeps the ledger of an endpoint.
+      ring: assigns an owner to each endpoint.
+      pending: sends queries and gathers the replies.
       rollout: returns the newest rollout that this entry knows.
       on_rollout: is told of newer ones.
     """
@@ -49,7 +50,7 @@
         for asked in endpoints:
             owner = self._ring.owner(asked.endpoint)
             by_owner.setdefault(owner, []).append(asked)
-        answers: list[LoadReply] = await self._pending.ask(
+        replies: list[LoadReply] = await self._pending.ask(
             {
                 owner: partial(
                     LoadQuery,
@@ -61,9 +62,9 @@
                 for owner, rows in by_owner.items()
             }
         )
-        for told in answers:
-            if told.rollout is not None:
-                self._on_rollout(told.rollout)
+        for reply in replies:
+            if reply.rollout is not None:
+                self._on_rollout(reply.rollout)
         return {
-            state.endpoint: state for told in answers for state in told.states
+            state.endpoint: state for reply in replies for state in reply.states
         }
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -129,7 +129,7 @@
 
     def state(
         self,
-        asker: str,
+        client: str,
         now: float,
         salt: str = "",
         parts: Sequence[Part] = (),
@@ -137,11 +137,11 @@
         """Returns what the endpoint has to do for all but one entry.
 
         Args:
-          asker: knows its own share better than is known here.
+          client: knows its own share better than is known here.
           parts: of the prompt that is to be placed.
         """
         others = [
-            row.share for entry, row in self._told.items() if entry != asker
+            row.share for entry, row in self._told.items() if entry != client
         ]
         promised = [promise.row for promise in self._promises.values()]
         reading = [share.reading for share in others]
--- a/magnolialug/prefixcache/storepoller.py
+++ b/magnolialug/prefixcache/storepoller.py
@@ -88,7 +88,7 @@
             await sleep(self._clock, _PACE_S)
 
     def _forget(self) -> None:
-        """Begins anew, also when the book was kept here before.
+        """Begins anew, also when the store was indexed here before.
 
         What has changed meanwhile may be more than the store remembers.
         """
