--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -14,9 +14,6 @@
 # The rules hold for a machine this long after its last trouble.
 _CONTACT_S = 3.0
 _RESTART_S = 0.3
-# No program can take over a signal before its interpreter runs. What ends a
-# process within a second of a start is excused; this is a tenth of it.
-_BOOT_S = 0.1
 
 _SETTINGS = """\
 nodeName = "vm-{number}"
@@ -94,8 +91,6 @@
         self._log = folder / f"{self.name}.log"
         self._process: subprocess.Popen | None = None
         self._killed = False
-        self._started_at = 0.0
-        self._hung_up_at: float | None = None
         self._closing = False
         self._kill_timer = None
 
@@ -106,8 +101,6 @@
         self.write_settings()
         self.lifetime += 1
         self.paused = self.stopping = self._killed = False
-        self._started_at = self._reactor.seconds()
-        self._hung_up_at = None
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [*self._program, "--log_format=json"],
@@ -185,7 +178,6 @@
     def hang_up(self) -> None:
         """Tells the process that its settings have changed."""
         if self.running:
-            self._hung_up_at = self._hung_up_at or self._reactor.seconds()
             self._process.send_signal(signal.SIGHUP)
 
     def look(self) -> None:
@@ -196,18 +188,12 @@
         self._process = None
         if self._kill_timer is not None and self._kill_timer.active():
             self._kill_timer.cancel()
-        if not (self._killed or self.stopping or self._ended_in_boot(code)):
+        if not self._killed and not self.stopping:
             self._failed("ENDED", f"{self.name} ended by itself, code {code}")
         if not self._killed:
             self.trouble(_RESTART_S)
         self._reactor.callLater(_RESTART_S, self.start)
 
-    def _ended_in_boot(self, code: int) -> bool:
-        """Whether a hang-up ended it before its program could run."""
-        if code != -signal.SIGHUP or self._hung_up_at is None:
-            return False
-        return self._hung_up_at - self._started_at < _BOOT_S
-
     def close(self) -> None:
         """Ends the process for good."""
         self._closing = True
