--- a/magnolialug/entry/admissionrules.py
+++ b/magnolialug/entry/admissionrules.py
@@ -7,15 +7,13 @@
 
 # Prompts that take less of an engine's memory never wait for it.
 _LARGE_SHARE = 0.04
-# Nor does a large prompt go where reading what is ahead takes more than this
-# share of its target. It can still go elsewhere while it waits here: an engine
-# that had just come back got 28 prompts at once, and read for 3 s.
+# Nor is a large prompt sent where reading what is ahead takes more than this
+# share of its target. While it waits it can still go elsewhere; otherwise an
+# engine that has just come back would get all that wait.
 _AHEAD_SHARE = 0.25
-# A prompt that has not had its turn this long before its caller leaves is
-# refused, so that the caller can come back: on a busy engine its first event
-# takes that long. Half of it lost 30 callers on a day of overload after their
-# prompts had been read.
-_MARGIN_S = 1.0
+# Leaves time to read the prompt on a busy engine after admission. A prompt that
+# is not admitted by then is refused, so that its caller can come back.
+_ADMISSION_MARGIN_S = 1.0
 
 
 def is_large(call: ForwardCall, memory: int) -> bool:
@@ -39,5 +37,5 @@
         number=0,
         priority=call.priority,
         target_at=call.arrived + route.target_s,
-        ends_at=ends_at - _MARGIN_S,
+        ends_at=ends_at - _ADMISSION_MARGIN_S,
     )
--- a/magnolialug/entry/costs.py
+++ b/magnolialug/entry/costs.py
@@ -15,10 +15,8 @@
 
 __all__ = ["Costs"]
 
-# What a hop to another zone costs, in seconds of waiting. Bytes between zones
-# are paid for: 16 KB of a long prompt cost up to 4% of what its answer is
-# worth there. Tried: 4, 15, 30 and 60 ms; 30 ms and more gain 0.4% where they
-# are dear and lose nothing where they are cheap.
+# What a hop to another zone costs, in seconds of waiting. It is above the time
+# of the hop itself, because bytes between zones are paid for.
 _OTHER_ZONE_S = 0.03
 # Work at a plain service that is expected of each request before its answers
 # have told; only the comparison between endpoints matters.
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/orders.py
@@ -19,8 +19,7 @@
 # Between calls to an engine that is about to take weights or takes them. Its
 # registry entry would tell a heartbeat, 1.2 s, later that it is done.
 _ASK_S = 0.1
-# Engines here take 0.76 and 1.3 s to load; who has accepted an order is not
-# asked before this, since each call costs.
+# Engines take longer than this to load, and each call costs.
 _LOADING_S = 0.5
 # An accepted order shows in the engine's reports this much later at most;
 # they are some hundred milliseconds old. A count of orders that is lower
@@ -35,8 +34,8 @@
 # An engine that does not answer so often makes room for the next one.
 _FAILURES = 2
 # Runs go on while the engine loads, and most of them end before it is done.
-# Waiting for them first took 3.5 s an engine in place of 1.4 s, and resetting
-# them lost more answers than it saved time.
+# Waiting for them first would take several times as long, and resetting them
+# would lose their answers.
 _MODE = "retain"
 
 
--- a/magnolialug/entry/silencewatch.py
+++ b/magnolialug/entry/silencewatch.py
@@ -25,9 +25,7 @@
     """Keeps new work from endpoints that have gone silent.
 
     An engine that loses power answers nothing and closes nothing. Requests
-    wait for it until their deadlines, 3 and 15 s here, and without this more
-    of them are sent there all the while: measured on one recorded day, 249
-    long prompts.
+    would wait there until their deadlines, and more would be sent meanwhile.
     """
 
     def __init__(
--- a/magnolialug/policy/enginecost.py
+++ b/magnolialug/policy/enginecost.py
@@ -4,16 +4,14 @@
 
 __all__ = ["engine_cost_s"]
 
-# Transfers queue on the links of engines and stores. Each fetched part took
-# 35 to 112 ms to the first event where the links' rates alone say 15 to 45.
+# Transfers queue on the links of engines and stores, so they take longer than
+# the links' rates say.
 _FETCH_QUEUE = 2.0
 # A prompt's first engine on the ring wins a tie, so that entries which know
 # nothing of each other still send returning prompts to the same engine.
 _RANK_S = 0.004
 # Tokens that one prompt has read keep the engine from all that come after it,
-# so they cost more than their own caller's wait. Mean worth of 12 days a site
-# at 0 and 1: 0.731 and 0.737 (kiliprop), 0.679 and 0.680 (tiszavirag), and 0.4%
-# and 1% more answers in time.
+# so they cost more than their own caller's wait.
 _READ_AGAIN = 1.0
 # Below this free share of memory running prompts are preempted and read again;
 # a prompt that would leave none costs as much as a queue of 0.6 s.
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -10,9 +10,8 @@
 
 __all__ = ["EngineLoad", "Placed"]
 
-# Prompt tokens an engine reads in a second before any answer has told: the
-# engines here read 112 in a millisecond, a third less between the steps of
-# running requests.
+# Prompt tokens an engine is taken to read in a second before any answer tells,
+# between the steps of running requests.
 _FIRST_RATE = 75_000.0
 _SLOWEST_RATE = 5_000.0
 _FASTEST_RATE = 120_000.0
--- a/magnolialug/policy/health.py
+++ b/magnolialug/policy/health.py
@@ -5,15 +5,15 @@
 __all__ = ["Health"]
 
 # First pause after a failed connection or a lost answer, doubled with each
-# further one. A heartbeat takes 1.2 s, so a dead endpoint is tried two or
-# three times before the registry drops it.
+# further one. A heartbeat takes 1.2 s, so a dead endpoint gets two or
+# three requests before the registry drops it.
 _FIRST_PAUSE_S = 0.4
 _LONGEST_PAUSE_S = 4.0
 # Weight of the newest answer in the share of failed ones: about the last
 # ten answers count.
 _NEWEST = 0.1
-# An endpoint that fails more than this share is tried as seldom as one that
-# does not answer. Healthy services here fail up to 14% of some requests.
+# An endpoint that fails more than this share is used as seldom as one that does
+# not answer. Some requests fail at healthy endpoints too.
 _BAD_SHARE = 0.35
 
 
--- a/magnolialug/policy/readingtime.py
+++ b/magnolialug/policy/readingtime.py
@@ -6,8 +6,7 @@
 
 PRIORITIES = 10
 # What is ranked behind a prompt is still read a little, between its chunks,
-# and each running request makes every step longer. Fitted to the first events
-# of 2,500 prompts of two days: 3 us a token against 12, 5 ms a request.
+# and each running request makes every step longer.
 _BEHIND_SHARE = 0.25
 _RUNNING_S = 0.005
 
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -8,8 +8,8 @@
 
 __all__ = ["Engine", "Rollout", "after", "at_once", "plan"]
 
-# Loading slows down when more than about three eighths of a service's
-# engines load at the same time: over 2 of 6, 7 of 20, 9 of 24.
+# Loading slows down when more than about three eighths of a service's engines
+# load at the same time.
 _AT_ONCE_SHARE = 0.375
 _AT_ONCE_LEAST = 2
 
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,92 @@
+"""The code keeps to the field's terms, and its comments to reasons."""
+
+import io
+import pathlib
+import re
+import tokenize
+
+from testtools import TestCase
+
+ROOT = pathlib.Path(__file__).parents[1]
+# Names of an earlier dialect; docs/GLOSSARY.md has the terms in their place.
+RETIRED = frozenset(
+    (
+        "barbook",
+        "bars",
+        "blame",
+        "blamebook",
+        "desk",
+        "endwatch",
+        "follower",
+        "homebook",
+        "homes",
+        "in_vain",
+        "storebook",
+        "teller",
+        "turnqueue",
+        "turnword",
+        "unwait",
+        "vain",
+    )
+)
+# What tells of a run: its figures belong in docs/design.
+STORIES = re.compile(
+    r"\b([Tt]ried:|worth|score[ds]?|kiliprop|tiszavirag|recreo|fleetbench)\b"
+)
+
+
+def tokens(path):
+    """Yields the tokens of a source file."""
+    return tokenize.generate_tokens(io.StringIO(path.read_text()).readline)
+
+
+def names_in(path):
+    """Returns the identifiers of a file, in lower case."""
+    return {
+        token.string.lower()
+        for token in tokens(path)
+        if token.type == tokenize.NAME
+    }
+
+
+def comments_in(path):
+    """Returns the comments of a file, with their lines."""
+    return [
+        (token.start[0], token.string)
+        for token in tokens(path)
+        if token.type == tokenize.COMMENT
+    ]
+
+
+class TermsTest(TestCase):
+    """Every module of the package."""
+
+    def setUp(self):
+        super().setUp()
+        self.paths = sorted((ROOT / "magnolialug").rglob("*.py"))
+        self.assertGreater(len(self.paths), 200)
+
+    def test_no_identifier_is_of_the_retired_dialect(self):
+        found = [
+            (str(path.relative_to(ROOT)), name)
+            for path in self.paths
+            for name in names_in(path) & RETIRED
+        ]
+        self.assertEqual([], found)
+
+    def test_no_file_is_named_by_a_retired_word(self):
+        found = [
+            str(path.relative_to(ROOT))
+            for path in self.paths
+            if RETIRED & {path.stem, path.parent.name}
+        ]
+        self.assertEqual([], found)
+
+    def test_no_comment_tells_of_a_run(self):
+        found = [
+            (str(path.relative_to(ROOT)), line, text)
+            for path in self.paths
+            for line, text in comments_in(path)
+            if STORIES.search(text)
+        ]
+        self.assertEqual([], found)
