Registry: a removal that is not believed yet leaves a log line

Cause: a gateway that comes back to the key-value service keeps endpoints whose entries are gone, and no line says so; whether it has not heard of a removal or does not believe it cannot be told from its log. Change: 4114 ENTRY_MISSING when an entry is found missing and its endpoint is kept, with the time. No change of what is decided.

--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -70,7 +70,9 @@
         listed = [found for e in by_change if (found := self._read(e))]
         if self._doubtful():
             named = {entry.endpoint for entry in listed}
-            self._missing = set(self._directory.peers) - named
+            self._missing -= named
+            for endpoint in set(self._directory.peers) - named:
+                self._miss(endpoint)
             for entry in listed:
                 self._directory.listed(entry)
         else:
@@ -89,7 +91,7 @@
             self._strangers.pop(endpoint, None)
             self._refused.pop(entry.key, None)
         if self._doubtful():
-            self._missing.add(endpoint)
+            self._miss(endpoint)
         else:
             self._directory.unlisted(endpoint)
 
@@ -111,6 +113,14 @@
         for endpoint in missing:
             self._directory.unlisted(endpoint)
 
+    def _miss(self, endpoint: EndpointId) -> None:
+        """Keeps an endpoint whose entry may have lapsed in an outage."""
+        if endpoint in self._missing or endpoint not in self._directory.peers:
+            return
+        self._missing.add(endpoint)
+        kept_s = max(0.0, self._trusted_from - self._clock.seconds())
+        emit(Event.ENTRY_MISSING, endpoint=endpoint, kept_s=round(kept_s, 3))
+
     def _doubtful(self) -> bool:
         return self._away or self._clock.seconds() < self._trusted_from
 
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -81,6 +81,7 @@
     ZONE_RETURNED = 4111
     EVACUATION_REFUSED = 4112
     ENDPOINT_COLD = 4113
+    ENTRY_MISSING = 4114
     KV_LOST = 4200
     KV_BACK = 4201
     WATCH_STALE = 4202
@@ -152,6 +153,7 @@
     Event.ZONE_RETURNED: "A zone's endpoints take new work again.",
     Event.EVACUATION_REFUSED: "An evacuation order was not obeyed.",
     Event.ENDPOINT_COLD: "An endpoint is cold; it gets little new work.",
+    Event.ENTRY_MISSING: "An entry is removed; its endpoint is kept for now.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
