Test: a removed endpoint gets requests after a cut of the key-value service

A gateway is cut off for 12 s while an endpoint that never says that it drains leaves; its path comes back. Up to 4 s after that it still sends to the endpoint: an attempt that hangs for 0.9 s, a pause of up to 1 s, then 2 s for which it takes the removal for an entry that lapsed in an outage. The same after connections that fall silent: a check that hangs for 1 s, the change read on another silent connection, 2 s.

--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -122,13 +122,13 @@
         self.gateway = self.gateways[0]
         self.pass_time(0.3)
 
-    def start(self, vm, number):
+    def start(self, vm, number, kv=None):
         """Starts a gateway."""
         host = f"10.0.0.{number}"
         gateway = Gateway(
             settings(vm, host),
             self.net,
-            self.kv,
+            kv or self.kv,
             Random(number),
             GatewayMetrics(),
             EngineCalls(Client(self.net)),
--- a/tests/network.py
+++ b/tests/network.py
@@ -35,6 +35,7 @@
         self.net = net
         self.protocol = protocol
         self.peer = None
+        self.address = None
         self.closed = False
         self.silent = False
         self.paused = False
@@ -179,6 +180,17 @@
         """Joins a client's protocol to a server at once."""
         return self._pair(protocol, self.servers[address])
 
+    def cut(self, address):
+        """Cuts the paths to a server; nobody sees a connection end."""
+        self.dark.add(address)
+        for pipe in self.pipes:
+            if pipe.address == address:
+                pipe.silent = pipe.peer.silent = True
+
+    def heal(self, address):
+        """Lets new connections to a server through again."""
+        self.dark.discard(address)
+
     def listenUDP(self, port, protocol, interface=""):
         """Begins to take datagrams."""
         self.listeners[(interface, port)] = protocol
@@ -196,7 +208,8 @@
         if address not in self.servers:
             self._fail(factory, ConnectionRefusedError())
             return
-        self._pair(factory.buildProtocol(None), self.servers[address])
+        near = self._pair(factory.buildProtocol(None), self.servers[address])
+        near.address = address
 
     def _pair(self, protocol, server):
         other = server.buildProtocol(None)
