Registry: removals around a cut are known before the process is held to them

Cause: callers' requests reached an endpoint up to 4 s after the path of a gateway to the key-value service was back, though its entry had been removed seconds before; a process is held to what it can know 3 s after. Two delays add up. The watch client tried again after an attempt that hung for 0.9 s and a pause of up to 1 s; after connections fell silent, a check and the next call each waited for 1 s on one of them. Then any removal was taken for an entry that lapsed in an outage, and the endpoint was kept for 2 s. The class: a grace period that begins when a process hears of something, where its bound counts from when it could have heard. Change: a connection to the service that is not made within 0.3 s is given up and tried again within 0.25 s (706 KV_UNREACHABLE; such attempts cost the service nothing), so contact is back within 0.6 s; a check waits 0.5 s, and a call without answer drops all idle connections, which have fallen silent with it. Removals are doubted only if the service was not seen for two heartbeat intervals: before that no entry can have run out. The end of a stale watch no longer counts as an answer. A registry that is read again without a doubt ends earlier doubts.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTCP
 
-from magnolialug.carrier.pool import Address, Flight, Pool
+from magnolialug.carrier.pool import CONNECT_S, Address, Flight, Pool
 from magnolialug.carrier.reader import Head
 from magnolialug.carrier.taker import End, Taker
 
@@ -106,10 +106,16 @@
         self._pools: dict[Address, Pool] = {}
 
     def ask(
-        self, address: Address, request: bytes, timeout_s: float
+        self,
+        address: Address,
+        request: bytes,
+        timeout_s: float,
+        connect_s: float = CONNECT_S,
     ) -> Deferred[Reply | NoReply]:
         """Returns the response, or how it failed to come in time.
 
+        A connection that opens later than `connect_s` serves a later request.
+
         Cancelled, it fails with CancelledError. A task that is cancelled
         while it asks would otherwise take the end of its call for an answer
         and go on: a process that stops would take a lease once more, and
@@ -124,11 +130,15 @@
         gather = _Gather(done)
         flight = self.send(address, request, gather)
         gather.flight = flight
-        timer = self._reactor.callLater(timeout_s, flight.silent)
+        timers = [
+            self._reactor.callLater(timeout_s, flight.silent),
+            self._reactor.callLater(connect_s, flight.unopened),
+        ]
 
         def over(result):
-            if timer.active():
-                timer.cancel()
+            for timer in timers:
+                if timer.active():
+                    timer.cancel()
             flight.drop()
             return result
 
@@ -143,6 +153,12 @@
             self._pools[address] = pool
         return pool.send(request, taker, lambda head: True)
 
+    def drop_idle(self, address: Address) -> None:
+        """Closes the idle connections to a peer."""
+        pool = self._pools.get(address)
+        if pool is not None:
+            pool.drop_idle()
+
     def close(self) -> None:
         """Closes idle connections."""
         for pool in self._pools.values():
--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -71,6 +71,11 @@
         if conn is not None:
             conn.drop()
 
+    def unopened(self) -> None:
+        """Ends the exchange if it still has no connection."""
+        if self._conn is None:
+            self.on_end(End.UNSENT)
+
     def pause(self) -> None:
         """Holds the endpoint back."""
         if self._conn is not None:
@@ -164,6 +169,10 @@
     def close(self) -> None:
         """Closes idle connections; those in use close when they are done."""
         self._closed = True
+        self.drop_idle()
+
+    def drop_idle(self) -> None:
+        """Closes idle connections; new ones may be made."""
         for conn in self._idle:
             conn.close()
         self._idle.clear()
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -109,7 +109,7 @@
             reactor, lambda: metrics.connections_made.add(1), random
         )
         self.routes = RouteBook(self._routed)
-        self.registry = Registry(self.directory, reactor)
+        self.registry = Registry(self.directory, reactor, settings.heartbeat_s)
         self.factory = GatewayFactory(
             self.handle, self._limits, reactor.seconds, reactor.callLater
         )
--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -10,6 +10,7 @@
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.platform.kv import KvEntry
 from magnolialug.platform.registry import endpoint_id_of, read_listed
+from magnolialug.policy.lapse import may_have_lapsed
 from magnolialug.policy.listed import Listed
 from magnolialug.result import Code, Failure, failed
 from magnolialug.watchsubscriber import WatchSubscriber
@@ -28,13 +29,21 @@
     cannot, and the entries of endpoints that are well run out. One would
     notice every request refused for want of an endpoint as soon as the
     service returns. So an entry that goes missing around an outage is held
-    until the endpoint has had time to write it again.
+    until the endpoint has had time to write it again. It is not if the service
+    was out of sight too briefly for entries to run out: an endpoint that has
+    left would get work for longer than it serves.
+
+    Args:
+      heartbeat_s: how often an endpoint renews its entry.
     """
 
-    def __init__(self, directory: Directory, clock: IReactorTime):
+    def __init__(
+        self, directory: Directory, clock: IReactorTime, heartbeat_s: float
+    ):
         self.known = False
         self._directory = directory
         self._clock = clock
+        self._heartbeat_s = heartbeat_s
         self._trusted_from = 0.0
         self._away = False
         self._missing: set[EndpointId] = set()
@@ -76,6 +85,7 @@
             for entry in listed:
                 self._directory.listed(entry)
         else:
+            self._missing.clear()
             self._directory.replace(listed)
         self.known = True
 
@@ -99,9 +109,9 @@
         """Learns that the service does not answer."""
         self._away = True
 
-    def back(self) -> None:
+    def back(self, away_s: float) -> None:
         """Learns that the service answers again."""
-        if self._away:
+        if self._away and may_have_lapsed(away_s, self._heartbeat_s):
             self._trusted_from = self._clock.seconds() + _RETURN_S
         self._away = False
 
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -27,6 +27,13 @@
 _CHECK_INTERVAL_S = 0.8
 # A change that is on its way to the watch when the service answers the check.
 _CHECK_SLACK_S = 0.2
+# First pause after a failed call.
+_RETRY_S = 0.1
+# Longest pause while the service answers calls, but not as it should.
+_RETRY_LIMIT_S = 1.0
+# Longest pause while no connection can be made. Such attempts cost the service
+# nothing, and a process whose path is back must soon know what it has missed.
+_RECONNECT_LIMIT_S = 0.25
 
 
 class WatchClient:
@@ -61,8 +68,8 @@
         self._wait_s = wait_s
         self._pace_s = pace_s
         self._in_a_row = 0
-        self._is_confirmed = True
         self._asked_at = float("-inf")
+        self._answered_at = clock.seconds()
         self._task: Deferred | None = None
 
     def start(self) -> None:
@@ -77,21 +84,27 @@
             task.cancel()
 
     async def _run(self) -> None:
-        backoff = Backoff(base_s=0.1, limit_s=1.0)
+        backoff = Backoff(base_s=_RETRY_S)
         known = False
         while True:
             found = await (self._changes() if known else self._snapshot())
             if isinstance(found, Failure):
                 known = known and found.code is not Code.KV_HISTORY_GONE
                 self._lost(found)
-                await sleep(self._clock, backoff.next(self._random))
+                await sleep(self._clock, self._pause_s(found, backoff))
                 continue
-            backoff = Backoff(base_s=0.1, limit_s=1.0)
+            backoff = Backoff(base_s=_RETRY_S)
             self._heard(found)
             if known:
                 await self._pace()
             known = True
 
+    def _pause_s(self, failure: Failure, backoff: Backoff) -> float:
+        unreachable = failure.code is Code.KV_UNREACHABLE
+        limit_s = _RECONNECT_LIMIT_S if unreachable else _RETRY_LIMIT_S
+        backoff.limit_s = limit_s
+        return backoff.next(self._random)
+
     async def _pace(self) -> None:
         """Waits for further changes, longer each time while there are some.
 
@@ -114,9 +127,10 @@
 
     async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
-        if self.in_touch and self._is_confirmed:
-            return await self._wait_for_changes()
-        self._is_confirmed = True
+        if self.in_touch:
+            awaited = await self._wait_for_changes()
+            if awaited is not None:
+                return awaited
         found = await self._kv.changes(_ALL, self.revision, 0.0)
         if isinstance(found, Failure) or found.entries:
             return found
@@ -124,50 +138,64 @@
         skipped = found.revision > self.revision
         return await self._snapshot() if skipped else found
 
-    async def _wait_for_changes(self) -> Changes | Failure:
+    async def _wait_for_changes(self) -> Changes | Failure | None:
         """Waits at the service until a change, or until the watch is stale.
 
         The answer to a watch is lost when the service stops answering while
         something changes; its connection stays open, and every other call is
         answered again. Without a check the process would go on with an old
         configuration until the wait is over.
+
+        Returns:
+          None if the watch is stale.
         """
         watch = ensureDeferred(
             self._kv.changes(_ALL, self.revision, self._wait_s)
         )
-        check = ensureDeferred(self._until_stale(watch))
-        check.addErrback(lambda reason: reason.trap(CancelledError))
+        stale = False
+
+        def end_watch(reason: str) -> None:
+            nonlocal stale
+            stale = True
+            emit(Event.WATCH_STALE, revision=self.revision, reason=reason)
+            watch.cancel()
+
+        check = ensureDeferred(self._until_stale())
+        check.addCallbacks(
+            end_watch, lambda reason: reason.trap(CancelledError)
+        )
         try:
             return await watch
         except CancelledError:
-            if self._is_confirmed:
+            if not stale:
                 raise
-            return Changes((), self.revision)
+            return None
         finally:
             check.cancel()
 
-    async def _until_stale(self, watch: Deferred) -> None:
-        """Cancels a watch once the service is ahead of it, or unreachable."""
+    async def _until_stale(self) -> str:
+        """Returns why once the service is ahead of a watch, or unreachable."""
         while True:
             await sleep(self._clock, _CHECK_INTERVAL_S)
+            asked_at = self._clock.seconds()
             newest = await self._kv.newest_revision()
             if isinstance(newest, Failure):
-                reason = newest.reason
-                break
+                return newest.reason
+            self._answered_at = asked_at
             if newest > self.revision:
                 await sleep(self._clock, _CHECK_SLACK_S)
-                reason = f"the service is at revision {newest}"
-                break
-        emit(Event.WATCH_STALE, revision=self.revision, reason=reason)
-        self._is_confirmed = False
-        watch.cancel()
+                return f"the service is at revision {newest}"
 
     def _heard(self, found: Snapshot | Changes) -> None:
+        now = self._clock.seconds()
+        away_s, self._answered_at = now - self._answered_at, now
         if not self.in_touch:
             self.in_touch = True
-            emit(Event.KV_BACK, revision=found.revision)
+            emit(
+                Event.KV_BACK, revision=found.revision, away_s=round(away_s, 3)
+            )
             for subscriber in self._subscribers.values():
-                subscriber.back()
+                subscriber.back(away_s)
         self.revision = max(self.revision, found.revision)
         if isinstance(found, Snapshot):
             for prefix, subscriber in self._subscribers.items():
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -60,7 +60,8 @@
     """Compare-and-swap, leases and watches.
 
     A failure of a write leaves it open whether the write took effect, but
-    for the code KV_REFUSED: then nothing was done and nothing will be.
+    for the codes KV_REFUSED and KV_UNREACHABLE: then nothing was done and
+    nothing will be.
     """
 
     async def get(self, key: str) -> KvEntry | Failure | None:
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -29,6 +29,12 @@
 # Answers take about 4 ms; the slowest that are still of use take 60 times
 # as long while the service is slow, and a little more with a queue.
 _CALL_S = 1.0
+# An answer that takes longer than this makes a check fail. The checked watch is
+# only asked anew then, so it may be shorter than for a call.
+_CHECK_S = 0.5
+# An opening packet that is lost is sent again after a second only; another
+# attempt reaches a service whose path is back sooner.
+_CONNECT_S = 0.3
 # Added to the time that a watch may wait at the service.
 _WATCH_SLACK_S = 1.0
 _WATCH_S = 10.0
@@ -173,7 +179,7 @@
     async def newest_revision(self) -> int | Failure:
         """Returns the service's newest revision, possibly seconds old."""
         query = {"pathPrefix": _NO_KEYS, "serializable": 1}
-        reply = await self._call("GET", "kv-range", query)
+        reply = await self._call("GET", "kv-range", query, timeout_s=_CHECK_S)
         page = self._typed(reply, _Page, "kv-range")
         return page if isinstance(page, Failure) else page.as_of
 
@@ -334,12 +340,16 @@
             self._address,
             request_bytes(method, self._host, target, data),
             timeout_s or self._timeout_s,
+            _CONNECT_S,
         )
         name = call.partition("/")[0]
         if isinstance(reply, NoReply):
             self._counted(name, reply.end.value)
+            if reply.end is End.SILENT:
+                # What silenced one open connection has silenced them all.
+                self._client.drop_idle(self._address)
             unsent = reply.end is End.UNSENT
-            code = Code.KV_REFUSED if unsent else Code.KV_TIMEOUT
+            code = Code.KV_UNREACHABLE if unsent else Code.KV_TIMEOUT
             return failed(code, f"no answer: {reply.end.value}", name)
         self._counted(name, str(reply.status))
         if reply.status in (429, 503):
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -80,6 +80,7 @@
     KV_HISTORY_GONE = 703
     KV_LEASE_GONE = 704
     KV_NONSENSE = 705
+    KV_UNREACHABLE = 706
     BLOCK_MISSING = 800
     BLOCK_DAMAGED = 801
     STORE_FULL = 802
@@ -241,6 +242,7 @@
         (Code.KV_HISTORY_GONE, 410, "Changes that far back are forgotten."),
         (Code.KV_LEASE_GONE, 404, "The lease has ended."),
         (Code.KV_NONSENSE, 502, "The key-value service's answer is malformed."),
+        (Code.KV_UNREACHABLE, 503, "The key-value service was not connected."),
         (Code.BLOCK_MISSING, 404, "The store has no sealed block of the id."),
         (Code.BLOCK_DAMAGED, 502, "The block's digest or length is wrong."),
         (Code.STORE_FULL, 507, "The store has no room for the block."),
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -25,6 +25,7 @@
     Attributes:
       down: calls fail and have no effect.
       refusing: calls are refused and nothing is done.
+      unreachable: no connection can be made.
       lose_answers: how many further writes take effect unanswered.
       deaf_watches: watches stay open and report nothing.
       reads_left: read calls until the ration is used up, None for no ration.
@@ -33,6 +34,7 @@
 
     down: bool = False
     refusing: bool = False
+    unreachable: bool = False
     lose_answers: int = 0
     deaf_watches: bool = False
     reads_left: int | None = None
@@ -205,6 +207,8 @@
             watcher.on_end(failed(Code.KV_ERROR, "the service restarted"))
 
     def _refusal(self, call: str) -> Failure | None:
+        if self.faults.unreachable:
+            return failed(Code.KV_UNREACHABLE)
         self.calls[call] += 1
         if self.faults.refusing or self._over_ration(call):
             return failed(Code.KV_REFUSED)
--- a/magnolialug/watchsubscriber.py
+++ b/magnolialug/watchsubscriber.py
@@ -25,5 +25,9 @@
     def lost(self) -> None:
         """Learns that the service does not answer."""
 
-    def back(self) -> None:
-        """Learns that the service answers again."""
+    def back(self, away_s: float) -> None:
+        """Learns that the service answers again.
+
+        Args:
+          away_s: time since its last answer.
+        """
--- a/tests/carrier/test_client.py
+++ b/tests/carrier/test_client.py
@@ -6,7 +6,7 @@
 from magnolialug.carrier.client import Client, NoReply, request_bytes
 from magnolialug.carrier.taker import End
 from magnolialug.standin.endpoint import EndpointStandin, Fault
-from tests.network import Network
+from tests.network import LATENCY_S, Network
 
 ADDRESS = ("10.1.0.1", 8080)
 
@@ -43,6 +43,29 @@
         self.net.advance_by(0.3)
         self.assertEqual(NoReply(End.SILENT), self.successResult(fut))
 
+    def test_a_connection_that_opens_late_serves_the_next_call(self):
+        """Guards against calls that wait out a lost opening packet."""
+        request = request_bytes("GET", "h", "/x", headers={"X-Request-Id": "r"})
+        fut = self.client.ask(ADDRESS, request, 1.0, connect_s=LATENCY_S / 2)
+        self.net.advance_by(0.1)
+        self.assertEqual(NoReply(End.UNSENT), self.successResult(fut))
+        fut = self.ask()
+        self.net.advance_by(0.1)
+        self.assertEqual(200, self.successResult(fut).status)
+        self.assertEqual([ADDRESS], self.net.dialled)
+
+    def test_idle_connections_that_may_be_silent_are_not_used_again(self):
+        """Guards against calls that time out one after the other."""
+        first, second = self.ask(), self.ask()
+        self.net.advance_by(0.1)
+        self.assertEqual(200, self.successResult(first).status)
+        self.assertEqual(200, self.successResult(second).status)
+        self.net.silence(ADDRESS)
+        self.client.drop_idle(ADDRESS)
+        fut = self.ask()
+        self.net.advance_by(0.1)
+        self.assertEqual(200, self.successResult(fut).status)
+
     def test_a_cancelled_task_goes_no_further(self):
         """A process stops while one of its tasks asks the store.
 
--- a/tests/entry/test_gateway_members.py
+++ b/tests/entry/test_gateway_members.py
@@ -90,6 +90,31 @@
         cluster.pass_time(4)
         self.assertEqual(200, cluster.ask("/read/x", 0.1).last.status)
 
+    def test_a_removal_is_believed_after_a_brief_silence(self):
+        """Guards against work for an endpoint that left around a silence."""
+        cluster = GatewayCluster(desks=2, engines=0)
+        cluster.pass_time(1)
+        cluster.kv.faults.down = True
+        cluster.kv.end_watches()
+        cluster.pass_time(1)
+        cluster.remove("servers/i-desk1")
+        cluster.kv.faults.down = False
+        cluster.pass_time(1)
+        for _ in range(10):
+            self.assertEqual(200, cluster.ask("/read/x", 0.05).last.status)
+        self.assertEqual([], cluster.desks["i-desk1"].seen)
+
+    def test_one_whose_entry_is_back_stays(self):
+        """Guards against a doubt that outlasts the entry's return."""
+        cluster = self.lapsed(5)
+        cluster.kv.faults.down = False
+        cluster.pass_time(1.2)
+        for desk in cluster.desks.values():
+            cluster.relist(desk)
+        cluster.kv.forget()
+        cluster.pass_time(4)
+        self.assertEqual(2, len(cluster.gateway.directory.peers))
+
     def test_who_is_not_back_by_then_is_gone(self):
         cluster = self.lapsed(5)
         cluster.kv.faults.down = False
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -22,6 +22,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.at = {}
+        self.away_s = []
         self.settles = 0
 
     def snapshot(self, entries):
@@ -33,6 +34,10 @@
         """Takes one change."""
         self.at.setdefault(entry.key, self.clock.seconds())
 
+    def back(self, away_s):
+        """Notes for how long the service was away."""
+        self.away_s.append(away_s)
+
     def settled(self):
         """Counts what came together."""
         self.settles += 1
@@ -111,6 +116,24 @@
         self.pass_time(2)
         self.assertTrue(self.watch_client.in_touch)
 
+    def test_time_away_counts_from_the_last_answer(self):
+        """Guards against an end of a stale watch that counts as an answer."""
+        self.kv.lose_watches()
+        self.kv.faults.down = True
+        self.pass_time(4)
+        self.kv.faults.down = False
+        self.pass_time(2)
+        self.assertGreaterEqual(self.seen.away_s[-1], 4.0)
+
+    def test_one_that_could_not_connect_is_back_soon(self):
+        """Guards against a process that learns too late what it missed."""
+        self.kv.faults.unreachable = True
+        self.kv.end_watches()
+        self.pass_time(10)
+        self.kv.faults.unreachable = False
+        self.pass_time(0.26)
+        self.assertTrue(self.watch_client.in_touch)
+
     def test_checks_of_a_quiet_watch_do_not_end_it(self):
         """A check is cheap; a watch that is asked anew is not."""
         before = self.kv.calls["watch"]
--- a/tests/network.py
+++ b/tests/network.py
@@ -183,6 +183,10 @@
     def cut(self, address):
         """Cuts the paths to a server; nobody sees a connection end."""
         self.dark.add(address)
+        self.silence(address)
+
+    def silence(self, address):
+        """Silences open connections to a server; new ones work."""
         for pipe in self.pipes:
             if pipe.address == address:
                 pipe.silent = pipe.peer.silent = True
