Soak: endpoints that leave unannounced, and a check that holds after a cut

Cause: the soak's DRAIN check let everything pass at a machine that had had any trouble since the endpoint left, so a gateway that was cut off while it left was never judged, however long after. The platform's rule holds for a machine again 3 s after its trouble. Endpoints that leave without saying so did not exist. Change: a machine is judged by its calm before the request was sent; the store has to be calm when the endpoint leaves. A kind leave_unannounced, drawn from seed 4000 on, so that recorded seeds keep their plans. One constant for the time in place of three. Supposed, not shown: cuts through a loopback proxy let connections be made at once, so a process is back sooner than behind a real one.

--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -8,11 +8,11 @@
 
 from magnolialug.soak.block import Block
 
-__all__ = ["GRACE_S", "Machine", "gateway_program"]
+__all__ = ["CONTACT_S", "GRACE_S", "Machine", "gateway_program"]
 
 GRACE_S = 8.0
 # The rules hold for a machine this long after its last trouble.
-_CONTACT_S = 3.0
+CONTACT_S = 3.0
 _RESTART_S = 0.3
 
 _SETTINGS = """\
@@ -146,7 +146,7 @@
 
     def in_touch(self, since: float) -> bool:
         """Whether it has had no trouble from then on, and shortly before."""
-        return self.troubled_until + _CONTACT_S < since
+        return self.troubled_until + CONTACT_S < since
 
     def pause(self) -> None:
         """Suspends the process."""
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -12,7 +12,7 @@
 from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.ledger import Ledger, Sent, Violation
-from magnolialug.soak.machine import Machine
+from magnolialug.soak.machine import CONTACT_S, Machine
 from magnolialug.soak.probes import Probes
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.troubles import TROUBLES, kinds_of, plan
@@ -32,7 +32,6 @@
 _SPARE_S = 5.0
 # A request that was read and not passed on must be answered by then.
 _LOSS_S = 0.2
-_CONTACT_S = 3.0
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -128,7 +127,7 @@
     def touched(self, machine: str, since: float) -> bool:
         """Whether a machine and the store have been calm from then on."""
         rows = [m for m in self.machines if m.name == machine]
-        calm = self.world.store_troubled_until + _CONTACT_S < since
+        calm = self.world.store_troubled_until + CONTACT_S < since
         return calm and bool(rows) and rows[0].in_touch(since)
 
     def some_machine(self) -> Machine:
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/troubles.py
@@ -25,6 +25,11 @@
 # Drawn from this seed on.
 _FIRST_SEED_OF_ZONES = 3000
 _ZONE_KINDS = ("evacuate_zone",)
+_FIRST_SEED_OF_LEAVING = 4000
+_LEAVING_KINDS = ("leave_unannounced",)
+# For this long an endpoint serves on after its entry is removed: longer than a
+# cut and the time until a machine is held to what it could have known since.
+_SERVES_ON_S = 8.0
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
@@ -36,6 +41,8 @@
     has found would go unwatched.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_LEAVING:
+        left_out += _LEAVING_KINDS
     if seed < _FIRST_SEED_OF_ZONES:
         left_out += _ZONE_KINDS
     if seed < _FIRST_SEED_OF_ALL:
@@ -261,6 +268,15 @@
     soak.later(4.0, soak.replace, slot, slot.endpoint)
 
 
+def leave_unannounced(soak: "Soak") -> None:
+    """An endpoint leaves, and only its entry's removal tells of it."""
+    slot = soak.some_slot()
+    if len(soak.world.runs_of(slot.service)) < 2 or slot.leaving_at:
+        return
+    soak.world.unlist(slot)
+    soak.later(_SERVES_ON_S, soak.replace, slot, slot.endpoint)
+
+
 def evacuate_zone(soak: "Soak") -> None:
     """A zone is evacuated, and taken back with cold endpoints."""
     zones = soak.world.zones
@@ -368,6 +384,7 @@
         restart_part_store,
         foreign_entries,
         drain_endpoint,
+        leave_unannounced,
         evacuate_zone,
         cut_endpoint,
         cut_callers,
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -9,6 +9,7 @@
 from magnolialug.soak.block import Block
 from magnolialug.soak.harm import MARK, HarmRecord
 from magnolialug.soak.ledger import Ledger
+from magnolialug.soak.machine import CONTACT_S
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.zones import COLD_PER_S, COLD_S, ZoneChecks
 from magnolialug.standin.endpoint import EndpointStandin, Received
@@ -52,7 +53,9 @@
     Attributes:
       proxy: what machines connect to.
       endpoint: the stand-in behind it, None while it is down.
-      leaving_at: when the store accepted that it drains.
+      leaving_at: when the store accepted that it leaves.
+      left_calmly: whether the store was calm then.
+      listed: whether it has an entry, or renews one that lapses.
       faulty_until: until when its answers may be broken.
     """
 
@@ -63,6 +66,8 @@
         self.zone = zone
         self.endpoint: EndpointStandin | None = None
         self.leaving_at: float | None = None
+        self.left_calmly = False
+        self.listed = True
         self.faulty_until = 0.0
         self.row: dict = {}
 
@@ -185,6 +190,7 @@
         """Starts a fresh endpoint at an address, maybe of another service."""
         slot.service = service or slot.service
         slot.leaving_at = None
+        slot.listed = True
         slot.endpoint = self._endpoint(slot)
         slot.proxy.target = self._listen(slot.endpoint)
         slot.proxy.opens(Path.OPEN)
@@ -201,7 +207,18 @@
         """An endpoint says that it will leave."""
         slot.row["state"] = "draining"
         self.write(f"servers/{slot.endpoint.instance}", slot.row)
+        self._leaves(slot)
+
+    def unlist(self, slot: Slot) -> None:
+        """An endpoint leaves without saying so; its entry is removed."""
+        self.remove(f"servers/{slot.endpoint.instance}")
+        slot.listed = False
+        self._leaves(slot)
+
+    def _leaves(self, slot: Slot) -> None:
         slot.leaving_at = self._reactor.seconds()
+        calm_from = self.store_troubled_until + CONTACT_S
+        slot.left_calmly = calm_from < slot.leaving_at
 
     def write(self, key: str, value: dict | bytes) -> None:
         """Writes a key past all faults, as its owner does."""
@@ -269,7 +286,7 @@
             # It is turned away unrun, which is no work.
             return
         if slot.endpoint is endpoint:
-            self._check_drain(slot, req, machine)
+            self._check_drain(slot, req, machine, sent_at)
             self.zones.arrived(
                 endpoint.instance, slot.zone, req.request_id, machine, sent_at
             )
@@ -278,10 +295,13 @@
         if slot.service == "llm":
             self._check_walls(endpoint, req)
 
-    def _check_drain(self, slot: Slot, req: Received, machine: str) -> None:
-        left_at = slot.leaving_at
-        late = left_at and self._reactor.seconds() - left_at - DRAIN_S
-        if late and late > _SLACK_S and self._touched(machine, left_at):
+    def _check_drain(
+        self, slot: Slot, req: Received, machine: str, sent_at: float
+    ) -> None:
+        if slot.leaving_at is None or not slot.left_calmly:
+            return
+        late = self._reactor.seconds() - slot.leaving_at - DRAIN_S
+        if late > _SLACK_S and self._touched(machine, sent_at - _SLACK_S):
             detail = f"{late:.2f} s after {slot.endpoint.instance} left"
             self._ledger.broken("DRAIN", detail, req.request_id)
 
@@ -346,7 +366,9 @@
         self.relist(slot)
 
     def relist(self, slot: Slot) -> None:
-        """Writes an endpoint's entry as it is now."""
+        """Writes an endpoint's entry as it is now, if it has one."""
+        if not slot.listed:
+            return
         endpoint = slot.endpoint
         slot.row["born"] = endpoint.born_ms
         if isinstance(endpoint, Engine):
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -6,6 +6,7 @@
 from magnolialug.entry import serving
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.entry.registry import Registry
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.quarantine.wiring import Quarantine
@@ -51,6 +52,11 @@
     Directory.evacuate = lambda *_: None
 
 
+def cling():
+    """Believes no removal of an endpoint's entry."""
+    Registry._doubtful = lambda _: True
+
+
 def rush():
     """Sends to cold endpoints as to any other."""
     ColdStart.may_send = lambda *_: True
@@ -64,5 +70,6 @@
         "forget": forget,
         "stay": stay,
         "rush": rush,
+        "cling": cling,
     }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -120,10 +120,13 @@
 
     def test_recorded_seeds_keep_their_kinds(self):
         self.assertNotIn("restart_endpoint", kinds_of(104))
-        newest = {"evacuate_zone"}
+        leaving = {"leave_unannounced"}
+        newest = {"evacuate_zone", *leaving}
         self.assertEqual(set(TROUBLES) - newest, set(kinds_of(1000)))
         self.assertEqual(set(TROUBLES) - newest, set(kinds_of(2999)))
-        self.assertEqual(set(TROUBLES), set(kinds_of(3000)))
+        self.assertEqual(set(TROUBLES) - leaving, set(kinds_of(3000)))
+        self.assertEqual(set(TROUBLES) - leaving, set(kinds_of(3999)))
+        self.assertEqual(set(TROUBLES), set(kinds_of(4000)))
 
     def test_some_kinds_only(self):
         rows = plan(Random(1), 60, ("crowd",))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -98,5 +98,19 @@
     def test_an_evacuation_that_is_not_obeyed_is_found(self):
         self.assertIn("EVAC", self.sabotaged("stay", "evacuate_zone"))
 
+    def test_endpoints_that_leave_behind_cuts_get_nothing(self):
+        """Guards against work for endpoints whose entries are long removed."""
+        code, report = self.soak(
+            "--seed=4001",
+            "--minutes=0.3",
+            "--only=leave_unannounced,cut_from_store,silence_store",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["troubles"]["leave_unannounced"], 1)
+
+    def test_a_removal_that_is_not_believed_is_found(self):
+        self.assertIn("DRAIN", self.sabotaged("cling", "leave_unannounced"))
+
     def test_cold_endpoints_that_are_run_over_are_found(self):
         self.assertIn("FAILBACK", self.sabotaged("rush", "evacuate_zone"))
