Soak: an end by itself tells when the process was last hung up

Change: the ENDED line names the time between start and SIGHUP. Conclusion: the next such end can be traced.

--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -91,6 +91,8 @@
         self._log = folder / f"{self.name}.log"
         self._process: subprocess.Popen | None = None
         self._killed = False
+        self._started_at = 0.0
+        self._hung_up_at: float | None = None
         self._closing = False
         self._kill_timer = None
 
@@ -101,6 +103,8 @@
         self.write_settings()
         self.lifetime += 1
         self.paused = self.stopping = self._killed = False
+        self._started_at = self._reactor.seconds()
+        self._hung_up_at = None
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [*self._program, "--log_format=json"],
@@ -178,6 +182,7 @@
     def hang_up(self) -> None:
         """Tells the process that its settings have changed."""
         if self.running:
+            self._hung_up_at = self._reactor.seconds()
             self._process.send_signal(signal.SIGHUP)
 
     def look(self) -> None:
@@ -189,11 +194,18 @@
         if self._kill_timer is not None and self._kill_timer.active():
             self._kill_timer.cancel()
         if not self._killed and not self.stopping:
-            self._failed("ENDED", f"{self.name} ended by itself, code {code}")
+            self._failed("ENDED", self._describe_end(code))
         if not self._killed:
             self.trouble(_RESTART_S)
         self._reactor.callLater(_RESTART_S, self.start)
 
+    def _describe_end(self, code: int) -> str:
+        told = f"{self.name} ended by itself, code {code}"
+        if self._hung_up_at is None:
+            return told
+        age_s = self._hung_up_at - self._started_at
+        return f"{told}; SIGHUP came {age_s:.3f} s after its start"
+
     def close(self) -> None:
         """Ends the process for good."""
         self._closing = True
