Ctl: what keeps new work from endpoints, in a list and in explain

Cause: an evacuation or a cold start that decided a refusal lay further back than explain looks, and no command named the evacuated zones.

--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -23,6 +23,7 @@
 from magnolialug.ctl.account import account, as_tables
 from magnolialug.ctl.accountplot import draw_account
 from magnolialug.ctl.diff import differences
+from magnolialug.ctl.endpoints import endpoint_lines
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
 from magnolialug.ctl.quarantine import quarantine_lines, release
@@ -41,8 +42,9 @@
   show              the configuration in force
   history           accepted changes, the newest first
   status            the version in force in every process
-  quarantine        requests that endpoints crashed under
-                    under them, and which those were
+  endpoints         the registered endpoints, and what keeps work from them
+  quarantine        requests that endpoints crashed under, and which those
+                    were
   release DIGEST    take a request out of the quarantine
   explain REQUEST   how a request was decided, from JSON logs on stdin
   account           how calls ended, where their time went, and what was
@@ -86,6 +88,8 @@
 
     async def run(self, name: str, arguments: list[str]) -> int:
         """Runs a command against the key-value service."""
+        if name == "endpoints":
+            return _print_lines(await endpoint_lines(self._kv))
         if name == "quarantine":
             return _print_lines(await quarantine_lines(self._kv))
         if name == "release":
@@ -251,6 +255,7 @@
     "show",
     "history",
     "status",
+    "endpoints",
     "quarantine",
     "release",
 )
--- /dev/null
+++ b/magnolialug/ctl/endpoints.py
@@ -0,0 +1,47 @@
+"""Lists the registered endpoints, with what keeps new work from each."""
+
+from collections.abc import Collection
+
+from magnolialug.ids import ZoneId
+from magnolialug.platform.kv import Kv, KvEntry
+from magnolialug.platform.operator import EVACUATION_PREFIX
+from magnolialug.platform.registry import REGISTRY_PREFIX, read_listed
+from magnolialug.policy.listed import Listed
+from magnolialug.result import Failure
+
+__all__ = ["endpoint_lines"]
+
+
+async def endpoint_lines(kv: Kv) -> list[str] | Failure:
+    """Returns a line for each evacuated zone, then one for each endpoint."""
+    orders = await kv.scan(EVACUATION_PREFIX)
+    if isinstance(orders, Failure):
+        return orders
+    entries = await kv.scan(REGISTRY_PREFIX)
+    if isinstance(entries, Failure):
+        return entries
+    zones = {ZoneId(o.key.removeprefix(EVACUATION_PREFIX)) for o in orders}
+    lines = [f"zone {zone} evacuated" for zone in sorted(zones)]
+    return lines + sorted(_line(entry, zones) for entry in entries)
+
+
+def _line(entry: KvEntry, evacuated: Collection[ZoneId]) -> str:
+    listed = read_listed(entry.key, entry.value)
+    if isinstance(listed, Failure):
+        return f"{entry.key} malformed: {listed.reason}"
+    host, port = listed.address
+    state = _state(listed, evacuated)
+    return (
+        f"{listed.zone} {listed.service} {listed.endpoint} {host}:{port}"
+        f" {state}"
+    )
+
+
+def _state(listed: Listed, evacuated: Collection[ZoneId]) -> str:
+    if listed.leaving:
+        return "leaving"
+    if listed.zone in evacuated:
+        return "evacuated"
+    if listed.cold_s > 0:
+        return f"cold for {listed.cold_s:.1f} s at its last change"
+    return "up"
--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -25,9 +25,10 @@
 def explain_request(lines: Iterable[str], request_id: str) -> list[str]:
     """Returns the story of a request, one line an event.
 
-    First come the request's own lines, then what its processes came to
-    believe around that time of the key-value service, the stores and the
-    configuration, then what any process learned of the endpoints it tried.
+    First come the request's own lines, then what kept new work from other
+    endpoints at that time, what its processes came to believe around it of the
+    key-value service, the stores and the configuration, and what any process
+    learned of the endpoints it tried.
 
     Args:
       lines: log lines as `--log_format=json` writes them, of any processes.
@@ -39,7 +40,10 @@
     if not own:
         return []
     story = [_told(record) for record in own]
-    story += _section("what the process believed:", _believed(records, own))
+    passed_over = _passed_over(records, own)
+    story += _section("what kept work from other endpoints:", passed_over)
+    believed = [r for r in _believed(records, own) if r not in passed_over]
+    story += _section("what the process believed:", believed)
     story += _section("what was learned of its endpoints:", _met(records, own))
     return story
 
@@ -51,6 +55,32 @@
     return [title, *told]
 
 
+def _passed_over(records: list[dict], own: list[dict]) -> list[dict]:
+    """Returns the evacuations and cold starts that its processes minded."""
+    vms = {record.get("vm") for record in own}
+    tried = {record.get("endpoint") for record in own}
+    first, last = time_of(own[0]), time_of(own[-1])
+    standing: dict[tuple, dict] = {}
+    for record in sorted(records, key=time_of):
+        vm, event = record.get("vm"), record.get("event")
+        if vm not in vms or time_of(record) > last:
+            continue
+        if event == Event.STARTED.value:
+            standing = {key: r for key, r in standing.items() if key[0] != vm}
+        elif event == Event.ZONE_EVACUATED.value:
+            standing[vm, "zone", record.get("zone")] = record
+        elif event == Event.ZONE_RETURNED.value:
+            standing.pop((vm, "zone", record.get("zone")), None)
+        elif _is_cold_at(record, first) and record.get("endpoint") not in tried:
+            standing[vm, "endpoint", record.get("endpoint")] = record
+    return list(standing.values())
+
+
+def _is_cold_at(record: dict, at: float) -> bool:
+    is_cold = record.get("event") == Event.ENDPOINT_COLD.value
+    return is_cold and time_of(record) + record.get("left_s", 0.0) >= at
+
+
 def _believed(records: list[dict], own: list[dict]) -> list[dict]:
     vms = {record.get("vm") for record in own}
     first, last = time_of(own[0]), time_of(own[-1])
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -102,5 +102,30 @@
         self.assertIn("at vm-2: 4103 ENDPOINT_GONE", story[3])
         self.assertIn("endpoint=i-1", story[3])
 
+    def test_evacuated_zones_and_cold_endpoints_are_named(self):
+        """Guards against a refusal whose cause lies minutes back."""
+        lines = [
+            line(10.0, "vm-1", "ZONE_EVACUATED", zone="a"),
+            line(11.0, "vm-1", "ZONE_EVACUATED", zone="b"),
+            line(12.0, "vm-1", "ZONE_RETURNED", zone="b"),
+            line(13.0, "vm-2", "ZONE_EVACUATED", zone="c"),
+            line(90.0, "vm-1", "ENDPOINT_COLD", endpoint="i-1", left_s=3.0),
+            line(98.0, "vm-1", "ENDPOINT_COLD", endpoint="i-2", left_s=3.0),
+            line(100.0, "vm-1", "REQUEST_FAILED", request="r1", status=503),
+        ]
+        story = explain_request(lines, "r1")
+        self.assertEqual("what kept work from other endpoints:", story[1])
+        self.assertIn("zone=a", story[2])
+        self.assertIn("endpoint=i-2", story[3])
+        self.assertEqual(4, len(story))
+
+    def test_a_process_that_starts_again_has_forgotten_evacuations(self):
+        lines = [
+            line(10.0, "vm-1", "ZONE_EVACUATED", zone="a"),
+            line(20.0, "vm-1", "STARTED"),
+            line(100.0, "vm-1", "REQUEST_FAILED", request="r1", status=503),
+        ]
+        self.assertEqual(1, len(explain_request(lines, "r1")))
+
     def test_an_id_that_is_not_there(self):
         self.assertEqual([], explain_request(["no json", "{}"], "x"))
