Soak: an endpoint's slot and the configuration in files of their own

Cause: world.py had grown to over 400 lines with three subjects. Change: moved without a change of what is done; one type a file.

--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -15,8 +15,9 @@
 from magnolialug.soak.machine import CONTACT_S, Machine
 from magnolialug.soak.probes import Probes
 from magnolialug.soak.proxy import Path, Proxy
+from magnolialug.soak.slot import Slot
 from magnolialug.soak.troubles import TROUBLES, kinds_of, plan
-from magnolialug.soak.world import EVENTS, Slot, World
+from magnolialug.soak.world import EVENTS, World
 
 __all__ = ["Plan", "Report", "Soak"]
 
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -11,17 +11,14 @@
 from magnolialug.soak.ledger import Ledger
 from magnolialug.soak.machine import CONTACT_S
 from magnolialug.soak.proxy import Path, Proxy
+from magnolialug.soak.slot import Slot
+from magnolialug.soak.worldconfig import soak_config
 from magnolialug.soak.zones import COLD_PER_S, COLD_S, ZoneChecks
 from magnolialug.standin.endpoint import EndpointStandin, Received
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
 from magnolialug.standin.modelserver import ModelServerStandin
-from magnolialug.standin.operatorconfig import (
-    ENGINES,
-    LIMITS,
-    cache_store,
-    route,
-)
+from magnolialug.standin.operatorconfig import cache_store
 from magnolialug.standin.partstore import PartStoreStandin
 
 __all__ = ["DRAIN_S", "EVENTS", "World"]
@@ -47,31 +44,6 @@
         return f"{req.request_id}/{self.instance}/{number}".encode()
 
 
-class Slot:
-    """One endpoint's address, and who is behind it.
-
-    Attributes:
-      proxy: what machines connect to.
-      endpoint: the stand-in behind it, None while it is down.
-      leaving_at: when the store accepted that it leaves.
-      left_calmly: whether the store was calm then.
-      listed: whether it has an entry, or renews one that lapses.
-      faulty_until: until when its answers may be broken.
-    """
-
-    def __init__(self, address, proxy: Proxy, service: str, zone: str):
-        self.address = address
-        self.proxy = proxy
-        self.service = service
-        self.zone = zone
-        self.endpoint: EndpointStandin | None = None
-        self.leaving_at: float | None = None
-        self.left_calmly = False
-        self.listed = True
-        self.faulty_until = 0.0
-        self.row: dict = {}
-
-
 class World:
     """Stand-ins of the store, endpoints and a store of cache parts.
 
@@ -139,7 +111,7 @@
         version = len(self.versions) + 1
         host, port = self.part_store_address
         store = cache_store(_STORE, f"{host}:{port}", _STORE_TOKENS)
-        config = _config(version, store)
+        config = soak_config(version, store)
         if self._cold_starts:
             for row in config["services"][:2]:
                 row.update(coldStartS=COLD_S, coldPerS=COLD_PER_S)
@@ -389,35 +361,3 @@
         address = self._block.endpoint(number)
         self.listen(self.part_proxy, address)
         return address
-
-
-def _config(version: int, store: dict) -> dict:
-    """Returns a configuration; one route is there in this version only."""
-    prompts = {"routeType": "streaming", "sessionAffinity": True}
-    return {
-        "version": version,
-        "routes": [
-            route("read", "/read/", "desk"),
-            route("book", "/book/", "desk", routeType="non_idempotent"),
-            route(
-                "draft",
-                "/draft/",
-                "llm",
-                **prompts,
-                timeoutMs=6000,
-                maxAttempts=1,
-            ),
-            route("check", "/check/", "llm", **prompts, resumable=True),
-            route(f"at{version}", f"/at{version}/", "desk"),
-        ],
-        "services": [
-            {"name": "desk", "maxConnections": 100},
-            ENGINES,
-            store,
-        ],
-        "limits": LIMITS,
-        "tenants": [
-            {"name": "team-a", "apiKeys": ["key-a"]},
-            {"name": "team-b", "apiKeys": ["key-b"], "isolated": True},
-        ],
-    }
--- /dev/null
+++ b/magnolialug/soak/worldconfig.py
@@ -0,0 +1,37 @@
+"""The operator's configuration of a soak, version by version."""
+
+from magnolialug.standin.operatorconfig import ENGINES, LIMITS, route
+
+__all__ = ["soak_config"]
+
+
+def soak_config(version: int, store: dict) -> dict:
+    """Returns a configuration; one route is there in this version only."""
+    prompts = {"routeType": "streaming", "sessionAffinity": True}
+    return {
+        "version": version,
+        "routes": [
+            route("read", "/read/", "desk"),
+            route("book", "/book/", "desk", routeType="non_idempotent"),
+            route(
+                "draft",
+                "/draft/",
+                "llm",
+                **prompts,
+                timeoutMs=6000,
+                maxAttempts=1,
+            ),
+            route("check", "/check/", "llm", **prompts, resumable=True),
+            route(f"at{version}", f"/at{version}/", "desk"),
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 100},
+            ENGINES,
+            store,
+        ],
+        "limits": LIMITS,
+        "tenants": [
+            {"name": "team-a", "apiKeys": ["key-a"]},
+            {"name": "team-b", "apiKeys": ["key-b"], "isolated": True},
+        ],
+    }
