Rollout: the field's terms for the lease and the commands to engines

Cause: order lease, holder, wary, told, barred and taken were words of our own; a newcomer had to learn them. Change: entry/rolloutlease and entry/rolloutcommands, leader, possibly commanded; methods named by what they do or return. Nothing is done otherwise; the key and its fields in the store keep their names, with a test, since two releases run side by side in a rolling upgrade. Log events keep theirs. test_terms retires two words. Log events and docs/design/orders.md still say order, as the platform's call does.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -25,11 +25,11 @@
 from magnolialug.entry.gauges import observe_endpoints, observe_states
 from magnolialug.entry.grace import NOTICED_S, Grace
 from magnolialug.entry.httpattempt import HttpAttempt
-from magnolialug.entry.orderlease import HOLDER_KEY, OrderLease
-from magnolialug.entry.orders import Orders
 from magnolialug.entry.peertalk import PeerTalk
 from magnolialug.entry.placer import Listeners, Placer
 from magnolialug.entry.registry import Registry
+from magnolialug.entry.rolloutcommands import RolloutCommands
+from magnolialug.entry.rolloutlease import LEADER_KEY, RolloutLease
 from magnolialug.entry.routebook import RouteBook
 from magnolialug.entry.serving import Means
 from magnolialug.entry.silencewatch import SilenceWatch
@@ -167,7 +167,7 @@
         self._tidy_at = 0.0
         self._budget = self._new_budget()
         self._means = self._call_means(random)
-        self._lease = OrderLease(
+        self._lease = RolloutLease(
             kv,
             settings.vm,
             reactor,
@@ -176,7 +176,7 @@
             self._rolls_out,
             self.owners.ring.rank,
         )
-        self._orders = Orders(
+        self._rollout_commands = RolloutCommands(
             self.directory,
             self._lease,
             calls,
@@ -195,7 +195,7 @@
                 REGISTRY_PREFIX: self.registry,
                 ENTRIES_PREFIX: self._entries,
                 QUARANTINE_KEYS: self.quarantine.written,
-                HOLDER_KEY: self._lease,
+                LEADER_KEY: self._lease,
             },
             reactor,
             random,
@@ -425,7 +425,7 @@
         self.factory.sweep(now)
         self.registry.tick()
         self._note_weights(now)
-        self._orders.tick()
+        self._rollout_commands.tick()
         self.owners.tick(now)
         self.quarantine.tick(now)
 
--- a/magnolialug/entry/orders.py
+++ b/magnolialug/entry/rolloutcommands.py
@@ -6,29 +6,29 @@
 from twisted.internet.defer import ensureDeferred
 
 from magnolialug.entry.directory import Directory
-from magnolialug.entry.orderlease import OrderLease
 from magnolialug.entry.peer import Peer
+from magnolialug.entry.rolloutlease import RolloutLease
 from magnolialug.events import Event, emit
 from magnolialug.ids import EndpointId
 from magnolialug.platform.enginecalls import EngineCalls, OrderReply, Report
 from magnolialug.policy.rollout import Engine, after, plan
 from magnolialug.result import Failure
 
-__all__ = ["Orders"]
+__all__ = ["RolloutCommands"]
 
 # Between calls to an engine that is about to take weights or takes them. Its
 # registry entry would tell a heartbeat, 1.2 s, later that it is done.
 _ASK_S = 0.1
 # Engines take longer than this to load, and each call costs.
 _LOADING_S = 0.5
-# An accepted order shows in the engine's reports this much later at most;
-# they are some hundred milliseconds old. A count of orders that is lower
-# after that means that the engine has started anew and forgotten the order.
+# An accepted command shows in the engine's reports this much later at most;
+# they are some hundred milliseconds old. A count of commands that is lower
+# after that means that the engine has started anew and forgotten the command.
 _REPORT_LAG_S = 1.0
-# An engine that has accepted an order has the weights by then, or never will:
+# An engine that has accepted a command has the weights by then, or never will:
 # some take twice the usual time while many load.
 _TAKES_S = 4.0
-# Between the announcement and the order, what waits in an engine's queue can
+# Between the announcement and the command, what waits in an engine's queue can
 # start; what has not started by then is turned away.
 _CLOSED_S = 0.12
 # An engine that does not answer so often makes room for the next one.
@@ -40,17 +40,17 @@
 
 
 class _Engine(msgspec.Struct):
-    """What is known of one engine's orders.
+    """What is known of one engine's commands.
 
     Attributes:
       accepted: how many it has accepted at least.
       accepted_at: when it last accepted one.
       calling: whether a call to it is under way.
       quiet_until: no call to it before then.
-      closed_at: when all entries had been told to send it no new work.
+      closed_at: when all entries knew to send it no new work.
       failures: calls in a row that it did not answer.
       version: that it is to take.
-      promised: the version that it was last ordered to take.
+      promised: the version that it was last commanded to take.
       chosen: the version that it is closed for, 0 for none.
       born_ms: the start of the engine that all this is known of.
     """
@@ -76,24 +76,24 @@
         return accepted and weights < self.promised < version
 
     def tells(self, report: Report, now: float) -> bool:
-        """Whether a report is from after the last accepted order."""
+        """Whether a report is from after the last accepted command."""
         lagging = now - self.accepted_at < _REPORT_LAG_S
         return report.orders >= self.accepted or not lagging
 
 
-class Orders:
-    """Gives the orders while this process holds the lease.
+class RolloutCommands:
+    """Commands engines to load weights while this process holds the lease.
 
     Args:
       named: returns the newest version that was named, by model.
-      counted: is told the reply to each order.
-      heard: is told of engines whose weights were learned of.
+      counted: receives the reply to each command.
+      heard: receives engines whose weights were learned of.
     """
 
     def __init__(
         self,
         directory: Directory,
-        lease: OrderLease,
+        lease: RolloutLease,
         calls: EngineCalls,
         clock: Callable[[], float],
         named: Callable[[], dict[str, int]],
@@ -110,7 +110,7 @@
         self._engines: dict[EndpointId, _Engine] = {}
 
     def tick(self) -> None:
-        """Looks for engines that need an order or a question."""
+        """Looks for engines that need a command or a query."""
         if not self._lease.held:
             return
         for model, version in self._named().items():
@@ -120,22 +120,22 @@
         self._finish()
 
     def _finish(self) -> None:
-        """Tells that all engines are open again."""
-        told = self._lease.announced
-        if told is not None and told.closed:
+        """Announces that all engines are open again."""
+        announced = self._lease.announced
+        if announced is not None and announced.closed:
             done = msgspec.structs.replace(
-                told, closed=(), taken=told.taken + told.closed
+                announced, closed=(), taken=announced.taken + announced.closed
             )
-            self._lease.announce(after(done, told))
+            self._lease.announce(after(done, announced))
         else:
-            self._lease.rest()
+            self._lease.announce_end()
 
     def _outdated(self, model: str, version: int) -> list[Peer]:
         peers = self._directory.engines_with(model)
         return [p for p in peers if p.weights(model) < version]
 
     def _bring(self, model: str, version: int) -> None:
-        """Closes the next engines, and orders those closed long enough."""
+        """Closes the next engines, and commands those closed long enough."""
         now = self._clock()
         peers = self._directory.engines_with(model)
         rows = [self._row(p, model, version, now) for p in peers]
@@ -148,7 +148,7 @@
             return
         for peer in self._outdated(model, version):
             endpoint = peer.listed.endpoint
-            if endpoint in rollout.closed and self._lease.may_order(endpoint):
+            if endpoint in rollout.closed and self._lease.may_command(endpoint):
                 self._advance(peer, model, version, now)
 
     def _advance(
@@ -168,17 +168,17 @@
         if state.version != version:
             state.version = version
             state.closed_at = None
-        told = self._lease.announced
+        announced = self._lease.announced
         return Engine(
             endpoint=peer.listed.endpoint,
             running=peer.running,
             current=peer.weights(model) >= version,
-            closed=told is not None
-            and told.version == version == state.chosen
-            and peer.listed.endpoint in told.closed,
+            closed=announced is not None
+            and announced.version == version == state.chosen
+            and peer.listed.endpoint in announced.closed,
             failing=state.failures > _FAILURES,
             version=max(peer.weights(model), state.promised),
-            barred=self._lease.barred(peer.listed.endpoint),
+            barred=self._lease.is_possibly_commanded(peer.listed.endpoint),
             loading=state.loads(peer.weights(model), version, now),
         )
 
@@ -191,27 +191,28 @@
         return state
 
     async def _step(self, peer: Peer, model: str, version: int) -> None:
-        """Asks an engine how far it is, and orders it if it does nothing.
+        """Asks an engine how far it is, and commands it if it does nothing.
 
-        An order that had no answer, or was refused because the engine had
-        accepted another, is thus given again within a quarter of a second,
-        and one that the engine forgot in a restart too. It can be carried
-        out only once, since it names how many the engine must have accepted
-        before. While such an order only waited to be given up, the engine
-        kept its place among the few that may load at a time: with three
-        orders in five unanswered, engines were 12 s behind.
+        A command that had no answer, or was refused because the engine had
+        accepted another, is thus sent again within a quarter of a second, and
+        one that the engine forgot in a restart too. It can be carried out only
+        once, since it names how many the engine must have accepted before.
+        Waiting for a command to be given up would keep the engine's place among
+        the few that may load at a time.
         """
         state = self._state(peer)
         report = await self._ask(peer)
         pause_s = _ASK_S
-        if report is not None and self._may_order(peer, model, version, report):
-            reply = await self._order(peer, model, version, report.orders)
+        if report is not None and self._may_command(
+            peer, model, version, report
+        ):
+            reply = await self._command(peer, model, version, report.orders)
             if reply is OrderReply.ACCEPTED:
                 pause_s = _LOADING_S
         state.calling = False
         state.quiet_until = self._clock() + pause_s
 
-    def _may_order(
+    def _may_command(
         self, peer: Peer, model: str, version: int, report: Report
     ) -> bool:
         state = self._state(peer)
@@ -220,7 +221,7 @@
         outdated = peer.weights(model) < version
         if state.chosen != version:
             return False
-        return outdated and self._lease.may_order(peer.listed.endpoint)
+        return outdated and self._lease.may_command(peer.listed.endpoint)
 
     async def _ask(self, peer: Peer) -> Report | None:
         """Asks for a report and takes in what it says."""
@@ -236,12 +237,12 @@
             self._heard(peer, model, version)
         return report
 
-    async def _order(
+    async def _command(
         self, peer: Peer, model: str, version: int, after_orders: int
     ) -> OrderReply:
         state = self._state(peer)
         state.promised = version
-        self._lease.ordered()
+        self._lease.record_command()
         emit(
             Event.ORDER_GIVEN,
             endpoint=peer.listed.endpoint,
--- a/magnolialug/entry/orderlease.py
+++ b/magnolialug/entry/rolloutlease.py
@@ -1,4 +1,4 @@
-"""The lease that lets one entry at a time give orders to engines."""
+"""The lease that lets one entry at a time lead the rollout of weights."""
 
 import secrets
 from collections.abc import Callable, Sequence
@@ -18,18 +18,18 @@
 from magnolialug.timing import sleep
 from magnolialug.watchsubscriber import WatchSubscriber
 
-__all__ = ["HOLDER_KEY", "Holder", "OrderLease"]
+__all__ = ["LEADER_KEY", "Leader", "RolloutLease"]
 
-HOLDER_KEY = "magnolialug/orders/holder"
-# The lease is shorter than the bound between two holders, so that a dead
-# holder is replaced sooner; a holder that was not giving orders when it died
+LEADER_KEY = "magnolialug/orders/holder"
+# The lease is shorter than the bound between two leaders, so that a dead
+# leader is replaced sooner; one that was not sending commands when it died
 # needs no bound at all.
 _TTL_SHARE = 0.67
 _RENEWALS = 4
-# An order that leaves just before the lease ends needs this long to arrive.
+# A command sent just before the lease ends needs this long to arrive.
 _MARGIN_S = 0.4
 # When the lease falls free entries try one after another, in the order on
-# which they agree without talking. A try takes two calls, and is told of to
+# which they agree without talking. A try takes two calls, and is known to
 # the others within a third of a second.
 _TRY_EVERY_S = 0.35
 _TRY_WITHIN_S = 0.05
@@ -40,43 +40,46 @@
 _SETTLE_S = 1.0
 
 
-class Holder(msgspec.Struct, frozen=True):
-    """The value of the holder's key.
+class Leader(msgspec.Struct, frozen=True):
+    """The value of the leader's key.
 
     Attributes:
-      start: names one start of the holder's process.
-      rollout: what it may be giving orders for, None for nothing.
-      wary: engines that it or one before it may have ordered within the
-        bound, None for any.
+      start: names one start of the leader's process.
+      rollout: what it may be sending commands for, None for nothing.
+      possibly_commanded: engines that it or one before it may have commanded
+        within the bound, None for any. Its name in the store stays, because two
+        releases run side by side during a rolling upgrade.
     """
 
     vm: str
     start: str
     rollout: Rollout | None = None
-    wary: tuple[str, ...] | None = ()
+    possibly_commanded: tuple[str, ...] | None = msgspec.field(
+        default=(), name="wary"
+    )
 
 
-class OrderLease(WatchSubscriber):
+class RolloutLease(WatchSubscriber):
     """Holds or waits for the lease.
 
-    The key that the lease keeps alive names its holder, and the revision at
+    The key that the lease keeps alive names its leader, and the revision at
     which it was last written is the fencing token: later ones are higher. A
-    holder can be suspended or cut off and still believe in its lease. So it
+    leader can be suspended or cut off and still believe in its lease. So it
     trusts it on a clock that counts suspension, from before the renewal was
     asked for, and a margin less.
 
-    Orders of two holders to one engine must not alternate faster than a
-    bound. Before its orders a holder writes which engines it is about to
-    order, on condition that the key is still its own. Who takes over leaves
+    Commands of two leaders to one engine must not alternate faster than a
+    bound. Before its commands a leader writes which engines they will go
+    to, on condition that the key is still its own. Who takes over leaves
     those engines alone for the bound, and writes that it does so, for the
-    next holder; all other engines it can order at once, since a further
+    next leader; all other engines it can command at once, since a further
     write of the one before will fail. The others read it too, and send no
     new work to an engine that is about to load.
 
     Args:
       vm: the name of this machine.
-      bound_s: time that must lie between the orders of two holders.
-      on_rollout: is told what any holder is about to order, and whether that
+      bound_s: time that must lie between the commands of two leaders.
+      on_rollout: receives what any leader is about to command, and whether that
         is this entry.
       rank: returns this entry's place among the first that try for the
         lease, FIRST for all others.
@@ -94,7 +97,7 @@
     ):
         self.fence = 0
         self.name = f"{vm}.{secrets.token_hex(4)}"
-        self._me = Holder(vm, self.name)
+        self._me = Leader(vm, self.name)
         self._kv = kv
         self._clock = clock
         self._random = random
@@ -104,41 +107,41 @@
         self.announced: Rollout | None = None
         self._on_rollout = on_rollout
         self._rank = rank
-        self._taken = True
-        self._before: Holder | None = None
+        self._is_taken = True
+        self._previous: Leader | None = None
         self._freed: Deferred[None] | None = None
         self._writing = False
-        self._wary: tuple[str, ...] | None = ()
-        self._told_wary: tuple[str, ...] | None = ()
-        self._from = 0.0
+        self._possibly_commanded: tuple[str, ...] | None = ()
+        self._written_commanded: tuple[str, ...] | None = ()
+        self._wait_until = 0.0
         self._closed_at: dict[str, float] = {}
         self._until = 0.0
-        self._ordered_at = 0.0
+        self._commanded_at = 0.0
         self._task: Deferred | None = None
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
         """Takes the key as it is now; who held it before is not known."""
-        self._before = None
+        self._previous = None
         if entries:
             self.changed(entries[-1])
         else:
-            self._is_free()
+            self._on_free()
 
     def changed(self, entry: KvEntry) -> None:
-        """Takes what a holder has written, or that the lease is free."""
+        """Takes what a leader has written, or that the lease is free."""
         if entry.value is None:
-            self._is_free()
+            self._on_free()
             return
-        self._taken = True
-        holder = _holder_of(entry)
-        if holder is None:
+        self._is_taken = True
+        leader = _leader_of(entry)
+        if leader is None:
             return
-        self._before = holder
-        if holder.rollout is not None:
-            self._on_rollout(holder.rollout, False)
+        self._previous = leader
+        if leader.rollout is not None:
+            self._on_rollout(leader.rollout, False)
 
-    def _is_free(self) -> None:
-        self._taken = False
+    def _on_free(self) -> None:
+        self._is_taken = False
         freed, self._freed = self._freed, None
         if freed is not None:
             freed.callback(None)
@@ -151,8 +154,8 @@
     async def stop(self) -> None:
         """Lets another entry take over.
 
-        It gives no order from here on. One that is under way went to an
-        engine that the next holder leaves alone for the bound.
+        It sends no command from here on. One that is under way went to an
+        engine that the next leader leaves alone for the bound.
         """
         task, self._task = self._task, None
         if task is not None:
@@ -161,21 +164,28 @@
         if held:
             await self._kv.revoke(self._lease)
 
-    def may_order(self, endpoint: EndpointId) -> bool:
-        """Whether an order may be given to an engine at this moment."""
-        told = self.announced is not None and not self._writing
+    def may_command(self, endpoint: EndpointId) -> bool:
+        """Whether a command may be sent to an engine at this moment."""
+        is_announced = self.announced is not None and not self._writing
         in_time = self._clock.seconds() < self._until
-        return told and in_time and not self.barred(endpoint)
+        return (
+            is_announced
+            and in_time
+            and not self.is_possibly_commanded(endpoint)
+        )
 
-    def barred(self, endpoint: EndpointId) -> bool:
-        """Whether the holder before may have ordered an engine just now."""
-        if self._clock.seconds() >= self._from:
+    def is_possibly_commanded(self, endpoint: EndpointId) -> bool:
+        """Whether the previous leader may have commanded an engine just now."""
+        if self._clock.seconds() >= self._wait_until:
             return False
-        return self._wary is None or endpoint in self._wary
+        return (
+            self._possibly_commanded is None
+            or endpoint in self._possibly_commanded
+        )
 
-    def ordered(self) -> None:
-        """Learns that an order is given now."""
-        self._ordered_at = self._clock.seconds()
+    def record_command(self) -> None:
+        """Records that a command is sent now."""
+        self._commanded_at = self._clock.seconds()
 
     @property
     def held(self) -> bool:
@@ -183,17 +193,17 @@
         return self.fence > 0 and not self._writing
 
     def announce(self, rollout: Rollout) -> None:
-        """Writes what is about to be ordered; orders may follow it."""
+        """Writes what is about to be commanded; commands may follow it."""
         if self.held and rollout != self.announced:
             self._writing = True
             ensureDeferred(self._write(rollout))
 
-    def rest(self) -> None:
-        """Writes that no more orders are given, once that is long true."""
-        since = max(self._ordered_at, self._from - self._bound_s)
+    def announce_end(self) -> None:
+        """Writes that no more commands are sent, once that is long true."""
+        since = max(self._commanded_at, self._wait_until - self._bound_s)
         quiet = self._clock.seconds() - since > self._bound_s
-        told = self.announced is not None or self._told_wary != ()
-        if self.held and told and quiet:
+        has_news = self.announced is not None or self._written_commanded != ()
+        if self.held and has_news and quiet:
             self._writing = True
             ensureDeferred(self._write(None))
 
@@ -204,34 +214,36 @@
         self.announced = None
 
     async def _write(self, rollout: Rollout | None) -> None:
-        wary = self._wary_now(rollout)
-        value = msgspec.structs.replace(self._me, rollout=rollout, wary=wary)
+        commanded = self._find_possibly_commanded(rollout)
+        value = msgspec.structs.replace(
+            self._me, rollout=rollout, possibly_commanded=commanded
+        )
         swap = await self._kv.put_if(
-            HOLDER_KEY, msgspec.json.encode(value), self.fence, self._lease
+            LEADER_KEY, msgspec.json.encode(value), self.fence, self._lease
         )
         if isinstance(swap, Failure):
             await self._read_back()
         elif swap.won:
             self.fence = swap.revision
-            self._told_wary = wary
-            self._tell(rollout)
+            self._written_commanded = commanded
+            self._notify(rollout)
         elif swap.current is None or not self._is_mine(swap.current):
             self.fenced()
         else:
-            self._found(swap.current)
+            self._record_written(swap.current)
         self._writing = False
 
     async def _read_back(self) -> None:
         """Finds out what a write without answer has done."""
-        found = await self._kv.get(HOLDER_KEY)
+        found = await self._kv.get(LEADER_KEY)
         if isinstance(found, KvEntry) and self._is_mine(found):
-            self._found(found)
+            self._record_written(found)
 
-    def _found(self, entry: KvEntry) -> None:
+    def _record_written(self, entry: KvEntry) -> None:
         self.fence = entry.revision
-        self._tell(_holder_of(entry).rollout)
+        self._notify(_leader_of(entry).rollout)
 
-    def _tell(self, rollout: Rollout | None) -> None:
+    def _notify(self, rollout: Rollout | None) -> None:
         self.announced = rollout
         if rollout is not None:
             self._on_rollout(rollout, True)
@@ -241,7 +253,7 @@
         await sleep(self._clock, self._random.uniform(0.5, 1.0) * _SETTLE_S)
         while True:
             await self._wait_until_free()
-            failure = await self._take(self._before)
+            failure = await self._acquire(self._previous)
             if failure is None:
                 await self._hold()
                 backoff = Backoff(base_s=0.2, limit_s=1.0)
@@ -252,21 +264,21 @@
     async def _wait_until_free(self) -> None:
         """Returns when the lease is free and it is this entry's turn."""
         while True:
-            if self._taken:
+            if self._is_taken:
                 self._freed = Deferred()
                 await self._freed
-            await sleep(self._clock, self._turn_s())
-            if not self._taken:
+            await sleep(self._clock, self._attempt_delay_s())
+            if not self._is_taken:
                 return
 
-    def _turn_s(self) -> float:
-        rank = self._rank(HOLDER_KEY)
+    def _attempt_delay_s(self) -> float:
+        rank = self._rank(LEADER_KEY)
         if rank < FIRST:
             within = self._random.uniform(0.0, _TRY_WITHIN_S)
             return rank * _TRY_EVERY_S + within
         return self._random.uniform(1.0, 1.5) * _LATER_S
 
-    async def _take(self, before: Holder | None) -> Failure | None:
+    async def _acquire(self, before: Leader | None) -> Failure | None:
         """Writes the key; a lost answer is read back.
 
         A write that takes effect only after that is not claimed: its lease
@@ -276,10 +288,10 @@
         lease = await self._kv.grant(self._ttl_s)
         if isinstance(lease, Failure):
             return lease
-        value = msgspec.json.encode(self._mine_after(before))
-        swap = await self._kv.put_if(HOLDER_KEY, value, 0, lease)
+        value = msgspec.json.encode(self._first_record(before))
+        swap = await self._kv.put_if(LEADER_KEY, value, 0, lease)
         if isinstance(swap, Failure):
-            found = await self._kv.get(HOLDER_KEY)
+            found = await self._kv.get(LEADER_KEY)
             if not isinstance(found, KvEntry) or found.value != value:
                 return swap
             revision = found.revision
@@ -291,37 +303,43 @@
         self.fence = revision
         self.announced = None
         self._until = asked + self._ttl_s - _MARGIN_S
-        self._follows(before)
+        self._follow(before)
         emit(
             Event.LEASE_WON,
             holder=self.name,
             fence=self.fence,
             before=before.start if before else "unknown",
-            left_alone="all" if self._wary is None else len(self._wary),
+            left_alone="all"
+            if self._possibly_commanded is None
+            else len(self._possibly_commanded),
         )
         return None
 
-    def _mine_after(self, before: Holder | None) -> Holder:
-        """Returns the first value that this holder writes.
+    def _first_record(self, before: Leader | None) -> Leader:
+        """Returns the first value that this leader writes.
 
-        It carries on which engines those before may have ordered, for the
-        case that this holder ends within the bound too.
+        It carries on which engines those before may have commanded, for the
+        case that this leader ends within the bound too.
         """
-        wary = before.wary if before else None
-        return msgspec.structs.replace(self._me, wary=wary)
+        commanded = before.possibly_commanded if before else None
+        return msgspec.structs.replace(self._me, possibly_commanded=commanded)
 
-    def _follows(self, before: Holder | None) -> None:
+    def _follow(self, before: Leader | None) -> None:
         """Learns which engines to leave alone, and until when."""
-        self._from = self._clock.seconds() + self._bound_s
-        self._wary = self._told_wary = before.wary if before else None
+        self._wait_until = self._clock.seconds() + self._bound_s
+        self._possibly_commanded = self._written_commanded = (
+            before.possibly_commanded if before else None
+        )
 
-    def _wary_now(self, rollout: Rollout | None) -> tuple[str, ...] | None:
-        """Returns the engines that the next holder must leave alone."""
+    def _find_possibly_commanded(
+        self, rollout: Rollout | None
+    ) -> tuple[str, ...] | None:
+        """Returns the engines that the next leader must leave alone."""
         now = self._clock.seconds()
-        for told in (self.announced, rollout):
-            for endpoint in told.closed if told else ():
+        for known in (self.announced, rollout):
+            for endpoint in known.closed if known else ():
                 self._closed_at[endpoint] = now
-        inherited = self._wary if now < self._from else ()
+        inherited = self._possibly_commanded if now < self._wait_until else ()
         if inherited is None:
             return None
         recent = {
@@ -347,12 +365,12 @@
         self.fenced()
 
     def _is_mine(self, entry: KvEntry) -> bool:
-        holder = _holder_of(entry)
-        return holder is not None and holder.start == self.name
+        leader = _leader_of(entry)
+        return leader is not None and leader.start == self.name
 
 
-def _holder_of(entry: KvEntry) -> Holder | None:
+def _leader_of(entry: KvEntry) -> Leader | None:
     try:
-        return msgspec.json.decode(entry.value or b"", type=Holder)
+        return msgspec.json.decode(entry.value or b"", type=Leader)
     except msgspec.MsgspecError:
         return None
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -351,7 +351,7 @@
         cluster, engine = self.started()
         name = {"model": "m", "version": 2}
         for gateway in cluster.gateways:
-            gateway._orders.tick = lambda: None
+            gateway._rollout_commands.tick = lambda: None
         cluster.write("op/version/m", name)
         cluster.pass_time(1)
         engine.version = 2
--- a/tests/entry/test_orders.py
+++ b/tests/entry/test_rollout_commands.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 
-from magnolialug.entry.orderlease import HOLDER_KEY
+from magnolialug.entry.rolloutlease import LEADER_KEY
 from tests.gatewaycluster import GatewayCluster
 
 
@@ -198,7 +198,7 @@
         second = holder_of_others(cluster, first)
         self.assertIsNotNone(second)
         first._lease._clock = cluster.net
-        first._orders.tick()
+        first._rollout_commands.tick()
         cluster.pass_time(6)
         holders = [o["holder"] for o in orders(cluster)]
         self.assertEqual({second._lease.name}, set(holders))
@@ -326,10 +326,10 @@
 
     def test_a_lost_answer_to_the_first_write_is_read_back(self):
         cluster = GatewayCluster(desks=0, engines=2)
-        self.assertNotIn(HOLDER_KEY, cluster.kv._rows)
+        self.assertNotIn(LEADER_KEY, cluster.kv._rows)
         cluster.kv.faults.lose_answers = 1
         cluster.pass_time(4)
-        lease = cluster.kv._rows[HOLDER_KEY]
+        lease = cluster.kv._rows[LEADER_KEY]
         self.assertIn(b"front-1", lease.value)
         name_weights(cluster, 2)
         cluster.kv.faults.lose_answers = 1
@@ -353,21 +353,28 @@
     def test_a_holder_whose_key_was_overwritten_orders_nothing(self):
         cluster = GatewayCluster(desks=0, engines=1)
         cluster.pass_time(4)
-        revision = cluster.kv._rows[HOLDER_KEY].revision
-        ensureDeferred(cluster.kv.put_if(HOLDER_KEY, b"\xff", revision))
+        revision = cluster.kv._rows[LEADER_KEY].revision
+        ensureDeferred(cluster.kv.put_if(LEADER_KEY, b"\xff", revision))
         name_weights(cluster, 2)
         cluster.pass_time(5)
         self.assertEqual([], orders(cluster))
-        cluster.remove(HOLDER_KEY)
+        cluster.remove(LEADER_KEY)
         cluster.pass_time(8)
         self.assertEqual(1, len(orders(cluster)))
 
     def test_what_is_written_can_be_read_by_the_next(self):
         cluster = GatewayCluster(desks=0, engines=1)
         cluster.pass_time(4)
-        row = msgspec.json.decode(cluster.kv._rows[HOLDER_KEY].value)
+        row = msgspec.json.decode(cluster.kv._rows[LEADER_KEY].value)
         self.assertEqual("front-1", row["vm"])
 
+    def test_releases_that_run_side_by_side_read_each_other(self):
+        """Guards against a renamed field in the store."""
+        cluster = GatewayCluster(desks=0, engines=1)
+        cluster.pass_time(4)
+        row = msgspec.json.decode(cluster.kv._rows[LEADER_KEY].value)
+        self.assertEqual({"vm", "start", "rollout", "wary"}, set(row))
+
 
 def holder_of_others(cluster, first):
     """Returns the holder among the other gateways."""
--- a/tests/entry/test_same_id.py
+++ b/tests/entry/test_same_id.py
@@ -9,7 +9,7 @@
 from magnolialug.policy.prompt import Part, Prompt
 from magnolialug.policy.sharedload import Placement, WorkShare
 from magnolialug.standin.endpoint import EndpointStandin
-from tests.entry.test_unanswered_orders import NEVER_S
+from tests.entry.test_unanswered_commands import NEVER_S
 from tests.gatewaycluster import GatewayCluster, config
 
 FIRST, SECOND = 1_700_000_000_000, 1_700_000_009_000
--- a/tests/entry/test_unanswered_orders.py
+++ b/tests/entry/test_unanswered_commands.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from tests.entry.test_orders import name_weights
+from tests.entry.test_rollout_commands import name_weights
 from tests.gatewaycluster import GatewayCluster
 
 # Longer than any test here: an order that is carried out this late is lost.
--- a/tests/prefixcache/test_garbage_collector.py
+++ b/tests/prefixcache/test_garbage_collector.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from magnolialug.platform.cachecalls import CacheChange
-from tests.entry.test_unanswered_orders import NEVER_S
+from tests.entry.test_unanswered_commands import NEVER_S
 from tests.gatewaycluster import GatewayCluster
 
 OLD = "/m/1"
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -20,6 +20,7 @@
         "follower",
         "homebook",
         "homes",
+        "orderlease",
         "in_vain",
         "storebook",
         "teller",
@@ -27,6 +28,7 @@
         "turnword",
         "unwait",
         "vain",
+        "wary",
     )
 )
 # What tells of a run: its figures belong in docs/design.
