Client: a timer for the connection only where a call asks for one

Cause: every call of every client had a second timer, though the pool bounds connections itself; found on reading the change again. Change: no timer without connect_s. Before/after: tests pass; not measured.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTCP
 
-from magnolialug.carrier.pool import CONNECT_S, Address, Flight, Pool
+from magnolialug.carrier.pool import Address, Flight, Pool
 from magnolialug.carrier.reader import Head
 from magnolialug.carrier.taker import End, Taker
 
@@ -110,11 +110,12 @@
         address: Address,
         request: bytes,
         timeout_s: float,
-        connect_s: float = CONNECT_S,
+        connect_s: float | None = None,
     ) -> Deferred[Reply | NoReply]:
         """Returns the response, or how it failed to come in time.
 
-        A connection that opens later than `connect_s` serves a later request.
+        The call ends if it has no connection after `connect_s`; one that opens
+        later serves the next call.
 
         Cancelled, it fails with CancelledError. A task that is cancelled
         while it asks would otherwise take the end of its call for an answer
@@ -130,10 +131,9 @@
         gather = _Gather(done)
         flight = self.send(address, request, gather)
         gather.flight = flight
-        timers = [
-            self._reactor.callLater(timeout_s, flight.silent),
-            self._reactor.callLater(connect_s, flight.unopened),
-        ]
+        timers = [self._reactor.callLater(timeout_s, flight.silent)]
+        if connect_s is not None:
+            timers.append(self._reactor.callLater(connect_s, flight.unopened))
 
         def over(result):
             for timer in timers:
