Test: an endpoint that is listed again outlasts an earlier doubt

Change: tests of the registry alone. Before/after: the second test fails without the line that drops the doubts.

--- /dev/null
+++ b/tests/entry/test_registry.py
@@ -0,0 +1,58 @@
+"""What the registry believes of entries that go missing and come back."""
+
+import msgspec
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from magnolialug.entry.directory import Directory
+from magnolialug.entry.registry import Registry
+from magnolialug.platform.kv import KvEntry
+
+_HEARTBEAT_S = 1.2
+_KEY = "servers/i-1"
+
+
+def entry(revision, is_there=True):
+    """Returns an endpoint's entry, or its removal."""
+    row = {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+    value = msgspec.json.encode(row) if is_there else None
+    return KvEntry(_KEY, value, revision)
+
+
+class RegistryTest(TestCase):
+    """One endpoint, and a service that was away for long."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.directory = Directory(self.clock)
+        self.registry = Registry(self.directory, self.clock, _HEARTBEAT_S)
+        self.registry.snapshot([entry(1)])
+        self.registry.lost()
+        self.clock.advance(10)
+        self.registry.back(10.0)
+        self.registry.changed(entry(2, is_there=False))
+
+    def test_a_missing_entry_is_doubted_for_two_seconds(self):
+        self.clock.advance(1.9)
+        self.registry.tick()
+        self.assertEqual(1, len(self.directory.peers))
+        self.clock.advance(0.2)
+        self.registry.tick()
+        self.assertEqual({}, self.directory.peers)
+
+    def test_an_endpoint_that_is_listed_again_stays(self):
+        """Guards against a doubt that outlasts the entry's return."""
+        self.clock.advance(2.1)
+        self.registry.snapshot([entry(3)])
+        self.registry.tick()
+        self.assertEqual(1, len(self.directory.peers))
