Watch client: a dropped history does not add to a long pause

A gateway returns from a cut, asks for the changes, and the service has dropped its history (410). Change: 410 is an answer and begins the pauses anew, 0.1 s at most.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -89,7 +89,11 @@
         while True:
             found = await (self._changes() if known else self._snapshot())
             if isinstance(found, Failure):
-                known = known and found.code is not Code.KV_HISTORY_GONE
+                if found.code is Code.KV_HISTORY_GONE:
+                    # The service answers; earlier failures do not delay the
+                    # snapshot, which tells of what was missed.
+                    known = False
+                    backoff = Backoff(base_s=_RETRY_S)
                 self._lost(found)
                 await sleep(self._clock, self._pause_s(found, backoff))
                 continue
--- a/tests/entry/test_removed_while_cut_off.py
+++ b/tests/entry/test_removed_while_cut_off.py
@@ -31,12 +31,14 @@
         self.cluster.start("front-9", 9, kv)
         self.cluster.pass_time(1)
 
-    def cut(self, seconds, removed=()):
+    def cut(self, seconds, removed=(), forgets=False):
         """Cuts the path for some time, while entries are removed."""
         self.net.cut(_PATH)
         self.cluster.pass_time(seconds / 2)
         for desk in removed:
             self.cluster.remove(f"servers/{desk.instance}")
+        if forgets:
+            self.cluster.kv.forget()
         self.cluster.pass_time(seconds / 2)
         self.net.heal(_PATH)
 
@@ -51,12 +53,12 @@
 class RemovedWhileCutOffTest(TestCase):
     """Guards against work for an endpoint long after its entry is removed."""
 
-    def arrivals_when_in_touch(self, cut_s, wait_s=0.0):
+    def arrivals_when_in_touch(self, cut_s, wait_s=0.0, forgets=False):
         """Returns how many requests reach a removed endpoint too late."""
         cut_off = CutOffCluster()
         cut_off.cluster.pass_time(wait_s)
         removed = cut_off.cluster.desks["i-desk1"]
-        cut_off.cut(cut_s, [removed])
+        cut_off.cut(cut_s, [removed], forgets)
         cut_off.ask(_IN_TOUCH_S)
         before = len(removed.seen)
         cut_off.ask(2)
@@ -70,6 +72,14 @@
         ]
         self.assertEqual([0] * 14, late)
 
+    def test_the_same_where_the_service_has_dropped_its_history(self):
+        """The changes since the cut began are answered with 410."""
+        late = [
+            self.arrivals_when_in_touch(_CUT_S + step * 0.15, forgets=True)
+            for step in range(14)
+        ]
+        self.assertEqual([0] * 14, late)
+
     def test_one_removed_behind_silent_connections_gets_nothing_either(self):
         """Open connections fall silent for good while new ones work."""
         late = [
