Entries: registrations that lapse in an outage stay counted

Their logs: after outages of the key-value service of 2.7, 1.1 and 4.7 s in a row all registrations of gateways had run out, because each of three renewals fell into an outage and the next came 3 s later. At 10.26 s vm-0, at 10.90 s vm-1 and at 13.3 s vm-2 announced an interval of 0.125 s: each counted itself alone and used the whole rate.

Change: a missing registration owns tasks for 2 s more, the time within which it is written again, and is counted for 30 s more by whatever is divided by the number of entries: a share that is too small for a while costs little. A renewal that failed is tried again soon, and at once when the service is back. Line 4222 ENTRIES_COUNTED tells the count and what is missing.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -391,11 +391,13 @@
         for model in told.union(self.routes.weights):
             self._bounds.heard(model, self._newest(model), now)
 
-    def _counted(self, entries: dict[Address, float]) -> None:
-        self.owners.entries(entries)
+    def _counted(
+        self, members: dict[Address, float], sharing: set[Address]
+    ) -> None:
+        self.owners.entries(members)
         me = (self.settings.host, self.settings.internal_port)
-        rank = sum(address < me for address in entries)
-        self.directory.counted(len(entries), rank)
+        rank = sum(address < me for address in sharing)
+        self.directory.counted(len(sharing), rank)
         budget = self._new_budget()
         self._budget.limit = budget.limit
 
@@ -424,6 +426,7 @@
         self._silence.tick(self._underway)
         self.factory.sweep(now)
         self.registry.tick()
+        self._entries.tick()
         self._note_weights(now)
         self._rollout_commands.tick()
         self.owners.tick(now)
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -92,6 +92,7 @@
     FREE_FAILED = 4214
     REPORT_REFUSED = 4220
     REGISTRATION_FAILED = 4221
+    ENTRIES_COUNTED = 4222
     LEASE_WON = 4300
     LEASE_LOST = 4301
     LEASE_UNCERTAIN = 4302
@@ -165,6 +166,7 @@
     Event.FREE_FAILED: "Replaced parts could not be freed; tried again later.",
     Event.REPORT_REFUSED: "Another entry's message is malformed.",
     Event.REGISTRATION_FAILED: "This entry could not register itself.",
+    Event.ENTRIES_COUNTED: "Other entries than before share the work; why.",
     Event.LEASE_WON: "This process gives the orders to engines from now on.",
     Event.LEASE_LOST: "This process gives no more orders.",
     Event.LEASE_UNCERTAIN: "A renewal had no answer; the lease runs on.",
--- /dev/null
+++ b/tests/entry/test_lapsed_registrations.py
@@ -0,0 +1,133 @@
+"""Gateways whose registrations lapse while they serve.
+
+The pattern: the key-value service is away for longer than a lease lasts, or
+turns some gateways away; endpoints turn cold, and all gateways share what a
+cold endpoint tolerates.
+"""
+
+from testtools import TestCase
+from twisted.web.server import Site
+
+from magnolialug.carrier.client import Client
+from magnolialug.platform.kvhttp import KvHttp
+from magnolialug.standin.kvface import kv_face
+from tests.gatewaycluster import GatewayCluster, config
+
+VMS = ("front-1", "front-2", "front-3")
+COLD_S = 3.0
+PER_S = 12.0
+# The bound that the platform sets: half as much again, and five.
+MOST_PER_S = PER_S * 1.5 + 5
+OUTAGES_S = (10.0, 20.0, 40.0)
+# A gateway that has died is counted for lease and doubt, and no longer.
+_FORGOTTEN_S = 50.0
+
+
+def operator():
+    """Returns a configuration whose plain endpoints have cold starts."""
+    base = config()
+    desk = {**base["services"][0], "coldStartS": COLD_S, "coldPerS": PER_S}
+    return {**base, "services": [desk, *base["services"][1:]]}
+
+
+class LapsedFleet:
+    """Three gateways, some of them behind paths that can be cut."""
+
+    def __init__(self, paths=()):
+        self.cluster = GatewayCluster(
+            desks=1, engines=0, operator=operator(), vms=VMS[: 3 - len(paths)]
+        )
+        self.net = self.cluster.net
+        self.gateways = list(self.cluster.gateways)
+        for number, path in enumerate(paths, 4 - len(paths)):
+            site = Site(kv_face(self.cluster.kv), reactor=self.net)
+            self.net.servers[path] = site
+            kv = KvHttp(Client(self.net), path)
+            vm = VMS[number - 1]
+            self.gateways.append(self.cluster.start(vm, number, kv))
+        self.cluster.pass_time(4)
+
+    def counts(self, seconds):
+        """Lets time pass; returns the least count of each gateway."""
+        least = [gateway.directory.entries for gateway in self.gateways]
+        until = self.net.seconds() + seconds
+        while self.net.seconds() < until:
+            self.cluster.pass_time(0.05)
+            now = [gateway.directory.entries for gateway in self.gateways]
+            least = [min(pair) for pair in zip(least, now, strict=True)]
+        return least
+
+    def busiest_second_of_a_cold_endpoint(self):
+        """Turns an endpoint cold; returns the most it gets in a second."""
+        desk = self.cluster.desks["i-desk1"]
+        arrivals = []
+        desk.on_arrival = lambda req: arrivals.append(self.net.seconds())
+        self.cluster.relist(desk, coldRemainingMs=int(COLD_S * 1000))
+        self.cluster.pass_time(0.3)
+        arrivals.clear()
+        for number in range(180):
+            address = (f"10.0.0.{1 + number % 3}", 80)
+            self.cluster.send("/read/x", self.cluster.caller(address))
+            self.cluster.pass_time(COLD_S * 0.8 / 180)
+        return max(
+            sum(at <= when < at + 1 for when in arrivals) for at in arrivals
+        )
+
+
+class LapsedRegistrationsTest(TestCase):
+    """Guards against gateways that take themselves for the only one."""
+
+    def outage(self, fleet, seconds):
+        """Takes the service away for all gateways."""
+        fleet.cluster.kv.faults.down = True
+        fleet.cluster.pass_time(seconds)
+        fleet.cluster.kv.faults.down = False
+
+    def test_each_counts_all_after_an_outage_longer_than_a_lease(self):
+        for seconds in OUTAGES_S:
+            fleet = LapsedFleet()
+            self.outage(fleet, seconds)
+            self.assertEqual([3, 3, 3], fleet.counts(12), seconds)
+
+    def test_each_counts_all_where_brief_outages_prevent_every_renewal(self):
+        fleet = LapsedFleet()
+        for _ in range(4):
+            self.outage(fleet, 3.5)
+            self.assertEqual([3, 3, 3], fleet.counts(0.6))
+        self.assertEqual([3, 3, 3], fleet.counts(12))
+
+    def test_a_cold_endpoint_gets_no_more_after_an_outage_than_before(self):
+        fleet = LapsedFleet()
+        self.outage(fleet, 20.0)
+        fleet.cluster.pass_time(0.5)
+        most = fleet.busiest_second_of_a_cold_endpoint()
+        self.assertLess(most, MOST_PER_S)
+        self.assertGreater(most, PER_S / 2)
+
+    def test_one_that_is_served_counts_those_that_are_turned_away(self):
+        """The others cannot renew, and go on serving."""
+        paths = [("10.9.9.1", 1), ("10.9.9.2", 1)]
+        fleet = LapsedFleet(paths)
+        for path in paths:
+            fleet.net.cut(path)
+        self.assertEqual([3, 3, 3], fleet.counts(25))
+        for path in paths:
+            fleet.net.heal(path)
+        self.assertEqual([3, 3, 3], fleet.counts(25))
+
+    def test_all_are_registered_again_soon_after_an_outage(self):
+        """A starting gateway knows only of those that are registered."""
+        fleet = LapsedFleet()
+        self.outage(fleet, 20.0)
+        fleet.cluster.pass_time(1.5)
+        fleet.gateways = [fleet.cluster.start("front-4", 4)]
+        fleet.cluster.pass_time(0.5)
+        self.assertEqual([4], fleet.counts(0.1))
+
+    def test_one_that_has_died_is_forgotten(self):
+        """Guards against a bound that is kept by using ever less of it."""
+        fleet = LapsedFleet()
+        dead = fleet.gateways.pop()
+        dead._entries._task.cancel()
+        fleet.cluster.pass_time(_FORGOTTEN_S)
+        self.assertEqual([2, 2], fleet.counts(0.1))
