Gateway: a SIGHUP while the interpreter starts does not end it

The signal's default action ends a process, and no program can take it before its first line. Callers lose a gateway for another start. Change: deploy/start-gateway starts the program with the signal ignored, which lasts across exec until the program takes it over. A signal that is ignored until then is not missed, since the settings are read afterwards. The soak starts its gateways by it, as operators do. Both new tests fail without the script.

--- a/magnolialug/cmd/hangup.py
+++ b/magnolialug/cmd/hangup.py
@@ -13,7 +13,9 @@
 
     The platform sends one whenever the settings file changes, also to a
     process that has just been started, and its default action ends the
-    process.
+    process. No program can take a signal before its first line, so
+    deploy/start-gateway starts one with the signal ignored. One that is
+    ignored until then is not missed: the settings are read afterwards.
     """
 
     def __init__(self) -> None:
--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -14,6 +14,7 @@
 # The rules hold for a machine this long after its last trouble.
 CONTACT_S = 3.0
 _RESTART_S = 0.3
+_START = pathlib.Path(__file__).parents[2] / "deploy" / "start-gateway"
 
 _SETTINGS = """\
 nodeName = "vm-{number}"
@@ -223,5 +224,5 @@
 
 
 def gateway_program() -> list[str]:
-    """Returns the command of the gateway."""
-    return [sys.executable, "-m", "magnolialug.cmd.gateway"]
+    """Returns the command of the gateway, as operators start it."""
+    return [str(_START), sys.executable, "-m", "magnolialug.cmd.gateway"]
--- a/tests/cmd/test_hangup.py
+++ b/tests/cmd/test_hangup.py
@@ -12,6 +12,8 @@
 from magnolialug.cmd.flagset import EXIT_BAD_INPUT
 from magnolialug.cmd.hangup import Hangups
 
+START = pathlib.Path(__file__).parents[2] / "deploy" / "start-gateway"
+
 
 class HangupsTest(TestCase):
     """A hang-up is kept, and delivered once."""
@@ -42,6 +44,32 @@
 class StartTest(TestCase):
     """A gateway that has just been started."""
 
+    def test_a_hang_up_before_the_first_line_does_not_end_it(self):
+        """Guards against an end while the interpreter starts."""
+        told = subprocess.run(
+            [START, "sh", "-c", "kill -HUP $$; echo alive"],
+            capture_output=True,
+            timeout=20,
+        )
+        self.assertEqual((0, b"alive\n"), (told.returncode, told.stdout))
+
+    def test_a_hang_up_is_taken_by_the_program_and_no_longer_ignored(self):
+        """Guards against settings that are never read again."""
+        path = pathlib.Path(self.useFixture(TempDir()).path) / "settings.toml"
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [START, sys.executable, "-m", "magnolialug.cmd.gateway"],
+            env={**os.environ, "MAGNOLIALUG_SETTINGS": str(path)},
+            stderr=subprocess.DEVNULL,
+        )
+        with open(path, "w"):
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        process.wait(timeout=20)
+        masks = dict(line.split(":\t", 1) for line in status.splitlines())
+        hang_up = 1 << (signal.SIGHUP - 1)
+        self.assertEqual(0, int(masks["SigIgn"], 16) & hang_up)
+        self.assertEqual(hang_up, int(masks["SigCgt"], 16) & hang_up)
+
     def test_a_hang_up_while_the_settings_are_read_does_not_end_it(self):
         """The default action of SIGHUP ends a process."""
         path = pathlib.Path(self.useFixture(TempDir()).path) / "settings.toml"
