Soak: a broken recovery tells which requests were not served, and why

Change: the report groups the unserved requests by kind, machine, status and the endpoints that they reached, with two ids of each group for the logs. The check and its bound are as they were.

--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -17,6 +17,7 @@
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.slot import Slot
 from magnolialug.soak.troubles import TROUBLES, kinds_of, plan
+from magnolialug.soak.unserved import describe_unserved
 from magnolialug.soak.world import EVENTS, World
 
 __all__ = ["Plan", "Report", "Soak"]
@@ -268,9 +269,13 @@
             for row in self.ledger.sent.values()
             if since <= row.at < self.now - 1.0
         ]
-        served = sum(200 <= row.status < 300 for row in rows)
+        unserved = [row for row in rows if not 200 <= row.status < 300]
+        served = len(rows) - len(unserved)
         if served < _SERVED_SHARE * len(rows) or not rows:
-            self.ledger.broken("RECOVER", f"{served} of {len(rows)} served")
+            detail = f"{served} of {len(rows)} served"
+            if unserved:
+                detail += "; not: " + describe_unserved(unserved)
+            self.ledger.broken("RECOVER", detail)
         self._check_engines()
         self._finish()
 
