Soak: poison requests, faults and a history checker

Cause: the soak still spoke the project's own dialect (harm, troubles, ledger); a ledger is an owner's record of load elsewhere in the package. Change: poison.py, faults.py, historychecker.py and the names that go with them; the report's field is "faults". Kinds of fault keep their names, because plans are drawn in their order.

--- a/magnolialug/cmd/soak.py
+++ b/magnolialug/cmd/soak.py
@@ -17,8 +17,8 @@
 )
 from magnolialug.events import setup_logging
 from magnolialug.result import Code
+from magnolialug.soak.faults import FAULTS
 from magnolialug.soak.machine import gateway_program
-from magnolialug.soak.troubles import TROUBLES
 
 __all__ = ["run"]
 
@@ -26,11 +26,11 @@
     Group(
         "Soak",
         (
-            Flag("seed", "int", 1, "decides the troubles and the callers"),
-            Flag("minutes", "float", 0.25, "how long new trouble begins"),
+            Flag("seed", "int", 1, "decides the faults and the callers"),
+            Flag("minutes", "float", 0.25, "how long new faults begin"),
             Flag("machines", "int", 3, "gateways"),
             Flag("clients", "int", 12, "callers, one connection each"),
-            Flag("only", "str", "", "kinds of trouble, separated by commas"),
+            Flag("only", "str", "", "kinds of fault, separated by commas"),
             Flag("program", "str", "", "command to run in a gateway's place"),
             Flag("out", "str", "", "folder for logs and settings"),
         ),
@@ -52,14 +52,14 @@
 
 
 def _kinds(text: str) -> tuple[str, ...]:
-    """Returns the kinds of trouble that a flag names.
+    """Returns the kinds of fault that a flag names.
 
     Raises:
       SystemExit: with EXIT_BAD_INPUT for a kind that there is not.
     """
     kinds = tuple(filter(None, text.split(",")))
     for kind in kinds:
-        if kind not in TROUBLES:
+        if kind not in FAULTS:
             code = Code.BAD_CONFIG_VALUE
             print(
                 f"{code.value} {code.name}: --only: no such kind"
--- a/magnolialug/soak/clients.py
+++ b/magnolialug/soak/clients.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.protocol import ClientFactory
 
-from magnolialug.soak.ledger import Form, Ledger, Sent
+from magnolialug.soak.historychecker import Form, HistoryChecker, Sent
 from magnolialug.soak.machine import Machine
 from magnolialug.soak.proxy import Proxy
 from magnolialug.standin.caller import Answer, Caller, request
@@ -55,7 +55,7 @@
         self,
         reactor,
         random: Random,
-        ledger: Ledger,
+        history: HistoryChecker,
         new_id: Callable[[], str],
         choose: Callable[[], Front],
         lost: Callable[[Sent, Answer], None],
@@ -64,7 +64,7 @@
         self.hurried = False
         self._reactor = reactor
         self._random = random
-        self._ledger = ledger
+        self._history = history
         self._new_id = new_id
         self._choose = choose
         self._lost = lost
@@ -101,7 +101,7 @@
         key = self._random.choice(list(TEAMS))
         row = self._new_row(form, key)
         self._row = row
-        self._ledger.add(row)
+        self._history.add(row)
         self._conn.transport.write(self._bytes(row, key))
         wait_s = row.deadline_s
         if self.impatient and self._random.random() < _LEAVES:
@@ -146,7 +146,7 @@
     def _leave(self) -> None:
         row, self._row = self._row, None
         row.left_at = self._reactor.seconds()
-        self._ledger.outcomes["left"] += 1
+        self._history.outcomes["left"] += 1
         conn, self._conn = self._conn, None
         conn.transport.abortConnection()
         self._think()
@@ -170,9 +170,9 @@
             return
         row, self._row = self._row, None
         if row is None:
-            self._ledger.broken("MIXED", f"nobody asked: {answer}")
+            self._history.broken("MIXED", f"nobody asked: {answer}")
             return
-        self._ledger.answered(row, answer)
+        self._history.answered(row, answer)
         if answer.headers.get("connection", "") == "close":
             self._conn = None
             conn.transport.loseConnection()
@@ -186,12 +186,12 @@
         row, self._row = self._row, None
         if conn.broken:
             name = row.request_id if row else ""
-            self._ledger.broken("MIXED", "bytes that are no answer", name)
+            self._history.broken("MIXED", "bytes that are no answer", name)
         if row is not None:
             answer = conn.last if conn.begun else Answer()
-            self._ledger.outcomes[f"{row.form.value} cut"] += 1
+            self._history.outcomes[f"{row.form.value} cut"] += 1
             if answer.status:
-                self._ledger.answered(row, answer)
+                self._history.answered(row, answer)
             self._lost(row, answer)
             row.left_at = self._reactor.seconds()
             self._think()
--- a/magnolialug/soak/troubles.py
+++ b/magnolialug/soak/faults.py
@@ -1,17 +1,17 @@
-"""What goes wrong in a soak: one function for each kind of trouble."""
+"""What goes wrong in a soak: one function for each kind of fault."""
 
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import TYPE_CHECKING
 
-from magnolialug.soak.harm import MARK, send_again, some_form
+from magnolialug.soak.poison import MARK, send_again, some_form
 from magnolialug.soak.proxy import Path
 from magnolialug.standin.endpoint import Fault
 
 if TYPE_CHECKING:
     from magnolialug.soak.run import Soak
 
-__all__ = ["TROUBLES", "kinds_of", "plan"]
+__all__ = ["FAULTS", "kinds_of", "plan"]
 
 _GAP_S = 0.7
 _SERIES = 3
@@ -34,11 +34,12 @@
 
 
 def kinds_of(seed: int) -> tuple[str, ...]:
-    """Returns the kinds of trouble that a seed draws from.
+    """Returns the kinds of fault that a seed draws from.
 
     Seeds below a thousand have been played and recorded with the first kinds;
     with more to draw from each would play another run, and a fault that one
-    has found would go unwatched.
+    has found would go unwatched. For the same reason kinds keep their names:
+    they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
     if seed < _FIRST_SEED_OF_LEAVING:
@@ -47,20 +48,20 @@
         left_out += _ZONE_KINDS
     if seed < _FIRST_SEED_OF_ALL:
         left_out += _LATER_KINDS
-    return tuple(name for name in TROUBLES if name not in left_out)
+    return tuple(name for name in FAULTS if name not in left_out)
 
 
 def plan(
     random: Random, seconds: float, only: Sequence[str] = ()
 ) -> list[tuple[float, str]]:
-    """Returns when which trouble begins; some come in series, many overlap.
+    """Returns when which fault begins; some come in series, many overlap.
 
     Args:
       only: the kinds to choose from, none for all.
     """
     at = 0.5
     rows = []
-    names = sorted(only or TROUBLES)
+    names = sorted(only or FAULTS)
     while at < seconds:
         name = random.choice(names)
         repeats = random.randint(2, _SERIES) if random.random() < 0.3 else 1
@@ -78,7 +79,7 @@
     """A process stands still and wakes again."""
     machine = soak.some_machine()
     for_s = _for_s(soak, 0.2, 4.0)
-    machine.trouble(for_s)
+    machine.disturb(for_s)
     machine.pause()
     soak.later(for_s, machine.resume)
 
@@ -86,14 +87,14 @@
 def kill_machine(soak: "Soak") -> None:
     """A process is killed, and started again at once."""
     machine = soak.some_machine()
-    machine.trouble(1.0)
+    machine.disturb(1.0)
     machine.kill()
 
 
 def kill_many(soak: "Soak") -> None:
     """All processes are killed at the same moment."""
     for machine in soak.machines:
-        machine.trouble(1.0)
+        machine.disturb(1.0)
         machine.kill()
 
 
@@ -119,7 +120,7 @@
     """One machine loses the key-value service."""
     machine = soak.some_machine()
     for_s = _for_s(soak, 0.3, 4.0)
-    machine.trouble(for_s)
+    machine.disturb(for_s)
     proxy = soak.kv_proxies[machine.number]
     proxy.opens(soak.random.choice(_CUTS))
     soak.later(for_s, proxy.opens, Path.OPEN)
@@ -128,21 +129,21 @@
 def silence_store(soak: "Soak") -> None:
     """A machine's open connections to the service are silent for good."""
     machine = soak.some_machine()
-    machine.trouble()
+    machine.disturb()
     soak.kv_proxies[machine.number].silence(soak.random)
 
 
 def reset_store(soak: "Soak") -> None:
     """All connections to the key-value service are reset."""
     for machine in soak.machines:
-        machine.trouble()
+        machine.disturb()
         soak.kv_proxies[machine.number].reset(soak.random)
 
 
 def slow_store(soak: "Soak") -> None:
     """The key-value service takes its time."""
     for_s = _for_s(soak, 0.5, 3.0)
-    soak.world.store_trouble(for_s)
+    soak.world.disturb_store(for_s)
     for proxy in soak.kv_proxies:
         proxy.delay_s = _for_s(soak, 0.05, 0.3)
         soak.later(for_s, setattr, proxy, "delay_s", 0.0)
@@ -151,7 +152,7 @@
 def store_down(soak: "Soak") -> None:
     """The service answers nothing, or refuses all."""
     for_s = _for_s(soak, 0.5, 4.0)
-    soak.world.store_trouble(for_s)
+    soak.world.disturb_store(for_s)
     fault = soak.random.choice(("down", "refusing", "deaf_watches"))
     faults = soak.world.kv.faults
     setattr(faults, fault, True)
@@ -162,7 +163,7 @@
     """Entries of endpoints run out while the service is down."""
     for_s = _for_s(soak, 1.0, 3.0)
     world = soak.world
-    world.store_trouble(for_s + 2.0)
+    world.disturb_store(for_s + 2.0)
     world.kv.faults.down = True
     soak.later(for_s, setattr, world.kv.faults, "down", False)
     for slot in world.slots:
@@ -181,7 +182,7 @@
 
 def store_loses_answers(soak: "Soak") -> None:
     """Writes are done and not answered."""
-    soak.world.store_trouble(1.0)
+    soak.world.disturb_store(1.0)
     soak.world.kv.faults.lose_answers += soak.random.randint(1, 4)
 
 
@@ -220,12 +221,12 @@
 
 def harmful_request(soak: "Soak") -> None:
     """A caller sends again and again what ends each endpoint that begins it."""
-    if soak.now < soak.harmed_until:
+    if soak.now < soak.poisoned_until:
         # Two at once leave no endpoint up for long, and so show little.
         return
     body = MARK + soak.new_id().encode()
-    soak.harmed_until = soak.now + _for_s(soak, 7.0, 9.0)
-    send_again(soak, body, some_form(soak), soak.harmed_until)
+    soak.poisoned_until = soak.now + _for_s(soak, 7.0, 9.0)
+    send_again(soak, body, some_form(soak), soak.poisoned_until)
 
 
 def restart_endpoint(soak: "Soak") -> None:
@@ -311,7 +312,7 @@
     machine = soak.some_machine()
     proxy = soak.fronts[machine.number].proxy
     for_s = _for_s(soak, 0.2, 1.5)
-    machine.trouble(for_s)
+    machine.disturb(for_s)
     act = soak.random.choice(("reset", "held", "delay"))
     if act == "reset":
         proxy.reset(soak.random, 0.5)
@@ -359,7 +360,7 @@
         soak.later(2.0, setattr, client, act, False)
 
 
-TROUBLES: dict[str, Callable[["Soak"], None]] = {
+FAULTS: dict[str, Callable[["Soak"], None]] = {
     act.__name__: act
     for act in (
         pause_machine,
--- a/magnolialug/soak/ledger.py
+++ b/magnolialug/soak/historychecker.py
@@ -9,7 +9,7 @@
 
 from magnolialug.standin.caller import Answer
 
-__all__ = ["Form", "Ledger", "Sent", "Violation"]
+__all__ = ["Form", "HistoryChecker", "Sent", "Violation"]
 
 # Refusals with these statuses say that the request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -89,7 +89,7 @@
     told_not_run: bool = False
 
 
-class Ledger:
+class HistoryChecker:
     """Compares what all sides have seen.
 
     Args:
@@ -173,7 +173,7 @@
         """Notes the status of a request that no endpoint can answer."""
         row.status = status
         row.told_not_run = status in _NOT_RUN
-        self.outcomes[f"harmful {status}"] += 1
+        self.outcomes[f"poison {status}"] += 1
 
     def _check_success(self, row: Sent, answer: Answer) -> None:
         stamp = answer.headers.get("x-response-stamp", "")
--- a/magnolialug/soak/machine.py
+++ b/magnolialug/soak/machine.py
@@ -11,7 +11,7 @@
 __all__ = ["CONTACT_S", "GRACE_S", "Machine", "gateway_program"]
 
 GRACE_S = 8.0
-# The rules hold for a machine this long after its last trouble.
+# The rules hold for a machine this long after its last fault.
 CONTACT_S = 3.0
 _RESTART_S = 0.3
 _START = pathlib.Path(__file__).parents[2] / "deploy" / "start-gateway"
@@ -61,8 +61,8 @@
       lifetime: counts the starts.
       paused: whether the process is stopped by a signal.
       stopping: whether it was told to end.
-      troubled_until: when its last trouble ends.
-      touched_at: since when it has been without trouble.
+      disturbed_until: when its last fault ends.
+      touched_at: since when it has been without a fault.
 
     Args:
       program: the command that runs the gateway.
@@ -83,7 +83,7 @@
         self.lifetime = 0
         self.paused = False
         self.stopping = False
-        self.troubled_until = 0.0
+        self.disturbed_until = 0.0
         self._block = block
         self._reactor = reactor
         self._program = program
@@ -144,14 +144,14 @@
         """The process's id, 0 if there is none."""
         return self._process.pid if self._process else 0
 
-    def trouble(self, for_s: float = 0.0) -> None:
+    def disturb(self, for_s: float = 0.0) -> None:
         """Learns that something is done to it, from now on."""
         until = self._reactor.seconds() + for_s
-        self.troubled_until = max(self.troubled_until, until)
+        self.disturbed_until = max(self.disturbed_until, until)
 
     def in_touch(self, since: float) -> bool:
-        """Whether it has had no trouble from then on, and shortly before."""
-        return self.troubled_until + CONTACT_S < since
+        """Whether it has had no fault from then on, and shortly before."""
+        return self.disturbed_until + CONTACT_S < since
 
     def pause(self) -> None:
         """Suspends the process."""
@@ -197,7 +197,7 @@
         if not self._killed and not self.stopping:
             self._failed("ENDED", self._describe_end(code))
         if not self._killed:
-            self.trouble(_RESTART_S)
+            self.disturb(_RESTART_S)
         self._reactor.callLater(_RESTART_S, self.start)
 
     def _describe_end(self, code: int) -> str:
--- a/magnolialug/soak/harm.py
+++ b/magnolialug/soak/poison.py
@@ -5,16 +5,16 @@
 import msgspec
 
 from magnolialug.carrier.client import Reply
-from magnolialug.soak.ledger import Form, Sent
+from magnolialug.soak.historychecker import Form, Sent
 from magnolialug.standin.caller import request
 
 if TYPE_CHECKING:
     from magnolialug.soak.run import Soak
 
-__all__ = ["MARK", "HarmRecord", "send_again", "some_form"]
+__all__ = ["MARK", "PoisonRecord", "send_again", "some_form"]
 
 # What a body begins with that ends endpoints.
-MARK = b"harm "
+MARK = b"poison "
 _FORMS = (Form.BOOK, Form.CHECK, Form.DRAFT)
 _EVERY_S = (0.1, 0.5)
 _DEADLINE_S = 3.0
@@ -24,8 +24,8 @@
 _SENT_AFTER = 3
 
 
-class HarmRecord(msgspec.Struct):
-    """What one harmful request has done.
+class PoisonRecord(msgspec.Struct):
+    """What one poison request has done.
 
     Attributes:
       ended: when endpoints ended under it.
@@ -57,14 +57,14 @@
         soak.new_id(),
         form,
         "POST",
-        f"/{form.value}/harm",
+        f"/{form.value}/poison",
         body,
         "team-a",
         front.machine.name,
         soak.now,
         _DEADLINE_S,
     )
-    soak.ledger.add(row)
+    soak.history.add(row)
     data = request(row.target, row.request_id, "key-a", "POST", body)
     fut = soak.asker.ask(front.address, data, _DEADLINE_S)
     fut.addCallback(lambda reply: _answered(soak, row, reply))
@@ -73,10 +73,10 @@
 
 
 def some_form(soak: "Soak") -> Form:
-    """Returns the form of a harmful request, by chance."""
+    """Returns the form of a poison request, by chance."""
     return soak.random.choice(_FORMS)
 
 
 def _answered(soak: "Soak", row: Sent, reply) -> None:
     if isinstance(reply, Reply):
-        soak.ledger.refused(row, reply.status)
+        soak.history.refused(row, reply.status)
--- a/magnolialug/soak/probes.py
+++ b/magnolialug/soak/probes.py
@@ -4,7 +4,7 @@
 
 from magnolialug.carrier.client import Client, Reply
 from magnolialug.soak.block import Block
-from magnolialug.soak.ledger import Form, Sent
+from magnolialug.soak.historychecker import Form, Sent
 from magnolialug.soak.machine import Machine
 from magnolialug.standin.caller import request
 
@@ -54,7 +54,7 @@
             self._soak.now,
             _PATIENCE_S,
         )
-        self._soak.ledger.add(row)
+        self._soak.history.add(row)
         data = request(target, name, deadline_ms=int(_PATIENCE_S * 1000))
         address = self._block.callers(machine.number)
         fut = self._asker.ask(address, data, _PATIENCE_S)
@@ -98,7 +98,7 @@
         if late > _SLACK_S and self._soak.touched(machine.name, since):
             state = "served" if served else "not served"
             detail = f"{machine.name}: {row.target} {state}, {late:.2f} s late"
-            self._soak.ledger.broken("CONFIG", detail, row.request_id)
+            self._soak.history.broken("CONFIG", detail, row.request_id)
 
     def _check_back(
         self, machine: Machine, version: int, served: bool, row: Sent
@@ -111,7 +111,7 @@
             return
         if older and row.at - at > _ROLLBACK_S:
             detail = f"{machine.name} went back from {shown}: {row.target}"
-            self._soak.ledger.broken("CONFIG", detail, row.request_id)
+            self._soak.history.broken("CONFIG", detail, row.request_id)
 
     def _show(self, machine: Machine, version: int) -> None:
         key = (machine.name, machine.lifetime)
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -11,12 +11,12 @@
 from magnolialug.carrier.client import Reply, request_bytes
 from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
-from magnolialug.soak.ledger import Ledger, Sent, Violation
+from magnolialug.soak.faults import FAULTS, kinds_of, plan
+from magnolialug.soak.historychecker import HistoryChecker, Sent, Violation
 from magnolialug.soak.machine import CONTACT_S, Machine
 from magnolialug.soak.probes import Probes
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.slot import Slot
-from magnolialug.soak.troubles import TROUBLES, kinds_of, plan
 from magnolialug.soak.unserved import describe_unserved
 from magnolialug.soak.world import EVENTS, World
 
@@ -40,10 +40,10 @@
     """What a run consists of.
 
     Attributes:
-      seconds: for how long trouble begins.
+      seconds: for how long faults begin.
       program: the command that runs a gateway.
       folder: takes settings and logs.
-      only: the kinds of trouble to choose from, none for all.
+      only: the kinds of fault to choose from, none for all.
     """
 
     seed: int
@@ -61,16 +61,16 @@
     seed: int
     requests: int
     outcomes: dict[str, int]
-    troubles: dict[str, int]
+    faults: dict[str, int]
     violations: Sequence[Violation]
 
 
 class Soak:
-    """Runs machines, callers and troubles, and watches the promises.
+    """Runs machines, callers and faults, and watches the promises.
 
     Attributes:
       asker: sends single requests.
-      harmed_until: when the newest harmful request comes no more.
+      poisoned_until: when the newest poison request comes no more.
       random: decides everything that is decided by chance.
 
     Args:
@@ -79,7 +79,7 @@
 
     def __init__(self, reactor, planned: Plan, done: Callable[[Report], None]):
         self.random = Random(planned.seed)
-        self.harmed_until = 0.0
+        self.poisoned_until = 0.0
         self._reactor = reactor
         self._plan = planned
         self._done = done
@@ -88,12 +88,12 @@
         self._timers: list = []
         self.asker = Asker(reactor)
         self._block = Block()
-        self.ledger = Ledger(reactor.seconds, EVENTS)
+        self.history = HistoryChecker(reactor.seconds, EVENTS)
         self._kinds = planned.only or kinds_of(planned.seed)
         self.world = World(
             reactor,
             self._block,
-            self.ledger,
+            self.history,
             self.touched,
             cold_starts="evacuate_zone" in self._kinds,
         )
@@ -114,7 +114,7 @@
     def start(self) -> None:
         """Starts everything."""
         for machine in self.machines:
-            machine.trouble()
+            machine.disturb()
             machine.start()
         self._every(_LOOK_S, self._look)
         self._every(_READY_S, self._ask_ready)
@@ -129,7 +129,7 @@
     def touched(self, machine: str, since: float) -> bool:
         """Whether a machine and the store have been calm from then on."""
         rows = [m for m in self.machines if m.name == machine]
-        calm = self.world.store_troubled_until + CONTACT_S < since
+        calm = self.world.store_disturbed_until + CONTACT_S < since
         return calm and bool(rows) and rows[0].in_touch(since)
 
     def some_machine(self) -> Machine:
@@ -170,7 +170,7 @@
             self._reactor,
             self._plan.program,
             self._plan.folder,
-            self.ledger.broken,
+            self.history.broken,
         )
 
     def _proxy(self, target, address) -> Proxy:
@@ -187,7 +187,7 @@
         return Client(
             self._reactor,
             Random(self.random.random()),
-            self.ledger,
+            self.history,
             self.new_id,
             self._choose,
             self._lost,
@@ -220,7 +220,7 @@
         if all(front.ready for front in self.fronts):
             self._begin()
         elif self.now > limit:
-            self.ledger.broken("START", "machines are not ready")
+            self.history.broken("START", "machines are not ready")
             self._finish()
         else:
             self.later(_LOOK_S, self._await_ready, limit)
@@ -232,12 +232,12 @@
         planned = self._plan
         self.world.zones.has_begun = True
         for at, name in plan(self.random, planned.seconds, self._kinds):
-            self.later(at, self._trouble, name)
+            self.later(at, self._inject, name)
         self.later(self._plan.seconds, self._heal)
 
-    def _trouble(self, name: str) -> None:
+    def _inject(self, name: str) -> None:
         self._counts[name] += 1
-        TROUBLES[name](self)
+        FAULTS[name](self)
 
     def _heal(self) -> None:
         """Ends what would not end by itself."""
@@ -266,7 +266,7 @@
     def _check_recovery(self, since: float) -> None:
         rows = [
             row
-            for row in self.ledger.sent.values()
+            for row in self.history.sent.values()
             if since <= row.at < self.now - 1.0
         ]
         unserved = [row for row in rows if not 200 <= row.status < 300]
@@ -275,7 +275,7 @@
             detail = f"{served} of {len(rows)} served"
             if unserved:
                 detail += "; not: " + describe_unserved(unserved)
-            self.ledger.broken("RECOVER", detail)
+            self.history.broken("RECOVER", detail)
         self._check_engines()
         self._finish()
 
@@ -285,12 +285,12 @@
             engine = slot.endpoint
             if engine.version != newest:
                 detail = f"{engine.instance}: {engine.version} for {newest}"
-                self.ledger.broken("VERSION", detail)
+                self.history.broken("VERSION", detail)
             holders: dict[int, str] = {}
             for order in engine.orders:
                 fence, holder = order["fencingToken"], order["holder"]
                 if holders.setdefault(fence, holder) != holder:
-                    self.ledger.broken("ONE", f"fence {fence}: {holder}")
+                    self.history.broken("ONE", f"fence {fence}: {holder}")
 
     def _lost(self, row: Sent, answer) -> None:
         """Judges a connection that ended before its answer."""
@@ -305,10 +305,10 @@
             return
         if not (broken_off and faulty):
             detail = f"at {row.machine}, status {answer.status}"
-            self.ledger.broken("LOST", detail, row.request_id)
+            self.history.broken("LOST", detail, row.request_id)
 
     def _overdue(self) -> None:
-        self.ledger.broken("SOAK", "the run itself did not end in time")
+        self.history.broken("SOAK", "the run itself did not end in time")
         self._finish()
 
     def close(self) -> None:
@@ -323,15 +323,15 @@
             if timer.active():
                 timer.cancel()
         self.close()
-        self.ledger.finish()
+        self.history.finish()
         self.world.close()
         self._block.release()
         self._done(
             Report(
                 self._plan.seed,
-                len(self.ledger.sent),
-                dict(sorted(self.ledger.outcomes.items())),
+                len(self.history.sent),
+                dict(sorted(self.history.outcomes.items())),
                 dict(sorted(self._counts.items())),
-                tuple(self.ledger.violations),
+                tuple(self.history.violations),
             )
         )
--- a/magnolialug/soak/unserved.py
+++ b/magnolialug/soak/unserved.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Sequence
 
-from magnolialug.soak.ledger import Sent
+from magnolialug.soak.historychecker import Sent
 
 __all__ = ["describe_unserved"]
 
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -7,9 +7,9 @@
 from twisted.web.server import Site
 
 from magnolialug.soak.block import Block
-from magnolialug.soak.harm import MARK, HarmRecord
-from magnolialug.soak.ledger import Ledger
+from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.machine import CONTACT_S
+from magnolialug.soak.poison import MARK, PoisonRecord
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.slot import Slot
 from magnolialug.soak.worldconfig import soak_config
@@ -30,7 +30,7 @@
 # Room for all that a run saves.
 _STORE_TOKENS = 1_000_000
 _HEARTBEATS_S = 3.6
-# An endpoint has begun a harmful request, and not answered it, by then.
+# An endpoint has begun a poison request, and not answered it, by then.
 _BEGUN_S = 0.005
 _BACK_S = 1.5
 _FAULTY_S = 8.0
@@ -52,7 +52,7 @@
       slots: endpoints by their number.
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
-      harms: what each harmful request has done, by its body.
+      poisoned: what each poison request has done, by its body.
       zones: the evacuated zones and the cold endpoints.
 
     Args:
@@ -64,25 +64,25 @@
         self,
         reactor,
         block: Block,
-        ledger: Ledger,
+        history: HistoryChecker,
         touched: Callable[[str, float], bool],
         desks: int = 3,
         engines: int = 3,
         cold_starts: bool = False,
     ):
-        self.zones = ZoneChecks(reactor.seconds, touched, ledger.broken)
+        self.zones = ZoneChecks(reactor.seconds, touched, history.broken)
         self._cold_starts = cold_starts
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
         self.weights = 1
-        self.store_troubled_until = 0.0
+        self.store_disturbed_until = 0.0
         self.slots: list[Slot] = []
-        self.harms: dict[bytes, HarmRecord] = {}
+        self.poisoned: dict[bytes, PoisonRecord] = {}
         self.walls: dict[str, tuple[str, int]] = {}
         self.part_store = PartStoreStandin(reactor, "i-store")
         self._reactor = reactor
         self._block = block
-        self._ledger = ledger
+        self._history = history
         self._touched = touched
         self._numbers = iter(range(1, 10_000))
         self._ports: list = []
@@ -143,10 +143,10 @@
             slot.row["coldRemainingMs"] = int(COLD_S * 1000)
             self.zones.starts(slot.endpoint.instance)
 
-    def store_trouble(self, for_s: float) -> None:
+    def disturb_store(self, for_s: float) -> None:
         """Learns that something is done to the key-value service."""
         until = self._reactor.seconds() + for_s
-        self.store_troubled_until = max(self.store_troubled_until, until)
+        self.store_disturbed_until = max(self.store_disturbed_until, until)
 
     def crash(self, slot: Slot) -> None:
         """Ends an endpoint; its entry runs out later."""
@@ -189,7 +189,7 @@
 
     def _leaves(self, slot: Slot) -> None:
         slot.leaving_at = self._reactor.seconds()
-        calm_from = self.store_troubled_until + CONTACT_S
+        calm_from = self.store_disturbed_until + CONTACT_S
         slot.left_calmly = calm_from < slot.leaving_at
 
     def write(self, key: str, value: dict | bytes) -> None:
@@ -231,7 +231,7 @@
         else:
             endpoint = self._engine(instance)
         endpoint.born_ms = self._born_ms()
-        endpoint.ran = self._ledger.ran
+        endpoint.ran = self._history.ran
         endpoint.on_arrival = lambda req: self._arrived(slot, endpoint, req)
         return endpoint
 
@@ -246,14 +246,14 @@
     def _arrived(self, slot: Slot, endpoint, req: Received) -> None:
         if not req.request_id:
             return
-        row = self._ledger.sent.get(req.request_id)
+        row = self._history.sent.get(req.request_id)
         machine = row.machine if row else ""
         now = self._reactor.seconds()
         sent_at = row.at if row else now
-        # What a harmed way to the endpoint held up is not the gateway's.
-        harmed = slot.faulty_until > sent_at
-        touched = not harmed and self._touched(machine, sent_at)
-        self._ledger.arrived(endpoint.instance, slot.service, req, touched)
+        # What a impaired way to the endpoint held up is not the gateway's.
+        impaired = slot.faulty_until > sent_at
+        touched = not impaired and self._touched(machine, sent_at)
+        self._history.arrived(endpoint.instance, slot.service, req, touched)
         if req.headers.get("x-expect-instance") != endpoint.instance:
             # It is turned away unrun, which is no work.
             return
@@ -263,7 +263,7 @@
                 endpoint.instance, slot.zone, req.request_id, machine, sent_at
             )
             if req.body.startswith(MARK):
-                self._harmed(slot, req, machine)
+                self._poisoned(slot, req, machine)
         if slot.service == "llm":
             self._check_walls(endpoint, req)
 
@@ -275,24 +275,24 @@
         late = self._reactor.seconds() - slot.leaving_at - DRAIN_S
         if late > _SLACK_S and self._touched(machine, sent_at - _SLACK_S):
             detail = f"{late:.2f} s after {slot.endpoint.instance} left"
-            self._ledger.broken("DRAIN", detail, req.request_id)
+            self._history.broken("DRAIN", detail, req.request_id)
 
-    def _harmed(self, slot: Slot, req: Received, machine: str) -> None:
-        """Ends an endpoint that has begun a harmful request."""
-        record = self.harms.setdefault(req.body, HarmRecord())
+    def _poisoned(self, slot: Slot, req: Received, machine: str) -> None:
+        """Ends an endpoint that has begun a poison request."""
+        record = self.poisoned.setdefault(req.body, PoisonRecord())
         known_from = record.known_from
         late = self._reactor.seconds() > known_from + _SLACK_S
         if late and self._touched(machine, known_from):
             record.late += 1
         if record.too_late:
             detail = f"sent on after {len(record.ended)} endpoints had ended"
-            self._ledger.broken("BUDGET", detail, req.request_id)
+            self._history.broken("BUDGET", detail, req.request_id)
         self._reactor.callLater(
             _BEGUN_S, self._end_under, slot, slot.endpoint, req, record
         )
 
     def _end_under(
-        self, slot: Slot, endpoint, req: Received, record: HarmRecord
+        self, slot: Slot, endpoint, req: Received, record: PoisonRecord
     ) -> None:
         waits = any(conn.current is req for conn in endpoint.open)
         if slot.endpoint is not endpoint or not waits:
@@ -318,7 +318,7 @@
         found = self.walls.setdefault(salt, (wall, int(expected or 0)))
         if found != (wall, int(expected or 0)):
             detail = f"salt {salt!r}: {found} and {(wall, expected)}"
-            self._ledger.broken("WALL", detail, req.request_id)
+            self._history.broken("WALL", detail, req.request_id)
 
     def _list(self, slot: Slot) -> None:
         weights = [{"name": "m", "version": self.weights}]
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_historychecker.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from magnolialug.soak.ledger import Form, Ledger, Sent
+from magnolialug.soak.historychecker import Form, HistoryChecker, Sent
 from magnolialug.standin.caller import Answer
 from magnolialug.standin.endpoint import Received
 
@@ -31,21 +31,21 @@
     return b"".join(b"id: %d\ndata: %s\n\n" % row for row in rows)
 
 
-class LedgerTest(TestCase):
+class HistoryCheckerTest(TestCase):
     """Four events make a whole stream."""
 
-    def ledger(self, form=Form.BOOK):
-        """Returns a ledger with one request under way, and that request."""
+    def history(self, form=Form.BOOK):
+        """Returns a history with one request under way, and that request."""
         self.now = 0.1
-        ledger = Ledger(lambda: self.now, 4)
+        history = HistoryChecker(lambda: self.now, 4)
         row = sent(form)
-        ledger.add(row)
-        return ledger, row
+        history.add(row)
+        return history, row
 
-    def found(self, ledger):
+    def found(self, history):
         """Returns the promises that broke."""
-        ledger.finish()
-        return [row.promise for row in ledger.violations]
+        history.finish()
+        return [row.promise for row in history.violations]
 
     ANSWERS = (
         # form, status, body, whole, promises broken
@@ -82,26 +82,26 @@
 
     def test_answers(self):
         for form, status, body, whole, promises in self.ANSWERS:
-            ledger, row = self.ledger(form)
+            history, row = self.history(form)
             answer = Answer(status, dict(STAMP), body, whole)
-            ledger.answered(row, answer)
-            self.assertEqual(promises, self.found(ledger), (form, body))
+            history.answered(row, answer)
+            self.assertEqual(promises, self.found(history), (form, body))
 
     def test_a_success_without_its_mark(self):
-        ledger, row = self.ledger()
-        ledger.answered(row, Answer(200, {}, b"i-1|r|/x", True))
-        self.assertEqual(["MIXED"], self.found(ledger))
+        history, row = self.history()
+        history.answered(row, Answer(200, {}, b"i-1|r|/x", True))
+        self.assertEqual(["MIXED"], self.found(history))
 
     def test_a_refusal_of_what_has_run_or_runs_later(self):
-        ledger, row = self.ledger()
-        ledger.answered(row, Answer(503, {}, b"", True))
-        ledger.ran["r"] += 1
-        self.assertEqual(["REFUSED"], self.found(ledger))
+        history, row = self.history()
+        history.answered(row, Answer(503, {}, b"", True))
+        history.ran["r"] += 1
+        self.assertEqual(["REFUSED"], self.found(history))
 
     def test_a_second_run(self):
-        ledger, _ = self.ledger()
-        ledger.ran["r"] += 2
-        self.assertEqual(["TWICE"], self.found(ledger))
+        history, _ = self.history()
+        history.ran["r"] += 2
+        self.assertEqual(["TWICE"], self.found(history))
 
     ARRIVALS = (
         ({}, "desk", []),
@@ -116,19 +116,19 @@
 
     def test_arrivals(self):
         for changes, service, promises in self.ARRIVALS:
-            ledger, _ = self.ledger()
-            ledger.arrived("i-1", service, received(**changes), True)
-            self.assertEqual(promises, self.found(ledger), changes)
+            history, _ = self.history()
+            history.arrived("i-1", service, received(**changes), True)
+            self.assertEqual(promises, self.found(history), changes)
 
     def test_an_arrival_long_after_its_caller_has_left(self):
-        ledger, row = self.ledger()
+        history, row = self.history()
         row.left_at = 0.1
         self.now = 0.8
         headers = {"x-request-deadline-ms": "2000"}
-        ledger.arrived("i-1", "desk", received(headers=headers), True)
-        self.assertEqual(["GONE"], self.found(ledger))
+        history.arrived("i-1", "desk", received(headers=headers), True)
+        self.assertEqual(["GONE"], self.found(history))
 
     def test_more_repeats_than_the_budget(self):
-        ledger, row = self.ledger(Form.READ)
+        history, row = self.history(Form.READ)
         row.arrivals = [(0.01 * n, "i-1") for n in range(60)]
-        self.assertEqual(["BUDGET"], self.found(ledger))
+        self.assertEqual(["BUDGET"], self.found(history))
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -5,8 +5,8 @@
 from testtools import TestCase
 from twisted.internet.protocol import Factory, Protocol
 
+from magnolialug.soak.faults import FAULTS, kinds_of, plan
 from magnolialug.soak.proxy import Path, Proxy
-from magnolialug.soak.troubles import TROUBLES, kinds_of, plan
 from tests.network import Network
 
 FRONT, SERVER = ("127.0.0.2", 1), ("127.0.0.3", 2)
@@ -112,7 +112,7 @@
 
     def test_all_kinds_come_and_some_in_series(self):
         rows = plan(Random(1), 600)
-        self.assertEqual(set(TROUBLES), {name for _, name in rows})
+        self.assertEqual(set(FAULTS), {name for _, name in rows})
         times = [at for at, _ in rows]
         gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
         self.assertLess(min(gaps), 0.1)
@@ -122,11 +122,11 @@
         self.assertNotIn("restart_endpoint", kinds_of(104))
         leaving = {"leave_unannounced"}
         newest = {"evacuate_zone", *leaving}
-        self.assertEqual(set(TROUBLES) - newest, set(kinds_of(1000)))
-        self.assertEqual(set(TROUBLES) - newest, set(kinds_of(2999)))
-        self.assertEqual(set(TROUBLES) - leaving, set(kinds_of(3000)))
-        self.assertEqual(set(TROUBLES) - leaving, set(kinds_of(3999)))
-        self.assertEqual(set(TROUBLES), set(kinds_of(4000)))
+        self.assertEqual(set(FAULTS) - newest, set(kinds_of(1000)))
+        self.assertEqual(set(FAULTS) - newest, set(kinds_of(2999)))
+        self.assertEqual(set(FAULTS) - leaving, set(kinds_of(3000)))
+        self.assertEqual(set(FAULTS) - leaving, set(kinds_of(3999)))
+        self.assertEqual(set(FAULTS), set(kinds_of(4000)))
 
     def test_some_kinds_only(self):
         rows = plan(Random(1), 60, ("crowd",))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -80,7 +80,7 @@
         )
         self.assertEqual([], report["violations"])
         self.assertEqual(0, code)
-        self.assertGreater(report["outcomes"]["harmful 502"], 20)
+        self.assertGreater(report["outcomes"]["poison 502"], 20)
 
     def test_a_request_that_ends_endpoints_and_is_sent_on_is_found(self):
         self.assertIn("BUDGET", self.sabotaged("forget", "harmful_request"))
@@ -93,7 +93,7 @@
         )
         self.assertEqual([], report["violations"])
         self.assertEqual(0, code)
-        self.assertGreater(report["troubles"]["evacuate_zone"], 1)
+        self.assertGreater(report["faults"]["evacuate_zone"], 1)
 
     def test_an_evacuation_that_is_not_obeyed_is_found(self):
         self.assertIn("EVAC", self.sabotaged("stay", "evacuate_zone"))
@@ -107,7 +107,7 @@
         )
         self.assertEqual([], report["violations"])
         self.assertEqual(0, code)
-        self.assertGreater(report["troubles"]["leave_unannounced"], 1)
+        self.assertGreater(report["faults"]["leave_unannounced"], 1)
 
     def test_a_removal_that_is_not_believed_is_found(self):
         self.assertIn("DRAIN", self.sabotaged("cling", "leave_unannounced"))
--- a/tests/soak/test_unserved.py
+++ b/tests/soak/test_unserved.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from magnolialug.soak.ledger import Form, Sent
+from magnolialug.soak.historychecker import Form, Sent
 from magnolialug.soak.unserved import describe_unserved
 
 
