Cold start: gateways that all start again do not send at one moment

Change: registrations are read before endpoints. Before/after: entry/test_cold_endpoints.py, twenty gateways start again while an endpoint is cold: 20 requests in a second, 14 allowed, before; within the bound now.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -198,8 +198,9 @@
             {
                 OPERATOR_PREFIX: self.routes,
                 EVACUATION_PREFIX: self._evacuations,
-                REGISTRY_PREFIX: self.registry,
+                # Before the endpoints: a cold one is shared by all entries.
                 ENTRIES_PREFIX: self._entries,
+                REGISTRY_PREFIX: self.registry,
                 QUARANTINE_KEYS: self.quarantine.written,
                 LEADER_KEY: self._lease,
             },
--- a/tests/entry/test_cold_endpoints.py
+++ b/tests/entry/test_cold_endpoints.py
@@ -122,6 +122,29 @@
         self.load(COLD_S)
         self.assertLess(self.busiest_second(), MOST_PER_S)
 
+    def test_one_gets_little_from_gateways_that_all_start_again(self):
+        """Guards against first requests of a whole fleet at one moment."""
+        vms = [f"front-{number}" for number in range(1, 21)]
+        self.cluster = GatewayCluster(
+            desks=1, engines=0, operator=operator(), vms=vms
+        )
+        self.cluster.pass_time(2)
+        desk = self.cluster.desks["i-desk1"]
+        self.cluster.relist(desk, coldRemainingMs=int(COLD_S * 1000))
+        for number, vm in enumerate(vms, 1):
+            self.cluster.start(vm, number)
+        self.cluster.pass_time(0.05)
+        desk.on_arrival = lambda req: self.arrivals.append(
+            self.cluster.net.seconds()
+        )
+        for _ in range(20):
+            for number in range(1, len(vms) + 1):
+                caller = self.cluster.caller((f"10.0.0.{number}", 80))
+                self.cluster.send("/read/x", caller=caller)
+            self.cluster.pass_time(0.05)
+        self.assertGreater(len(self.arrivals), PER_S / 2)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+
     def test_a_service_whose_endpoints_are_all_cold_says_when_to_return(self):
         self.cluster.remove("servers/i-desk2")
         self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
