Observability: what had arrived of an answer of the key-value service that was given up

Nobody could tell a lost answer from a long one.

Change: a call records its progress. 4200 and 4202 tell the bytes received and how long before the last came; 4203 tells answers that arrive slowly; an outage that began before the process is logged too, and again each 10 s; kv_bytes counts what calls cost the link. No decision changes.

Before/after: test_a_service_that_was_never_reached_is_logged fails before.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -1,12 +1,13 @@
 """Whole requests and responses over pooled connections."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTCP
 
 from magnolialug.carrier.pool import Address, Flight, Pool
+from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.reader import Head
 from magnolialug.carrier.taker import End, Taker
 
@@ -59,8 +60,12 @@
 class _Gather:
     """Collects one response."""
 
-    def __init__(self, done: Deferred):
+    def __init__(
+        self, done: Deferred, progress: Progress, clock: Callable[[], float]
+    ):
         self._done = done
+        self._progress = progress
+        self._clock = clock
         self._head: Head | None = None
         self._pieces: list[bytes] = []
         self._size = 0
@@ -69,9 +74,11 @@
     def on_head(self, head: Head) -> None:
         """Takes the head."""
         self._head = head
+        self._progress.hear(self._clock(), 0)
 
     def on_data(self, data: bytes) -> None:
         """Takes a piece of the body."""
+        self._progress.hear(self._clock(), len(data))
         self._size += len(data)
         self._pieces.append(data)
         if self._size > _LIMIT_BYTES and self.flight is not None:
@@ -83,6 +90,7 @@
 
     def on_end(self, end: End) -> None:
         """Hands the response over."""
+        self._progress.whole = end is End.WHOLE
         done, self._done = self._done, None
         if done is None:
             return
@@ -111,6 +119,7 @@
         request: bytes,
         timeout_s: float,
         connect_s: float | None = None,
+        progress: Progress | None = None,
     ) -> Deferred[Reply | NoReply]:
         """Returns the response, or how it failed to come in time.
 
@@ -121,14 +130,20 @@
         while it asks would otherwise take the end of its call for an answer
         and go on: a process that stops would take a lease once more, and
         hold it beyond its end.
+
+        Args:
+          progress: records what arrives.
         """
+        clock = self._reactor.seconds
+        progress = progress or Progress()
+        progress.begin(clock())
 
         def cancelled(_: Deferred) -> None:
             gather.forget()
             over(None)
 
         done: Deferred = Deferred(cancelled)
-        gather = _Gather(done)
+        gather = _Gather(done, progress, clock)
         flight = self.send(address, request, gather)
         gather.flight = flight
         timers = [self._reactor.callLater(timeout_s, flight.silent)]
@@ -144,6 +159,10 @@
 
         return done.addCallback(over)
 
+    def seconds(self) -> float:
+        """Returns the time by which progress is recorded."""
+        return self._reactor.seconds()
+
     def send(self, address: Address, request: bytes, taker: Taker) -> Flight:
         """Sends a request; the response goes to its taker as it arrives."""
         pool = self._pools.get(address)
--- a/magnolialug/cmd/gatewayprogram.py
+++ b/magnolialug/cmd/gatewayprogram.py
@@ -77,8 +77,9 @@
     client = Client(reactor)
     metrics = GatewayMetrics()
 
-    def counted(call: str, outcome: str) -> None:
+    def counted(call: str, outcome: str, received: int) -> None:
         metrics.kv_calls.add(1, {"call": call, "outcome": outcome})
+        metrics.kv_bytes.add(received, {"call": call})
 
     gateway = Gateway(
         settings,
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -34,6 +34,7 @@
         self.retries = meter.create_counter("retries")
         self.attempts = meter.create_counter("attempts")
         self.kv_calls = meter.create_counter("kv_calls")
+        self.kv_bytes = meter.create_counter("kv_bytes", "By")
         self.connections_made = meter.create_counter("connections_made")
         self.tokens = meter.create_counter("prompt_tokens")
         self.parts = meter.create_counter("cache_parts")
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.carrier.progress import Progress
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Changes, Kv, Snapshot
 from magnolialug.policy.retry import Backoff
@@ -27,6 +28,10 @@
 _CHECK_INTERVAL_S = 0.8
 # A change that is on its way to the watch when the service answers the check.
 _CHECK_SLACK_S = 0.2
+# An answer that arrives for longer than this is logged.
+_SLOW_ARRIVAL_S = 0.2
+# How often it is logged that the service still does not answer.
+_REMINDER_INTERVAL_S = 10.0
 # First pause after a failed call.
 _RETRY_S = 0.1
 # Longest pause while the service answers calls, but not as it should.
@@ -70,6 +75,8 @@
         self._in_a_row = 0
         self._asked_at = float("-inf")
         self._answered_at = clock.seconds()
+        self._lost_logged_at = float("-inf")
+        self._progress = Progress()
         self._task: Deferred | None = None
 
     def start(self) -> None:
@@ -98,6 +105,7 @@
                 await sleep(self._clock, self._pause_s(found, backoff))
                 continue
             backoff = Backoff(base_s=_RETRY_S)
+            self._log_arrival()
             self._heard(found)
             if known:
                 await self._pace()
@@ -127,7 +135,8 @@
         await sleep(self._clock, max(0.0, pause_s - took_s))
 
     async def _snapshot(self) -> Snapshot | Failure:
-        return await self._kv.snapshot(_ALL)
+        self._progress = Progress()
+        return await self._kv.snapshot(_ALL, progress=self._progress)
 
     async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
@@ -135,13 +144,29 @@
             awaited = await self._wait_for_changes()
             if awaited is not None:
                 return awaited
-        found = await self._kv.changes(_ALL, self.revision, 0.0)
+        found = await self._ask_changes(0.0)
         if isinstance(found, Failure) or found.entries:
             return found
         # While the service drops its history, watches skip changes.
         skipped = found.revision > self.revision
         return await self._snapshot() if skipped else found
 
+    async def _ask_changes(self, wait_s: float) -> Changes | Failure:
+        self._progress = Progress()
+        return await self._kv.changes(
+            _ALL, self.revision, wait_s, self._progress
+        )
+
+    def _log_arrival(self) -> None:
+        progress = self._progress
+        if progress.arrival_s > _SLOW_ARRIVAL_S:
+            emit(
+                Event.KV_ANSWER_SLOW,
+                revision=self.revision,
+                received=progress.received,
+                arrival_s=round(progress.arrival_s, 3),
+            )
+
     async def _wait_for_changes(self) -> Changes | Failure | None:
         """Waits at the service until a change, or until the watch is stale.
 
@@ -153,15 +178,19 @@
         Returns:
           None if the watch is stale.
         """
-        watch = ensureDeferred(
-            self._kv.changes(_ALL, self.revision, self._wait_s)
-        )
+        watch = ensureDeferred(self._ask_changes(self._wait_s))
         stale = False
 
         def end_watch(reason: str) -> None:
             nonlocal stale
             stale = True
-            emit(Event.WATCH_STALE, revision=self.revision, reason=reason)
+            emit(
+                Event.WATCH_STALE,
+                revision=self.revision,
+                reason=reason,
+                received=self._progress.received,
+                arrival_s=round(self._progress.arrival_s, 3),
+            )
             watch.cancel()
 
         check = ensureDeferred(self._until_stale())
@@ -195,6 +224,7 @@
         away_s, self._answered_at = now - self._answered_at, now
         if not self.in_touch:
             self.in_touch = True
+            self._lost_logged_at = float("-inf")
             emit(
                 Event.KV_BACK, revision=found.revision, away_s=round(away_s, 3)
             )
@@ -214,9 +244,26 @@
             subscriber.settled()
 
     def _lost(self, failure: Failure) -> None:
+        self._log_lost(failure)
         if not self.in_touch:
             return
         self.in_touch = False
-        emit(Event.KV_LOST, revision=self.revision, **explain(failure))
         for subscriber in self._subscribers.values():
             subscriber.lost()
+
+    def _log_lost(self, failure: Failure) -> None:
+        """Logs an outage when it begins and then from time to time.
+
+        An outage may have begun before the process did, and its reason may
+        change.
+        """
+        now = self._clock.seconds()
+        if now - self._lost_logged_at < _REMINDER_INTERVAL_S:
+            return
+        self._lost_logged_at = now
+        emit(
+            Event.KV_LOST,
+            revision=self.revision,
+            away_s=round(now - self._answered_at, 3),
+            **explain(failure),
+        )
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from magnolialug.carrier.progress import Progress
 from magnolialug.result import Failure
 
 __all__ = ["VALUE_LIMIT", "Changes", "Kv", "KvEntry", "Snapshot", "Swap"]
@@ -71,13 +72,17 @@
         """Returns the entries of all keys with a prefix."""
 
     async def snapshot(
-        self, prefix: str, stale: bool = False
+        self,
+        prefix: str,
+        stale: bool = False,
+        progress: Progress | None = None,
     ) -> Snapshot | Failure:
         """Returns the entries under a prefix.
 
         Args:
           stale: whether an answer that is seconds old will do; it costs a
             tenth and is not rationed.
+          progress: records what arrives of the answer.
         """
 
     async def newest_revision(self) -> int | Failure:
@@ -87,10 +92,17 @@
         """
 
     async def changes(
-        self, prefix: str, after: int, wait_s: float
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        progress: Progress | None = None,
     ) -> Changes | Failure:
         """Waits for changes under a prefix after a revision.
 
+        Args:
+          progress: records what arrives of the answer.
+
         Returns:
           the changes, none if wait_s passed without any; KV_HISTORY_GONE if
           the service no longer knows what changed since.
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -14,6 +14,7 @@
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
+from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.taker import End
 from magnolialug.platform.kv import (
     VALUE_LIMIT,
@@ -114,7 +115,8 @@
 
     Args:
       address: host and port of the service.
-      counted: is told the name and the outcome of each call.
+      counted: is told the name and the outcome of each call, and how many
+        bytes of its answer have arrived.
     """
 
     def __init__(
@@ -122,7 +124,7 @@
         client: Client,
         address: Address,
         timeout_s: float = _CALL_S,
-        counted: Callable[[str, str], None] = lambda call, outcome: None,
+        counted: Callable[[str, str, int], None] = lambda *call: None,
     ):
         self._client = client
         self._address = address
@@ -149,7 +151,10 @@
         return found if isinstance(found, Failure) else list(found.entries)
 
     async def snapshot(
-        self, prefix: str, stale: bool = False
+        self,
+        prefix: str,
+        stale: bool = False,
+        progress: Progress | None = None,
     ) -> Snapshot | Failure:
         """Returns the entries under a prefix, page by page.
 
@@ -162,7 +167,9 @@
         entries: list[KvEntry] = []
         revision = 0
         for _ in range(_PAGES):
-            reply = await self._call("GET", "kv-range", query)
+            reply = await self._call(
+                "GET", "kv-range", query, progress=progress
+            )
             page = self._typed(reply, _Page, "kv-range")
             if isinstance(page, Failure):
                 return page
@@ -184,7 +191,11 @@
         return page if isinstance(page, Failure) else page.as_of
 
     async def changes(
-        self, prefix: str, after: int, wait_s: float
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        progress: Progress | None = None,
     ) -> Changes | Failure:
         """Waits for changes under a prefix after a revision."""
         query = {
@@ -193,7 +204,11 @@
             "waitMs": int(wait_s * 1000),
         }
         reply = await self._call(
-            "GET", "kv-watch", query, timeout_s=wait_s + _WATCH_SLACK_S
+            "GET",
+            "kv-watch",
+            query,
+            timeout_s=wait_s + _WATCH_SLACK_S,
+            progress=progress,
         )
         if not isinstance(reply, Failure) and reply.status == 410:
             return failed(Code.KV_HISTORY_GONE, field="after", value=after)
@@ -333,7 +348,9 @@
         query: dict[str, Any] | None = None,
         body: dict[str, Any] | None = None,
         timeout_s: float = 0.0,
+        progress: Progress | None = None,
     ) -> Reply | Failure:
+        progress = progress or Progress()
         target = f"/{call}?{urlencode(query)}" if query else f"/{call}"
         data = b"" if body is None else msgspec.json.encode(body)
         reply = await self._client.ask(
@@ -341,17 +358,19 @@
             request_bytes(method, self._host, target, data),
             timeout_s or self._timeout_s,
             _CONNECT_S,
+            progress,
         )
         name = call.partition("/")[0]
         if isinstance(reply, NoReply):
-            self._counted(name, reply.end.value)
+            self._counted(name, reply.end.value, progress.received)
             if reply.end is End.SILENT:
                 # What silenced one open connection has silenced them all.
                 self._client.drop_idle(self._address)
             unsent = reply.end is End.UNSENT
             code = Code.KV_UNREACHABLE if unsent else Code.KV_TIMEOUT
-            return failed(code, f"no answer: {reply.end.value}", name)
-        self._counted(name, str(reply.status))
+            came = progress.describe(self._client.seconds())
+            return failed(code, f"no answer: {reply.end.value}, {came}", name)
+        self._counted(name, str(reply.status), progress.received)
         if reply.status in (429, 503):
             reason = f"status {reply.status}"
             return failed(Code.KV_REFUSED, reason, name)
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from magnolialug.carrier.progress import Progress
 from magnolialug.platform.kv import (
     VALUE_LIMIT,
     Changes,
@@ -80,7 +81,10 @@
         return [self._rows[key] for key in keys]
 
     async def snapshot(
-        self, prefix: str, stale: bool = False
+        self,
+        prefix: str,
+        stale: bool = False,
+        progress: Progress | None = None,
     ) -> Snapshot | Failure:
         """Returns the entries under a prefix."""
         rows = await self.scan(prefix)
@@ -94,7 +98,11 @@
         return self._refusal("revision") or self.revision
 
     async def changes(
-        self, prefix: str, after: int, wait_s: float
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        progress: Progress | None = None,
     ) -> Changes | Failure:
         """Waits for changes under a prefix after a revision."""
         self._expire()
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -7,6 +7,8 @@
 
 from random import Random
 
+import msgspec
+from loguru import logger
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
@@ -116,6 +118,22 @@
         self.pass_time(2)
         self.assertTrue(self.watch_client.in_touch)
 
+    def test_a_service_that_was_never_reached_is_logged(self):
+        """Guards against a process that refuses all, and does not say why."""
+        self.watch_client.stop()
+        lines = []
+        sink = logger.add(lines.append, format="{message}")
+        self.addCleanup(logger.remove, sink)
+        self.kv.faults.down = True
+        started = WatchClient(self.kv, {}, self.clock, Random(2), 25.0)
+        started.start()
+        self.addCleanup(started.stop)
+        self.pass_time(12.5)
+        rows = [msgspec.json.decode(str(line)) for line in lines]
+        lost = [row for row in rows if row["name"] == "KV_LOST"]
+        self.assertGreaterEqual(len(lost), 2)
+        self.assertEqual("KV_TIMEOUT", lost[0]["code_name"])
+
     def test_time_away_counts_from_the_last_answer(self):
         """Guards against an end of a stale watch that counts as an answer."""
         self.kv.lose_watches()
