--- /dev/null
+++ b/tests/entry/test_long_configuration.py
@@ -0,0 +1,83 @@
+"""Configurations that take long to arrive on a gateway's link.
+
+The pattern: a deployment with thousands of routes, and gateways whose links
+need seconds for them, beside gateways that have them at once.
+"""
+
+from testtools import TestCase
+
+from magnolialug.standin.operatorconfig import route
+from tests.gatewaycluster import BOUNDS, GatewayCluster, config
+
+_PATH = ("10.9.9.1", 1)
+_ROUTES = 1000
+# The configuration takes 2.2 s at this rate, in bytes a second.
+_RATE = 150_000
+_ARRIVAL_S = 2.2
+
+
+def long_config(version):
+    """Returns a configuration of many routes."""
+    unused = [
+        route(f"unused-{number}", f"/unused/{number}/", "desk")
+        for number in range(_ROUTES)
+    ]
+    return config(version, routes=[*config()["routes"], *unused])
+
+
+class LongConfigurationTest(TestCase):
+    """A gateway behind a slow link, and what the operator writes."""
+
+    def setUp(self):
+        super().setUp()
+        self.cluster = GatewayCluster(desks=1, engines=0)
+        self.net = self.cluster.net
+        self.link = self.net.slow_link(_PATH, _RATE)
+
+    def start(self):
+        """Starts a gateway behind the slow link."""
+        return self.cluster.start_behind(_PATH, "front-9", 9)
+
+    def started(self):
+        """Returns a gateway that has read a short configuration."""
+        gateway = self.start()
+        self.cluster.pass_time(2)
+        self.assertTrue(gateway.ready())
+        self.link.carried = 0
+        return gateway
+
+    def test_a_gateway_starts_though_the_configuration_arrives_for_seconds(
+        self,
+    ):
+        """Guards against gateways on slow links that never serve."""
+        self.cluster.configure(long_config(2))
+        gateway = self.start()
+        self.cluster.pass_time(_ARRIVAL_S + 0.5)
+        self.assertEqual(2, gateway.routes.version)
+        self.assertTrue(gateway.ready())
+
+    def test_a_long_change_is_read_once(self):
+        """Guards against an answer that is thrown away while it arrives."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(_ARRIVAL_S + 0.5)
+        self.assertEqual(2, gateway.routes.version)
+        self.assertLess(self.link.carried, 1.2 * _ARRIVAL_S * _RATE)
+
+    def test_two_long_changes_in_a_row_are_in_force_within_the_bound(self):
+        """Guards against a gateway that falls further behind each change."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(1)
+        self.cluster.configure(long_config(3))
+        self.cluster.pass_time(2 * _ARRIVAL_S + BOUNDS.config_s)
+        self.assertEqual(3, gateway.routes.version)
+
+    def test_a_long_answer_that_falls_silent_is_asked_for_again(self):
+        """Guards against a wait for the rest of an answer that is lost."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(1)
+        self.net.silence(_PATH)
+        self.cluster.pass_time(_ARRIVAL_S + 2)
+        self.assertEqual(2, gateway.routes.version)
--- a/tests/network.py
+++ b/tests/network.py
@@ -12,6 +12,8 @@
 from zope.interface import implementer
 
 LATENCY_S = 0.001
+# A slow link carries the bytes of its connections by turns, in such pieces.
+PIECE_BYTES = 4096
 
 
 class Handle:
@@ -49,8 +51,13 @@
         if self.closed or self.disconnecting:
             return
         self.sent += data
-        if not self.silent:
+        if self.silent:
+            return
+        link = self.net.links.get(self.peer.address)
+        if link is None:
             self.net.callLater(LATENCY_S, self.peer.arrive, data)
+        else:
+            link.send(self.peer, data)
 
     def writeSequence(self, pieces):
         """Sends bytes."""
@@ -126,6 +133,47 @@
     getHost = getPeer
 
 
+class SlowLink:
+    """Bounds what arrives from a server, over all connections to it.
+
+    Args:
+      rate: bytes a second.
+    """
+
+    def __init__(self, net, rate):
+        self.net = net
+        self.rate = rate
+        self.carried = 0
+        self._queue = []
+        self._busy = False
+
+    def send(self, pipe, data):
+        """Queues bytes for the near end of a connection."""
+        self._queue.append((pipe, data))
+        if not self._busy:
+            self._next()
+
+    def _next(self):
+        self._busy = bool(self._queue)
+        if not self._busy:
+            return
+        pipe, data = self._queue.pop(0)
+        piece, rest = data[:PIECE_BYTES], data[PIECE_BYTES:]
+        if rest:
+            behind = [n for n, (p, _) in enumerate(self._queue) if p is pipe]
+            at = behind[0] if behind else len(self._queue)
+            self._queue.insert(at, (pipe, rest))
+        self.net.callLater(len(piece) / self.rate, self._arrive, pipe, piece)
+
+    def _arrive(self, pipe, piece):
+        self.carried += len(piece)
+        if not pipe.silent:
+            pipe.arrive(piece)
+        if pipe.closed or pipe.disconnecting:
+            self._queue = [row for row in self._queue if row[0] is not pipe]
+        self._next()
+
+
 class Datagrams:
     """One end of datagrams."""
 
@@ -151,6 +199,7 @@
     Attributes:
       servers: factories by address.
       dark: addresses that do not answer at all.
+      links: the slow links to servers, by address.
       listeners: takers of datagrams by address.
       loses_datagram: tells from sender and receiver whether one gets lost.
     """
@@ -159,6 +208,7 @@
         super().__init__()
         self.servers = {}
         self.dark = set()
+        self.links = {}
         self.pipes = []
         self.dialled = []
         self.listeners = {}
@@ -185,6 +235,11 @@
         self.dark.add(address)
         self.silence(address)
 
+    def slow_link(self, address, rate):
+        """Bounds what arrives from a server to some bytes a second."""
+        self.links[address] = link = SlowLink(self, rate)
+        return link
+
     def silence(self, address):
         """Silences open connections to a server; new ones work."""
         for pipe in self.pipes:
