Client: a call is bounded by silence, not by the length of its response

Cause: a gateway whose link needs more than a second for the configuration never served a caller, and one that needs a little less was late whenever other bytes shared the link. One timer bounded the whole response, and its end was taken for silence: 'no answer: silent, 589749 bytes in 1.001 s, the last 0.018 s ago'. Each attempt filled the link once more and ended the same way. Processor time is ruled out (15 ms for 2,808 routes), lost packets too (no fault was played).

Change: the timer runs from the latest piece of the response. What the bound was for is kept: a response that is lost, or falls silent midway, is given up as soon as before. A short call that waits behind a long response from the same peer is not taken for silent, as that lasts no longer than the response. The time until a response begins grows with the request, which must leave first. Stores of cache parts and of blocks are asked through the same client.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -4,7 +4,11 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import (
+    IDelayedCall,
+    IReactorTCP,
+    IReactorTime,
+)
 
 from magnolialug.carrier.pool import Address, Flight, Pool
 from magnolialug.carrier.progress import Progress
@@ -14,6 +18,9 @@
 __all__ = ["Client", "NoReply", "Reply", "address_of", "request_bytes"]
 
 _LIMIT_BYTES = 8 * 1024 * 1024
+# A request on a slow link, beside other traffic, leaves at least this fast. Its
+# response cannot begin before.
+_SLOWEST_SEND_BYTES_PER_S = 32 * 1024
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -61,11 +68,18 @@
     """Collects one response."""
 
     def __init__(
-        self, done: Deferred, progress: Progress, clock: Callable[[], float]
+        self,
+        done: Deferred,
+        progress: Progress,
+        clock: Callable[[], float],
+        on_begin: Callable[[], None],
+        on_more: Callable[[], None],
     ):
         self._done = done
         self._progress = progress
         self._clock = clock
+        self._on_begin = on_begin
+        self._on_more = on_more
         self._head: Head | None = None
         self._pieces: list[bytes] = []
         self._size = 0
@@ -75,10 +89,14 @@
         """Takes the head."""
         self._head = head
         self._progress.hear(self._clock(), 0)
+        self._on_begin()
 
     def on_data(self, data: bytes) -> None:
         """Takes a piece of the body."""
-        self._progress.hear(self._clock(), len(data))
+        now = self._clock()
+        if self._progress.is_arriving and now > self._progress.begun_at:
+            self._on_more()
+        self._progress.hear(now, len(data))
         self._size += len(data)
         self._pieces.append(data)
         if self._size > _LIMIT_BYTES and self.flight is not None:
@@ -101,8 +119,46 @@
         done.callback(Reply(self._head.status, self._head.headers, body))
 
 
+class _SilenceTimer:
+    """Ends a call when it is due; what arrives meanwhile puts that off.
+
+    Args:
+      due: returns when the call will have been silent for too long.
+      end: ends the call.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        due: Callable[[], float],
+        end: Callable[[], None],
+    ):
+        self._reactor = reactor
+        self._due = due
+        self._end = end
+        self._timer: IDelayedCall | None = None
+
+    def check(self) -> None:
+        """Ends the call if it is due, or checks again when it will be."""
+        self.cancel()
+        left_s = self._due() - self._reactor.seconds()
+        if left_s > 0:
+            self._timer = self._reactor.callLater(left_s, self.check)
+        else:
+            self._end()
+
+    def cancel(self) -> None:
+        """Checks no more."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+
 class Client:
-    """Asks one peer at a time, within a deadline each.
+    """Asks one peer at a time, and gives a silent one up.
+
+    What bounds a call is how long nothing arrives, not how long the response
+    is: a link that is slower than a long response would make that response a
+    failure at every attempt.
 
     Args:
       limit: most connections to one address.
@@ -112,6 +168,7 @@
         self._reactor = reactor
         self._limit = limit
         self._pools: dict[Address, Pool] = {}
+        self._arriving_at: dict[Address, float] = {}
 
     def ask(
         self,
@@ -119,9 +176,14 @@
         request: bytes,
         timeout_s: float,
         connect_s: float | None = None,
+        silence_s: float | None = None,
         progress: Progress | None = None,
     ) -> Deferred[Reply | NoReply]:
-        """Returns the response, or how it failed to come in time.
+        """Returns the response, or how it failed to come.
+
+        The call ends as SILENT if nothing arrives for too long. While a long
+        response arrives from the same peer on another connection, this one may
+        be waiting behind it on the link, and is not taken for silent.
 
         The call ends if it has no connection after `connect_s`; one that opens
         later serves the next call.
@@ -132,6 +194,11 @@
         hold it beyond its end.
 
         Args:
+          timeout_s: the longest time until the response begins.
+          connect_s: the longest time until there is a connection, None for
+            the timeout.
+          silence_s: the longest time between two pieces of the response, None
+            for the timeout.
           progress: records what arrives.
         """
         clock = self._reactor.seconds
@@ -142,23 +209,45 @@
             gather.forget()
             over(None)
 
-        done: Deferred = Deferred(cancelled)
-        gather = _Gather(done, progress, clock)
-        flight = self.send(address, request, gather)
-        gather.flight = flight
-        timers = [self._reactor.callLater(timeout_s, flight.silent)]
-        if connect_s is not None:
-            timers.append(self._reactor.callLater(connect_s, flight.unopened))
+        def due() -> float:
+            return self._silent_at(address, progress, first_s, later_s)
+
+        def more() -> None:
+            self._arriving_at[address] = clock()
 
         def over(result):
-            for timer in timers:
-                if timer.active():
-                    timer.cancel()
+            silence.cancel()
+            if opening is not None and opening.active():
+                opening.cancel()
             flight.drop()
             return result
 
+        first_s = timeout_s + len(request) / _SLOWEST_SEND_BYTES_PER_S
+        later_s = timeout_s if silence_s is None else silence_s
+        done: Deferred = Deferred(cancelled)
+        silence = _SilenceTimer(self._reactor, due, lambda: flight.silent())
+        gather = _Gather(done, progress, clock, silence.check, more)
+        flight = self.send(address, request, gather)
+        gather.flight = flight
+        silence.check()
+        opening = None
+        if connect_s is not None:
+            opening = self._reactor.callLater(connect_s, flight.unopened)
         return done.addCallback(over)
 
+    def _silent_at(
+        self,
+        address: Address,
+        progress: Progress,
+        first_s: float,
+        later_s: float,
+    ) -> float:
+        """Returns when a call will have been silent for too long."""
+        arriving_at = self._arriving_at.get(address, float("-inf"))
+        if progress.heard_at is None:
+            return max(progress.asked_at + first_s, arriving_at + later_s)
+        return max(progress.heard_at, arriving_at) + later_s
+
     def seconds(self) -> float:
         """Returns the time by which progress is recorded."""
         return self._reactor.seconds()
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -27,8 +27,9 @@
 
 __all__ = ["KvHttp"]
 
-# Answers take about 4 ms; the slowest that are still of use take 60 times
-# as long while the service is slow, and a little more with a queue.
+# Answers begin after about 4 ms; the slowest that are still of use take 60
+# times as long while the service is slow, and a little more with a queue. The
+# same bound holds between two pieces of an answer.
 _CALL_S = 1.0
 # An answer that takes longer than this makes a check fail. The checked watch is
 # only asked anew then, so it may be shorter than for a call.
@@ -358,6 +359,7 @@
             request_bytes(method, self._host, target, data),
             timeout_s or self._timeout_s,
             _CONNECT_S,
+            self._timeout_s,
             progress,
         )
         name = call.partition("/")[0]
--- a/tests/carrier/test_client.py
+++ b/tests/carrier/test_client.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 from twisted.internet.defer import CancelledError, ensureDeferred
+from twisted.internet.protocol import Factory, Protocol
 
 from magnolialug.carrier.client import Client, NoReply, request_bytes
 from magnolialug.carrier.taker import End
@@ -9,6 +10,7 @@
 from tests.network import LATENCY_S, Network
 
 ADDRESS = ("10.1.0.1", 8080)
+_PIECE_S = 0.1
 
 
 class ClientTest(TestCase):
@@ -97,3 +99,86 @@
         fut.cancel()
         self.net.advance_by(0.1)
         self.assertEqual(["r"], self.endpoint.cut)
+
+
+class Pieces(Protocol):
+    """Answers with bodies in pieces, one after the other on all connections."""
+
+    def dataReceived(self, data):
+        """Begins to answer."""
+        self.factory.net.callLater(_PIECE_S, self._begin)
+
+    def _begin(self):
+        if self.factory.is_busy:
+            self.factory.net.callLater(_PIECE_S, self._begin)
+            return
+        self.factory.is_busy = True
+        count = self.factory.pieces.pop(0)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {count}\r\n\r\n"
+        self.transport.write(head.encode())
+        self._write(count)
+
+    def _write(self, left):
+        self.transport.write(b"x")
+        if left == 1:
+            self.factory.is_busy = False
+        elif not self.factory.falls_silent:
+            self.factory.net.callLater(_PIECE_S, self._write, left - 1)
+
+
+class LongResponseTest(TestCase):
+    """Responses that take longer than the bound on silence."""
+
+    def setUp(self):
+        super().setUp()
+        self.net = Network()
+        self.server = Factory.forProtocol(Pieces)
+        self.server.net = self.net
+        self.server.pieces = []
+        self.server.is_busy = self.server.falls_silent = False
+        self.net.servers[ADDRESS] = self.server
+        self.client = Client(self.net)
+
+    def ask(self, pieces, timeout_s=2 * _PIECE_S, silence_s=None, size=0):
+        """Returns the list that a call's result is put into."""
+        self.server.pieces.append(pieces)
+        results = []
+        request = request_bytes("POST", "h", "/x", b"x" * size)
+        fut = self.client.ask(ADDRESS, request, timeout_s, silence_s=silence_s)
+        fut.addCallback(results.append)
+        return results
+
+    def test_one_that_goes_on_arriving_is_taken(self):
+        """Guards against a bound on silence that bounds the whole response."""
+        results = self.ask(pieces=20)
+        self.net.advance_by(22 * _PIECE_S)
+        self.assertEqual(b"x" * 20, results[0].body)
+
+    def test_one_that_falls_silent_is_given_up(self):
+        """Guards against a wait for bytes that never come."""
+        self.server.falls_silent = True
+        results = self.ask(pieces=20)
+        self.net.advance_by(3.5 * _PIECE_S)
+        self.assertEqual([NoReply(End.SILENT)], results)
+
+    def test_one_that_may_begin_late_is_given_up_once_it_falls_silent(self):
+        """Guards against a watch that waits on for the rest of its answer."""
+        self.server.falls_silent = True
+        results = self.ask(20, timeout_s=20.0, silence_s=2 * _PIECE_S)
+        self.net.advance_by(3.5 * _PIECE_S)
+        self.assertEqual([NoReply(End.SILENT)], results)
+
+    def test_one_that_waits_behind_another_is_not_silent(self):
+        """Guards against calls that end while the link carries another."""
+        long = self.ask(pieces=20)
+        self.net.advance_by(2.5 * _PIECE_S)
+        short = self.ask(pieces=1)
+        self.net.advance_by(20 * _PIECE_S)
+        self.assertEqual(b"x", short[0].body)
+        self.assertEqual(b"x" * 20, long[0].body)
+
+    def test_a_long_request_has_time_to_leave(self):
+        """Guards against a bound that a long value uses up on its way out."""
+        results = self.ask(pieces=1, timeout_s=0.5 * _PIECE_S, size=100_000)
+        self.net.advance_by(2 * _PIECE_S)
+        self.assertEqual(b"x", results[0].body)
--- a/tests/entry/test_long_configuration.py
+++ b/tests/entry/test_long_configuration.py
@@ -10,7 +10,7 @@
 from tests.gatewaycluster import BOUNDS, GatewayCluster, config
 
 _PATH = ("10.9.9.1", 1)
-_ROUTES = 1000
+_ROUTES = 1500
 # The configuration takes 2.2 s at this rate, in bytes a second.
 _RATE = 150_000
 _ARRIVAL_S = 2.2
@@ -59,10 +59,13 @@
     def test_a_long_change_is_read_once(self):
         """Guards against an answer that is thrown away while it arrives."""
         gateway = self.started()
-        self.cluster.configure(long_config(2))
-        self.cluster.pass_time(_ARRIVAL_S + 0.5)
-        self.assertEqual(2, gateway.routes.version)
-        self.assertLess(self.link.carried, 1.2 * _ARRIVAL_S * _RATE)
+        for version, moment_s in enumerate((0.0, 0.2, 0.4, 0.6), start=2):
+            self.cluster.pass_time(moment_s)
+            self.link.carried = 0
+            self.cluster.configure(long_config(version))
+            self.cluster.pass_time(_ARRIVAL_S + 0.5)
+            self.assertEqual(version, gateway.routes.version)
+            self.assertLess(self.link.carried, 1.2 * _ARRIVAL_S * _RATE)
 
     def test_two_long_changes_in_a_row_are_in_force_within_the_bound(self):
         """Guards against a gateway that falls further behind each change."""
--- a/tests/network.py
+++ b/tests/network.py
@@ -144,25 +144,24 @@
         self.net = net
         self.rate = rate
         self.carried = 0
-        self._queue = []
+        self._waiting = {}
         self._busy = False
 
     def send(self, pipe, data):
         """Queues bytes for the near end of a connection."""
-        self._queue.append((pipe, data))
+        self._waiting[pipe] = self._waiting.get(pipe, b"") + data
         if not self._busy:
             self._next()
 
     def _next(self):
-        self._busy = bool(self._queue)
+        self._busy = bool(self._waiting)
         if not self._busy:
             return
-        pipe, data = self._queue.pop(0)
+        pipe = next(iter(self._waiting))
+        data = self._waiting.pop(pipe)
         piece, rest = data[:PIECE_BYTES], data[PIECE_BYTES:]
         if rest:
-            behind = [n for n, (p, _) in enumerate(self._queue) if p is pipe]
-            at = behind[0] if behind else len(self._queue)
-            self._queue.insert(at, (pipe, rest))
+            self._waiting[pipe] = rest
         self.net.callLater(len(piece) / self.rate, self._arrive, pipe, piece)
 
     def _arrive(self, pipe, piece):
@@ -170,7 +169,7 @@
         if not pipe.silent:
             pipe.arrive(piece)
         if pipe.closed or pipe.disconnecting:
-            self._queue = [row for row in self._queue if row[0] is not pipe]
+            self._waiting.pop(pipe, None)
         self._next()
 
 
