Watch: an answer that is arriving is not thrown away by the check of the watch

Cause: at ten of 26 gateways a change was in force 0.8 s later than at the others, and at the incident's two 3 s after its acknowledgement: the watch is checked each 0.8 s, the service was ahead of it because its answer was still arriving, and 0.2 s later seven tenths of that answer were thrown away (4202, received 262069 to 311221 of 380473 bytes). The same value was asked for again, beside the callers' traffic.

Change: the check leaves a watch alone whose answer has begun to arrive. Should it fall silent then, its call ends by the bound on silence, as it does without a check; lost answers, which never begin, are found as before.

Four moments at which a change may come, each read once.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -207,16 +207,28 @@
             check.cancel()
 
     async def _until_stale(self) -> str:
-        """Returns why once the service is ahead of a watch, or unreachable."""
+        """Returns why once the service is ahead of a watch, or unreachable.
+
+        A watch whose answer is arriving has missed nothing. It is left alone,
+        since asking anew would carry the same answer again; if it falls
+        silent, its call ends by itself.
+        """
+        watch = self._progress
         while True:
             await sleep(self._clock, _CHECK_INTERVAL_S)
+            if watch.is_arriving:
+                continue
             asked_at = self._clock.seconds()
             newest = await self._kv.newest_revision()
+            if watch.is_arriving:
+                continue
             if isinstance(newest, Failure):
                 return newest.reason
             self._answered_at = asked_at
-            if newest > self.revision:
-                await sleep(self._clock, _CHECK_SLACK_S)
+            if newest <= self.revision:
+                continue
+            await sleep(self._clock, _CHECK_SLACK_S)
+            if not watch.is_arriving:
                 return f"the service is at revision {newest}"
 
     def _heard(self, found: Snapshot | Changes) -> None:
