Links: a long message does not end the connection that carries it

A link heard only whole frames; one of megabytes takes longer than the 3.5 s of silence on a slow link, its connection was dropped at both ends and the frame begun anew on the next, for ever. A process that starts gave a peer 2 s in all for the configuration. Callers would see entries and sidecars without it.

Change: any byte counts as heard. The bound of a question to a peer is on silence too (SilenceTimer, shared with the HTTP client), and whoever asks sends heartbeats while the answer arrives, or the peer drops the link.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -4,16 +4,13 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import (
-    IDelayedCall,
-    IReactorTCP,
-    IReactorTime,
-)
+from twisted.internet.interfaces import IReactorTCP
 
 from magnolialug.carrier.pool import Address, Flight, Pool
 from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.reader import Head
 from magnolialug.carrier.taker import End, Taker
+from magnolialug.silencetimer import SilenceTimer
 
 __all__ = ["Client", "NoReply", "Reply", "address_of", "request_bytes"]
 
@@ -119,40 +116,6 @@
         done.callback(Reply(self._head.status, self._head.headers, body))
 
 
-class _SilenceTimer:
-    """Ends a call when it is due; what arrives meanwhile puts that off.
-
-    Args:
-      due: returns when the call will have been silent for too long.
-      end: ends the call.
-    """
-
-    def __init__(
-        self,
-        reactor: IReactorTime,
-        due: Callable[[], float],
-        end: Callable[[], None],
-    ):
-        self._reactor = reactor
-        self._due = due
-        self._end = end
-        self._timer: IDelayedCall | None = None
-
-    def check(self) -> None:
-        """Ends the call if it is due, or checks again when it will be."""
-        self.cancel()
-        left_s = self._due() - self._reactor.seconds()
-        if left_s > 0:
-            self._timer = self._reactor.callLater(left_s, self.check)
-        else:
-            self._end()
-
-    def cancel(self) -> None:
-        """Checks no more."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-
-
 class Client:
     """Asks one peer at a time, and gives a silent one up.
 
@@ -225,7 +188,7 @@
         first_s = timeout_s + len(request) / _SLOWEST_SEND_BYTES_PER_S
         later_s = timeout_s if silence_s is None else silence_s
         done: Deferred = Deferred(cancelled)
-        silence = _SilenceTimer(self._reactor, due, lambda: flight.silent())
+        silence = SilenceTimer(self._reactor, due, lambda: flight.silent())
         gather = _Gather(done, progress, clock, silence.check, more)
         flight = self.send(address, request, gather)
         gather.flight = flight
--- a/magnolialug/wire/asking.py
+++ b/magnolialug/wire/asking.py
@@ -6,6 +6,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.result import Code, Failure, failed
+from magnolialug.silencetimer import SilenceTimer
 from magnolialug.timing import TIMED_OUT, within
 from magnolialug.wire.link import Link
 from magnolialug.wire.messages import ConfigDoc, ConfigWant, Ping, Status
@@ -39,19 +40,24 @@
 async def _ask(
     connect: Connect, clock: IReactorTime, timeout_s: float, messages: list
 ) -> Status | ConfigDoc | Failure:
-    answer = await within(clock, timeout_s, _exchange(connect, messages))
-    if answer is TIMED_OUT:
-        return failed(Code.CONNECTION_SILENT, "no answer in time")
-    return answer
-
+    """Returns the first answer.
 
-async def _exchange(
-    connect: Connect, messages: list
-) -> Status | ConfigDoc | Failure:
+    Args:
+      timeout_s: the longest time until there is a connection, and then between
+        two pieces of the answer.
+    """
     try:
-        link: Link = await connect()
+        link = await within(clock, timeout_s, connect())
     except Exception as exc:  # noqa: BLE001 - any reason is reported
         return failed(Code.CONNECTION_REFUSED, str(exc))
+    if link is TIMED_OUT:
+        return failed(Code.CONNECTION_SILENT, "no connection in time")
+    return await _exchange(link, clock, timeout_s, messages)
+
+
+async def _exchange(
+    link: Link, clock: IReactorTime, timeout_s: float, messages: list
+) -> Status | ConfigDoc | Failure:
     answer: Deferred = Deferred()
 
     def settle(result: object) -> None:
@@ -62,11 +68,22 @@
         if isinstance(message, Status | ConfigDoc):
             settle(message)
 
+    def silent() -> None:
+        settle(failed(Code.CONNECTION_SILENT, "no answer in time"))
+
     link.on_message = received
     link.on_down = settle
+    # The peer drops a link on which it hears nothing while its answer arrives.
+    link.heartbeat = lambda: Ping(0)
+    asked_at = clock.seconds()
+    silence = SilenceTimer(
+        clock, lambda: max(asked_at, link.heard_at) + timeout_s, silent
+    )
+    silence.check()
     for message in messages:
         link.send(message)
     try:
         return await answer
     finally:
+        silence.cancel()
         link.close()
--- a/magnolialug/wire/link.py
+++ b/magnolialug/wire/link.py
@@ -44,14 +44,14 @@
         self.heartbeat: Callable[[], Message] | None = None
         self.up = False
         self._cause: Failure | None = None
-        self._heard = 0.0
+        self.heard_at = 0.0
         self._said = 0.0
         self._timer = None
 
     def connectionMade(self) -> None:
         """Starts the heartbeat."""
         self.up = True
-        self._heard = self._said = self.clock.seconds()
+        self.heard_at = self._said = self.clock.seconds()
         self._timer = self.clock.callLater(HEARTBEAT_S, self._tick)
         set_no_delay = getattr(self.transport, "setTcpNoDelay", None)
         if set_no_delay:
@@ -65,9 +65,13 @@
         self._said = self.clock.seconds()
         self.sendString(messages.encode(msg))
 
+    def dataReceived(self, data: bytes) -> None:
+        """Takes bytes, which may be a part of a frame."""
+        self.heard_at = self.clock.seconds()
+        super().dataReceived(data)
+
     def stringReceived(self, string: bytes) -> None:
         """Hands one decoded message to the owner."""
-        self._heard = self.clock.seconds()
         try:
             msg = messages.decode(string)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
@@ -113,7 +117,7 @@
 
     def _tick(self) -> None:
         now = self.clock.seconds()
-        if now - self._heard >= SILENCE_S:
+        if now - self.heard_at >= SILENCE_S:
             self.drop(failed(Code.CONNECTION_SILENT))
             return
         self._timer = self.clock.callLater(HEARTBEAT_S, self._tick)
