Watch: registrations, evacuations and leases overtake a long answer

Cause: endpoints that had left got requests until the configuration was through: one watch carries all keys, and what changes while a long value arrives waits for the rest of it and for the next call. With 2,808 routes the gateways learned up to 1.73 s apart that an endpoint drains (0.11 s with 48 routes); the bound for a leaving endpoint is 2 s on some deployments.

Change: once an answer has been arriving for 0.1 s, the prefixes whose values are short are watched beside it, until it is whole. What has been told that way is not told again when the answer brings it, so an older change cannot undo a newer one; evacuations compare what other entries say with the revision of their own prefix. Short answers cost nothing more.

--- a/magnolialug/carrier/progress.py
+++ b/magnolialug/carrier/progress.py
@@ -1,5 +1,7 @@
 """How far the response to one call has come."""
 
+from collections.abc import Callable
+
 import msgspec
 
 __all__ = ["Progress"]
@@ -14,6 +16,7 @@
       heard_at: when the latest bytes of it arrived, None before.
       received: bytes of its body that have arrived.
       whole: whether all of it has arrived.
+      on_begin: is called when the response begins to arrive.
     """
 
     asked_at: float = 0.0
@@ -21,6 +24,7 @@
     heard_at: float | None = None
     received: int = 0
     whole: bool = False
+    on_begin: Callable[[], None] | None = None
 
     def begin(self, now: float) -> None:
         """Records that a call begins."""
@@ -31,10 +35,13 @@
 
     def hear(self, now: float, size: int) -> None:
         """Records that bytes have arrived."""
-        if self.begun_at is None:
+        begins = self.begun_at is None
+        if begins:
             self.begun_at = now
         self.heard_at = now
         self.received += size
+        if begins and self.on_begin is not None:
+            self.on_begin()
 
     @property
     def is_arriving(self) -> bool:
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -72,6 +72,10 @@
 # What changes within such pauses is fetched with one call. A leaving endpoint
 # must be known within two seconds, and so must a configuration.
 _PACE_S = (0.25, 1.0)
+# All keys that gateways write.
+_OWN_PREFIX = "magnolialug/"
+# Keys whose changes do not wait behind a long configuration.
+_URGENT = (EVACUATION_PREFIX, REGISTRY_PREFIX, _OWN_PREFIX)
 _DRAIN_STEP_S = 0.05
 # First and longest pause before a request goes to another endpoint. That one
 # is another machine, so there is nothing to wait for but a retry storm, and
@@ -121,7 +125,7 @@
         self._evacuations = Evacuations(
             settings.zones,
             self.directory.evacuate,
-            lambda: self._watch_client.revision,
+            lambda: self._watch_client.revision_of(EVACUATION_PREFIX),
             reactor.seconds,
         )
         self.owners = Ownership(
@@ -208,6 +212,7 @@
             random,
             _WATCH_S,
             _PACE_S,
+            _URGENT,
         )
 
     def start(self) -> None:
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -1,14 +1,15 @@
 """Keeps a local copy of the key-value service up to date."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.progress import Progress
+from magnolialug.entry.urgentwatch import UrgentWatch
 from magnolialug.events import Event, emit, explain
-from magnolialug.platform.kv import Changes, Kv, Snapshot
+from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure
 from magnolialug.timing import sleep
@@ -28,6 +29,9 @@
 _CHECK_INTERVAL_S = 0.8
 # A change that is on its way to the watch when the service answers the check.
 _CHECK_SLACK_S = 0.2
+# While an answer arrives for longer than this, the changes of urgent keys are
+# asked for beside it.
+_LONG_ARRIVAL_S = 0.1
 # An answer that arrives for longer than this is logged.
 _SLOW_ARRIVAL_S = 0.2
 # How often it is logged that the service still does not answer.
@@ -53,6 +57,7 @@
       wait_s: how long one call may wait at the service for a change.
       pace_s: shortest and longest time between two calls while much changes,
         so that one call returns several changes.
+      urgent: prefixes of keys that do not wait behind a long answer.
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         random: Random,
         wait_s: float,
         pace_s: tuple[float, float] = (0.0, 0.0),
+        urgent: Sequence[str] = (),
     ):
         self.in_touch = False
         self.revision = 0
@@ -77,6 +83,8 @@
         self._answered_at = clock.seconds()
         self._lost_logged_at = float("-inf")
         self._progress = Progress()
+        self._urgent_watch = UrgentWatch(kv, urgent, wait_s, self._urgent)
+        self._urgent_revisions = dict.fromkeys(urgent, 0)
         self._task: Deferred | None = None
 
     def start(self) -> None:
@@ -90,6 +98,10 @@
         if task is not None:
             task.cancel()
 
+    def revision_of(self, prefix: str) -> int:
+        """Returns the revision up to which all changes of a prefix are told."""
+        return max(self.revision, self._urgent_revisions.get(prefix, 0))
+
     async def _run(self) -> None:
         backoff = Backoff(base_s=_RETRY_S)
         known = False
@@ -152,10 +164,24 @@
         return await self._snapshot() if skipped else found
 
     async def _ask_changes(self, wait_s: float) -> Changes | Failure:
-        self._progress = Progress()
-        return await self._kv.changes(
-            _ALL, self.revision, wait_s, self._progress
-        )
+        """Asks for changes of all keys; the urgent ones overtake the others."""
+        overtaking = None
+
+        def begin() -> None:
+            nonlocal overtaking
+            overtaking = self._clock.callLater(
+                _LONG_ARRIVAL_S, self._urgent_watch.start, self.revision
+            )
+
+        self._progress = Progress(on_begin=begin)
+        try:
+            return await self._kv.changes(
+                _ALL, self.revision, wait_s, self._progress
+            )
+        finally:
+            if overtaking is not None and overtaking.active():
+                overtaking.cancel()
+            self._urgent_watch.stop()
 
     def _log_arrival(self) -> None:
         progress = self._progress
@@ -248,7 +274,22 @@
                 rows = [e for e in found.entries if e.key.startswith(prefix)]
                 subscriber.snapshot(rows)
             return
-        for entry in found.entries:
+        self._report([e for e in found.entries if not self._is_told(e)])
+
+    def _urgent(self, prefix: str, found: Changes) -> None:
+        """Takes changes that have overtaken a long answer."""
+        self._report(found.entries)
+        self._urgent_revisions[prefix] = found.revision
+
+    def _is_told(self, entry: KvEntry) -> bool:
+        """Whether a change has overtaken the answer that it is in now."""
+        return any(
+            entry.revision <= revision and entry.key.startswith(prefix)
+            for prefix, revision in self._urgent_revisions.items()
+        )
+
+    def _report(self, entries: Sequence[KvEntry]) -> None:
+        for entry in entries:
             for prefix, subscriber in self._subscribers.items():
                 if entry.key.startswith(prefix):
                     subscriber.changed(entry)
--- a/tests/entry/test_long_configuration.py
+++ b/tests/entry/test_long_configuration.py
@@ -84,3 +84,51 @@
         self.net.silence(_PATH)
         self.cluster.pass_time(_ARRIVAL_S + 2)
         self.assertEqual(2, gateway.routes.version)
+
+    def test_an_endpoint_that_leaves_is_known_before_the_change_has_arrived(
+        self,
+    ):
+        """Guards against registrations that wait behind a long value."""
+        gateway = self.started()
+        left, stays = self.cluster.add_desk(), self.cluster.add_desk()
+        self.cluster.pass_time(1)
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(0.5)
+        self.cluster.remove(f"servers/{left.instance}")
+        self.cluster.pass_time(0.5)
+        self.assertEqual(1, gateway.routes.version)
+        self.assertNotIn(left.instance, gateway.directory.peers)
+        self.cluster.pass_time(_ARRIVAL_S)
+        self.assertEqual(2, gateway.routes.version)
+        self.assertNotIn(left.instance, gateway.directory.peers)
+        self.assertIn(stays.instance, gateway.directory.peers)
+
+    def test_an_endpoint_that_returns_is_kept_when_the_change_has_arrived(
+        self,
+    ):
+        """Guards against an older change that undoes one that overtook it."""
+        gateway = self.started()
+        desk = next(iter(self.cluster.desks.values()))
+        self.cluster.configure(long_config(2))
+        self.cluster.remove(f"servers/{desk.instance}")
+        self.cluster.pass_time(0.5)
+        self.cluster.relist(desk)
+        self.cluster.pass_time(0.5)
+        self.assertIn(desk.instance, gateway.directory.peers)
+        for _ in range(20):
+            self.cluster.pass_time(_ARRIVAL_S / 10)
+            self.assertIn(desk.instance, gateway.directory.peers)
+        self.assertEqual(2, gateway.routes.version)
+
+    def test_an_evacuation_is_obeyed_before_the_change_has_arrived(self):
+        """Guards against evacuations that wait behind a long value."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(0.5)
+        self.cluster.write("op/evacuate/a", {})
+        self.cluster.pass_time(0.5)
+        self.assertEqual(1, gateway.routes.version)
+        peers = gateway.directory.peers.values()
+        self.assertTrue(all(peer.evacuated for peer in peers))
+        self.cluster.pass_time(_ARRIVAL_S)
+        self.assertTrue(all(peer.evacuated for peer in peers))
