--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -10,6 +10,7 @@
 from magnolialug.entry.urgentwatch import UrgentWatch
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
+from magnolialug.platform.pages import Pages, read_pages
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure
 from magnolialug.timing import sleep
@@ -36,6 +37,12 @@
 _SLOW_ARRIVAL_S = 0.2
 # How often it is logged that the service still does not answer.
 _REMINDER_INTERVAL_S = 10.0
+# What was missed stands in no answer, or in too long a one: a snapshot has one
+# value of each key, however often it has changed.
+_READ_ALL_AFTER = frozenset((Code.KV_HISTORY_GONE, Code.KV_ANSWER_TOO_LONG))
+# Pages that were read longer ago are read again. The service must still know
+# what has changed since the first one.
+_PAGES_KEPT_S = 5.0
 # First pause after a failed call.
 _RETRY_S = 0.1
 # Longest pause while the service answers calls, but not as it should.
@@ -83,6 +90,8 @@
         self._answered_at = clock.seconds()
         self._lost_logged_at = float("-inf")
         self._progress = Progress()
+        self._pages = Pages(_ALL)
+        self._pages_begun_at = float("-inf")
         self._urgent_watch = UrgentWatch(kv, urgent, wait_s, self._urgent)
         self._urgent_revisions = dict.fromkeys(urgent, 0)
         self._task: Deferred | None = None
@@ -108,7 +117,7 @@
         while True:
             found = await (self._changes() if known else self._snapshot())
             if isinstance(found, Failure):
-                if found.code is Code.KV_HISTORY_GONE:
+                if found.code in _READ_ALL_AFTER:
                     # The service answers; earlier failures do not delay the
                     # snapshot, which tells of what was missed.
                     known = False
@@ -147,8 +156,15 @@
         await sleep(self._clock, max(0.0, pause_s - took_s))
 
     async def _snapshot(self) -> Snapshot | Failure:
+        """Reads all entries, from where a failure interrupted it before."""
+        now = self._clock.seconds()
+        if now - self._pages_begun_at > _PAGES_KEPT_S:
+            self._pages, self._pages_begun_at = Pages(_ALL), now
         self._progress = Progress()
-        return await self._kv.snapshot(_ALL, progress=self._progress)
+        found = await read_pages(self._kv, self._pages, self._progress)
+        if isinstance(found, Snapshot):
+            self._pages_begun_at = float("-inf")
+        return found
 
     async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -8,7 +8,15 @@
 from magnolialug.carrier.progress import Progress
 from magnolialug.result import Failure
 
-__all__ = ["VALUE_LIMIT", "Changes", "Kv", "KvEntry", "Snapshot", "Swap"]
+__all__ = [
+    "VALUE_LIMIT",
+    "Changes",
+    "Kv",
+    "KvEntry",
+    "Page",
+    "Snapshot",
+    "Swap",
+]
 
 VALUE_LIMIT = 1024 * 1024
 
@@ -32,6 +40,19 @@
     revision: int
 
 
+class Page(msgspec.Struct, frozen=True):
+    """A part of the entries under a prefix, in the order of their keys.
+
+    Attributes:
+      revision: the service's when it was read.
+      more: whether entries follow.
+    """
+
+    entries: tuple[KvEntry, ...]
+    revision: int
+    more: bool
+
+
 class Changes(msgspec.Struct, frozen=True):
     """What has changed under a prefix, oldest first.
 
@@ -72,16 +93,27 @@
         """Returns the entries of all keys with a prefix."""
 
     async def snapshot(
-        self,
-        prefix: str,
-        stale: bool = False,
-        progress: Progress | None = None,
+        self, prefix: str, stale: bool = False
     ) -> Snapshot | Failure:
         """Returns the entries under a prefix.
 
         Args:
           stale: whether an answer that is seconds old will do; it costs a
             tenth and is not rationed.
+        """
+
+    async def page(
+        self,
+        prefix: str,
+        after: str = "",
+        stale: bool = False,
+        progress: Progress | None = None,
+    ) -> Page | Failure:
+        """Returns the entries under a prefix that follow a key.
+
+        Args:
+          after: the last key of the page before, empty for the first page.
+          stale: as for snapshot.
           progress: records what arrives of the answer.
         """
 
@@ -105,7 +137,8 @@
 
         Returns:
           the changes, none if wait_s passed without any; KV_HISTORY_GONE if
-          the service no longer knows what changed since.
+          the service no longer knows what changed since, KV_ANSWER_TOO_LONG
+          if it is more than an answer may hold.
         """
 
     async def put_if(
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -20,9 +20,11 @@
     VALUE_LIMIT,
     Changes,
     KvEntry,
+    Page,
     Snapshot,
     Swap,
 )
+from magnolialug.platform.pages import Pages, read_pages
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["KvHttp"]
@@ -40,11 +42,17 @@
 # Added to the time that a watch may wait at the service.
 _WATCH_SLACK_S = 1.0
 _WATCH_S = 10.0
-_PAGES = 100
 # No key begins so: a range of it is empty and tells the revision alone.
 _NO_KEYS = "magnolialug/no-such-keys/"
 
 
+# Other ends leave it open whether the call was executed.
+_NO_REPLY = {
+    End.UNSENT: Code.KV_UNREACHABLE,
+    End.DROPPED: Code.KV_ANSWER_TOO_LONG,
+}
+
+
 class _Item(msgspec.Struct):
     """One key as the service writes it.
 
@@ -152,37 +160,32 @@
         return found if isinstance(found, Failure) else list(found.entries)
 
     async def snapshot(
+        self, prefix: str, stale: bool = False
+    ) -> Snapshot | Failure:
+        """Returns the entries under a prefix, page by page."""
+        return await read_pages(self, Pages(prefix, stale))
+
+    async def page(
         self,
         prefix: str,
+        after: str = "",
         stale: bool = False,
         progress: Progress | None = None,
-    ) -> Snapshot | Failure:
-        """Returns the entries under a prefix, page by page.
-
-        Pages are not one snapshot: the revision of the first one is
-        returned, so that asking for changes from there misses nothing.
-        """
+    ) -> Page | Failure:
+        """Returns the entries under a prefix that follow a key."""
         query: dict[str, Any] = {"pathPrefix": prefix}
         if stale:
             query["serializable"] = 1
-        entries: list[KvEntry] = []
-        revision = 0
-        for _ in range(_PAGES):
-            reply = await self._call(
-                "GET", "kv-range", query, progress=progress
-            )
-            page = self._typed(reply, _Page, "kv-range")
-            if isinstance(page, Failure):
-                return page
-            found = _entries(page.items)
-            if isinstance(found, Failure):
-                return found
-            entries += found
-            revision = revision or page.as_of
-            if not page.more or not page.items:
-                return Snapshot(tuple(entries), revision)
-            query["after"] = page.items[-1].key
-        return failed(Code.KV_NONSENSE, "pages without end", "pathPrefix")
+        if after:
+            query["after"] = after
+        reply = await self._call("GET", "kv-range", query, progress=progress)
+        page = self._typed(reply, _Page, "kv-range")
+        if isinstance(page, Failure):
+            return page
+        found = _entries(page.items)
+        if isinstance(found, Failure):
+            return found
+        return Page(found, page.as_of, page.more and bool(found))
 
     async def newest_revision(self) -> int | Failure:
         """Returns the service's newest revision, possibly seconds old."""
@@ -368,8 +371,7 @@
             if reply.end is End.SILENT:
                 # What silenced one open connection has silenced them all.
                 self._client.drop_idle(self._address)
-            unsent = reply.end is End.UNSENT
-            code = Code.KV_UNREACHABLE if unsent else Code.KV_TIMEOUT
+            code = _NO_REPLY.get(reply.end, Code.KV_TIMEOUT)
             came = progress.describe(self._client.seconds())
             return failed(code, f"no answer: {reply.end.value}, {came}", name)
         self._counted(name, str(reply.status), progress.received)
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -81,6 +81,7 @@
     KV_LEASE_GONE = 704
     KV_NONSENSE = 705
     KV_UNREACHABLE = 706
+    KV_ANSWER_TOO_LONG = 707
     BLOCK_MISSING = 800
     BLOCK_DAMAGED = 801
     STORE_FULL = 802
@@ -243,6 +244,7 @@
         (Code.KV_LEASE_GONE, 404, "The lease has ended."),
         (Code.KV_NONSENSE, 502, "The key-value service's answer is malformed."),
         (Code.KV_UNREACHABLE, 503, "The key-value service was not connected."),
+        (Code.KV_ANSWER_TOO_LONG, 502, "An answer of the service is too long."),
         (Code.BLOCK_MISSING, 404, "The store has no sealed block of the id."),
         (Code.BLOCK_DAMAGED, 502, "The block's digest or length is wrong."),
         (Code.STORE_FULL, 507, "The store has no room for the block."),
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -12,6 +12,7 @@
     VALUE_LIMIT,
     Changes,
     KvEntry,
+    Page,
     Snapshot,
     Swap,
 )
@@ -49,13 +50,18 @@
 
 
 class KvStore:
-    """Implements Kv; calls counts what the platform would count."""
+    """Implements Kv; calls counts what the platform would count.
+
+    Attributes:
+      page_size: most entries of a page.
+    """
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
         self.faults = KvFaults()
         self.calls: Counter[str] = Counter()
         self.revision = 0
+        self.page_size = 500
         self._rows: dict[str, KvEntry] = {}
         self._last_lease = 0
         self._leases: dict[int, tuple[float, float]] = {}
@@ -81,16 +87,28 @@
         return [self._rows[key] for key in keys]
 
     async def snapshot(
+        self, prefix: str, stale: bool = False
+    ) -> Snapshot | Failure:
+        """Returns the entries under a prefix."""
+        rows = await self.scan(prefix)
+        if isinstance(rows, Failure):
+            return rows
+        return Snapshot(tuple(rows), self.revision)
+
+    async def page(
         self,
         prefix: str,
+        after: str = "",
         stale: bool = False,
         progress: Progress | None = None,
-    ) -> Snapshot | Failure:
-        """Returns the entries under a prefix."""
+    ) -> Page | Failure:
+        """Returns the entries under a prefix that follow a key."""
         rows = await self.scan(prefix)
         if isinstance(rows, Failure):
             return rows
-        return Snapshot(tuple(rows), self.revision)
+        rows = [row for row in rows if row.key > after]
+        page = tuple(rows[: self.page_size])
+        return Page(page, self.revision, len(rows) > len(page))
 
     async def newest_revision(self) -> int | Failure:
         """Returns the newest revision."""
--- a/magnolialug/standin/kvface.py
+++ b/magnolialug/standin/kvface.py
@@ -17,7 +17,6 @@
     Code.KV_HISTORY_GONE: 410,
     Code.KV_LEASE_GONE: 404,
 }
-_PAGE = 500
 
 
 def _row(entry: KvEntry) -> dict:
@@ -62,15 +61,13 @@
 
 
 async def _range(store: KvStore, parts: list[str], req: Request, data: bytes):
-    rows = await store.scan(query(req, "pathPrefix"))
-    if isinstance(rows, Failure):
-        return rows
-    after = query(req, "after")
-    rows = [row for row in rows if row.key > after]
+    page = await store.page(query(req, "pathPrefix"), query(req, "after"))
+    if isinstance(page, Failure):
+        return page
     return 200, {
-        "items": [_row(row) for row in rows[:_PAGE]],
-        "hasMore": len(rows) > _PAGE,
-        "asOf": store.revision,
+        "items": [_row(row) for row in page.entries],
+        "hasMore": page.more,
+        "asOf": page.revision,
     }
 
 
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -14,6 +14,7 @@
 from twisted.internet.task import Clock
 
 from magnolialug.entry.watchclient import WatchClient
+from magnolialug.result import Code, failed
 from magnolialug.standin.kv import KvStore
 from magnolialug.watchsubscriber import WatchSubscriber
 
@@ -165,3 +166,71 @@
         self.pass_time(1)
         self.assertEqual({"a/1"}, set(self.seen.at))
         self.assertEqual({"b/1"}, set(self.other.at))
+
+
+class LostPageTest(TestCase):
+    """A service with more entries than one answer holds."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.kv = KvStore(self.clock)
+        self.kv.page_size = 2
+        for number in range(7):
+            ensureDeferred(self.kv.put_if(f"a/{number}", b"x", 0))
+        self.asked = []
+        self.fails_at = set()
+        self.kv.page = self.page
+        self.seen = Seen(self.clock)
+        self.watch_client = WatchClient(
+            self.kv, {"a/": self.seen}, self.clock, Random(1), 25.0
+        )
+        self.addCleanup(self.watch_client.stop)
+
+    async def page(self, prefix, after="", *args):
+        """Loses the answers that the test names."""
+        self.asked.append(after)
+        if len(self.asked) in self.fails_at:
+            return failed(Code.KV_TIMEOUT)
+        return await KvStore.page(self.kv, prefix, after, *args)
+
+    def pass_time(self, seconds):
+        """Lets time pass."""
+        for _ in range(round(seconds / 0.01)):
+            self.clock.advance(0.01)
+
+    def test_a_page_that_is_lost_is_asked_for_alone(self):
+        """Guards against a start that begins anew with each lost page."""
+        self.fails_at = {2, 4}
+        self.watch_client.start()
+        self.pass_time(1)
+        self.assertEqual(["", "a/1", "a/1", "a/3", "a/3", "a/5"], self.asked)
+        self.assertEqual(7, len(self.seen.at))
+
+    def test_pages_are_read_again_after_an_outage(self):
+        """Guards against entries that were removed while pages were lost."""
+        self.fails_at = set(range(2, 30))
+        self.watch_client.start()
+        self.pass_time(1)
+        self.kv._remove("a/0")
+        self.pass_time(30)
+        self.assertTrue(self.watch_client.in_touch)
+        self.assertNotIn("a/0", self.seen.at)
+
+    def test_an_answer_that_is_too_long_is_replaced_by_a_snapshot(self):
+        """Guards against changes that are asked for in vain for ever."""
+        self.watch_client.start()
+        self.pass_time(1)
+        self.asked.clear()
+
+        async def too_long(*args):
+            return failed(Code.KV_ANSWER_TOO_LONG)
+
+        changes, self.kv.changes = self.kv.changes, too_long
+        self.kv.end_watches()
+        self.pass_time(0.5)
+        self.kv.changes = changes
+        ensureDeferred(self.kv.put_if("a/9", b"x", 0))
+        self.pass_time(1)
+        self.assertIn("", self.asked)
+        self.assertIn("a/9", self.seen.at)
--- a/tests/platform/test_kv_contract.py
+++ b/tests/platform/test_kv_contract.py
@@ -13,6 +13,7 @@
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
 from magnolialug.timing import sleep
+from tests.network import Network
 
 
 class KvContract:
@@ -37,6 +38,12 @@
         await kv.put_if("b", b"5", 0)
         rows = await kv.scan("a")
         self.assertEqual(["a", "ab"], [row.key for row in rows])
+        self.store.page_size = 1
+        rows = await kv.scan("a")
+        self.assertEqual(["a", "ab"], [row.key for row in rows])
+        page = await kv.page("a", "a")
+        self.assertEqual(["ab"], [row.key for row in page.entries])
+        self.assertFalse(page.more)
         self.assertTrue(await kv.delete("ab"))
         self.assertFalse(await kv.delete("ab"))
         big = await kv.put_if("big", b"x" * (VALUE_LIMIT + 1), 0)
@@ -95,6 +102,30 @@
         return ensureDeferred(self.contract())
 
 
+class LongAnswerTest(TestCase):
+    """Many changes of one long value."""
+
+    def test_changes_that_are_more_than_an_answer_holds_are_told_apart(self):
+        """Guards against a watch that is behind for ever."""
+        net = Network()
+        store = KvStore(net)
+        address = ("10.9.9.1", 1)
+        net.servers[address] = Site(kv_face(store), reactor=net)
+        kv = KvHttp(Client(net), address)
+        revision = 0
+        for _ in range(8):
+            write = ensureDeferred(
+                store.put_if("a", b"x" * VALUE_LIMIT, revision)
+            )
+            revision = write.result.revision
+        results = []
+        for work in (kv.changes("", 0, 0.0), kv.snapshot("")):
+            ensureDeferred(work).addCallback(results.append)
+            net.advance_by(1)
+        self.assertEqual(Code.KV_ANSWER_TOO_LONG, results[0].code)
+        self.assertEqual(revision, results[1].revision)
+
+
 class HttpTest(KvContract, TestCase):
     """The real client against the stand-in's gateway."""
 
