Watch: kept pages and overtaken changes never undo what was reported

Callers would have been sent to an endpoint that had left.

The revision of urgent keys is set before they are reported, as it is for all others.

Before/after: test_pages_are_read_again_after_a_change fails before (the removed key is back); the other two by reading.

Conclusion: one order for all: what is reported never goes back.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -161,10 +161,7 @@
         if now - self._pages_begun_at > _PAGES_KEPT_S:
             self._pages, self._pages_begun_at = Pages(_ALL), now
         self._progress = Progress()
-        found = await read_pages(self._kv, self._pages, self._progress)
-        if isinstance(found, Snapshot):
-            self._pages_begun_at = float("-inf")
-        return found
+        return await read_pages(self._kv, self._pages, self._progress)
 
     async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
@@ -285,7 +282,11 @@
             for subscriber in self._subscribers.values():
                 subscriber.back(away_s)
         self.revision = max(self.revision, found.revision)
+        # Pages that are older than what is reported must not follow it.
+        self._pages_begun_at = float("-inf")
         if isinstance(found, Snapshot):
+            # It may be older than what has overtaken an answer before it.
+            self._urgent_revisions = dict.fromkeys(self._urgent_revisions, 0)
             for prefix, subscriber in self._subscribers.items():
                 rows = [e for e in found.entries if e.key.startswith(prefix)]
                 subscriber.snapshot(rows)
@@ -294,8 +295,8 @@
 
     def _urgent(self, prefix: str, found: Changes) -> None:
         """Takes changes that have overtaken a long answer."""
-        self._report(found.entries)
         self._urgent_revisions[prefix] = found.revision
+        self._report(found.entries)
 
     def _is_told(self, entry: KvEntry) -> bool:
         """Whether a change has overtaken the answer that it is in now."""
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -25,6 +25,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.at = {}
+        self.values = {}
         self.away_s = []
         self.settles = 0
 
@@ -36,6 +37,7 @@
     def changed(self, entry):
         """Takes one change."""
         self.at.setdefault(entry.key, self.clock.seconds())
+        self.values[entry.key] = entry.value
 
     def back(self, away_s):
         """Notes for how long the service was away."""
@@ -180,6 +182,7 @@
             ensureDeferred(self.kv.put_if(f"a/{number}", b"x", 0))
         self.asked = []
         self.fails_at = set()
+        self.on_failure = lambda: None
         self.kv.page = self.page
         self.seen = Seen(self.clock)
         self.watch_client = WatchClient(
@@ -191,6 +194,7 @@
         """Loses the answers that the test names."""
         self.asked.append(after)
         if len(self.asked) in self.fails_at:
+            self.on_failure()
             return failed(Code.KV_TIMEOUT)
         return await KvStore.page(self.kv, prefix, after, *args)
 
@@ -217,6 +221,29 @@
         self.assertTrue(self.watch_client.in_touch)
         self.assertNotIn("a/0", self.seen.at)
 
+    def test_pages_are_read_again_after_a_change(self):
+        """Guards against a snapshot that undoes a change reported before."""
+        self.watch_client.start()
+        self.pass_time(1)
+        self.hide_changes("b/1")
+        self.fails_at = {len(self.asked) + 2}
+        self.on_failure = self.show_a_removal
+        self.pass_time(1.5)
+        self.assertIsNone(self.seen.values["a/0"])
+        self.hide_changes("b/2")
+        self.pass_time(1.5)
+        self.assertIsNone(self.seen.values["a/0"])
+
+    def hide_changes(self, key):
+        """Makes watches skip a change, so that all entries are read."""
+        self.kv.faults.deaf_watches = True
+        ensureDeferred(self.kv.put_if(key, b"x", 0))
+
+    def show_a_removal(self):
+        """Removes a key of a page that was read, and reports it."""
+        self.kv.faults.deaf_watches = False
+        self.kv._remove("a/0")
+
     def test_an_answer_that_is_too_long_is_replaced_by_a_snapshot(self):
         """Guards against changes that are asked for in vain for ever."""
         self.watch_client.start()
