Cold endpoints: that an endpoint is cold travels between gateways

Change: an entry's report of its work tells for how long it knows an endpoint to be cold, and an owner's reply tells the longest of these; whoever learns of a cold start from the service reports at once. Every request is placed after a query to the owner, so a gateway hears of it before it sends the next one. Only what the service tells travels, not what is presumed or was heard from others: in a circle the time would never end. The fields are last in their arrays, so entries of two releases understand each other.

Before/after: test_one_gets_little_from_a_gateway_that_has_not_heard_of_it fails before (28 requests in a second, 14 allowed); test_it_is_not_taken_for_cold_for_longer_than_it_is guards against the circle.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -38,12 +38,14 @@
     Args:
       reactor: for connections and time.
       opened: is told of each new connection to an endpoint.
+      turned_cold: is told of an endpoint that is learned to be cold.
     """
 
     def __init__(
         self,
         reactor,
         opened: Callable[[], None] = lambda: None,
+        turned_cold: Callable[[EndpointId], None] = lambda endpoint: None,
     ):
         self.peers: dict[EndpointId, Peer] = {}
         self.entries = 1
@@ -57,6 +59,7 @@
         self._evacuated: frozenset[ZoneId] = frozenset()
         self._reactor = reactor
         self._opened = opened
+        self._turned_cold = turned_cold
 
     def counted(self, entries: int, rank: int) -> None:
         """Takes how many entries share the endpoints.
@@ -87,7 +90,7 @@
             was_evacuated = peer.evacuated
             peer.evacuated = peer.listed.zone in zones
             if was_evacuated and not peer.evacuated:
-                peer.presume_cold(self._reactor.seconds())
+                peer.starts_cold(self._reactor.seconds())
 
     def is_evacuated(self, service: ServiceName) -> bool:
         """Whether every endpoint that serves a service is evacuated."""
@@ -303,7 +306,7 @@
             self._lifetimes.over(entry.endpoint, peer.listed.born_ms)
         self._remove(peer)
         peer.ended_at = self._reactor.seconds()
-        self._add(entry).presume_cold(peer.ended_at)
+        self._add(entry).starts_cold(peer.ended_at)
 
     def _remove(self, peer: Peer) -> None:
         del self.peers[peer.listed.endpoint]
@@ -347,7 +350,13 @@
             self._opened,
         )
         cold = ColdStart()
-        peer = Peer(entry, pool, self._load(entry), cold)
+        peer = Peer(
+            entry,
+            pool,
+            self._load(entry),
+            cold,
+            lambda: self._turned_cold(entry.endpoint),
+        )
         self._limit(peer)
         peer.relist(entry, self._reactor.seconds())
         peer.evacuated = entry.zone in self._evacuated
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -1,5 +1,7 @@
 """One endpoint as the gateway uses it."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from magnolialug.carrier.pool import Pool
@@ -37,6 +39,10 @@
       unreachable: whether the newest connection to it could not be made.
       cold: bounds its new work after a start.
       load: what is known of its engine, None for a plain service.
+
+    Args:
+      on_cold: is told when it is learned that the endpoint is cold, which the
+        other entries may not know yet.
     """
 
     def __init__(
@@ -45,8 +51,10 @@
         pool: Pool,
         load: EngineLoad | None,
         cold: ColdStart,
+        on_cold: Callable[[], None] = lambda: None,
     ):
         self.cold = cold
+        self._on_cold = on_cold
         self.unreachable = False
         self.listed = listed
         self.pool = pool
@@ -116,6 +124,12 @@
         if self.cold.presume(now):
             self._log_cold(self.cold.length_s)
 
+    def starts_cold(self, now: float) -> None:
+        """Learns that it, or its zone, is back and therefore cold."""
+        if self.cold.start(now):
+            self._log_cold(self.cold.length_s)
+            self._on_cold()
+
     def _log_cold(self, left_s: float) -> None:
         emit(
             Event.ENDPOINT_COLD,
@@ -132,6 +146,9 @@
             self.heard_weights(model, version)
         for model, version in state.least.items():
             self.denied_weights(model, version - 1)
+        cold_s = state.cold_ms / 1000
+        if cold_s > 0 and self.cold.believe(now, cold_s):
+            self._log_cold(cold_s)
         if self.load is not None:
             self.load.elsewhere(state, now)
 
@@ -150,11 +167,13 @@
             sound=self.sound(now),
             born_ms=self.listed.born_ms,
             weights=self.all_weights(),
+            cold_until=self.cold.known_until,
         )
 
     def share(self, now: float) -> WorkShare:
         """Returns this entry's work there, as it is told to its owner."""
         listed = self.listed
+        cold_ms = round(max(0.0, self.cold.known_until - now) * 1000)
         if self.load is not None:
             return self.load.share(
                 listed.endpoint,
@@ -163,9 +182,15 @@
                 listed.born_ms,
                 self.all_weights(),
                 self._unknown_weights(),
+                cold_ms,
             )
         return WorkShare(
-            listed.endpoint, (), 0, self.running, born_ms=listed.born_ms
+            listed.endpoint,
+            (),
+            0,
+            self.running,
+            born_ms=listed.born_ms,
+            cold_ms=cold_ms,
         )
 
     def serves(self, model: str) -> bool:
@@ -222,6 +247,7 @@
         """Takes a newer registry entry of the same start."""
         if listed.cold_s > 0 and self.cold.begin(now, listed.cold_s):
             self._log_cold(listed.cold_s)
+            self._on_cold()
         born_ms = listed.born_ms or self.listed.born_ms
         self.listed = msgspec.structs.replace(listed, born_ms=born_ms)
         for model, version in listed.weights.items():
--- a/magnolialug/owners/ledgers.py
+++ b/magnolialug/owners/ledgers.py
@@ -20,6 +20,7 @@
       sound: whether nothing speaks against it at the moment.
       born_ms: its start, 0 if not known.
       weights: the newest version that it is known to have, by model.
+      cold_until: when it is known to stop being cold, in seconds.
     """
 
     memory: int
@@ -28,6 +29,7 @@
     sound: bool
     born_ms: int
     weights: dict[str, int] = {}
+    cold_until: float = 0.0
 
 
 class Ledgers:
@@ -60,7 +62,9 @@
             ledger = EndpointLedger(endpoint, memory, born_ms)
             self._ledgers[endpoint] = ledger
         ledger.born_ms = max(ledger.born_ms, born_ms)
-        ledger.knows(facts.weights if facts else {})
+        if facts is not None:
+            ledger.knows(facts.weights)
+            ledger.knows_cold(facts.cold_until)
         return ledger
 
     def forget_old(self, now: float) -> None:
--- a/magnolialug/policy/coldstart.py
+++ b/magnolialug/policy/coldstart.py
@@ -24,11 +24,14 @@
     Attributes:
       interval_s: between two turns of this process, 0 for no limit.
       length_s: how long endpoints of the service are cold after a start.
+      known_until: when the endpoint stops being cold, as far as that is known
+        and not presumed.
     """
 
     def __init__(self):
         self.interval_s = 0.0
         self.length_s = 0.0
+        self.known_until = float("-inf")
         self._phase = 0.0
         self._until = float("-inf")
         self._next_at = float("-inf")
@@ -52,6 +55,15 @@
     def begin(self, now: float, left_s: float) -> bool:
         """Learns that the endpoint is cold for some time.
 
+        Returns:
+          whether that is new.
+        """
+        self.known_until = max(self.known_until, now + left_s)
+        return self.believe(now, left_s)
+
+    def believe(self, now: float, left_s: float) -> bool:
+        """Takes the endpoint for cold for some time.
+
         Returns:
           whether that is new.
         """
@@ -67,6 +79,14 @@
 
         Its registry entry tells so only with its next heartbeat.
         """
+        return self.length_s > 0 and self.believe(now, self.length_s)
+
+    def start(self, now: float) -> bool:
+        """Learns that the endpoint has started, or may have, from the service.
+
+        Returns:
+          whether that is new.
+        """
         return self.length_s > 0 and self.begin(now, self.length_s)
 
     def may_send(self, now: float) -> bool:
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -74,12 +74,14 @@
         self._weights: dict[str, int] = {}
         self._least: dict[str, int] = {}
         self._heard_at = float("-inf")
+        self._cold_until = float("-inf")
 
     def told(self, entry: str, share: WorkShare, now: float) -> None:
         """Records an entry's share, which replaces the one before."""
         self._heard_at = max(self._heard_at, now - share.heard_ms / 1000)
         self.knows(share.weights)
         _raise(self._least, share.least)
+        self.knows_cold(now + share.cold_ms / 1000)
         if share.running:
             self._told[entry] = _Told(share, now)
         else:
@@ -89,6 +91,10 @@
         """Takes the versions that somebody knows the endpoint to have."""
         _raise(self._weights, weights)
 
+    def knows_cold(self, until: float) -> None:
+        """Takes until when somebody knows the endpoint to be cold."""
+        self._cold_until = max(self._cold_until, until)
+
     def placed(self, placement: Placement) -> None:
         """Counts the parts of a prompt as held from now on."""
         self.parts.keep(placement.salt, placement.parts)
@@ -162,6 +168,7 @@
                 for model, version in self._least.items()
                 if version > self._weights.get(model, 0)
             },
+            cold_ms=round(max(0.0, self._cold_until - now) * 1000),
         )
 
     def is_silent(self, now: float) -> bool:
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -116,6 +116,7 @@
         born_ms: int,
         weights: dict[str, int],
         least: dict[str, int],
+        cold_ms: int = 0,
     ) -> WorkShare:
         """Returns this entry's own work, as it is told to others.
 
@@ -123,6 +124,7 @@
           heard_at: when the engine's last byte came.
           weights: the versions that it is known to have.
           least: the oldest ones that it can have, where that is not known.
+          cold_ms: for how much longer it is known to be cold.
         """
         rows = self._running.values()
         oldest_at = min((placed.sent_at for placed in rows), default=now)
@@ -136,6 +138,7 @@
             born_ms=born_ms,
             weights=weights,
             least=least,
+            cold_ms=cold_ms,
         )
 
     def _reading(self) -> tuple[int, ...]:
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -23,6 +23,9 @@
       born_ms: the start of the endpoint that it is at, 0 if not known.
       weights: the newest version that it is known to have, by model.
       least: the oldest version that it can have, where that is not known.
+      cold_ms: for how much longer this entry knows it to be cold, from what the
+        key-value service tells and not from what others tell: told in a
+        circle, the time would never end.
     """
 
     endpoint: EndpointId
@@ -34,6 +37,7 @@
     born_ms: int = 0
     weights: dict[str, int] = {}
     least: dict[str, int] = {}
+    cold_ms: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -63,6 +67,7 @@
       born_ms: the start that this is known of, 0 if not known.
       weights: the newest version that anybody knows it to have, by model.
       least: the oldest version that it can have, where that is not known.
+      cold_ms: for how much longer anybody knows it to be cold.
     """
 
     endpoint: EndpointId
@@ -75,6 +80,7 @@
     born_ms: int = 0
     weights: dict[str, int] = {}
     least: dict[str, int] = {}
+    cold_ms: int = 0
 
 
 def summed(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
--- a/tests/entry/test_cold_endpoints.py
+++ b/tests/entry/test_cold_endpoints.py
@@ -14,6 +14,7 @@
 # The bound that the platform sets: half as much again, and five.
 MOST_PER_S = PER_S * 1.5 + 5
 VMS = ("front-1", "front-2", "front-3")
+_PATH = ("10.9.9.1", 1)
 
 
 def operator():
@@ -145,6 +146,28 @@
         self.assertGreater(len(self.arrivals), PER_S / 2)
         self.assertLess(self.busiest_second(), MOST_PER_S)
 
+    def test_one_gets_little_from_a_gateway_that_has_not_heard_of_it(self):
+        """Guards against a cold start that does not travel between gateways."""
+        self.cluster.start_behind(_PATH, "front-3", 3)
+        self.cluster.pass_time(2)
+        self.cluster.net.cut(_PATH)
+        self.cluster.pass_time(0.5)
+        self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
+        self.cluster.pass_time(0.3)
+        self.arrivals.clear()
+        self.load(COLD_S - 0.4)
+        self.assertGreater(len(self.arrivals), 0)
+        self.assertLess(self.busiest_second(), MOST_PER_S)
+
+    def test_it_is_not_taken_for_cold_for_longer_than_it_is(self):
+        """Guards against a time that grows while gateways tell each other."""
+        self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
+        self.load(COLD_S + 0.5)
+        now = self.cluster.net.seconds()
+        for gateway in self.cluster.gateways:
+            peer = gateway.directory.peers[self.desk.instance]
+            self.assertFalse(peer.cold.is_cold(now))
+
     def test_a_service_whose_endpoints_are_all_cold_says_when_to_return(self):
         self.cluster.remove("servers/i-desk2")
         self.cluster.relist(self.desk, coldRemainingMs=int(COLD_S * 1000))
