Client: one class for the state of a call

Cause: none; the function that asks had grown to five closures over shared variables.

Change: a call's progress, bounds, timers and response are one class; what calls to one peer share is a type of its own.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -1,10 +1,10 @@
 """Whole requests and responses over pooled connections."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 
 from magnolialug.carrier.pool import Address, Flight, Pool
 from magnolialug.carrier.progress import Progress
@@ -61,51 +61,68 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class _Gather:
-    """Collects one response."""
+class _Path(msgspec.Struct):
+    """What is known of the path from one peer.
 
-    def __init__(
-        self,
-        done: Deferred,
-        progress: Progress,
-        clock: Callable[[], float],
-        on_begin: Callable[[], None],
-        on_more: Callable[[], None],
-    ):
-        self._done = done
+    Attributes:
+      arriving_at: when a further piece of some response arrived. While it
+        goes on, other responses may be waiting behind it.
+    """
+
+    arriving_at: float = float("-inf")
+
+
+class _Call:
+    """Collects one response, and ends when nothing arrives for too long.
+
+    Attributes:
+      first_s: the longest time until the response begins.
+      later_s: the longest time between two pieces of it.
+      path: what it shares with other calls.
+    """
+
+    def __init__(self, reactor, progress: Progress):
+        self.first_s = self.later_s = 0.0
+        self.path = _Path()
+        self._reactor = reactor
         self._progress = progress
-        self._clock = clock
-        self._on_begin = on_begin
-        self._on_more = on_more
+        self._done: Deferred | None = None
+        self._flight: Flight | None = None
         self._head: Head | None = None
         self._pieces: list[bytes] = []
-        self._size = 0
-        self.flight: Flight | None = None
+        self._silence = SilenceTimer(reactor, self._silent_at, self._give_up)
+        self._opening: IDelayedCall | None = None
+        progress.begin(reactor.seconds())
+
+    def begin(self, flight: Flight, connect_s: float | None) -> Deferred:
+        """Returns the deferred response to what has been sent."""
+        self._flight = flight
+        self._done = done = Deferred(self._cancelled)
+        self._silence.check()
+        if connect_s is not None:
+            self._opening = self._reactor.callLater(connect_s, flight.unopened)
+        return done
 
     def on_head(self, head: Head) -> None:
         """Takes the head."""
         self._head = head
-        self._progress.hear(self._clock(), 0)
-        self._on_begin()
+        self._progress.hear(self._reactor.seconds(), 0)
+        self._silence.check()
 
     def on_data(self, data: bytes) -> None:
         """Takes a piece of the body."""
-        now = self._clock()
-        if self._progress.is_arriving and now > self._progress.begun_at:
-            self._on_more()
+        now = self._reactor.seconds()
+        if now > self._progress.begun_at:
+            self.path.arriving_at = now
         self._progress.hear(now, len(data))
-        self._size += len(data)
         self._pieces.append(data)
-        if self._size > _LIMIT_BYTES and self.flight is not None:
-            self.flight.drop()
-
-    def forget(self) -> None:
-        """Learns that nobody waits for the response any more."""
-        self._done = None
+        if self._progress.received > _LIMIT_BYTES:
+            self._flight.drop()
 
     def on_end(self, end: End) -> None:
         """Hands the response over."""
         self._progress.whole = end is End.WHOLE
+        self._stop()
         done, self._done = self._done, None
         if done is None:
             return
@@ -115,6 +132,26 @@
         body = b"".join(self._pieces)
         done.callback(Reply(self._head.status, self._head.headers, body))
 
+    def _cancelled(self, _: Deferred) -> None:
+        self._done = None
+        self._flight.drop()
+
+    def _stop(self) -> None:
+        self._silence.cancel()
+        if self._opening is not None and self._opening.active():
+            self._opening.cancel()
+
+    def _give_up(self) -> None:
+        self._flight.silent()
+
+    def _silent_at(self) -> float:
+        """Returns when nothing will have arrived for too long."""
+        progress, other_at = self._progress, self.path.arriving_at
+        if progress.heard_at is None:
+            first_at = progress.asked_at + self.first_s
+            return max(first_at, other_at + self.later_s)
+        return max(progress.heard_at, other_at) + self.later_s
+
 
 class Client:
     """Asks one peer at a time, and gives a silent one up.
@@ -131,7 +168,7 @@
         self._reactor = reactor
         self._limit = limit
         self._pools: dict[Address, Pool] = {}
-        self._arriving_at: dict[Address, float] = {}
+        self._paths: dict[Address, _Path] = {}
 
     def ask(
         self,
@@ -164,52 +201,11 @@
             for the timeout.
           progress: records what arrives.
         """
-        clock = self._reactor.seconds
-        progress = progress or Progress()
-        progress.begin(clock())
-
-        def cancelled(_: Deferred) -> None:
-            gather.forget()
-            over(None)
-
-        def due() -> float:
-            return self._silent_at(address, progress, first_s, later_s)
-
-        def more() -> None:
-            self._arriving_at[address] = clock()
-
-        def over(result):
-            silence.cancel()
-            if opening is not None and opening.active():
-                opening.cancel()
-            flight.drop()
-            return result
-
-        first_s = timeout_s + len(request) / _SLOWEST_SEND_BYTES_PER_S
-        later_s = timeout_s if silence_s is None else silence_s
-        done: Deferred = Deferred(cancelled)
-        silence = SilenceTimer(self._reactor, due, lambda: flight.silent())
-        gather = _Gather(done, progress, clock, silence.check, more)
-        flight = self.send(address, request, gather)
-        gather.flight = flight
-        silence.check()
-        opening = None
-        if connect_s is not None:
-            opening = self._reactor.callLater(connect_s, flight.unopened)
-        return done.addCallback(over)
-
-    def _silent_at(
-        self,
-        address: Address,
-        progress: Progress,
-        first_s: float,
-        later_s: float,
-    ) -> float:
-        """Returns when a call will have been silent for too long."""
-        arriving_at = self._arriving_at.get(address, float("-inf"))
-        if progress.heard_at is None:
-            return max(progress.asked_at + first_s, arriving_at + later_s)
-        return max(progress.heard_at, arriving_at) + later_s
+        call = _Call(self._reactor, progress or Progress())
+        call.first_s = timeout_s + len(request) / _SLOWEST_SEND_BYTES_PER_S
+        call.later_s = timeout_s if silence_s is None else silence_s
+        call.path = self._paths.setdefault(address, _Path())
+        return call.begin(self.send(address, request, call), connect_s)
 
     def seconds(self) -> float:
         """Returns the time by which progress is recorded."""
