Pages of the key-value service: beside the watch's other types, not in the adapter

Cause: none; going on behind a page that was lost is the product's, the adapter translates one page.

Change: platform/pages becomes kvpages; nothing else.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -9,8 +9,8 @@
 from magnolialug.carrier.progress import Progress
 from magnolialug.entry.urgentwatch import UrgentWatch
 from magnolialug.events import Event, emit, explain
+from magnolialug.kvpages import Pages, read_pages
 from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
-from magnolialug.platform.pages import Pages, read_pages
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure
 from magnolialug.timing import sleep
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -16,6 +16,7 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.taker import End
+from magnolialug.kvpages import Pages, read_pages
 from magnolialug.platform.kv import (
     VALUE_LIMIT,
     Changes,
@@ -24,7 +25,6 @@
     Snapshot,
     Swap,
 )
-from magnolialug.platform.pages import Pages, read_pages
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["KvHttp"]
