Watch: after a time without contact only the newest version of a long value is read

The first of these answers counts as contact, so registrations are doubted no longer than before. Without long values nothing changes.

Before/after: test_one_that_was_cut_off_reads_the_newest_change_alone fails before (version 2 in force where 5 is asked); the other new test guards the evacuation.

Conclusion: what is read after an outage depends on the state, not on its history.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -35,6 +35,8 @@
 _LONG_ARRIVAL_S = 0.1
 # An answer that arrives for longer than this is logged.
 _SLOW_ARRIVAL_S = 0.2
+# Of longer values only the newest version is read after a time without contact.
+_LONG_VALUE_BYTES = 64 * 1024
 # How often it is logged that the service still does not answer.
 _REMINDER_INTERVAL_S = 10.0
 # What was missed stands in no answer, or in too long a one: a snapshot has one
@@ -92,6 +94,7 @@
         self._progress = Progress()
         self._pages = Pages(_ALL)
         self._pages_begun_at = float("-inf")
+        self._has_long_values = False
         self._urgent_watch = UrgentWatch(kv, urgent, wait_s, self._urgent)
         self._urgent_revisions = dict.fromkeys(urgent, 0)
         self._task: Deferred | None = None
@@ -169,6 +172,8 @@
             awaited = await self._wait_for_changes()
             if awaited is not None:
                 return awaited
+        if self._has_long_values:
+            return await self._catch_up()
         found = await self._ask_changes(0.0)
         if isinstance(found, Failure) or found.entries:
             return found
@@ -176,6 +181,22 @@
         skipped = found.revision > self.revision
         return await self._snapshot() if skipped else found
 
+    async def _catch_up(self) -> Snapshot | Failure:
+        """Reads what was missed, and only the newest version of each value.
+
+        The changes hold every version of a value. Those of a long one take
+        longer to arrive than it takes the operator to write the next. Changes
+        of urgent keys are short, and each of them matters.
+        """
+        for prefix in self._urgent_revisions:
+            after = self.revision_of(prefix)
+            found = await self._kv.changes(prefix, after, 0.0)
+            if isinstance(found, Failure):
+                return found
+            self._touch(found.revision)
+            self._urgent(prefix, found)
+        return await self._snapshot()
+
     async def _ask_changes(self, wait_s: float) -> Changes | Failure:
         """Asks for changes of all keys; the urgent ones overtake the others."""
         overtaking = None
@@ -270,18 +291,21 @@
             if not watch.is_arriving:
                 return f"the service is at revision {newest}"
 
-    def _heard(self, found: Snapshot | Changes) -> None:
+    def _touch(self, revision: int) -> None:
+        """Records that the service has answered."""
         now = self._clock.seconds()
         away_s, self._answered_at = now - self._answered_at, now
         if not self.in_touch:
             self.in_touch = True
             self._lost_logged_at = float("-inf")
-            emit(
-                Event.KV_BACK, revision=found.revision, away_s=round(away_s, 3)
-            )
+            emit(Event.KV_BACK, revision=revision, away_s=round(away_s, 3))
             for subscriber in self._subscribers.values():
                 subscriber.back(away_s)
+
+    def _heard(self, found: Snapshot | Changes) -> None:
+        self._touch(found.revision)
         self.revision = max(self.revision, found.revision)
+        self._note_sizes(found.entries)
         # Pages that are older than what is reported must not follow it.
         self._pages_begun_at = float("-inf")
         if isinstance(found, Snapshot):
@@ -293,6 +317,11 @@
             return
         self._report([e for e in found.entries if not self._is_told(e)])
 
+    def _note_sizes(self, entries: Sequence[KvEntry]) -> None:
+        """Learns whether there are values that take long to arrive."""
+        longest = max((len(e.value or b"") for e in entries), default=0)
+        self._has_long_values |= longest > _LONG_VALUE_BYTES
+
     def _urgent(self, prefix: str, found: Changes) -> None:
         """Takes changes that have overtaken a long answer."""
         self._urgent_revisions[prefix] = found.revision
--- a/tests/entry/test_long_configuration.py
+++ b/tests/entry/test_long_configuration.py
@@ -85,6 +85,42 @@
         self.cluster.pass_time(_ARRIVAL_S + 2)
         self.assertEqual(2, gateway.routes.version)
 
+    def test_one_that_was_cut_off_reads_the_newest_change_alone(self):
+        """Guards against an answer that grows with the changes missed."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(_ARRIVAL_S + 0.5)
+        self.net.cut(_PATH)
+        self.cluster.pass_time(3)
+        for version in (3, 4, 5):
+            self.cluster.configure(long_config(version))
+            self.cluster.pass_time(1)
+        self.link.carried = 0
+        self.net.heal(_PATH)
+        self.cluster.pass_time(_ARRIVAL_S + 1)
+        self.assertEqual(5, gateway.routes.version)
+        self.assertLess(self.link.carried, 1.2 * _ARRIVAL_S * _RATE)
+
+    def test_one_that_was_cut_off_learns_of_an_evacuation_that_is_over(self):
+        """Guards against cold endpoints that only the missed changes tell."""
+        gateway = self.started()
+        self.cluster.configure(long_config(2))
+        self.cluster.pass_time(_ARRIVAL_S + 0.5)
+        self.net.cut(_PATH)
+        self.cluster.pass_time(3)
+        self.cluster.write("op/evacuate/a", {})
+        self.cluster.pass_time(0.5)
+        self.cluster.remove("op/evacuate/a")
+        returned = []
+        evacuate = gateway.directory.evacuate
+        gateway._evacuations._on_change = lambda zones: (
+            returned.append(zones),
+            evacuate(zones),
+        )
+        self.net.heal(_PATH)
+        self.cluster.pass_time(_ARRIVAL_S + 1)
+        self.assertEqual([frozenset("a"), frozenset()], returned)
+
     def test_an_endpoint_that_leaves_is_known_before_the_change_has_arrived(
         self,
     ):
