Watch: pages that were kept never follow an urgent change

Cause: found by reading: a gateway that catches up and loses a page reads urgent changes again and then goes on with pages from before them, so an endpoint that had just been removed was listed again until the next answer.

Change: what is told of urgent keys discards the pages that were kept.

Before/after: test_pages_are_read_again_after_an_urgent_change fails before.

Conclusion: the same order as for all other changes.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -329,6 +329,8 @@
 
     def _urgent(self, prefix: str, found: Changes) -> None:
         """Takes changes that have overtaken a long answer."""
+        if found.entries:
+            self._pages_begun_at = float("-inf")
         self._urgent_revisions[prefix] = found.revision
         self._report(found.entries)
 
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -234,6 +234,27 @@
         self.pass_time(1.5)
         self.assertIsNone(self.seen.values["a/0"])
 
+    def test_pages_are_read_again_after_an_urgent_change(self):
+        """Guards against a catch-up that lists what it has just removed."""
+        ensureDeferred(self.kv.put_if("z", b"x" * 100_000, 0))
+        self.watch_client = WatchClient(
+            self.kv,
+            {"a/": self.seen},
+            self.clock,
+            Random(1),
+            25.0,
+            urgent=("a/",),
+        )
+        self.watch_client.start()
+        self.pass_time(1)
+        self.asked.clear()
+        self.fails_at = {2}
+        self.on_failure = lambda: self.kv._remove("a/0")
+        self.kv.end_watches()
+        self.pass_time(1)
+        self.assertEqual(["", "a/1", ""], self.asked[:3])
+        self.assertIsNone(self.seen.values["a/0"])
+
     def hide_changes(self, key):
         """Makes watches skip a change, so that all entries are read."""
         self.kv.faults.deaf_watches = True
