Observability: which call of an outage was waited for, and what kept it open

Cause: of an outage of the key-value service only its first failure is logged. A gateway that was away for 3 to 5 s wrote 4200 and 4201, and nothing told whether it had asked often, or waited for one call.

Change: 4201 has longest_call_s and extended_s, the time that one call was kept open past its time-out since other answers were arriving; the reason of a lost call says the same.

Short answers count as pieces of long ones, as the clock moves on between head and body of one segment.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -115,7 +115,9 @@
     def on_head(self, head: Head) -> None:
         """Records the response's head."""
         self._head = head
-        self._progress.record(self._reactor.seconds(), 0)
+        now = self._reactor.seconds()
+        self._record_extension(now)
+        self._progress.record(now, 0)
         self._silence.check()
 
     def on_data(self, data: bytes) -> None:
@@ -123,6 +125,7 @@
         now = self._reactor.seconds()
         if now > self._progress.first_byte_at:
             self.arrivals.last_piece_at = now
+        self._record_extension(now)
         self._progress.record(now, len(data))
         self._pieces.append(data)
         if self._progress.received > _MAX_BODY_BYTES:
@@ -131,6 +134,7 @@
     def on_end(self, end: End) -> None:
         """Fires the deferred with the Reply or NoReply."""
         self._progress.complete = end is End.COMPLETE
+        self._record_extension(self._reactor.seconds())
         self._stop()
         done, self._done = self._done, None
         if done is None:
@@ -153,13 +157,22 @@
     def _time_out(self) -> None:
         self._pending.time_out()
 
+    def _record_extension(self, now: float) -> None:
+        """Records how long the call has been kept open past its time-out."""
+        extended_s = now - self._own_deadline()
+        self._progress.extended_s = max(self._progress.extended_s, extended_s)
+
+    def _own_deadline(self) -> float:
+        """Returns when the call times out if nothing else arrives."""
+        progress = self._progress
+        if progress.last_byte_at is None:
+            return progress.started_at + self.first_byte_timeout_s
+        return progress.last_byte_at + self.piece_timeout_s
+
     def _silence_deadline(self) -> float:
         """Returns when the call times out if no more bytes arrive."""
-        progress, other_piece_at = self._progress, self.arrivals.last_piece_at
-        if progress.last_byte_at is None:
-            first_deadline = progress.started_at + self.first_byte_timeout_s
-            return max(first_deadline, other_piece_at + self.piece_timeout_s)
-        return max(progress.last_byte_at, other_piece_at) + self.piece_timeout_s
+        other_piece_at = self.arrivals.last_piece_at
+        return max(self._own_deadline(), other_piece_at + self.piece_timeout_s)
 
 
 class Client:
--- a/magnolialug/carrier/progress.py
+++ b/magnolialug/carrier/progress.py
@@ -16,6 +16,8 @@
       last_byte_at: when its latest bytes arrived, None before the first.
       received: the number of body bytes that have arrived.
       complete: whether the whole response has arrived.
+      extended_s: how long past its own time-out the call was kept open, in
+        seconds, since other responses of the peer were arriving.
       on_begin: called when the response begins to arrive.
     """
 
@@ -24,6 +26,7 @@
     last_byte_at: float | None = None
     received: int = 0
     complete: bool = False
+    extended_s: float = 0.0
     on_begin: Callable[[], None] | None = None
 
     def begin(self, now: float) -> None:
@@ -32,6 +35,7 @@
         self.first_byte_at = self.last_byte_at = None
         self.received = 0
         self.complete = False
+        self.extended_s = 0.0
 
     def record(self, now: float, size: int) -> None:
         """Records the arrival of `size` body bytes, 0 for the head."""
@@ -61,9 +65,13 @@
         """Returns a text: how much of an incomplete response arrived, when."""
         waited_s = now - self.started_at
         if self.first_byte_at is None:
-            return f"nothing in {waited_s:.3f} s"
-        silent_s = now - self.last_byte_at
-        return (
-            f"{self.received} bytes in {waited_s:.3f} s, "
-            f"the last {silent_s:.3f} s ago"
-        )
+            text = f"nothing in {waited_s:.3f} s"
+        else:
+            silent_s = now - self.last_byte_at
+            text = (
+                f"{self.received} bytes in {waited_s:.3f} s, "
+                f"the last {silent_s:.3f} s ago"
+            )
+        if self.extended_s:
+            text += f", {self.extended_s:.3f} s past its time-out"
+        return text
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -100,6 +100,7 @@
         self._asked_at = float("-inf")
         self._answered_at = clock.seconds()
         self._lost_logged_at = float("-inf")
+        self._longest_call_s = self._longest_extension_s = 0.0
         self._progress = Progress()
         self._pages = Pages(_ALL)
         self._pages_begun_at = float("-inf")
@@ -130,6 +131,7 @@
         known = False
         while True:
             found = await (self._changes() if known else self._snapshot())
+            self._record_call()
             if isinstance(found, Failure):
                 if found.code in _READ_ALL_AFTER:
                     # The service answers, so earlier failures must not delay
@@ -202,7 +204,8 @@
         """
         for prefix in self._urgent_revisions:
             after = self.revision_of(prefix)
-            found = await self._kv.changes(prefix, after, 0.0)
+            self._progress = Progress()
+            found = await self._kv.changes(prefix, after, 0.0, self._progress)
             if isinstance(found, Failure):
                 return found
             self._record_contact(found.revision)
@@ -305,6 +308,17 @@
             if not watch.is_arriving:
                 return f"the service is at revision {newest}"
 
+    def _record_call(self) -> None:
+        """Records how long a call of an outage took, for the log."""
+        if self.is_connected:
+            return
+        progress = self._progress
+        took_s = self._clock.seconds() - progress.started_at
+        self._longest_call_s = max(self._longest_call_s, took_s)
+        self._longest_extension_s = max(
+            self._longest_extension_s, progress.extended_s
+        )
+
     def _record_contact(self, revision: int) -> None:
         """Records that the service has answered."""
         now = self._clock.seconds()
@@ -312,7 +326,14 @@
         if not self.is_connected:
             self.is_connected = True
             self._lost_logged_at = float("-inf")
-            emit(Event.KV_BACK, revision=revision, away_s=round(away_s, 3))
+            emit(
+                Event.KV_BACK,
+                revision=revision,
+                away_s=round(away_s, 3),
+                longest_call_s=round(self._longest_call_s, 3),
+                extended_s=round(self._longest_extension_s, 3),
+            )
+            self._longest_call_s = self._longest_extension_s = 0.0
             for subscriber in self._subscribers.values():
                 subscriber.back(away_s)
 
--- a/tests/carrier/test_client.py
+++ b/tests/carrier/test_client.py
@@ -5,6 +5,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from magnolialug.carrier.client import Client, NoReply, request_bytes
+from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.responsereceiver import End
 from magnolialug.standin.endpoint import EndpointStandin, Fault
 from tests.network import LATENCY_S, Network
@@ -176,6 +177,20 @@
         self.assertEqual(b"x", short[0].body)
         self.assertEqual(b"x" * 20, long[0].body)
 
+    def test_a_call_tells_how_long_others_kept_it_open(self):
+        """Guards against outages whose length nothing explains."""
+        self.ask(pieces=20)
+        self.net.advance_by(2.5 * _PIECE_S)
+        self.server.pieces.append(1)
+        progress = Progress()
+        request = request_bytes("GET", "h", "/x")
+        self.client.ask(ADDRESS, request, 2 * _PIECE_S, progress=progress)
+        self.net.advance_by(20 * _PIECE_S)
+        self.assertGreater(progress.extended_s, 10 * _PIECE_S)
+        self.assertIn(
+            "s past its time-out", progress.describe(self.net.seconds())
+        )
+
     def test_the_timeout_allows_for_sending_a_long_request(self):
         """Guards against a time-out before a long value has been sent."""
         results = self.ask(pieces=1, timeout_s=0.5 * _PIECE_S, size=100_000)
