Test: a lost call that other calls keep open, failing

Cause: a call whose answer is lost is given up 1 s after its start, but each further piece of any other answer moves that bound. Where the clock moves between head and body of one segment, each short answer counts as such a piece.

Change: two failing tests, listed: renewals of a lease each 0.5 s keep the call for missed changes open for 6 s and more, and new answers a call of 1 s for 4 s. The network of the tests has a clock that runs on while a segment is read; with its other clock the first test passes, which is why tests had missed it.

Before/after: both fail on this code.

--- a/tests/carrier/test_client.py
+++ b/tests/carrier/test_client.py
@@ -105,7 +105,11 @@
     """Sends bodies in pieces, one response at a time over all connections."""
 
     def dataReceived(self, data):
-        """Schedules the response."""
+        """Schedules the response, or loses it."""
+        if self.factory.loses:
+            self.factory.loses -= 1
+            self.factory.pieces.pop(0)
+            return
         self.factory.net.callLater(_PIECE_S, self._begin)
 
     def _begin(self):
@@ -135,6 +139,7 @@
         self.server = Factory.forProtocol(Pieces)
         self.server.net = self.net
         self.server.pieces = []
+        self.server.loses = 0
         self.server.is_busy = self.server.stalls = False
         self.net.servers[ADDRESS] = self.server
         self.client = Client(self.net)
@@ -177,6 +182,15 @@
         self.assertEqual(b"x", short[0].body)
         self.assertEqual(b"x" * 20, long[0].body)
 
+    def test_new_responses_do_not_keep_a_lost_call_open(self):
+        """Guards against a time-out that later responses put off for ever."""
+        self.server.loses = 1
+        lost = self.ask(pieces=1, timeout_s=10 * _PIECE_S)
+        for _ in range(8):
+            self.ask(pieces=4, timeout_s=10 * _PIECE_S)
+            self.net.advance_by(5 * _PIECE_S)
+        self.assertEqual([NoReply(End.SILENT)], lost)
+
     def test_a_call_tells_how_long_others_kept_it_open(self):
         """Guards against outages whose length nothing explains."""
         self.ask(pieces=20)
--- /dev/null
+++ b/tests/entry/test_lost_catch_up.py
@@ -0,0 +1,84 @@
+"""A gateway that loses the answer to its first call after an outage.
+
+The service ends its watches while the configuration changes. The call for the
+missed changes is never answered, while renewals of a lease are.
+"""
+
+from random import Random
+
+from testtools import TestCase
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall
+from twisted.web.server import Site
+
+from magnolialug.carrier.client import Client
+from magnolialug.entry.watchclient import WatchClient
+from magnolialug.platform.kvhttp import KvHttp
+from magnolialug.standin.kv import KvStore
+from magnolialug.standin.kvface import kv_face
+from tests.entry.test_watch_client import RecordingSubscriber
+from tests.gatewaycluster import BOUNDS
+from tests.network import RunningNetwork
+
+_PATH = ("10.9.9.1", 1)
+_RENEWAL_S = 0.5
+
+
+class ForgetfulStore(KvStore):
+    """Never answers the next call that asks for missed changes."""
+
+    loses_catch_up = False
+
+    async def changes(self, prefix, after, wait_s, progress=None):
+        """Returns changes, or nothing ever."""
+        if self.loses_catch_up and wait_s == 0:
+            self.loses_catch_up = False
+            await Deferred()
+        return await super().changes(prefix, after, wait_s, progress)
+
+
+class LostCatchUpTest(TestCase):
+    """Guards against a version in force seconds late at one gateway."""
+
+    def setUp(self):
+        super().setUp()
+        self.net = RunningNetwork()
+        self.kv = ForgetfulStore(self.net)
+        self.net.servers[_PATH] = Site(kv_face(self.kv), reactor=self.net)
+        self.calls = KvHttp(Client(self.net), _PATH)
+        self.seen = RecordingSubscriber(self.net)
+        self.watch_client = WatchClient(
+            self.calls, {"op/": self.seen}, self.net, Random(1), 25.0
+        )
+        self.watch_client.start()
+        self.addCleanup(self.watch_client.stop)
+        self.net.advance_by(1)
+
+    def change_in_an_outage(self):
+        """Changes a key while watches end; returns when."""
+        self.kv.loses_catch_up = True
+        ensureDeferred(self.kv.put_if("op/config", b"x", 0))
+        self.kv.end_watches()
+        return self.net.seconds()
+
+    def renew_a_lease(self):
+        """Renews a lease as the leader of rollouts does."""
+        leases = []
+        ensureDeferred(self.calls.grant(60)).addCallback(leases.append)
+        self.net.advance_by(0.1)
+        loop = LoopingCall(lambda: ensureDeferred(self.calls.keep(leases[0])))
+        loop.clock = self.net
+        loop.start(_RENEWAL_S)
+        self.addCleanup(loop.stop)
+
+    def test_a_change_is_seen_in_time_after_a_lost_call(self):
+        at = self.change_in_an_outage()
+        self.net.advance_by(6)
+        self.assertLess(self.seen.at["op/config"] - at, BOUNDS.config_s)
+
+    def test_renewals_of_a_lease_do_not_delay_it(self):
+        """Guards against short answers that keep a lost call open."""
+        self.renew_a_lease()
+        at = self.change_in_an_outage()
+        self.net.advance_by(6)
+        self.assertLess(self.seen.at["op/config"] - at, BOUNDS.config_s)
--- a/tests/network.py
+++ b/tests/network.py
@@ -278,3 +278,12 @@
         other.makeConnection(far)
         protocol.makeConnection(near)
         return near
+
+
+class RunningNetwork(Network):
+    """A network whose clock runs on while a segment is read."""
+
+    def seconds(self):
+        """Returns the time, later at each call."""
+        self.rightNow += 1e-6
+        return self.rightNow
