Client: answers to later calls do not put off the time-out of a lost one

Its call for the missed changes was lost when the service cut its watches; the bound of 1 s moved on with each answer to the renewals of its rollout lease, one in 0.5 s. A bound on silence was renewed by pieces of any other answer, so that an answer queued behind a long one is not given up.

Change: what may be ahead of an answer on the link is a response that takes over 0.1 s to arrive, or is arriving when the call is due, of a call that began before this one was due. These are finitely many, so the bound is reached whatever is asked later.

Waits in series remain: a lost call costs 1 s.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -19,6 +19,10 @@
 # traffic. The time to send at this rate extends the time-out for the response,
 # which cannot begin before the request has been sent.
 _MIN_SEND_BYTES_PER_S = 32 * 1024
+# A response that takes longer than this to arrive may delay others on the link.
+# A shorter one delays them too little to matter, and a time-out that each short
+# response puts off may never be reached.
+_LONG_ARRIVAL_S = 0.1
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -63,36 +67,26 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class _PeerArrivals(msgspec.Struct):
-    """Arrivals from one peer, shared by all calls to it.
-
-    Attributes:
-      last_piece_at: when a piece of any response last arrived, not counting
-        the first bytes of a response. While a response arrives, others may be
-        queued behind it on the link.
-    """
-
-    last_piece_at: float = float("-inf")
-
-
 class _Call:
     """Collects one response; times out if no bytes arrive for too long.
 
     Attributes:
       first_byte_timeout_s: the longest time until the response begins.
       piece_timeout_s: the longest time between two pieces of the response.
-      arrivals: arrivals from the peer, shared with other calls to it.
+      peer_calls: all calls to the peer under way, this one included.
+      progress: what has arrived of the response.
     """
 
     def __init__(self, reactor, progress: Progress):
         self.first_byte_timeout_s = self.piece_timeout_s = 0.0
-        self.arrivals = _PeerArrivals()
+        self.peer_calls: set[_Call] = {self}
         self._reactor = reactor
-        self._progress = progress
+        self.progress = progress
         self._done: Deferred | None = None
         self._pending: PendingRequest | None = None
         self._head: Head | None = None
         self._pieces: list[bytes] = []
+        self._delayed_at = float("-inf")
         self._silence = SilenceTimer(
             reactor, self._silence_deadline, self._time_out
         )
@@ -117,25 +111,26 @@
         self._head = head
         now = self._reactor.seconds()
         self._record_extension(now)
-        self._progress.record(now, 0)
+        self.progress.record(now, 0)
         self._silence.check()
 
     def on_data(self, data: bytes) -> None:
         """Adds a piece of the body; drops the call above _MAX_BODY_BYTES."""
         now = self._reactor.seconds()
-        if now > self._progress.first_byte_at:
-            self.arrivals.last_piece_at = now
         self._record_extension(now)
-        self._progress.record(now, len(data))
+        self.progress.record(now, len(data))
         self._pieces.append(data)
-        if self._progress.received > _MAX_BODY_BYTES:
+        if self.progress.received > _MAX_BODY_BYTES:
             self._pending.drop()
 
     def on_end(self, end: End) -> None:
         """Fires the deferred with the Reply or NoReply."""
-        self._progress.complete = end is End.COMPLETE
+        self.progress.complete = end is End.COMPLETE
         self._record_extension(self._reactor.seconds())
         self._stop()
+        if self.progress.arrival_s > _LONG_ARRIVAL_S:
+            for call in self.peer_calls:
+                call.record_delay(self.progress)
         done, self._done = self._done, None
         if done is None:
             return
@@ -145,11 +140,17 @@
         body = b"".join(self._pieces)
         done.callback(Reply(self._head.status, self._head.headers, body))
 
+    def record_delay(self, other: Progress) -> None:
+        """Records that a long response has ended that may have delayed this."""
+        if self._may_be_behind(other):
+            self._delayed_at = max(self._delayed_at, other.last_byte_at)
+
     def _cancelled(self, _: Deferred) -> None:
         self._done = None
         self._pending.drop()
 
     def _stop(self) -> None:
+        self.peer_calls.discard(self)
         self._silence.cancel()
         if self._connect_timer is not None and self._connect_timer.active():
             self._connect_timer.cancel()
@@ -160,19 +161,32 @@
     def _record_extension(self, now: float) -> None:
         """Records how long the call has been kept open past its time-out."""
         extended_s = now - self._own_deadline()
-        self._progress.extended_s = max(self._progress.extended_s, extended_s)
+        self.progress.extended_s = max(self.progress.extended_s, extended_s)
 
     def _own_deadline(self) -> float:
         """Returns when the call times out if nothing else arrives."""
-        progress = self._progress
+        progress = self.progress
         if progress.last_byte_at is None:
             return progress.started_at + self.first_byte_timeout_s
         return progress.last_byte_at + self.piece_timeout_s
 
+    def _may_be_behind(self, other: Progress) -> bool:
+        """Whether this response may be queued behind another on the link.
+
+        It is not if the other call began after this one was due. Otherwise
+        ever new calls could keep a lost one open.
+        """
+        return other.started_at < self._own_deadline()
+
     def _silence_deadline(self) -> float:
         """Returns when the call times out if no more bytes arrive."""
-        other_piece_at = self.arrivals.last_piece_at
-        return max(self._own_deadline(), other_piece_at + self.piece_timeout_s)
+        arriving = [
+            call.progress.last_byte_at
+            for call in self.peer_calls
+            if call.progress.is_arriving and self._may_be_behind(call.progress)
+        ]
+        delayed_at = max([self._delayed_at, *arriving])
+        return max(self._own_deadline(), delayed_at + self.piece_timeout_s)
 
 
 class Client:
@@ -190,7 +204,7 @@
         self._reactor = reactor
         self._limit = limit
         self._pools: dict[Address, Pool] = {}
-        self._arrivals: dict[Address, _PeerArrivals] = {}
+        self._calls: dict[Address, set[_Call]] = {}
 
     def ask(
         self,
@@ -206,7 +220,8 @@
         The call ends as SILENT if no bytes arrive for too long. While a long
         response arrives from the same peer on another connection, this
         response may be queued behind it on the link, so the call does not time
-        out.
+        out. That holds only for responses to calls that began before this one
+        was due.
 
         The call ends as UNSENT if it has no connection after `connect_s`. A
         connection that opens later is used for the next call.
@@ -230,7 +245,8 @@
             timeout_s + len(request) / _MIN_SEND_BYTES_PER_S
         )
         call.piece_timeout_s = timeout_s if silence_s is None else silence_s
-        call.arrivals = self._arrivals.setdefault(address, _PeerArrivals())
+        call.peer_calls = self._calls.setdefault(address, set())
+        call.peer_calls.add(call)
         return call.begin(self.send(address, request, call), connect_s)
 
     def seconds(self) -> float:
--- a/magnolialug/carrier/progress.py
+++ b/magnolialug/carrier/progress.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Progress"]
 
+# Timers fire up to this late; a call that ends then was not kept open.
+_TIMER_SLACK_S = 0.01
+
 
 class Progress(msgspec.Struct):
     """Arrival of one response. Times are the reactor's, in seconds.
@@ -72,6 +75,6 @@
                 f"{self.received} bytes in {waited_s:.3f} s, "
                 f"the last {silent_s:.3f} s ago"
             )
-        if self.extended_s:
+        if self.extended_s > _TIMER_SLACK_S:
             text += f", {self.extended_s:.3f} s past its time-out"
         return text
--- a/tests/carrier/test_client.py
+++ b/tests/carrier/test_client.py
@@ -182,6 +182,13 @@
         self.assertEqual(b"x", short[0].body)
         self.assertEqual(b"x" * 20, long[0].body)
 
+    def test_a_response_due_while_a_long_one_begins_does_not_time_out(self):
+        """Guards against a time-out just as a long response ahead begins."""
+        self.ask(pieces=20, timeout_s=4 * _PIECE_S)
+        short = self.ask(pieces=1, timeout_s=1.5 * _PIECE_S)
+        self.net.advance_by(25 * _PIECE_S)
+        self.assertEqual(b"x", short[0].body)
+
     def test_new_responses_do_not_keep_a_lost_call_open(self):
         """Guards against a time-out that later responses put off for ever."""
         self.server.loses = 1
