Observability: the limit that an endpoint names

Cause: nothing reads Server-Limit, and no line tells whether an answer named one.

Change: the answer's head is read: a decimal number, else 611, logged once for each endpoint and value, and the last good limit stays. A notice has the moments between which its answer was made; a newer one replaces an older one, of two that overlap the lower holds, and one that other entries send back stays what it was. 4115 tells when a limit begins or changes, 4116 when it ends, 4117 of a malformed one. Nothing is decided by it yet.

Before/after: limits are logged; sends are as before.

Conclusion: the line that the timeline misses.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -1,6 +1,7 @@
 """One attempt over HTTP: sends it, classifies and forwards the answer."""
 
 import enum
+import secrets
 from collections.abc import Callable
 from typing import Protocol
 
@@ -23,6 +24,7 @@
     endpoint_request,
     read_answer,
 )
+from magnolialug.policy.limitnotice import LimitNotice
 from magnolialug.policy.retry import Ending
 from magnolialug.result import Code, Executed, Failure, failed
 
@@ -43,6 +45,7 @@
 _PLAIN_RETRY_AFTER_S = 1.0
 # Bound of an answer that is buffered while another endpoint can replace it.
 _MAX_BUFFERED_BYTES = 64 * 1024
+_NOTICE_ID_BYTES = 4
 
 
 class ForwardSink(Protocol):
@@ -193,6 +196,7 @@
         self._record_contact()
         self.answered = True
         answer = self._answer = read_answer(head)
+        self._record_limit(answer)
         stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
         if answer.not_run:
             self._stage = _Stage.REFUSED
@@ -206,6 +210,28 @@
         else:
             self._stage = _Stage.BUFFERING
 
+    def _record_limit(self, answer: Answer) -> None:
+        """Records the limit that the endpoint names, or that it names none.
+
+        A refusal without a limit says nothing, and an answer of another
+        endpoint at this address says nothing of this one.
+        """
+        limit = answer.send_limit
+        if answer.misdirected:
+            return
+        if isinstance(limit, Failure):
+            self.peer.refuse_limit(limit)
+        elif limit is not None or (
+            answer.stamped and self.peer.limit.rate is not None
+        ):
+            notice = LimitNotice(
+                secrets.token_hex(_NOTICE_ID_BYTES),
+                limit,
+                self.sent_at,
+                self.last_contact_at,
+            )
+            self.peer.record_limit(notice, "answer", self.last_contact_at)
+
     def _is_withheld(self, answer: Answer) -> bool:
         """Whether a failure is withheld while other endpoints can be tried."""
         if self._sink.opened:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -3,14 +3,17 @@
 import msgspec
 
 from magnolialug.carrier.pool import Pool
-from magnolialug.events import Event, emit
+from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId
 from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
+from magnolialug.policy.limitnotice import LimitNotice
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
+from magnolialug.policy.sendlimit import SendLimit
 from magnolialug.policy.sharedload import EndpointState, WorkShare
+from magnolialug.result import Failure
 
 __all__ = ["Peer"]
 
@@ -38,6 +41,7 @@
       unresponsive: whether it was silent for too long while it had work.
       unreachable: whether the last connection attempt failed.
       cold: limits its new work after a start.
+      limit: the request rate that its answers name.
       load: the estimated load of its engine, None for a plain service.
     """
 
@@ -49,6 +53,7 @@
         cold: ColdStart,
     ):
         self.cold = cold
+        self.limit = SendLimit()
         self.unreachable = False
         self.listed = listed
         self.pool = pool
@@ -65,6 +70,7 @@
         self._shared_state_at = float("-inf")
         self._weights: dict[str, int] = dict(listed.weights)
         self._excluded: dict[str, int] = {}
+        self._refused_limit = ""
 
     @property
     def start_id(self) -> EndpointId:
@@ -131,6 +137,42 @@
             interval_s=round(self.cold.interval_s, 3),
         )
 
+    def record_limit(
+        self, notice: LimitNotice, source: str, now: float
+    ) -> None:
+        """Records what an answer says about the requests that it accepts.
+
+        Args:
+          source: who received the answer: "answer" for this entry, "entry" for
+            another one.
+        """
+        before = self.limit.rate
+        if not self.limit.record(notice):
+            return
+        rate = self.limit.rate
+        emit(
+            Event.ENDPOINT_UNLIMITED
+            if rate is None
+            else Event.ENDPOINT_LIMITED,
+            endpoint=self.listed.endpoint,
+            per_s=rate,
+            before_per_s=before,
+            source=source,
+            age_s=round(now - notice.seen_at, 3),
+        )
+
+    def refuse_limit(self, failure: Failure) -> None:
+        """Logs a malformed limit once; the last well-formed one stays."""
+        if failure.value != self._refused_limit:
+            self._refused_limit = failure.value
+            emit(
+                Event.SEND_LIMIT_REFUSED,
+                endpoint=self.listed.endpoint,
+                field=failure.field,
+                value=failure.value,
+                **explain(failure),
+            )
+
     def apply_shared_state(self, state: EndpointState, now: float) -> None:
         """Applies its state as reported by its owner, for all entries."""
         self._running_elsewhere = state.running
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -82,6 +82,9 @@
     EVACUATION_REFUSED = 4112
     ENDPOINT_COLD = 4113
     ENTRY_MISSING = 4114
+    ENDPOINT_LIMITED = 4115
+    ENDPOINT_UNLIMITED = 4116
+    SEND_LIMIT_REFUSED = 4117
     KV_LOST = 4200
     KV_BACK = 4201
     WATCH_STALE = 4202
@@ -155,6 +158,9 @@
     Event.ZONE_RETURNED: "A zone's endpoints take new work again.",
     Event.EVACUATION_REFUSED: "An evacuation order was not obeyed.",
     Event.ENDPOINT_COLD: "An endpoint is cold; it gets little new work.",
+    Event.ENDPOINT_LIMITED: "An endpoint has limited the requests it accepts.",
+    Event.ENDPOINT_UNLIMITED: "An endpoint names no limit any more.",
+    Event.SEND_LIMIT_REFUSED: "A limit is malformed; the last one stays.",
     Event.ENTRY_MISSING: "An entry is removed; its endpoint is kept for now.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
--- a/magnolialug/standin/endpoint.py
+++ b/magnolialug/standin/endpoint.py
@@ -58,6 +58,7 @@
       cut: ids whose connection closed before their answer was whole.
       on_arrival: is told of each request as it arrives.
       born_ms: when it was started, 0 if it does not tell.
+      send_limit: the limit that its answers name, None for none.
     """
 
     noisy = False
@@ -74,6 +75,7 @@
         self.cut: list[str] = []
         self.connections = 0
         self.born_ms = 0
+        self.send_limit: object = None
         self.body_of: Callable[[Received], bytes] = lambda req: b"served"
         self.open: set[_Serving] = set()
         self.on_arrival: Callable[[Received], None] = lambda req: None
@@ -94,6 +96,12 @@
         for conn in list(self.open):
             conn.transport.abortConnection()
 
+    def own_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers of each of its answers."""
+        if self.send_limit is None:
+            return []
+        return [("Server-Limit", str(self.send_limit))]
+
     def next_fault(self) -> Fault:
         """Returns what is wrong with the next answer."""
         return self.faults.pop(0) if self.faults else Fault.NONE
@@ -182,6 +190,7 @@
     ) -> bytes:
         """Writes an answer; returns its bytes."""
         lines = [f"HTTP/1.1 {status} Said", f"X-Request-Id: {req.request_id}"]
+        headers = [*headers, *self.endpoint.own_headers()]
         lines += [f"{name}: {value}" for name, value in headers]
         if framed:
             lines.append(f"Content-Length: {len(body)}")
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -128,6 +128,7 @@
             f"X-Weight-Versions: {self.version}",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *(f"{name}: {value}" for name, value in self.own_headers()),
         )
         run.conn.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         self._event(run)
