Watch: a call that ended at once does not lengthen the time-out of the next one

Change: calls for missed changes are given 0.5 s until one has taken that long, which a slow service does and a reset does not.

Before/after: test_a_call_that_is_reset_before_does_not_delay_it failed with 2.11 s and passes; test_a_slow_service_is_waited_for passes before and after.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -31,10 +31,11 @@
 # Time allowed for a change that is still on its way to the watch when the
 # service answers the check.
 _CHECK_SLACK_S = 0.2
-# Time allowed for the first answer after a watch that ended or was lost; later
-# calls are allowed more, because the service may be slow. A watch and a call
-# that are both lost must not delay a configuration by more than 2 s.
-_FIRST_CATCH_UP_S = 0.5
+# Time allowed for an answer after a watch that ended or was lost. Once a call
+# has taken that long, the next ones are allowed more, because the service may
+# be slow. A watch and a call that are both lost must not delay a configuration
+# by more than 2 s.
+_CATCH_UP_S = 0.5
 # If an answer that may hold a long value takes longer than this to arrive, the
 # changes of urgent keys are requested in parallel.
 _LONG_ARRIVAL_S = 0.1
@@ -106,7 +107,7 @@
         self._lost_logged_at = float("-inf")
         self._longest_call_s = self._longest_extension_s = 0.0
         self._progress = Progress()
-        self._catch_ups = 0
+        self._is_slow = False
         self._pages = Pages(_ALL)
         self._pages_begun_at = float("-inf")
         self._has_long_values = False
@@ -192,9 +193,10 @@
                 return awaited
         if self._has_long_values:
             return await self._catch_up()
-        self._catch_ups += 1
-        slack_s = _FIRST_CATCH_UP_S if self._catch_ups == 1 else None
+        slack_s = None if self._is_slow else _CATCH_UP_S
+        asked_at = self._clock.seconds()
         found = await self._ask_changes(0.0, slack_s)
+        self._is_slow = self._clock.seconds() - asked_at >= _CATCH_UP_S
         if isinstance(found, Failure) or found.entries:
             return found
         # While the service discards its history, watches skip changes.
@@ -330,7 +332,6 @@
 
     def _record_contact(self, revision: int) -> None:
         """Records that the service has answered."""
-        self._catch_ups = 0
         now = self._clock.seconds()
         away_s, self._answered_at = now - self._answered_at, now
         if not self.is_connected:
--- a/tests/entry/test_lost_catch_up.py
+++ b/tests/entry/test_lost_catch_up.py
@@ -14,8 +14,10 @@
 from magnolialug.carrier.client import Client
 from magnolialug.entry.watchclient import WatchClient
 from magnolialug.platform.kvhttp import KvHttp
+from magnolialug.result import Code, failed
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
+from magnolialug.timing import sleep
 from tests.entry.test_watch_client import RecordingSubscriber
 from tests.gatewaycluster import BOUNDS
 from tests.network import RunningNetwork
@@ -28,12 +30,19 @@
     """Never answers the next call that asks for missed changes."""
 
     loses_catch_up = False
+    resets_catch_up = False
+    delay_s = 0.0
 
     async def changes(self, prefix, after, wait_s, *args):
-        """Returns changes, or nothing ever."""
+        """Returns changes, or a reset, or nothing ever."""
+        if self.resets_catch_up and wait_s == 0:
+            self.resets_catch_up = False
+            return failed(Code.KV_TIMEOUT)
         if self.loses_catch_up and wait_s == 0:
             self.loses_catch_up = False
             await Deferred()
+        if self.delay_s:
+            await sleep(self.clock, self.delay_s)
         return await super().changes(prefix, after, wait_s, *args)
 
 
@@ -73,6 +82,23 @@
             self.net.advance_by(6)
             self.assertLess(self.seen.at[key] - at, BOUNDS.config_s)
 
+    def test_a_call_that_is_reset_before_does_not_delay_it(self):
+        """Guards against a longer time-out after a call that ended at once."""
+        self.kv.resets_catch_up = self.kv.loses_catch_up = True
+        self.kv.lose_watches()
+        ensureDeferred(self.kv.put_if("op/config", b"x", 0))
+        at = self.net.seconds()
+        self.net.advance_by(6)
+        self.assertLess(self.seen.at["op/config"] - at, BOUNDS.config_s)
+
+    def test_a_slow_service_is_waited_for(self):
+        """Guards against calls that are repeated until the service is fast."""
+        self.kv.end_watches()
+        self.kv.delay_s = 0.8
+        ensureDeferred(self.kv.put_if("op/config", b"x", 0))
+        self.net.advance_by(3)
+        self.assertIn("op/config", self.seen.at)
+
     def renew_a_lease(self):
         """Renews a lease as the leader of rollouts does."""
         leases = []
