Limits: what endpoints limit is kept by all gateways together

Change: the endpoint's owner hands out permits to the requests of all entries from one token bucket, with the reply that each choice waits for anyway; a report of the request takes the token, and one that goes elsewhere frees it after 0.1 s. So who has requests uses the whole rate. What was sent in the second before counts. An entry that no owner answers keeps to half of its equal share, in the staggered slots of cold starts; an owner that cannot reach others hands out less by as many, so parts of a fleet that is cut in two add up to one limit. Below 0.25 a second one request in 4 s still goes, as only an answer tells that a limit has ended. Requests go elsewhere, retries and resumed streams included; if no copy may get one they are refused at once with 318 and spaced times to return. Where permits are short, less urgent requests wait for more urgent ones, but for every fourth permit. It goes together with a cold start: both must allow a request. Prompts do not queue for the memory of a limited engine, as a permit does not last so long. The new fields of messages stand last and have defaults, so builds mix.

Teams share permits by their priority only.

--- a/magnolialug/entry/candidateprober.py
+++ b/magnolialug/entry/candidateprober.py
@@ -76,12 +76,23 @@
         results: ProbeResults,
         peers: dict[EndpointId, Peer],
     ) -> None:
-        """Queries the endpoints not yet seen and adds them as candidates."""
+        """Queries the endpoints not yet seen and adds them as candidates.
+
+        An endpoint that has limited its request rate is passed over while this
+        entry may not send to it.
+        """
         fresh = [peer for peer in listed if peer.listed.endpoint not in peers]
-        await self._query(call, fresh, results)
+        now = self._clock()
+        await self._query(
+            call, [peer for peer in fresh if peer.limit.may_ask(now)], results
+        )
+        now = self._clock()
         for peer in fresh:
             rank = len(peers) if call.root else 0
             peers[peer.listed.endpoint] = peer
+            if not peer.limit.may_send(now):
+                results.limited = True
+                continue
             results.candidates.append(
                 self._costs.candidate(call, peer, rank, results)
             )
@@ -114,13 +125,16 @@
         for peer in peers:
             weights = peer.weights(call.prompt.model) if call.prompt else 0
             namespace = call.cache_namespace(weights) if weights else ""
-            rows.append(QueriedEndpoint(peer.listed.endpoint, namespace))
+            notice = peer.limit.known.report(self._clock())
+            rows.append(
+                QueriedEndpoint(peer.listed.endpoint, namespace, notice)
+            )
             namespaces.add(namespace)
         namespaces -= {"", *(namespace for namespace, _ in results.stored)}
         # Both queries are sent before either reply is awaited.
         parts_query = ensureDeferred(self._parts.ask(namespaces, shared))
         try:
-            states = await self._load.ask(rows, shared)
+            states = await self._load.ask(rows, shared, call.priority)
             stored = await parts_query
         except CancelledError:
             parts_query.addErrback(lambda reason: reason.trap(CancelledError))
@@ -133,3 +147,5 @@
             state = states.get(peer.listed.endpoint)
             if state is not None:
                 peer.apply_shared_state(state, now)
+            else:
+                peer.limit.fall_back(now)
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -18,6 +18,7 @@
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
 from magnolialug.policy.ring import Ring
 from magnolialug.policy.rollout import Rollout
+from magnolialug.policy.sendlimit import MIN_RATE
 from magnolialug.policy.sharedload import WorkShare
 
 __all__ = ["Directory"]
@@ -95,20 +96,33 @@
         serving = [peer for peer in peers if not peer.leaving]
         return bool(serving) and all(peer.evacuated for peer in serving)
 
-    def cold_wait_s(self, service: ServiceName) -> float | None:
-        """Returns the seconds until a cold service accepts a request.
+    def send_wait_s(self, service: ServiceName) -> float | None:
+        """Returns the seconds until some endpoint may get a request.
 
         Returns:
-          None if some endpoint accepts one now, or none accepts work at all.
+          None if some endpoint may get one now, or none accepts work at all.
         """
         now = self._reactor.seconds()
         waits = [
-            peer.cold.wait_s(now)
+            peer.send_wait_s(now)
             for peer in self._by_service.get(service, ())
             if peer.accepts_work
         ]
         return min(waits) if waits and min(waits) > 0 else None
 
+    def send_limit(self, service: ServiceName) -> float:
+        """Returns this entry's share of what limited endpoints accept.
+
+        Returns:
+          requests per second, 0 if no endpoint of the service has a limit.
+        """
+        total = sum(
+            max(peer.limit.rate, MIN_RATE)
+            for peer in self._by_service.get(service, ())
+            if peer.accepts_work and peer.limit.rate is not None
+        )
+        return total / self.entries
+
     def shortlist(
         self, service: ServiceName, root: str, count: int
     ) -> list[Peer]:
@@ -371,6 +385,7 @@
     def _apply_limits(self, peer: Peer) -> None:
         """Sets this entry's shares of an endpoint's limits."""
         peer.pool.limit = self._connections(peer.listed)
+        peer.limit.share(self.entries, self._rank / self.entries)
         service = self._service(peer.listed)
         if service is not None:
             peer.cold.limit(
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -31,6 +31,7 @@
         )
         self.requests = meter.create_counter("requests")
         self.refusals = meter.create_counter("refusals")
+        self.limited = meter.create_counter("requests_limited")
         self.retries = meter.create_counter("retries")
         self.attempts = meter.create_counter("attempts")
         self.kv_calls = meter.create_counter("kv_calls")
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -112,9 +112,19 @@
         refusal = self._quarantine.refusal(self._call.digest)
         if refusal:
             return refusal
-        return self._placer.place(
+        placed = self._placer.place(
             self._call, progress, self._avoid, results, admitted_by
         )
+        if results.limited:
+            self._count_limited(placed)
+        return placed
+
+    def _count_limited(self, placed: Placed | Failure) -> None:
+        """Counts a request that an endpoint's limit has turned away."""
+        if isinstance(placed, Failure):
+            self._metrics.limited.add(1, {"result": "refused"})
+        elif placed.peer.limit.rate is None:
+            self._metrics.limited.add(1, {"result": "elsewhere"})
 
     async def _admit(
         self, results: ProbeResults
@@ -126,10 +136,13 @@
         """
         if self._attempts_made or not must_wait(results.candidates):
             return None
+        queues = self._admission_requests(results)
+        if not queues:
+            return None
         begun = self._clock()
         admitted_by = await self._admission.enqueue(
             waiting_prompt(self._call),
-            self._admission_requests(results),
+            queues,
             queued_work_limit_s(self._call),
         )
         self._waited_s = self._clock() - begun
@@ -138,8 +151,16 @@
     def _admission_requests(
         self, results: ProbeResults
     ) -> list[AdmissionRequest]:
-        """Returns admission requests for the cheapest healthy engines."""
-        sound = [row for row in results.candidates if row.sound]
+        """Returns admission requests for the cheapest healthy engines.
+
+        A permit to send to a limited engine does not last as long as a prompt
+        may wait.
+        """
+        sound = [
+            row
+            for row in results.candidates
+            if row.sound and not self._placer.is_limited(row.endpoint)
+        ]
         sound.sort(key=lambda row: row.cost)
         return [
             self._placer.admission_request(self._call, row.endpoint, results)
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -90,7 +90,23 @@
 
     def may_send(self, now: float) -> bool:
         """Whether it may get new work now."""
-        return self.accepts_work and self.cold.may_send(now)
+        return (
+            self.accepts_work
+            and self.cold.may_send(now)
+            and self.limit.may_send(now)
+        )
+
+    def send_wait_s(self, now: float) -> float:
+        """Returns the time until it may get new work."""
+        return max(self.cold.wait_s(now), self.limit.wait_s(now))
+
+    def record_sent(self, now: float) -> None:
+        """Records a request that is sent to it."""
+        self.running += 1
+        self.cold.sent(now)
+        self.limit.record_sent(now)
+        if self.health.streak:
+            self.health.probing = True
 
     def state(self, now: float) -> str:
         """Returns its last known state as a label."""
@@ -102,6 +118,8 @@
             return "closed"
         if self.cold.is_cold(now):
             return "cold"
+        if self.limit.rate is not None:
+            return "limited"
         return "up" if self.sound(now) else "suspected"
 
     def sound(self, now: float) -> bool:
@@ -147,7 +165,7 @@
             another one.
         """
         before = self.limit.rate
-        if not self.limit.record(notice):
+        if not self.limit.record(notice, now):
             return
         rate = self.limit.rate
         emit(
@@ -186,6 +204,13 @@
             self._log_cold(cold_s)
         if self.load is not None:
             self.load.record_others(state, now)
+        notice = state.notice
+        if notice is not None:
+            self.record_limit(notice.to_notice(now), "entry", now)
+        if notice is not None and notice.rate is not None:
+            self.limit.grant(state.send_wait_ms / 1000, now)
+        else:
+            self.limit.fall_back(now)
 
     def total_running(self, now: float) -> int:
         """Returns the requests in progress there, from all entries."""
@@ -210,7 +235,7 @@
         listed = self.listed
         cold_ms = round(max(0.0, self.cold.confirmed_until - now) * 1000)
         if self.load is not None:
-            return self.load.share(
+            share = self.load.share(
                 listed.endpoint,
                 self.last_contact_at,
                 now,
@@ -219,13 +244,23 @@
                 self._unknown_weights(),
                 cold_ms,
             )
-        return WorkShare(
-            listed.endpoint,
-            (),
-            0,
-            self.running,
-            born_ms=listed.born_ms,
-            cold_ms=cold_ms,
+        else:
+            share = WorkShare(
+                listed.endpoint,
+                (),
+                0,
+                self.running,
+                born_ms=listed.born_ms,
+                cold_ms=cold_ms,
+            )
+        notice = self.limit.known.report(now)
+        if notice is None:
+            return share
+        return msgspec.structs.replace(
+            share,
+            notice=notice,
+            sent=self.limit.sent,
+            recently_sent=self.limit.recently_sent(now),
         )
 
     def serves(self, model: str) -> bool:
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -18,6 +18,7 @@
 from magnolialug.platform.requests import Answer
 from magnolialug.policy.choice import Candidate, choose
 from magnolialug.policy.prompt import Part
+from magnolialug.policy.returnschedule import ReturnSchedule
 from magnolialug.policy.sharedload import Placement
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.result import Code, Failure, failed
@@ -92,6 +93,7 @@
         self._callbacks = callbacks
         self._bounds = bounds
         self._clock = clock
+        self._returns = ReturnSchedule()
 
     def place(
         self,
@@ -104,7 +106,7 @@
         """Returns an endpoint and the parameters to send to it.
 
         If there is no endpoint, nothing has been sent, and the failure is
-        NO_ENDPOINT, EVACUATED or COLD.
+        NO_ENDPOINT, EVACUATED, COLD or LIMITED.
 
         Args:
           results: the probe results for this choice.
@@ -113,7 +115,11 @@
         candidates = [row for row in results.candidates if self._is_open(row)]
         best = self._reserved(candidates, admitted_by) or choose(candidates)
         if best is None and avoid and call.kind.idempotent:
-            candidates = self._all_candidates(call, results.count)
+            candidates = [
+                row
+                for row in self._all_candidates(call, results.count)
+                if self._is_open(row)
+            ]
             best = choose(candidates)
         peer = self._directory.peers.get(best.endpoint) if best else None
         if peer is None:
@@ -127,6 +133,11 @@
             None if peer.load is None else round(peer.load.room(0), 3),
         )
 
+    def is_limited(self, endpoint: EndpointId) -> bool:
+        """Whether an endpoint has limited its request rate."""
+        peer = self._directory.peers.get(endpoint)
+        return peer is not None and peer.limit.rate is not None
+
     def admission_request(
         self, call: ForwardCall, endpoint: EndpointId, results: ProbeResults
     ) -> AdmissionRequest:
@@ -156,11 +167,8 @@
         now: float,
     ) -> None:
         """Counts an attempt that is sent to its endpoint."""
-        peer.running += 1
-        peer.cold.sent(now)
+        peer.record_sent(now)
         placement = None
-        if peer.health.streak:
-            peer.health.probing = True
         if peer.load is not None and call.prompt is not None:
             peer.load.sent(
                 call.name,
@@ -234,10 +242,14 @@
         """Returns why no endpoint of a service accepts a request."""
         if self._directory.is_evacuated(service):
             return failed(Code.EVACUATED, retry_after_s=_EVACUATED_RETRY_S)
-        wait_s = self._directory.cold_wait_s(service)
-        if wait_s is not None:
+        wait_s = self._directory.send_wait_s(service)
+        if wait_s is None:
+            return failed(Code.NO_ENDPOINT, retry_after_s=1.0)
+        rate = self._directory.send_limit(service)
+        if not rate:
             return failed(Code.COLD, retry_after_s=wait_s)
-        return failed(Code.NO_ENDPOINT, retry_after_s=1.0)
+        after_s = self._returns.after_s(service, wait_s, rate, self._clock())
+        return failed(Code.LIMITED, retry_after_s=after_s)
 
     def _all_candidates(self, call: ForwardCall, count: int) -> list[Candidate]:
         """Returns candidates from local state alone, tried ones included."""
--- a/magnolialug/entry/proberesults.py
+++ b/magnolialug/entry/proberesults.py
@@ -19,9 +19,12 @@
       states: the states of the endpoints whose owners replied.
       stored: what the owners of stores report of the prompt's shared parts.
       candidates: the endpoints with their costs.
+      limited: whether an endpoint was passed over because it has limited its
+        request rate.
     """
 
     count: int = 0
     states: dict[EndpointId, EndpointState] = {}
     stored: dict[PartKey, PartReport] = {}
     candidates: list[Candidate] = []
+    limited: bool = False
--- a/magnolialug/owners/ledgerservice.py
+++ b/magnolialug/owners/ledgerservice.py
@@ -1,8 +1,11 @@
 """Maintains the load ledgers of owned endpoints and answers queries."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 
+import msgspec
+
 from magnolialug.owners.dissemination import Dissemination
 from magnolialug.owners.ledgers import Ledgers
 from magnolialug.owners.messages import (
@@ -27,6 +30,7 @@
     Args:
       dissemination: applies the announcements of reports, and adds newer ones
         to replies.
+      reached: returns the share of the entries that this one can reach.
       clock: returns the time in seconds.
     """
 
@@ -34,9 +38,11 @@
         self,
         ledgers: Ledgers,
         dissemination: Dissemination,
+        reached: Callable[[], float],
         clock: Callable[[], float],
     ):
         self._ledgers = ledgers
+        self._reached = reached
         self._dissemination = dissemination
         self._clock = clock
         self._last_numbers: OrderedDict[str, int] = OrderedDict()
@@ -69,9 +75,16 @@
         for asked in query.endpoints:
             ledger = self._ledgers.of(asked.endpoint)
             ledger.drop_expired(now)
-            states.append(
-                ledger.state(query.entry, now, asked.salt, query.parts)
-            )
+            if asked.notice is not None:
+                ledger.sends.known.record(asked.notice.to_notice(now))
+            state = ledger.state(query.entry, now, asked.salt, query.parts)
+            ledger.sends.share = self._reached()
+            wait_s = ledger.sends.ask(query.entry, query.priority, now)
+            if wait_s is not None:
+                state = msgspec.structs.replace(
+                    state, send_wait_ms=math.ceil(wait_s * 1000)
+                )
+            states.append(state)
         known = KnownVersions(query.rollout, query.evacuated)
         announcements = self._dissemination.newer_than(known)
         return LoadReply(
--- a/magnolialug/owners/loadqueryclient.py
+++ b/magnolialug/owners/loadqueryclient.py
@@ -44,9 +44,16 @@
         self._dissemination = dissemination
 
     async def ask(
-        self, endpoints: Sequence[QueriedEndpoint], parts: tuple[Part, ...]
+        self,
+        endpoints: Sequence[QueriedEndpoint],
+        parts: tuple[Part, ...],
+        priority: int = 0,
     ) -> dict[EndpointId, EndpointState]:
-        """Returns the states of the endpoints whose owners reply in time."""
+        """Returns the states of the endpoints whose owners reply in time.
+
+        Args:
+          priority: of the request to be placed, 0 is the most urgent.
+        """
         known = self._dissemination.known_versions()
         by_owner: dict[Address, list[QueriedEndpoint]] = {}
         for asked in endpoints:
@@ -61,6 +68,7 @@
                     parts=parts,
                     rollout=known.rollout,
                     evacuated=known.evacuated,
+                    priority=priority,
                 )
                 for owner, rows in by_owner.items()
             }
--- a/magnolialug/owners/messages.py
+++ b/magnolialug/owners/messages.py
@@ -14,6 +14,7 @@
 
 from magnolialug.ids import EndpointId
 from magnolialug.policy.evacuation import EvacuatedZones
+from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import EndpointState, Placement, WorkShare
@@ -75,10 +76,12 @@
 
     Attributes:
       salt: the cache namespace of the prompt's parts.
+      notice: what the sender knows of its request limit.
     """
 
     endpoint: EndpointId
     salt: str = ""
+    notice: ReportedNotice | None = None
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -88,6 +91,7 @@
       parts: the parts of the prompt to be placed.
       rollout: the number of the newest rollout that the sender knows.
       evacuated: the revision of the evacuated zones that the sender knows.
+      priority: of the request to be placed, 0 is the most urgent.
     """
 
     entry: str
@@ -96,6 +100,7 @@
     parts: tuple[Part, ...] = ()
     rollout: int = 0
     evacuated: int = 0
+    priority: int = 0
 
 
 class LoadReply(msgspec.Struct, frozen=True, array_like=True, tag="told"):
--- a/magnolialug/owners/ownerring.py
+++ b/magnolialug/owners/ownerring.py
@@ -71,6 +71,12 @@
         """All other registered entries."""
         return [a for a in self._addresses.values() if a != self.me]
 
+    @property
+    def responsive_share(self) -> float:
+        """The share of the entries, this one included, that answer."""
+        silent = len(self._unresponsive.keys() - {self.me})
+        return 1.0 - silent / len(self._addresses)
+
     def owner(self, task: str) -> Address:
         """Returns the owner of an endpoint or store."""
         candidates = self.owner_candidates(task)
--- a/magnolialug/owners/wiring.py
+++ b/magnolialug/owners/wiring.py
@@ -86,7 +86,10 @@
         self.ring = OwnerRing(me, clock.seconds)
         self._ledgers = Ledgers(local_state.facts)
         self.ledger_service = LedgerService(
-            self._ledgers, dissemination, clock.seconds
+            self._ledgers,
+            dissemination,
+            lambda: self.ring.responsive_share,
+            clock.seconds,
         )
         self.admission_queues = AdmissionQueues(
             self._ledgers, messenger.send, clock
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -9,6 +9,7 @@
 from magnolialug.policy.partcache import PartCache
 from magnolialug.policy.prefillwait import PRIORITY_LEVELS, prefill_wait_s
 from magnolialug.policy.prompt import Part
+from magnolialug.policy.sendbucket import SendBucket
 from magnolialug.policy.sharedload import (
     EndpointState,
     Placement,
@@ -63,6 +64,7 @@
       born_ms: the start of the endpoint that the ledger is about.
       parts: estimate of the prompt parts that its memory holds.
       queue: the prompts that wait for its memory.
+      sends: permits for its requests while it limits them.
     """
 
     def __init__(self, endpoint: EndpointId, memory: int, born_ms: int):
@@ -71,6 +73,7 @@
         self.born_ms = born_ms
         self.parts = PartCache(memory)
         self.queue = AdmissionQueue()
+        self.sends = SendBucket()
         self._shares: dict[str, _ReportedShare] = {}
         self._reservations: dict[Hashable, _Reservation] = {}
         self._weights: dict[str, int] = {}
@@ -86,6 +89,9 @@
         self.record_weights(share.weights)
         _update_newest(self._min_weights, share.min_weights)
         self.record_cold_until(now + share.cold_ms / 1000)
+        if share.notice is not None:
+            self.sends.known.record(share.notice.to_notice(now))
+            self.sends.record_sent(entry, share.sent, share.recently_sent, now)
         if share.running:
             self._shares[entry] = _ReportedShare(share, now)
         else:
@@ -178,6 +184,7 @@
                 if version > self._weights.get(model, 0)
             },
             cold_ms=round(max(0.0, self._cold_until - now) * 1000),
+            notice=self.sends.known.report(now),
         )
 
     def is_silent(self, now: float) -> bool:
--- a/magnolialug/policy/limitnotice.py
+++ b/magnolialug/policy/limitnotice.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["LimitNotice", "ReportedNotice", "holding"]
+__all__ = ["KnownLimit", "LimitNotice", "ReportedNotice", "holding"]
 
 
 class LimitNotice(msgspec.Struct, frozen=True):
@@ -78,5 +78,39 @@
     return other if _rate(other) < _rate(current) else current
 
 
+class KnownLimit:
+    """The limit of one endpoint, by all that is known of its answers.
+
+    Attributes:
+      notice: the notice that holds, None if no answer has named a limit.
+    """
+
+    def __init__(self):
+        self.notice: LimitNotice | None = None
+
+    @property
+    def rate(self) -> float | None:
+        """The requests per second from all entries, None for no limit."""
+        return self.notice.rate if self.notice is not None else None
+
+    def record(self, notice: LimitNotice) -> bool:
+        """Records a notice of an answer or of another entry.
+
+        An answer that names no limit matters only after one that named one.
+
+        Returns:
+          whether the rate has changed.
+        """
+        before = self.rate
+        if self.notice is None and notice.rate is None:
+            return False
+        self.notice = holding(self.notice, notice)
+        return self.rate != before
+
+    def report(self, now: float) -> ReportedNotice | None:
+        """Returns the notice that holds as it is sent to another entry."""
+        return self.notice.to_report(now) if self.notice is not None else None
+
+
 def _rate(notice: LimitNotice) -> float:
     return float("inf") if notice.rate is None else notice.rate
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.prompt import Part
 
 __all__ = ["EndpointState", "Placement", "WorkShare", "sum_by_priority"]
@@ -27,6 +28,9 @@
       cold_ms: remaining time for which this entry knows it to be cold, from
         the key-value service only. If reports of other entries counted too,
         entries would extend the time for each other without end.
+      notice: what is known of its request limit, None if it never had one.
+      sent: all requests that this entry has sent.
+      recently_sent: those of the last second.
     """
 
     endpoint: EndpointId
@@ -39,6 +43,9 @@
     weights: dict[str, int] = {}
     min_weights: dict[str, int] = {}
     cold_ms: int = 0
+    notice: ReportedNotice | None = None
+    sent: int = 0
+    recently_sent: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -72,6 +79,10 @@
       min_weights: the oldest version that it can have, by model, where the
         version is not known.
       cold_ms: remaining time for which any entry knows it to be cold.
+      notice: what any entry knows of its request limit, None if it never had
+        one.
+      send_wait_ms: with a limit, the time until the entry that asks may send
+        a request; 0 is a permit.
     """
 
     endpoint: EndpointId
@@ -85,6 +96,8 @@
     weights: dict[str, int] = {}
     min_weights: dict[str, int] = {}
     cold_ms: int = 0
+    notice: ReportedNotice | None = None
+    send_wait_ms: int = 0
 
 
 def sum_by_priority(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -52,6 +52,7 @@
     QUARANTINED = 315
     EVACUATED = 316
     COLD = 317
+    LIMITED = 318
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -175,6 +176,11 @@
             503,
             "The endpoints have just started and take little new work.",
         ),
+        (
+            Code.LIMITED,
+            503,
+            "The endpoints have limited how many requests they accept.",
+        ),
         (
             Code.EVACUATED,
             503,
--- a/tests/policy/test_limit_notice.py
+++ b/tests/policy/test_limit_notice.py
@@ -6,8 +6,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from magnolialug.policy.limitnotice import LimitNotice, holding
-from magnolialug.policy.sendlimit import SendLimit
+from magnolialug.policy.limitnotice import KnownLimit, LimitNotice, holding
 
 
 def notice(rate, asked_at, seen_at, id=""):
@@ -20,7 +19,7 @@
 
     def setUp(self):
         super().setUp()
-        self.limit = SendLimit()
+        self.limit = KnownLimit()
 
     def record(self, *notices):
         """Records notices and returns the rate that holds."""
