Soak: endpoints that limit their requests

Cause: the soak never named a limit, so nothing of the kind could be found there.

Change: limit_endpoint lets an endpoint name one of 0 to 6 requests a second, and another later, for 4 to 12 s, drawn from seed 10000 on, so that recorded seeds stay what they were. LIMIT counts what machines that were told and are calm send in any 4 s, from 3 s after the first answer. Gateways that obey no limit are found (overrun).

--- a/magnolialug/soak/clients.py
+++ b/magnolialug/soak/clients.py
@@ -49,6 +49,7 @@
       new_id: returns a fresh request id.
       choose: returns the front that a new connection goes to.
       lost: is told of a request whose connection ended without an answer.
+      passed_on: is told which machine has passed on an answer of an endpoint.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         new_id: Callable[[], str],
         choose: Callable[[], Front],
         lost: Callable[[Sent, Answer], None],
+        passed_on: Callable[[str, str], None],
     ):
         self.impatient = False
         self.hurried = False
@@ -68,6 +70,7 @@
         self._new_id = new_id
         self._choose = choose
         self._lost = lost
+        self._passed_on = passed_on
         self._front: Front | None = None
         self._conn: _Connection | None = None
         self._row: Sent | None = None
@@ -173,6 +176,8 @@
             self._history.broken("MIXED", f"nobody asked: {answer}")
             return
         self._history.answered(row, answer)
+        stamp = answer.headers.get("x-response-stamp", "")
+        self._passed_on(stamp.removeprefix("stamp."), row.machine)
         if answer.headers.get("connection", "") == "close":
             self._conn = None
             conn.transport.loseConnection()
--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -27,6 +27,10 @@
 _ZONE_KINDS = ("evacuate_zone",)
 _FIRST_SEED_OF_LEAVING = 4000
 _LEAVING_KINDS = ("leave_unannounced",)
+_FIRST_SEED_OF_LIMITS = 10_000
+_LIMIT_KINDS = ("limit_endpoint",)
+# Requests per second that an endpoint in need accepts.
+_LIMITS_PER_S = (0.0, 0.5, 2.0, 6.0)
 # For this long an endpoint serves on after its entry is removed: longer than a
 # cut and the time until a machine is held to what it could have known since.
 _SERVES_ON_S = 8.0
@@ -42,6 +46,8 @@
     they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_LIMITS:
+        left_out += _LIMIT_KINDS
     if seed < _FIRST_SEED_OF_LEAVING:
         left_out += _LEAVING_KINDS
     if seed < _FIRST_SEED_OF_ZONES:
@@ -289,6 +295,18 @@
     soak.later(for_s, soak.world.take_back, zone)
 
 
+def limit_endpoint(soak: "Soak") -> None:
+    """An endpoint names how many requests a second it accepts."""
+    slot = soak.some_slot()
+    rates = soak.random.sample(_LIMITS_PER_S, 2)
+    for_s = _for_s(soak, 4.0, 12.0)
+    if slot.endpoint.send_limit is not None:
+        return
+    soak.world.limit(slot, rates[0])
+    soak.later(for_s / 2, soak.change_limit, slot, slot.endpoint, rates[1])
+    soak.later(for_s, soak.world.end_limit, slot.endpoint)
+
+
 def cut_endpoint(soak: "Soak") -> None:
     """The way to an endpoint is cut, or its connections are lost."""
     slot = soak.some_slot()
@@ -387,6 +405,7 @@
         drain_endpoint,
         leave_unannounced,
         evacuate_zone,
+        limit_endpoint,
         cut_endpoint,
         cut_callers,
         change_config,
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -151,6 +151,11 @@
         if slot.endpoint is endpoint:
             self.world.relist(slot)
 
+    def change_limit(self, slot: Slot, endpoint, rate: float) -> None:
+        """Changes the limit of an endpoint, if it still lives."""
+        if slot.endpoint is endpoint:
+            self.world.limit(slot, rate)
+
     def replace(self, slot: Slot, endpoint) -> None:
         """Ends an endpoint that has drained, and starts another."""
         if slot.endpoint is endpoint:
@@ -191,6 +196,7 @@
             self.new_id,
             self._choose,
             self._lost,
+            self.world.limits.answered,
         )
 
     def _choose(self) -> Front:
@@ -254,6 +260,7 @@
             if slot.endpoint is not None:
                 slot.proxy.opens(Path.OPEN)
                 slot.endpoint.faults.clear()
+                world.end_limit(slot.endpoint)
         for slot in world.runs_of("llm"):
             slot.endpoint.late_orders.clear()
         for machine in self.machines:
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -8,6 +8,7 @@
 
 from magnolialug.soak.block import Block
 from magnolialug.soak.historychecker import HistoryChecker
+from magnolialug.soak.limits import LimitChecks
 from magnolialug.soak.machine import CONTACT_S
 from magnolialug.soak.poison import MARK, PoisonRecord
 from magnolialug.soak.proxy import Path, Proxy
@@ -54,6 +55,7 @@
       weights: the newest that were named.
       poisoned: what each poison request has done, by its body.
       zones: the evacuated zones and the cold endpoints.
+      limits: the request rates that endpoints name.
 
     Args:
       touched: tells whether a request's machine and the store are calm.
@@ -71,6 +73,7 @@
         cold_starts: bool = False,
     ):
         self.zones = ZoneChecks(reactor.seconds, touched, history.broken)
+        self.limits = LimitChecks(reactor.seconds, touched, history.broken)
         self._cold_starts = cold_starts
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
@@ -124,6 +127,16 @@
         value = {"model": "m", "version": self.weights}
         self.write("op/version/m", value)
 
+    def limit(self, slot: Slot, rate: float) -> None:
+        """Lets the answers of an endpoint name a limit."""
+        slot.endpoint.send_limit = rate
+        self.limits.name(slot.endpoint.instance, rate)
+
+    def end_limit(self, endpoint: EndpointStandin) -> None:
+        """Lets the answers of an endpoint name no limit any more."""
+        endpoint.send_limit = None
+        self.limits.end(endpoint.instance)
+
     def evacuate(self, zone: str) -> None:
         """Asks that nothing more be sent to a zone."""
         self.write(f"op/evacuate/{zone}", {})
@@ -262,6 +275,7 @@
             self.zones.arrived(
                 endpoint.instance, slot.zone, req.request_id, machine, sent_at
             )
+            self.limits.arrived(endpoint.instance, req.request_id, machine)
             if req.body.startswith(MARK):
                 self._poisoned(slot, req, machine)
         if slot.service == "llm":
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -9,6 +9,7 @@
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routeconfig import RouteConfig
 from magnolialug.policy.coldstart import ColdStart
+from magnolialug.policy.sendlimit import SendLimit
 from magnolialug.quarantine.wiring import Quarantine
 
 
@@ -62,8 +63,14 @@
     ColdStart.may_send = lambda *_: True
 
 
+def overrun():
+    """Sends to endpoints that limit their requests as to any other."""
+    SendLimit.may_send = SendLimit.may_ask = lambda *_: True
+
+
 if __name__ == "__main__":
     {
+        "overrun": overrun,
         "repeat": repeat,
         "go-back": go_back,
         "look-whole": look_whole,
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -120,13 +120,16 @@
 
     def test_recorded_seeds_keep_their_kinds(self):
         self.assertNotIn("restart_endpoint", kinds_of(104))
-        leaving = {"leave_unannounced"}
+        limits = {"limit_endpoint"}
+        leaving = {"leave_unannounced", *limits}
         newest = {"evacuate_zone", *leaving}
         self.assertEqual(set(FAULTS) - newest, set(kinds_of(1000)))
         self.assertEqual(set(FAULTS) - newest, set(kinds_of(2999)))
         self.assertEqual(set(FAULTS) - leaving, set(kinds_of(3000)))
         self.assertEqual(set(FAULTS) - leaving, set(kinds_of(3999)))
-        self.assertEqual(set(FAULTS), set(kinds_of(4000)))
+        self.assertEqual(set(FAULTS) - limits, set(kinds_of(4000)))
+        self.assertEqual(set(FAULTS) - limits, set(kinds_of(9999)))
+        self.assertEqual(set(FAULTS), set(kinds_of(10_000)))
 
     def test_some_kinds_only(self):
         rows = plan(Random(1), 60, ("crowd",))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -114,3 +114,17 @@
 
     def test_cold_endpoints_that_are_run_over_are_found(self):
         self.assertIn("FAILBACK", self.sabotaged("rush", "evacuate_zone"))
+
+    def test_endpoints_that_limit_their_requests_get_no_more(self):
+        """Guards against a limit that each gateway keeps for itself."""
+        code, report = self.soak(
+            "--seed=10001",
+            "--minutes=0.3",
+            "--only=limit_endpoint,kill_machine,hang_up",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["limit_endpoint"], 1)
+
+    def test_a_limit_that_is_not_kept_is_found(self):
+        self.assertIn("LIMIT", self.sabotaged("overrun", "limit_endpoint"))
