Limits: permits that fall on other endpoints do not leave the rate unused

Cause: an entry asks for several endpoints and chooses one, so most permits are not used. Each held a token back for 0.1 s, and an entry that was denied waited for a whole interval: of 2.8 a second one entry beside three that only ask got 0.5.

Change: up to two more permits than tokens, held back for 0.06 s; who is denied for permits alone asks again when the first one expires. If all are used, the debt delays the next ones, so the rate holds.

--- a/magnolialug/policy/sendbucket.py
+++ b/magnolialug/policy/sendbucket.py
@@ -16,6 +16,10 @@
 _DEBT_S = 1.0
 # A permit is held back for its entry until its request must have been reported.
 _RESERVATION_S = 2 * PERMIT_S
+# Permits beyond the tokens. Most entries that ask choose another endpoint, and
+# one permit at a time would leave tokens unused. If all are used, the next ones
+# wait for as much longer.
+_SURPLUS_PERMITS = 2
 # A less urgent request gets no permit for this long after a more urgent one
 # was denied one, or for the time of two permits.
 _URGENT_S = 1.0
@@ -68,10 +72,11 @@
             return None
         while self._reservations and self._reservations[0].until <= now:
             self._reservations.popleft()
-        missing = 1.0 - (self._level - len(self._reservations))
-        if missing > 0:
+        if self._level < 1.0:
             self._denied_at[priority] = now
-            return missing / rate
+            return (1.0 - self._level) / rate
+        if len(self._reservations) >= int(self._level) + _SURPLUS_PERMITS:
+            return self._reservations[0].until - now
         if self._is_held_for_urgent(priority, rate, now):
             return _HELD_WAIT_S
         self._permits += 1
--- a/magnolialug/policy/sendlimit.py
+++ b/magnolialug/policy/sendlimit.py
@@ -11,7 +11,7 @@
 # entries together. Its answers alone tell that a limit has ended.
 MIN_RATE = 0.25
 # A permit is used within the choice that asked for it, or not at all.
-PERMIT_S = 0.05
+PERMIT_S = 0.03
 # Part of its equal share that an entry uses while it cannot ask the owner. The
 # owner hands out the whole rate to those that can, and an endpoint tolerates
 # 1.5 times its limit.
--- a/tests/policy/test_limited_fleet.py
+++ b/tests/policy/test_limited_fleet.py
@@ -4,6 +4,8 @@
 their requests are spread unevenly; some cannot reach the endpoint's owner.
 """
 
+from random import Random
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -69,12 +71,13 @@
         before = len(self.sent)
         for number in numbers:
             rank = number % len(self.limits)
-            self._offer(rank, self.limits[rank], priority)
+            self.offer_one(rank, priority)
         self.now += STEP_S
         return len(self.sent) - before
 
-    def _offer(self, rank, limit, priority):
-        now = self.now
+    def offer_one(self, rank, priority=0):
+        """Offers a request to one process."""
+        now, limit = self.now, self.limits[rank]
         if not limit.may_ask(now):
             return
         if rank in self.cut_off:
@@ -171,6 +174,21 @@
             fleet.offer([0, 1])
         self.assertLessEqual(fleet.busiest_window(), allowed(2.8))
 
+    def test_unused_permits_do_not_waste_the_rate(self):
+        """Guards against permits for choices that fall on another endpoint."""
+        random = Random(1)
+        fleet = Fleet(4, 2.8)
+        for step in range(round(20 / STEP_S)):
+            for rank in random.sample(range(4), 4):
+                limit = fleet.limits[rank]
+                if rank == 3 and step % 2:
+                    fleet.offer_one(rank)
+                elif rank != 3 and limit.may_ask(fleet.now):
+                    wait_s = fleet.bucket.ask(str(rank), 0, fleet.now)
+                    limit.grant(wait_s, fleet.now)
+            fleet.now += random.uniform(0.1, 1.9) * STEP_S
+        self.assertGreater(len(fleet.sent), 0.4 * 20 * 2.8)
+
     def test_urgent_requests_go_first_and_no_priority_starves(self):
         """Guards against permits in the order of arrival alone."""
         fleet = Fleet(4, 2.8)
