--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -26,6 +26,7 @@
 from magnolialug.ctl.endpoints import endpoint_lines
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
+from magnolialug.ctl.limits import standing_limits
 from magnolialug.ctl.quarantine import quarantine_lines, release
 from magnolialug.events import setup_logging
 from magnolialug.platform.http import HttpClient
@@ -42,7 +43,8 @@
   show              the configuration in force
   history           accepted changes, the newest first
   status            the version in force in every process
-  endpoints         the registered endpoints, and what keeps work from them
+  endpoints         the registered endpoints, and what keeps work from them;
+                    request limits only with --gateway_log
   quarantine        requests that endpoints crashed under, and which those
                     were
   release DIGEST    take a request out of the quarantine
@@ -70,6 +72,12 @@
             ),
             Flag("entries", "str", "", "URLs of entries, for status"),
             Flag("plot", "str", "", "file to draw an account into"),
+            Flag(
+                "gateway_log",
+                "str",
+                "",
+                "JSON logs of gateways, for endpoints; - for stdin",
+            ),
         ),
     ),
     COMMON,
@@ -89,7 +97,7 @@
     async def run(self, name: str, arguments: list[str]) -> int:
         """Runs a command against the key-value service."""
         if name == "endpoints":
-            return _print_lines(await endpoint_lines(self._kv))
+            return await self._print_endpoints()
         if name == "quarantine":
             return _print_lines(await quarantine_lines(self._kv))
         if name == "release":
@@ -97,6 +105,20 @@
             return _fail(failure) if failure else 0
         return await self._run_on_head(name, arguments)
 
+    async def _print_endpoints(self) -> int:
+        """Prints the endpoints, with the limits that the logs tell of."""
+        path = self._flags.gateway_log
+        try:
+            lines = _read_lines(path) if path else []
+        except (OSError, UnicodeDecodeError) as exc:
+            print(
+                f"magnolialug-ctl: --gateway_log: {path}: {exc}",
+                file=sys.stderr,
+            )
+            return EXIT_BAD_INPUT
+        limits = standing_limits(lines)
+        return _print_lines(await endpoint_lines(self._kv, limits))
+
     async def _run_on_head(self, name: str, arguments: list[str]) -> int:
         """Runs a command on the head that is in force."""
         texts = [_folder_text(folder) for folder in arguments]
@@ -209,6 +231,14 @@
     return EXIT_BAD_INPUT if _folder_text(folder) is None else 0
 
 
+def _read_lines(path: str) -> list[str]:
+    """Returns the lines of a file, or of standard input for "-"."""
+    if path == "-":
+        return list(sys.stdin)
+    with open(path, encoding="utf-8") as log:
+        return list(log)
+
+
 def _account(plot: str) -> int:
     found = account(sys.stdin)
     print(as_tables(found))
--- a/magnolialug/ctl/endpoints.py
+++ b/magnolialug/ctl/endpoints.py
@@ -1,8 +1,9 @@
 """Lists the registered endpoints, with what keeps new work from each."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
-from magnolialug.ids import ZoneId
+from magnolialug.ctl.limits import StandingLimit
+from magnolialug.ids import EndpointId, ZoneId
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.platform.operator import EVACUATION_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX, read_listed
@@ -12,8 +13,14 @@
 __all__ = ["endpoint_lines"]
 
 
-async def endpoint_lines(kv: Kv) -> list[str] | Failure:
-    """Returns a line for each evacuated zone, then one for each endpoint."""
+async def endpoint_lines(
+    kv: Kv, limits: Mapping[EndpointId, StandingLimit]
+) -> list[str] | Failure:
+    """Returns a line for each evacuated zone, then one for each endpoint.
+
+    Args:
+      limits: the request limits that stand.
+    """
     orders = await kv.scan(EVACUATION_PREFIX)
     if isinstance(orders, Failure):
         return orders
@@ -22,26 +29,40 @@
         return entries
     zones = {ZoneId(o.key.removeprefix(EVACUATION_PREFIX)) for o in orders}
     lines = [f"zone {zone} evacuated" for zone in sorted(zones)]
-    return lines + sorted(_line(entry, zones) for entry in entries)
+    return lines + sorted(_line(entry, zones, limits) for entry in entries)
 
 
-def _line(entry: KvEntry, evacuated: Collection[ZoneId]) -> str:
+def _line(
+    entry: KvEntry,
+    evacuated: Collection[ZoneId],
+    limits: Mapping[EndpointId, StandingLimit],
+) -> str:
     listed = read_listed(entry.key, entry.value)
     if isinstance(listed, Failure):
         return f"{entry.key} malformed: {listed.reason}"
     host, port = listed.address
-    state = _state(listed, evacuated)
+    state = _state(listed, evacuated, limits.get(listed.endpoint))
     return (
         f"{listed.zone} {listed.service} {listed.endpoint} {host}:{port}"
         f" {state}"
     )
 
 
-def _state(listed: RegisteredEndpoint, evacuated: Collection[ZoneId]) -> str:
+def _state(
+    listed: RegisteredEndpoint,
+    evacuated: Collection[ZoneId],
+    limit: StandingLimit | None,
+) -> str:
     if listed.leaving:
         return "leaving"
     if listed.zone in evacuated:
         return "evacuated"
+    states = []
     if listed.cold_s > 0:
-        return f"cold for {listed.cold_s:.1f} s at its last change"
-    return "up"
+        states.append(f"cold for {listed.cold_s:.1f} s at its last change")
+    if limit is not None:
+        states.append(
+            f"limited to {limit.per_s:g} requests/s, known for"
+            f" {limit.known_s:.1f} s to {limit.vm} by {limit.source}"
+        )
+    return ", ".join(states) or "up"
--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -56,7 +56,7 @@
 
 
 def _passed_over(records: list[dict], own: list[dict]) -> list[dict]:
-    """Returns the evacuations and cold starts that its processes minded."""
+    """Returns what kept its processes from endpoints that they did not try."""
     vms = {record.get("vm") for record in own}
     tried = {record.get("endpoint") for record in own}
     first, last = time_of(own[0]), time_of(own[-1])
@@ -67,15 +67,28 @@
             continue
         if event == Event.STARTED.value:
             standing = {key: r for key, r in standing.items() if key[0] != vm}
-        elif event == Event.ZONE_EVACUATED.value:
-            standing[vm, "zone", record.get("zone")] = record
-        elif event == Event.ZONE_RETURNED.value:
-            standing.pop((vm, "zone", record.get("zone")), None)
-        elif _is_cold_at(record, first) and record.get("endpoint") not in tried:
-            standing[vm, "endpoint", record.get("endpoint")] = record
+        elif record.get("endpoint") not in tried:
+            _note_standing(standing, record, first)
     return list(standing.values())
 
 
+def _note_standing(standing: dict, record: dict, first: float) -> None:
+    """Notes what begins or ends with a line, by machine, kind and name."""
+    vm, event = record.get("vm"), record.get("event")
+    zone = vm, "zone", record.get("zone")
+    limit = vm, "limit", record.get("endpoint")
+    if event == Event.ZONE_EVACUATED.value:
+        standing[zone] = record
+    elif event == Event.ZONE_RETURNED.value:
+        standing.pop(zone, None)
+    elif event == Event.ENDPOINT_LIMITED.value:
+        standing[limit] = record
+    elif event == Event.ENDPOINT_UNLIMITED.value:
+        standing.pop(limit, None)
+    elif _is_cold_at(record, first):
+        standing[vm, "endpoint", record.get("endpoint")] = record
+
+
 def _is_cold_at(record: dict, at: float) -> bool:
     is_cold = record.get("event") == Event.ENDPOINT_COLD.value
     return is_cold and time_of(record) + record.get("left_s", 0.0) >= at
--- a/tests/ctl/test_endpoints.py
+++ b/tests/ctl/test_endpoints.py
@@ -6,10 +6,29 @@
 from twisted.internet.task import Clock
 
 from magnolialug.ctl.endpoints import endpoint_lines
+from magnolialug.ctl.limits import standing_limits
+from magnolialug.events import Event
 from magnolialug.result import Code, Failure
 from magnolialug.standin.kv import KvStore
 
 
+def limited(at, vm, endpoint, per_s, source="answer", age_s=0.0):
+    """Returns a gateway's line about a limit."""
+    event = (
+        Event.ENDPOINT_UNLIMITED if per_s is None else Event.ENDPOINT_LIMITED
+    )
+    row = {
+        "at": at,
+        "vm": vm,
+        "event": event.value,
+        "endpoint": endpoint,
+        "per_s": per_s,
+        "source": source,
+        "age_s": age_s,
+    }
+    return msgspec.json.encode(row).decode()
+
+
 class EndpointLinesTest(TestCase):
     """What keeps new work from an endpoint stands in its line."""
 
@@ -31,10 +50,12 @@
         }
         self.kv._write(f"servers/{endpoint}", msgspec.json.encode(row), 0)
 
-    def lines(self):
+    def lines(self, log=()):
         """Returns what the command prints, or its failure."""
         found = []
-        ensureDeferred(endpoint_lines(self.kv)).addCallback(found.append)
+        limits = standing_limits(log)
+        fut = ensureDeferred(endpoint_lines(self.kv, limits))
+        fut.addCallback(found.append)
         return found[0]
 
     def test_each_state_is_named(self):
@@ -54,6 +75,30 @@
             self.lines(),
         )
 
+    def test_limits_of_the_gateways_logs_are_named(self):
+        """Guards against a limit that only the gateways know of."""
+        for endpoint in ("i-1", "i-2", "i-3"):
+            self.list(endpoint, "a", cold_ms=2100 if endpoint == "i-3" else 0)
+        log = [
+            limited(10.0, "vm-1", "i-1", 2.5),
+            limited(11.0, "vm-1", "i-2", 2.5),
+            limited(12.0, "vm-2", "i-1", 1.5, "entry", age_s=0.5),
+            limited(13.0, "vm-2", "i-2", None),
+            limited(13.0, "vm-1", "i-3", 4.0),
+            limited(14.0, "vm-2", "i-2", 9.0, age_s=3.0),
+            "no json",
+        ]
+        self.assertEqual(
+            [
+                "a desk i-1 10.0.0.1:80 limited to 1.5 requests/s, known for"
+                " 2.5 s to vm-2 by entry",
+                "a desk i-2 10.0.0.1:80 up",
+                "a desk i-3 10.0.0.1:80 cold for 2.1 s at its last change,"
+                " limited to 4 requests/s, known for 1.0 s to vm-1 by answer",
+            ],
+            self.lines(log),
+        )
+
     def test_an_entry_that_cannot_be_read_is_said(self):
         self.kv._write("servers/i-1", b"nonsense", 0)
         (line,) = self.lines()
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -119,6 +119,20 @@
         self.assertIn("endpoint=i-2", story[3])
         self.assertEqual(4, len(story))
 
+    def test_limits_that_stood_are_named(self):
+        """Guards against requests that go elsewhere for no visible cause."""
+        lines = [
+            line(10.0, "vm-1", "ENDPOINT_LIMITED", endpoint="i-1", per_s=2.0),
+            line(11.0, "vm-1", "ENDPOINT_LIMITED", endpoint="i-2", per_s=2.0),
+            line(12.0, "vm-1", "ENDPOINT_UNLIMITED", endpoint="i-2"),
+            line(13.0, "vm-2", "ENDPOINT_LIMITED", endpoint="i-3", per_s=2.0),
+            line(99.0, "vm-1", "REQUEST_FAILED", request="r1", status=503),
+        ]
+        story = explain_request(lines, "r1")
+        self.assertEqual("what kept work from other endpoints:", story[1])
+        self.assertIn("endpoint=i-1", story[2])
+        self.assertEqual(3, len(story))
+
     def test_a_process_that_starts_again_has_forgotten_evacuations(self):
         lines = [
             line(10.0, "vm-1", "ZONE_EVACUATED", zone="a"),
