--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -58,7 +58,7 @@
 def _passed_over(records: list[dict], own: list[dict]) -> list[dict]:
     """Returns what kept its processes from endpoints that they did not try."""
     vms = {record.get("vm") for record in own}
-    tried = {record.get("endpoint") for record in own}
+    tried = {record["endpoint"] for record in own if "endpoint" in record}
     first, last = time_of(own[0]), time_of(own[-1])
     standing: dict[tuple, dict] = {}
     for record in sorted(records, key=time_of):
