Limits: the owner is asked again soon during a long wait

Cause: an entry that was told to wait, or whose owner missed one query, passed the endpoint by until that time: up to 9 s at low limits, and 48 s for a slot of 68 entries at 2.8 a second. Meanwhile the limit may end, or the owner answer again.

Change: the owner is asked again after 1 s at most, after 0.25 s if it did not reply; callers are still told the true time.

Before/after: test_an_owner_that_missed_a_query_is_asked_again_soon had 3 requests in 5 s and has over 9; test_the_end_of_a_limit_is_heard_of_during_a_long_wait failed; both pass, and the fleets keep the limit as before.

--- a/magnolialug/policy/sendlimit.py
+++ b/magnolialug/policy/sendlimit.py
@@ -21,6 +21,10 @@
 _RECENT_S = 1.0
 # Shortest time after which a refused caller may return.
 _MIN_WAIT_S = 0.05
+# Longest time until the owner is asked again, which may know that the limit has
+# ended, and until an owner that has not replied is.
+_ASK_AGAIN_S = 1.0
+_ASK_SILENT_AGAIN_S = 0.25
 
 
 class SendLimit:
@@ -42,7 +46,7 @@
         self._sent_at: deque[float] = deque()
         self._slots = SendSlots()
         self._slots_until = float("-inf")
-        self._wait_until = float("-inf")
+        self._ask_at = self._send_at = float("-inf")
         self._entries = 1
         self._phase = 0.0
 
@@ -67,7 +71,7 @@
             self._begin(now)
         else:
             self._slots.bring_forward(now)
-        self._wait_until = float("-inf")
+        self._ask_at = self._send_at = float("-inf")
         return True
 
     def grant(self, wait_s: float, now: float) -> None:
@@ -75,20 +79,18 @@
         if wait_s <= 0:
             self._permits.append(now + PERMIT_S)
         else:
-            self._wait_until = now + wait_s
+            self._send_at = now + wait_s
+            self._ask_at = now + min(wait_s, _ASK_AGAIN_S)
 
     def fall_back(self, now: float) -> None:
         """Keeps to this entry's send slots, because no owner has replied."""
         self._slots_until = now + PERMIT_S
-        self._wait_until = self._slots.next_at(now)
+        self._send_at = self._slots.next_at(now)
+        self._ask_at = min(self._send_at, now + _ASK_SILENT_AGAIN_S)
 
     def may_ask(self, now: float) -> bool:
         """Whether the endpoint can be considered for a request."""
-        return (
-            self.rate is None
-            or now >= self._wait_until
-            or self._has_permit(now)
-        )
+        return self.rate is None or now >= self._ask_at or self._has_permit(now)
 
     def may_send(self, now: float) -> bool:
         """Whether this entry may send a request now."""
@@ -100,7 +102,7 @@
         """Returns the time until this entry may send a request."""
         if self.may_send(now):
             return 0.0
-        return max(_MIN_WAIT_S, self._wait_until - now)
+        return max(_MIN_WAIT_S, self._send_at - now)
 
     def record_sent(self, now: float) -> None:
         """Records a request that is sent."""
--- a/tests/policy/test_limited_fleet.py
+++ b/tests/policy/test_limited_fleet.py
@@ -85,6 +85,8 @@
         else:
             limit.record(self.bucket.known.notice, now)
             wait_s = self.bucket.ask(str(rank), priority, now)
+            if wait_s is None:
+                return
             limit.grant(wait_s, now)
         if not limit.may_send(now):
             return
@@ -156,6 +158,26 @@
             usable = 8 * 20 * (0.5 if cut_off else 1.0)
             self.assertGreater(len(fleet.sent) - before, 0.7 * usable)
 
+    def test_an_owner_that_missed_a_query_is_asked_again_soon(self):
+        """Guards against waiting for a slot while the owner answers again."""
+        fleet = Fleet(68, 2.8)
+        fleet.cut_off = {5}
+        fleet.offer([5])
+        fleet.cut_off = set()
+        for _ in range(round(5 / STEP_S)):
+            fleet.offer([5])
+        self.assertGreater(len(fleet.sent), 0.7 * 5 * 2.8)
+
+    def test_the_end_of_a_limit_is_heard_of_during_a_long_wait(self):
+        """Guards against an endpoint that is left alone when it is well."""
+        fleet = Fleet(4, 0.0)
+        fleet.offer([0, 1, 2, 3])
+        ended = LimitNotice("end", None, fleet.now, fleet.now)
+        fleet.bucket.known.record(ended)
+        for _ in range(round(1.5 / STEP_S)):
+            fleet.offer([0, 1, 2, 3])
+        self.assertEqual([None] * 4, [limit.rate for limit in fleet.limits])
+
     def test_restarted_processes_do_not_send_at_one_moment(self):
         """Guards against a first request of each process that starts."""
         fleet = self.run_fleet(68, 0.5, seconds=5)
