Limits: prompts queue at engines that limit their requests

Cause: prompts did not queue for the memory of a limited engine, since a permit does not last as long. Where it was the only engine they were sent past the queue, and the engine had to evict one that it was answering.

Change: they queue as at any engine; who is admitted to a limited one asks once more for a permit.

Before/after: test_prompt_is_queued_at_an_engine_that_limits_its_requests failed (three prompts at an engine for two) and passes.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -108,6 +108,9 @@
         admitted_by = await self._admit(results)
         if isinstance(admitted_by, Failure):
             return admitted_by
+        if admitted_by is not None and self._placer.is_limited(admitted_by):
+            # The permit to send to it has expired while the prompt waited.
+            results = await self._prober.probe(self._call, self._avoid)
         # The request may have been quarantined while it waited.
         refusal = self._quarantine.refusal(self._call.digest)
         if refusal:
@@ -136,13 +139,10 @@
         """
         if self._attempts_made or not must_wait(results.candidates):
             return None
-        queues = self._admission_requests(results)
-        if not queues:
-            return None
         begun = self._clock()
         admitted_by = await self._admission.enqueue(
             waiting_prompt(self._call),
-            queues,
+            self._admission_requests(results),
             queued_work_limit_s(self._call),
         )
         self._waited_s = self._clock() - begun
@@ -151,16 +151,8 @@
     def _admission_requests(
         self, results: ProbeResults
     ) -> list[AdmissionRequest]:
-        """Returns admission requests for the cheapest healthy engines.
-
-        A permit to send to a limited engine does not last as long as a prompt
-        may wait.
-        """
-        sound = [
-            row
-            for row in results.candidates
-            if row.sound and not self._placer.is_limited(row.endpoint)
-        ]
+        """Returns admission requests for the cheapest healthy engines."""
+        sound = [row for row in results.candidates if row.sound]
         sound.sort(key=lambda row: row.cost)
         return [
             self._placer.admission_request(self._call, row.endpoint, results)
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -45,6 +45,16 @@
         self.assertEqual(3, len(engine.ran))
         self.assertEqual([200] * 3, [c.last.status for c in callers])
 
+    def test_prompt_is_queued_at_an_engine_that_limits_its_requests(self):
+        """Guards against a request limit that lets prompts pass the queue."""
+        cluster, engine = self.started(gap_s=0.1)
+        engine.send_limit = 1000
+        callers = [self.send(cluster, n) for n in range(3)]
+        self.assertEqual(2, len(engine.ran))
+        cluster.pass_time(1)
+        self.assertEqual(3, len(engine.ran))
+        self.assertEqual([200] * 3, [c.last.status for c in callers])
+
     def test_prompt_is_queued_while_an_engine_has_long_prefill_queue(self):
         """Guards against one engine that gets all queued prompts.
 
--- a/tests/entry/test_send_limits.py
+++ b/tests/entry/test_send_limits.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from testtools import TestCase
 
+from magnolialug.policy.limitnotice import LimitNotice
 from magnolialug.result import Code
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster, config
@@ -104,14 +105,34 @@
         self.assertLessEqual(self.busiest_window(), allowed(8.0))
         self.assertGreater(self.busiest_window(), allowed(1.0))
 
+    def rates(self):
+        """Returns the limits that gateways know."""
+        peers = [
+            gateway.directory.peers[self.desk.instance]
+            for gateway in self.cluster.gateways
+        ]
+        return {peer.limit.rate for peer in peers}
+
     def test_answers_with_different_limits_keep_the_lower_one(self):
         """Guards against gateways that each believe another limit."""
         self.limit(2.0)
-        limits = [2.0, 20.0]
-        for number in range(20):
-            self.desk.send_limit = limits[number % 2]
-            self.load(0.4)
-        self.assertLessEqual(self.busiest_window(), allowed(20.0))
+        overtaken = LimitNotice("a", 20.0, self.now() - 2.0, self.now())
+        for gateway in self.cluster.gateways:
+            peer = gateway.directory.peers[self.desk.instance]
+            peer.record_limit(overtaken, "answer", self.now())
+        self.assertEqual({2.0}, self.rates())
+        self.load(6)
+        self.assertLessEqual(self.busiest_window(), allowed(2.0))
+
+    def test_an_answer_that_comes_late_does_not_end_a_limit(self):
+        """Guards against answers that were made before the limit."""
+        self.limit(2.0)
+        late = LimitNotice("a", None, self.now() - 2.0, self.now())
+        peer = self.cluster.gateway.directory.peers[self.desk.instance]
+        peer.record_limit(late, "answer", self.now())
+        self.assertEqual(2.0, peer.limit.rate)
+        self.load(0.5)
+        self.assertEqual({2.0}, self.rates())
 
     def test_malformed_limits_change_nothing(self):
         """Guards against a limit that is lost, or ends the gateway."""
@@ -130,6 +151,14 @@
         self.assertEqual({611}, {row["code"] for row in refused})
         self.assertLessEqual(len(refused), 5 * len(VMS))
 
+    def test_a_refusal_of_another_endpoint_limits_nothing(self):
+        """Guards against the limit of an endpoint that took the address."""
+        self.desk.send_limit = 1.0
+        self.desk.faults = [Fault.MISDIRECTED] * 3
+        self.load(0.1)
+        self.desk.send_limit = None
+        self.assertEqual({None}, self.rates())
+
     def test_an_enormous_limit_limits_nothing(self):
         self.limit("9" * 30)
         self.load(4)
--- a/tests/policy/test_limited_fleet.py
+++ b/tests/policy/test_limited_fleet.py
@@ -195,6 +195,7 @@
             fleet.lost_reports = {0} if step % 5 else set()
             fleet.offer([0, 1])
         self.assertLessEqual(fleet.busiest_window(), allowed(2.8))
+        self.assertLessEqual(len(fleet.sent), 1.5 * 20 * 2.8)
 
     def test_unused_permits_do_not_waste_the_rate(self):
         """Guards against permits for choices that fall on another endpoint."""
