Test processes: ports that no outgoing connection takes

The test had picked ports that the kernel gives to outgoing connections, seconds before their processes start.

Change: ports are picked below that range, and still tried first.

Nothing of the package is changed.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -16,13 +17,23 @@
 
 EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "tiszavirag"
 _WAIT_S = 20.0
+_PORTS = (20_000, 32_000)
 
 
 def free_port() -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a port that was free a moment ago.
+
+    It lies below the ports that the kernel gives to outgoing connections; one
+    of those would take it before the process that is meant to have it starts.
+    """
+    while True:
+        port = random.randrange(*_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def program(name: str) -> list[str]:
