Tests: lines that a test collects do not depend on the tests before it

The test's fault: the limiter of log lines belongs to the process and refills by the time of day, while the clocks of the tests run much faster. Whether its first line is written depends on how long its set-up takes.

Nothing of the package is changed; no assertion is.

--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -2,15 +2,13 @@
 
 import json
 
-from loguru import logger
 from testtools import TestCase
 
-from magnolialug import events
 from magnolialug.ctl.explain import explain_request
 from magnolialug.events import Event, name_process
-from magnolialug.policy.loglimiter import LogLimiter
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster
+from tests.loglines import collect_lines
 
 
 def line(at, vm, name, **fields):
@@ -25,10 +23,7 @@
 
     def setUp(self):
         super().setUp()
-        self.lines = []
-        sink = logger.add(self.lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
-        self.patch(events, "_bounds", LogLimiter(1e6, 1e6))
+        self.lines = collect_lines(self)
         name_process("front-1")
         self.addCleanup(name_process, "")
 
--- a/tests/entry/test_candidate_prober.py
+++ b/tests/entry/test_candidate_prober.py
@@ -1,11 +1,9 @@
 """Tests of queries to owners whose caller disconnects."""
 
-from loguru import logger
 from testtools import TestCase
 
-from magnolialug import events
-from magnolialug.policy.loglimiter import LogLimiter
 from tests.gatewaycluster import GatewayCluster
+from tests.loglines import collect_lines
 
 
 class LeavingCallerTest(TestCase):
@@ -18,10 +16,7 @@
         the queries for load and parts are cancelled together. A wait for both
         of them wrapped the cancellation in an error of its own.
         """
-        lines = []
-        events._bounds = LogLimiter()
-        sink = logger.add(lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
+        lines = collect_lines(self)
         cluster = GatewayCluster(engines=4, vms=("front-1", "front-2"))
         cluster.add_store()
         cluster.net.loses_datagram = lambda sender, receiver: True
--- a/tests/entry/test_failure_lines.py
+++ b/tests/entry/test_failure_lines.py
@@ -1,13 +1,11 @@
 """Tests of the log lines of failed attempts."""
 
 import msgspec
-from loguru import logger
 from testtools import TestCase
 
-from magnolialug import events
-from magnolialug.policy.loglimiter import LogLimiter
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster
+from tests.loglines import collect_lines
 
 
 class DigestLineTest(TestCase):
@@ -20,10 +18,7 @@
         one after the other, the lines must show whether they ran the same
         request.
         """
-        lines = []
-        events._bounds = LogLimiter()
-        sink = logger.add(lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
+        lines = collect_lines(self)
         cluster = GatewayCluster(desks=1, engines=0)
         (desk,) = cluster.desks.values()
         for body in (b"one", b"one", b"other"):
--- a/tests/entry/test_same_id.py
+++ b/tests/entry/test_same_id.py
@@ -1,30 +1,19 @@
 """Endpoints and stores that restart under the same id."""
 
-from loguru import logger
 from testtools import TestCase
 
-from magnolialug import events
 from magnolialug.owners.messages import LoadQuery, LoadReport, QueriedEndpoint
-from magnolialug.policy.loglimiter import LogLimiter
 from magnolialug.policy.prompt import Part, Prompt
 from magnolialug.policy.sharedload import Placement, WorkShare
 from magnolialug.standin.endpoint import EndpointStandin
 from tests.entry.test_unanswered_commands import NEVER_S
 from tests.gatewaycluster import GatewayCluster, config
+from tests.loglines import collect_lines
 
 FIRST_START_MS, SECOND_START_MS = 1_700_000_000_000, 1_700_000_009_000
 LATER_SERVICE = {"name": "later", "maxConnections": 40}
 
 
-def capture_log_lines(case):
-    """Returns a list that collects the log lines of a test."""
-    lines = []
-    events._bounds = LogLimiter()
-    sink = logger.add(lines.append, format="{message}")
-    case.addCleanup(logger.remove, sink)
-    return lines
-
-
 def set_start_time(cluster, endpoint, born_ms=FIRST_START_MS):
     """Sets the start time in an endpoint's reports and entry."""
     endpoint.born_ms = born_ms
@@ -242,7 +231,7 @@
         Another writer puts entries under the endpoints' prefix. They must not
         fill the log at each read of the registry either.
         """
-        lines = capture_log_lines(self)
+        lines = collect_lines(self)
         cluster = GatewayCluster(desks=1, engines=0)
         row = cluster.desks["i-desk1"].row
         missing = {k: v for k, v in row.items() if k != "sequence"}
@@ -271,7 +260,7 @@
         self.assertEqual(len(foreign), len(refused))
 
     def test_a_changed_foreign_entry_is_logged_again(self):
-        lines = capture_log_lines(self)
+        lines = collect_lines(self)
         cluster = GatewayCluster(desks=1, engines=0)
         for value in (b"\xff", b"{}"):
             cluster.write("servers/i-odd", value)
--- a/tests/entry/test_send_limits.py
+++ b/tests/entry/test_send_limits.py
@@ -5,13 +5,13 @@
 """
 
 import msgspec
-from loguru import logger
 from testtools import TestCase
 
 from magnolialug.policy.limitnotice import LimitNotice
 from magnolialug.result import Code
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster, config
+from tests.loglines import collect_lines
 
 VMS = ("front-1", "front-2", "front-3")
 # Time after the first answer with a limit within which all gateways keep it.
@@ -136,9 +136,7 @@
 
     def test_malformed_limits_change_nothing(self):
         """Guards against a limit that is lost, or ends the gateway."""
-        lines = []
-        sink = logger.add(lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
+        lines = collect_lines(self)
         self.limit(2.8)
         for text in ("", "-1", "nan", "1e9", "many"):
             self.desk.send_limit = text
@@ -263,9 +261,7 @@
 
     def test_every_gateway_logs_the_limit_once(self):
         """Guards against a line for each answer, and against none."""
-        lines = []
-        sink = logger.add(lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
+        lines = collect_lines(self)
         self.limit(2.8, seconds=6)
         self.desk.send_limit = None
         self.load(6)
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -8,7 +8,6 @@
 from random import Random
 
 import msgspec
-from loguru import logger
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
@@ -17,6 +16,7 @@
 from magnolialug.result import Code, failed
 from magnolialug.standin.kv import KvStore
 from magnolialug.watchsubscriber import WatchSubscriber
+from tests.loglines import collect_lines
 
 
 class RecordingSubscriber(WatchSubscriber):
@@ -126,9 +126,7 @@
     def test_a_service_that_was_never_reached_is_logged(self):
         """Guards against a process that logs no cause for its refusals."""
         self.watch_client.stop()
-        lines = []
-        sink = logger.add(lines.append, format="{message}")
-        self.addCleanup(logger.remove, sink)
+        lines = collect_lines(self)
         self.kv.faults.down = True
         started = WatchClient(self.kv, {}, self.clock, Random(2), 25.0)
         started.start()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,11 +1,11 @@
 """Log lines: one for each decision, and never a prompt or key."""
 
-from loguru import logger
 from testtools import TestCase
 
 from magnolialug.ctl.explain import explain_request
 from magnolialug.events import Event
 from tests.harness import Cluster
+from tests.loglines import collect_lines
 
 SECRET = "the seller is in debt"
 
@@ -14,12 +14,8 @@
     """What a small cluster logs."""
 
     def lines(self, work) -> list[str]:
-        lines: list[str] = []
-        sink = logger.add(lines.append, format="{message}")
-        try:
-            work()
-        finally:
-            logger.remove(sink)
+        lines = collect_lines(self)
+        work()
         return [str(line) for line in lines]
 
     def test_decisions_are_logged_without_prompts_or_keys(self):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,7 +4,6 @@
 import time
 
 import msgspec
-from loguru import logger
 from testtools import TestCase
 
 from magnolialug import events
@@ -12,6 +11,7 @@
 from magnolialug.logwriter import LogWriter
 from magnolialug.policy.loglimiter import Grade, LogLimiter
 from magnolialug.requestlog import RequestLog
+from tests.loglines import collect_lines
 
 
 class WriterTest(TestCase):
@@ -90,19 +90,26 @@
         self.assertTrue(bounds.take(Grade.KEPT, 1.0))
 
 
+class CollectedLinesTest(TestCase):
+    """What a test collects does not depend on the tests before it."""
+
+    def test_lines_are_collected_though_earlier_tests_used_up_the_limit(self):
+        """Guards against tests that fail by how fast the earlier ones ran."""
+        self.patch(events, "_bounds", LogLimiter(0, 0))
+        lines = collect_lines(self)
+        for _ in range(2000):
+            events.emit(Event.KV_LOST)
+        self.assertEqual(2000, len(lines))
+
+
 class RequestLogTest(TestCase):
     """Lines of failed requests are written even over the bounds."""
 
     def lines(self, work):
         """Returns the events that are written while work is done."""
-        lines = []
-        sink = logger.add(lines.append, format="{message}")
-        events._bounds = LogLimiter(detail_per_s=0, kept_per_s=100)
-        try:
-            work()
-        finally:
-            events._bounds = LogLimiter()
-            logger.remove(sink)
+        limiter = LogLimiter(detail_per_s=0, kept_per_s=100)
+        lines = collect_lines(self, limiter)
+        work()
         return [msgspec.json.decode(str(line))["name"] for line in lines]
 
     def test_a_failed_request_keeps_its_lines(self):
