Watch: a lost call keeps within the configuration's bound also behind a long value

Calls for missed changes were given 0.5 s only while all values are short.

Change: all calls for missed changes share one time until their answer begins. Once one has waited that long the next ones are given the longer time, as before; what counts is the time until the first byte, since a long answer that arrives is not slow.

Before/after: test_they_fit_into_the_bound_if_a_value_is_long, 16 moments, a lost page or a lost call for urgent keys: 2.016 s at the first; passes.

Two lost calls in a row still exceed the bound.

--- a/magnolialug/carrier/progress.py
+++ b/magnolialug/carrier/progress.py
@@ -64,6 +64,11 @@
             else self.last_byte_at - self.first_byte_at
         )
 
+    def waited_s(self, now: float) -> float:
+        """Returns the seconds until the response began, or until now."""
+        began_at = now if self.first_byte_at is None else self.first_byte_at
+        return began_at - self.started_at
+
     def describe(self, now: float) -> str:
         """Returns a text: how much of an incomplete response arrived, when."""
         waited_s = now - self.started_at
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -31,10 +31,10 @@
 # Time allowed for a change that is still on its way to the watch when the
 # service answers the check.
 _CHECK_SLACK_S = 0.2
-# Time allowed for an answer after a watch that ended or was lost. Once a call
-# has taken that long, the next ones are allowed more, because the service may
-# be slow. A watch and a call that are both lost must not delay a configuration
-# by more than 2 s.
+# Time until an answer must begin after a watch that ended or was lost. Once a
+# call has waited that long, the next ones are allowed more, because the service
+# may be slow. A watch and a call that are both lost must not delay a
+# configuration by more than 2 s.
 _CATCH_UP_S = 0.5
 # If an answer that may hold a long value takes longer than this to arrive, the
 # changes of urgent keys are requested in parallel.
@@ -177,13 +177,15 @@
         pause_s = min(longest_s, least_s * 2**doubled)
         await sleep(self._clock, max(0.0, pause_s - took_s))
 
-    async def _snapshot(self) -> Snapshot | Failure:
+    async def _snapshot(
+        self, slack_s: float | None = None
+    ) -> Snapshot | Failure:
         """Reads all entries, resuming a read that a failure interrupted."""
         now = self._clock.seconds()
         if now - self._pages_begun_at > _PAGES_KEPT_S:
             self._pages, self._pages_begun_at = Pages(_ALL), now
-        self._progress = Progress()
-        return await read_pages(self._kv, self._pages, self._progress)
+        self._progress = Progress(now)
+        return await read_pages(self._kv, self._pages, self._progress, slack_s)
 
     async def _changes(self) -> Changes | Snapshot | Failure:
         self._asked_at = self._clock.seconds()
@@ -191,19 +193,25 @@
             awaited = await self._wait_for_changes()
             if awaited is not None:
                 return awaited
-        if self._has_long_values:
-            return await self._catch_up()
         slack_s = None if self._is_slow else _CATCH_UP_S
-        asked_at = self._clock.seconds()
+        read = self._read_newest if self._has_long_values else self._read_missed
+        found = await read(slack_s)
+        waited_s = self._progress.waited_s(self._clock.seconds())
+        self._is_slow = waited_s >= _CATCH_UP_S
+        return found
+
+    async def _read_missed(
+        self, slack_s: float | None
+    ) -> Changes | Snapshot | Failure:
+        """Reads missed changes, every version of each value."""
         found = await self._ask_changes(0.0, slack_s)
-        self._is_slow = self._clock.seconds() - asked_at >= _CATCH_UP_S
         if isinstance(found, Failure) or found.entries:
             return found
         # While the service discards its history, watches skip changes.
         skipped = found.revision > self.revision
-        return await self._snapshot() if skipped else found
+        return await self._snapshot(slack_s) if skipped else found
 
-    async def _catch_up(self) -> Snapshot | Failure:
+    async def _read_newest(self, slack_s: float | None) -> Snapshot | Failure:
         """Reads missed changes, only the newest version of long values.
 
         The list of changes holds every version of a value. All versions of a
@@ -213,13 +221,15 @@
         """
         for prefix in self._urgent_revisions:
             after = self.revision_of(prefix)
-            self._progress = Progress()
-            found = await self._kv.changes(prefix, after, 0.0, self._progress)
+            self._progress = Progress(self._clock.seconds())
+            found = await self._kv.changes(
+                prefix, after, 0.0, self._progress, slack_s
+            )
             if isinstance(found, Failure):
                 return found
             self._record_contact(found.revision)
             self._apply_urgent(prefix, found)
-        return await self._snapshot()
+        return await self._snapshot(slack_s)
 
     async def _ask_changes(
         self, wait_s: float, slack_s: float | None = None
@@ -234,7 +244,7 @@
                     _LONG_ARRIVAL_S, self._urgent_watch.start, self.revision
                 )
 
-        self._progress = Progress(on_begin=begin)
+        self._progress = Progress(self._clock.seconds(), on_begin=begin)
         try:
             return await self._kv.changes(
                 _ALL, self.revision, wait_s, self._progress, slack_s
--- a/magnolialug/kvpages.py
+++ b/magnolialug/kvpages.py
@@ -42,16 +42,26 @@
 
 
 async def read_pages(
-    kv: Kv, pages: Pages, progress: Progress | None = None
+    kv: Kv,
+    pages: Pages,
+    progress: Progress | None = None,
+    slack_s: float | None = None,
 ) -> Snapshot | Failure:
     """Reads the pages that are left.
 
     After a failure `pages` holds those that have been read, and another call
     goes on behind them: where each page takes long, one that is lost must not
     cost all the others.
+
+    Args:
+      progress: records what arrives of the newest page.
+      slack_s: the longest time until a page begins, None for the longest that
+        is of use.
     """
     while pages.count < _LIMIT:
-        page = await kv.page(pages.prefix, pages.after, pages.stale, progress)
+        page = await kv.page(
+            pages.prefix, pages.after, pages.stale, progress, slack_s
+        )
         if isinstance(page, Failure):
             return page
         pages.add(page)
--- a/magnolialug/platform/kv.py
+++ b/magnolialug/platform/kv.py
@@ -108,6 +108,7 @@
         after: str = "",
         stale: bool = False,
         progress: Progress | None = None,
+        slack_s: float | None = None,
     ) -> Page | Failure:
         """Returns the entries under a prefix that follow a key.
 
@@ -115,6 +116,8 @@
           after: the last key of the page before, empty for the first page.
           stale: as for snapshot.
           progress: records what arrives of the answer.
+          slack_s: the longest time until the answer begins, None for the
+            longest that is of use.
         """
 
     async def newest_revision(self) -> int | Failure:
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -171,6 +171,7 @@
         after: str = "",
         stale: bool = False,
         progress: Progress | None = None,
+        slack_s: float | None = None,
     ) -> Page | Failure:
         """Returns the entries under a prefix that follow a key."""
         query: dict[str, Any] = {"pathPrefix": prefix}
@@ -178,7 +179,13 @@
             query["serializable"] = 1
         if after:
             query["after"] = after
-        reply = await self._call("GET", "kv-range", query, progress=progress)
+        reply = await self._call(
+            "GET",
+            "kv-range",
+            query,
+            timeout_s=self._timeout_s if slack_s is None else slack_s,
+            progress=progress,
+        )
         page = self._typed(reply, _Page, "kv-range")
         if isinstance(page, Failure):
             return page
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -101,6 +101,7 @@
         after: str = "",
         stale: bool = False,
         progress: Progress | None = None,
+        slack_s: float | None = None,
     ) -> Page | Failure:
         """Returns the entries under a prefix that follow a key."""
         rows = await self.scan(prefix)
--- a/tests/entry/test_lost_catch_up.py
+++ b/tests/entry/test_lost_catch_up.py
@@ -24,12 +24,14 @@
 
 _PATH = ("10.9.9.1", 1)
 _RENEWAL_S = 0.5
+_LONG_BYTES = 100_000
 
 
 class ForgetfulStore(KvStore):
-    """Never answers the next call that asks for missed changes."""
+    """Never answers the next call that asks for missed changes, or a page."""
 
     loses_catch_up = False
+    loses_page = False
     resets_catch_up = False
     delay_s = 0.0
 
@@ -45,6 +47,13 @@
             await sleep(self.clock, self.delay_s)
         return await super().changes(prefix, after, wait_s, *args)
 
+    async def page(self, *args):
+        """Returns a page, or nothing ever."""
+        if self.loses_page:
+            self.loses_page = False
+            await Deferred()
+        return await super().page(*args)
+
 
 class LostCatchUpTest(TestCase):
     """Guards against a version in force seconds late at one gateway."""
@@ -57,7 +66,12 @@
         self.calls = KvHttp(Client(self.net), _PATH)
         self.seen = RecordingSubscriber(self.net)
         self.watch_client = WatchClient(
-            self.calls, {"op/": self.seen}, self.net, Random(1), 25.0
+            self.calls,
+            {"op/": self.seen},
+            self.net,
+            Random(1),
+            25.0,
+            urgent=("reg/",),
         )
         self.watch_client.start()
         self.addCleanup(self.watch_client.stop)
@@ -82,6 +96,21 @@
             self.net.advance_by(6)
             self.assertLess(self.seen.at[key] - at, BOUNDS.config_s)
 
+    def test_they_fit_into_the_bound_if_a_value_is_long(self):
+        """Guards against a longer time-out of all calls for one long value."""
+        ensureDeferred(self.kv.put_if("op/long", bytes(_LONG_BYTES), 0))
+        for number in range(16):
+            self.net.advance_by(5 + number * 0.1)
+            key = f"op/{number}"
+            self.kv.loses_page = number % 2 == 0
+            self.kv.loses_catch_up = not self.kv.loses_page
+            self.kv.lose_watches()
+            ensureDeferred(self.kv.put_if(key, b"x", 0))
+            at = self.net.seconds()
+            self.net.advance_by(6)
+            self.assertLess(self.seen.at[key] - at, BOUNDS.config_s)
+            self.assertFalse(self.kv.loses_page or self.kv.loses_catch_up)
+
     def test_a_call_that_is_reset_before_does_not_delay_it(self):
         """Guards against a longer time-out after a call that ended at once."""
         self.kv.resets_catch_up = self.kv.loses_catch_up = True
