Membership: an entry that starts while all registrations have lapsed counts the others

Registrations have a lease and lapse while the key-value service is away or turns gateways away. A gateway that is started then reads no registration but its own, takes itself for the only one, and uses the whole rate of a cold endpoint, all saved-up retries and all connections while the others serve on. Nothing that it could read outlived the leases.

Change: the number of entries is stored without a lease (magnolialug/entry-count). The entry with the lowest address writes it once it has stood for 5 s, so a fleet that starts or restarts in turn writes once. A fresh entry counts at least as many for 30 s, as long as missing registrations count; after that only those it sees. 4222 tells the stored number, 4223 a write that failed. An entry cannot ask its peers instead: it knows no address of one.

Before/after: test_a_gateway_started_while_all_have_lapsed_counts_all had a count of 1 and has 3 or more; test_a_gateway_that_starts_does_not_count_the_dead_for_long failed too.

A fleet that has shrunk has too small shares for the first 30 s of a fresh entry.

--- a/magnolialug/entry/entrymembership.py
+++ b/magnolialug/entry/entrymembership.py
@@ -8,9 +8,10 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from magnolialug.carrier.pool import Address
+from magnolialug.entry.entrycount import EntryCount
 from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
-from magnolialug.policy.registrations import Registrations
+from magnolialug.policy.registrations import SHARE_GRACE_S, Registrations
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
 from magnolialug.watchsubscriber import WatchSubscriber
@@ -47,9 +48,10 @@
 
     Args:
       vm: the name of this machine.
+      count: the number of entries that was last stored.
       on_change: called when the set of entries has changed. Receives the
-        entries that own tasks, with the cores of each, and the entries among
-        which shares are divided.
+        entries that own tasks, with the cores of each, the entries known to
+        share limits, and the number among which limits are divided.
     """
 
     def __init__(
@@ -59,18 +61,21 @@
         row: EntryRegistration,
         clock: IReactorTime,
         random: Random,
-        on_change: Callable[[dict[Address, float], set[Address]], None],
+        count: EntryCount,
+        on_change: Callable[[dict[Address, float], set[Address], int], None],
     ):
         self._kv = kv
         self._key = ENTRIES_PREFIX + vm
         self._row = row
         self._clock = clock
         self._random = random
+        self._count = count
         self._on_change = on_change
         self._registrations: Registrations[EntryRegistration] = Registrations()
         self._last_reported: (
-            tuple[dict[Address, float], set[Address]] | None
+            tuple[dict[Address, float], set[Address], int] | None
         ) = None
+        self._stored_until: float | None = None
         self._task: Deferred | None = None
         self._pause: IDelayedCall | None = None
         self._lease = 0
@@ -98,7 +103,12 @@
             for entry in entries
             if (row := self._read(entry)) is not None
         }
-        self._registrations.replace(rows, self._clock.seconds())
+        now = self._clock.seconds()
+        if self._stored_until is None:
+            # All registrations may have expired before the start, so the stored
+            # number counts for as long as a missing registration does.
+            self._stored_until = now + SHARE_GRACE_S
+        self._registrations.replace(rows, now)
         self._report_members()
 
     def changed(self, entry: KvEntry) -> None:
@@ -127,6 +137,9 @@
         """Drops entries whose registrations have been missing for long."""
         if self._clock.seconds() >= self._recount_at:
             self._report_members()
+        if self._last_reported is not None:
+            members, _, count = self._last_reported
+            self._count.update(count, self._is_first_of(members))
 
     def _report_members(self) -> None:
         """Calls on_change if the entries differ from those last reported."""
@@ -136,16 +149,25 @@
         self._recount_at = self._registrations.next_change_at(now)
         members = self._with_own(self._registrations.members(now))
         sharing = set(self._with_own(self._registrations.sharing(now)))
-        if (members, sharing) == self._last_reported:
+        count = len(sharing)
+        if self._stored_until is not None and now < self._stored_until:
+            count = max(count, self._count.stored)
+            self._recount_at = min(self._recount_at, self._stored_until)
+        if (members, sharing, count) == self._last_reported:
             return
-        self._last_reported = (members, sharing)
+        self._last_reported = (members, sharing, count)
         emit(
             Event.ENTRIES_COUNTED,
-            sharing=len(sharing),
+            sharing=count,
             owners=len(members),
             missing=self._registrations.missing,
+            stored=self._count.stored,
         )
-        self._on_change(members, sharing)
+        self._on_change(members, sharing, count)
+
+    def _is_first_of(self, members: dict[Address, float]) -> bool:
+        """Whether this entry writes the number of entries for all."""
+        return (self._row.host, self._row.port) == min(members)
 
     def _with_own(
         self, rows: dict[str, EntryRegistration]
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -14,6 +14,7 @@
 from magnolialug.entry.costestimator import CostEstimator
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatchbuilder import DispatchBuilder
+from magnolialug.entry.entrycount import COUNT_KEY, EntryCount
 from magnolialug.entry.entrymembership import (
     ENTRIES_PREFIX,
     EntryMembership,
@@ -125,6 +126,7 @@
         )
         self.in_progress = 0
         self._reactor = reactor
+        self._entry_count = EntryCount(kv, reactor)
         self._entries = self._entry_membership(kv, reactor, random)
         own_address = (settings.host, settings.internal_port)
         self.messenger = PeerMessenger(own_address, reactor)
@@ -218,6 +220,7 @@
                 EVACUATION_PREFIX: self._evacuations,
                 # Before the endpoints: all entries share the request rate that
                 # a cold endpoint allows.
+                COUNT_KEY: self._entry_count,
                 ENTRIES_PREFIX: self._entries,
                 REGISTRY_PREFIX: self.registry,
                 QUARANTINE_KEYS: self.quarantine.quarantined,
@@ -320,7 +323,13 @@
             settings.cores,
         )
         return EntryMembership(
-            kv, settings.vm, row, reactor, random, self._apply_entry_count
+            kv,
+            settings.vm,
+            row,
+            reactor,
+            random,
+            self._entry_count,
+            self._apply_entry_count,
         )
 
     def _call_context(self, random: Random) -> CallContext:
@@ -430,12 +439,12 @@
             self._bounds.record_version(model, self._newest_version(model), now)
 
     def _apply_entry_count(
-        self, members: dict[Address, float], sharing: set[Address]
+        self, members: dict[Address, float], sharing: set[Address], count: int
     ) -> None:
         self.owners.entries(members)
         own_address = (self.settings.host, self.settings.internal_port)
         rank = sum(address < own_address for address in sharing)
-        self.directory.set_entry_count(len(sharing), rank)
+        self.directory.set_entry_count(count, rank)
         budget = self._new_budget()
         self._budget.limit = budget.limit
 
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -97,6 +97,7 @@
     REPORT_REFUSED = 4220
     REGISTRATION_FAILED = 4221
     ENTRIES_COUNTED = 4222
+    COUNT_UNWRITTEN = 4223
     LEASE_WON = 4300
     LEASE_LOST = 4301
     LEASE_UNCERTAIN = 4302
@@ -175,6 +176,7 @@
     Event.REPORT_REFUSED: "Another entry's message is malformed.",
     Event.REGISTRATION_FAILED: "This entry could not register itself.",
     Event.ENTRIES_COUNTED: "Other entries than before share the work; why.",
+    Event.COUNT_UNWRITTEN: "The number of entries was not stored; retried.",
     Event.LEASE_WON: "This process gives the orders to engines from now on.",
     Event.LEASE_LOST: "This process gives no more orders.",
     Event.LEASE_UNCERTAIN: "A renewal had no answer; the lease runs on.",
--- a/magnolialug/policy/registrations.py
+++ b/magnolialug/policy/registrations.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["Registrations"]
+__all__ = ["SHARE_GRACE_S", "Registrations"]
 
 # If an entry's registration expired in an outage and the entry is alive, it is
 # registered again within about 2 s of the service's return. For that time it
@@ -15,7 +15,7 @@
 # has expired. It is counted for this much longer: shares that are too small for
 # a while cost little, but shares that add up to more than the whole limit do
 # harm.
-_SHARE_GRACE_S = 30.0
+SHARE_GRACE_S = 30.0
 
 Row = TypeVar("Row")
 
@@ -49,7 +49,7 @@
         ends = (
             missing.since + for_s
             for missing in self._missing.values()
-            for for_s in (_REREGISTRATION_S, _SHARE_GRACE_S)
+            for for_s in (_REREGISTRATION_S, SHARE_GRACE_S)
         )
         return min((end for end in ends if end > now), default=float("inf"))
 
@@ -84,7 +84,7 @@
         self._missing = {
             key: missing
             for key, missing in self._missing.items()
-            if now < missing.since + _SHARE_GRACE_S
+            if now < missing.since + SHARE_GRACE_S
         }
 
     def members(self, now: float) -> dict[str, Row]:
@@ -93,7 +93,7 @@
 
     def sharing(self, now: float) -> dict[str, Row]:
         """Returns the entries that limits are divided among, by their keys."""
-        return {**self._missing_for(_SHARE_GRACE_S, now), **self._rows}
+        return {**self._missing_for(SHARE_GRACE_S, now), **self._rows}
 
     def _missing_for(self, seconds: float, now: float) -> dict[str, Row]:
         return {
--- a/tests/entry/test_lapsed_registrations.py
+++ b/tests/entry/test_lapsed_registrations.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from magnolialug.entry.entrycount import COUNT_KEY
 from tests.gatewaycluster import GatewayCluster, config
 
 VMS = ("front-1", "front-2", "front-3")
@@ -17,6 +18,8 @@
 OUTAGES_S = (10.0, 20.0, 40.0)
 # A dead gateway counts until its lease and the uncertainty period are over.
 _DROPPED_AFTER_S = 50.0
+# The number of gateways has been stored this long after it changed.
+_SETTLED_AFTER_S = 6.0
 
 
 def operator():
@@ -117,6 +120,38 @@
         fleet.cluster.pass_time(0.5)
         self.assertEqual([4], fleet.min_counts(0.1))
 
+    def test_a_gateway_started_while_all_have_lapsed_counts_all(self):
+        """Guards against a new gateway that takes itself for the only one."""
+        fleet = LapsedFleet()
+        fleet.cluster.pass_time(_SETTLED_AFTER_S)
+        self.outage(fleet, 20.0)
+        started = fleet.cluster.start("front-4", 4)
+        least = 4
+        until = fleet.net.seconds() + 3.0
+        while fleet.net.seconds() < until:
+            fleet.cluster.pass_time(0.01)
+            if started.ready():
+                least = min(least, started.directory.entries)
+        self.assertTrue(started.ready())
+        self.assertGreaterEqual(least, 3)
+        self.assertEqual(4, started.directory.entries)
+
+    def test_a_gateway_that_starts_does_not_count_the_dead_for_long(self):
+        """Guards against shares that stay as small as in a larger fleet."""
+        fleet = LapsedFleet()
+        fleet.cluster.pass_time(_SETTLED_AFTER_S)
+        for gateway in fleet.gateways:
+            gateway._entries._task.cancel()
+            gateway._watch_client.stop()
+        fleet.cluster.pass_time(_DROPPED_AFTER_S)
+        fleet.gateways = [fleet.cluster.start("front-4", 4)]
+        fleet.cluster.pass_time(1)
+        self.assertEqual([3], fleet.min_counts(0.1))
+        fleet.cluster.pass_time(_DROPPED_AFTER_S)
+        self.assertEqual([1], fleet.min_counts(0.1))
+        stored = fleet.cluster.kv._rows[COUNT_KEY].value
+        self.assertEqual(b'{"entries":1}', stored)
+
     def test_a_dead_gateway_is_not_counted_any_more(self):
         """Guards against a rate share that shrinks with each dead gateway."""
         fleet = LapsedFleet()
