Soak: probes of removed routes do not count as not served

Cause: the soak's fault. Its probes ask each machine for the newest version's route and for an older one's, which is rightly answered with 404.

Change: a probe knows whether its route had been removed. One that is answered with 404 counts for neither side, so that it does not stand for a served request either; any other answer to it counts as not served, 200 among them, which counted as served before. For all other requests nothing changes, and the share asked stays.

Before/after: ServedTest is new; rows of removed routes had 404 as not served and 200 as served.

The check is as strict on what callers can be served.

--- a/magnolialug/soak/historychecker.py
+++ b/magnolialug/soak/historychecker.py
@@ -14,6 +14,7 @@
 # Refusals with these statuses say that the request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _DENIALS = frozenset({400, 401, 403, 404, 413, 431})
+_NO_ROUTE = 404
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 _RETRY_WINDOW_S = 10.0
 _RETRY_RATIO = 0.2
@@ -72,6 +73,7 @@
       arrivals: when and where it reached endpoints.
       status: of the answer, 0 for none.
       told_not_run: whether the answer says that it has not run.
+      removed: whether its route had been removed before it was sent.
     """
 
     request_id: str
@@ -87,6 +89,17 @@
     arrivals: list[tuple[float, str]] = []
     status: int = 0
     told_not_run: bool = False
+    removed: bool = False
+
+    @property
+    def is_served(self) -> bool:
+        """Whether it has an answer of an endpoint that should give one."""
+        return 200 <= self.status < 300 and not self.removed
+
+    @property
+    def is_rightly_denied(self) -> bool:
+        """Whether the answer says that its route is not there, as is true."""
+        return self.status == _NO_ROUTE and self.removed
 
 
 class HistoryChecker:
--- a/magnolialug/soak/probes.py
+++ b/magnolialug/soak/probes.py
@@ -53,6 +53,7 @@
             machine.name,
             self._soak.now,
             _PATIENCE_S,
+            removed=version < len(self._soak.world.versions),
         )
         self._soak.history.add(row)
         data = request(target, name, deadline_ms=int(_PATIENCE_S * 1000))
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -274,9 +274,9 @@
         rows = [
             row
             for row in self.history.sent.values()
-            if since <= row.at < self.now - 1.0
+            if since <= row.at < self.now - 1.0 and not row.is_rightly_denied
         ]
-        unserved = [row for row in rows if not 200 <= row.status < 300]
+        unserved = [row for row in rows if not row.is_served]
         served = len(rows) - len(unserved)
         if served < _SERVED_SHARE * len(rows) or not rows:
             detail = f"{served} of {len(rows)} served"
--- a/tests/soak/test_historychecker.py
+++ b/tests/soak/test_historychecker.py
@@ -31,6 +31,32 @@
     return b"".join(b"id: %d\ndata: %s\n\n" % row for row in rows)
 
 
+class ServedTest(TestCase):
+    """Guards against requests that recovery counts for the wrong side.
+
+    A removed route is rightly denied, and neither served nor unserved. Nothing
+    else may pass for that.
+    """
+
+    ANSWERS = (
+        # status, whether the route had been removed, served, rightly denied
+        (200, False, True, False),
+        (404, False, False, False),
+        (404, True, False, True),
+        (200, True, False, False),
+        (503, True, False, False),
+        (0, True, False, False),
+        (0, False, False, False),
+    )
+
+    def test_answers(self):
+        for status, removed, served, denied in self.ANSWERS:
+            row = sent(Form.PROBE)
+            row.status, row.removed = status, removed
+            found = (row.is_served, row.is_rightly_denied)
+            self.assertEqual((served, denied), found, (status, removed))
+
+
 class HistoryCheckerTest(TestCase):
     """Four events make a whole stream."""
 
