Queries: a sidecar's heartbeats end a query that it does not answer

Cause: a finding by reading, of the class of the lost call: `wire/queries` counts any byte of the link, so a sidecar that sends heartbeats and answers no query would be asked for ever. It is wrong: a sidecar's heartbeat is its status, and a status ends the query as CONFIG_MISSING.

Before/after: the test passes on the code as it is.

--- a/tests/wire/test_long_messages.py
+++ b/tests/wire/test_long_messages.py
@@ -11,7 +11,7 @@
 from magnolialug.config.current import make_doc
 from magnolialug.result import Code, Failure
 from magnolialug.wire.link import SILENCE_TIMEOUT_S, Link
-from magnolialug.wire.messages import ConfigDoc, ConfigWant
+from magnolialug.wire.messages import ConfigDoc, ConfigWant, Status
 from magnolialug.wire.queries import query_config
 from tests.network import Network
 
@@ -19,6 +19,7 @@
 _BYTES_PER_S = 100_000
 # Takes twice the silence time-out at this rate.
 _TEXT = "x" * int(2 * SILENCE_TIMEOUT_S * _BYTES_PER_S)
+_STATUS = Status(0.0, False, 0, 0, (), 1.0, 1.0, 0, 0, "w1", 1, 1)
 
 
 class LongMessageTest(TestCase):
@@ -37,7 +38,7 @@
 
     def peer(self):
         """Returns the peer's end, which replies with a long text."""
-        link = Link(self.net)
+        link = self.peer_link = Link(self.net)
 
         def answer(message):
             if isinstance(message, ConfigWant):
@@ -80,3 +81,15 @@
         self.net.advance_by(1.5)
         self.assertIsInstance(results[0], Failure)
         self.assertEqual(Code.CONNECTION_SILENT, results[0].code)
+
+    def test_heartbeats_of_a_peer_that_does_not_reply_end_the_query(self):
+        """Guards against a query that other messages keep open for ever."""
+        self.peer_link.on_message = lambda message: None
+        self.peer_link.heartbeat = lambda: _STATUS
+        fut = ensureDeferred(
+            query_config(lambda: succeed(self.link), self.net, timeout_s=2.0)
+        )
+        results = []
+        fut.addCallback(results.append)
+        self.net.advance_by(2.5)
+        self.assertEqual([Code.CONFIG_MISSING], [row.code for row in results])
