Soak: watches and the calls after them are lost while the configuration changes

It silences or cuts whole connections, so a lost call never stood beside others that are answered.

The stand-in never answers the next calls for missed changes, one for each machine, as a new version is written and watches are lost or ended. No machine is excused for it.

Gateways that never give up a call (sabotage) are found.

--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -29,11 +29,15 @@
 _LEAVING_KINDS = ("leave_unannounced",)
 _FIRST_SEED_OF_LIMITS = 10_000
 _LIMIT_KINDS = ("limit_endpoint",)
+_FIRST_SEED_OF_CATCH_UPS = 11_000
+_CATCH_UP_KINDS = ("store_loses_catch_ups",)
 # Requests per second that an endpoint in need accepts.
 _LIMITS_PER_S = (0.0, 0.5, 2.0, 6.0)
 # For this long an endpoint serves on after its entry is removed: longer than a
 # cut and the time until a machine is held to what it could have known since.
 _SERVES_ON_S = 8.0
+# A machine that has lost a watch and a call is up to date again by then.
+_CATCH_UP_S = 3.0
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
@@ -46,6 +50,8 @@
     they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_CATCH_UPS:
+        left_out += _CATCH_UP_KINDS
     if seed < _FIRST_SEED_OF_LIMITS:
         left_out += _LIMIT_KINDS
     if seed < _FIRST_SEED_OF_LEAVING:
@@ -192,6 +198,18 @@
     soak.world.kv.faults.lose_answers += soak.random.randint(1, 4)
 
 
+def store_loses_catch_ups(soak: "Soak") -> None:
+    """Watches are lost while the configuration changes, and the next calls."""
+    if soak.now < soak.catching_up_until:
+        # Calls that are lost again and again are an outage of the service.
+        return
+    soak.catching_up_until = soak.now + _CATCH_UP_S
+    kv = soak.world.kv
+    kv.faults.lose_catch_ups = len(soak.machines)
+    soak.random.choice((kv.lose_watches, kv.end_watches))()
+    soak.world.configure()
+
+
 def store_nonsense(soak: "Soak") -> None:
     """Keys hold what nobody can read, or are gone."""
     key = soak.random.choice(("magnolialug/orders/holder", "servers/i-odd"))
@@ -395,6 +413,7 @@
         store_lapse,
         store_forgets,
         store_loses_answers,
+        store_loses_catch_ups,
         store_nonsense,
         bad_answers,
         crash_endpoint,
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -71,6 +71,7 @@
     Attributes:
       asker: sends single requests.
       poisoned_until: when the newest poison request comes no more.
+      catching_up_until: when machines have read what lost calls asked for.
       random: decides everything that is decided by chance.
 
     Args:
@@ -80,6 +81,7 @@
     def __init__(self, reactor, planned: Plan, done: Callable[[Report], None]):
         self.random = Random(planned.seed)
         self.poisoned_until = 0.0
+        self.catching_up_until = 0.0
         self._reactor = reactor
         self._plan = planned
         self._done = done
--- a/magnolialug/standin/kv.py
+++ b/magnolialug/standin/kv.py
@@ -29,6 +29,8 @@
       refusing: calls are refused and nothing is done.
       unreachable: no connection can be made.
       lose_answers: how many further writes take effect unanswered.
+      lose_catch_ups: how many further calls that ask for changes, and do not
+        wait for any, are never answered.
       deaf_watches: watches stay open and report nothing.
       reads_left: read calls until the ration is used up, None for no ration.
       writes_left: the same for write calls.
@@ -38,6 +40,7 @@
     refusing: bool = False
     unreachable: bool = False
     lose_answers: int = 0
+    lose_catch_ups: int = 0
     deaf_watches: bool = False
     reads_left: int | None = None
     writes_left: int | None = None
@@ -129,6 +132,9 @@
         refusal = self._refusal("watch")
         if refusal:
             return refusal
+        if wait_s == 0 and self.faults.lose_catch_ups > 0:
+            self.faults.lose_catch_ups -= 1
+            await Deferred()
         until = self.clock.seconds() + wait_s
         while True:
             if after < self._forgotten:
--- a/tests/entry/test_lost_catch_up.py
+++ b/tests/entry/test_lost_catch_up.py
@@ -28,21 +28,17 @@
 
 
 class ForgetfulStore(KvStore):
-    """Never answers the next call that asks for missed changes, or a page."""
+    """Never answers the next page, or is slow, or resets a call."""
 
-    loses_catch_up = False
     loses_page = False
     resets_catch_up = False
     delay_s = 0.0
 
     async def changes(self, prefix, after, wait_s, *args):
-        """Returns changes, or a reset, or nothing ever."""
+        """Returns changes, or a reset."""
         if self.resets_catch_up and wait_s == 0:
             self.resets_catch_up = False
             return failed(Code.KV_TIMEOUT)
-        if self.loses_catch_up and wait_s == 0:
-            self.loses_catch_up = False
-            await Deferred()
         if self.delay_s:
             await sleep(self.clock, self.delay_s)
         return await super().changes(prefix, after, wait_s, *args)
@@ -79,7 +75,7 @@
 
     def change_in_an_outage(self):
         """Changes a key while watches end; returns when."""
-        self.kv.loses_catch_up = True
+        self.kv.faults.lose_catch_ups = 1
         ensureDeferred(self.kv.put_if("op/config", b"x", 0))
         self.kv.end_watches()
         return self.net.seconds()
@@ -89,7 +85,7 @@
         for number in range(8):
             self.net.advance_by(5 + number * 0.1)
             key = f"op/{number}"
-            self.kv.loses_catch_up = True
+            self.kv.faults.lose_catch_ups = 1
             self.kv.lose_watches()
             ensureDeferred(self.kv.put_if(key, b"x", 0))
             at = self.net.seconds()
@@ -103,17 +99,19 @@
             self.net.advance_by(5 + number * 0.1)
             key = f"op/{number}"
             self.kv.loses_page = number % 2 == 0
-            self.kv.loses_catch_up = not self.kv.loses_page
+            self.kv.faults.lose_catch_ups = int(not self.kv.loses_page)
             self.kv.lose_watches()
             ensureDeferred(self.kv.put_if(key, b"x", 0))
             at = self.net.seconds()
             self.net.advance_by(6)
             self.assertLess(self.seen.at[key] - at, BOUNDS.config_s)
-            self.assertFalse(self.kv.loses_page or self.kv.loses_catch_up)
+            self.assertFalse(self.kv.loses_page)
+            self.assertEqual(0, self.kv.faults.lose_catch_ups)
 
     def test_a_call_that_is_reset_before_does_not_delay_it(self):
         """Guards against a longer time-out after a call that ended at once."""
-        self.kv.resets_catch_up = self.kv.loses_catch_up = True
+        self.kv.resets_catch_up = True
+        self.kv.faults.lose_catch_ups = 1
         self.kv.lose_watches()
         ensureDeferred(self.kv.put_if("op/config", b"x", 0))
         at = self.net.seconds()
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -11,6 +11,7 @@
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.sendlimit import SendLimit
 from magnolialug.quarantine.wiring import Quarantine
+from magnolialug.silencetimer import SilenceTimer
 
 
 def repeat():
@@ -68,6 +69,11 @@
     SendLimit.may_send = SendLimit.may_ask = lambda *_: True
 
 
+def wait():
+    """Waits for ever for an answer that is lost."""
+    SilenceTimer.check = lambda _: None
+
+
 if __name__ == "__main__":
     {
         "overrun": overrun,
@@ -78,5 +84,6 @@
         "stay": stay,
         "rush": rush,
         "cling": cling,
+        "wait": wait,
     }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -120,7 +120,8 @@
 
     def test_recorded_seeds_keep_their_kinds(self):
         self.assertNotIn("restart_endpoint", kinds_of(104))
-        limits = {"limit_endpoint"}
+        catch_ups = {"store_loses_catch_ups"}
+        limits = {"limit_endpoint", *catch_ups}
         leaving = {"leave_unannounced", *limits}
         newest = {"evacuate_zone", *leaving}
         self.assertEqual(set(FAULTS) - newest, set(kinds_of(1000)))
@@ -129,7 +130,9 @@
         self.assertEqual(set(FAULTS) - leaving, set(kinds_of(3999)))
         self.assertEqual(set(FAULTS) - limits, set(kinds_of(4000)))
         self.assertEqual(set(FAULTS) - limits, set(kinds_of(9999)))
-        self.assertEqual(set(FAULTS), set(kinds_of(10_000)))
+        self.assertEqual(set(FAULTS) - catch_ups, set(kinds_of(10_000)))
+        self.assertEqual(set(FAULTS) - catch_ups, set(kinds_of(10_999)))
+        self.assertEqual(set(FAULTS), set(kinds_of(11_000)))
 
     def test_some_kinds_only(self):
         rows = plan(Random(1), 60, ("crowd",))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -128,3 +128,18 @@
 
     def test_a_limit_that_is_not_kept_is_found(self):
         self.assertIn("LIMIT", self.sabotaged("overrun", "limit_endpoint"))
+
+    def test_lost_calls_for_changes_delay_no_configuration(self):
+        """Guards against a lost call that other calls keep open."""
+        code, report = self.soak(
+            "--seed=11001",
+            "--minutes=0.3",
+            "--only=store_loses_catch_ups,cut_callers",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["store_loses_catch_ups"], 1)
+
+    def test_a_lost_call_that_is_waited_for_is_found(self):
+        found = self.sabotaged("wait", "store_loses_catch_ups")
+        self.assertIn("CONFIG", found)
