Membership: a count that keeps changing is stored too

The number of entries was stored once it had stood for 5 s, and each change began that time anew, so a fleet that gains or loses an entry every few seconds never stored it. A fresh entry would then count too few after a lapse.

Change: it is stored after 15 s of differing in any case.

Before/after: test_a_number_that_keeps_changing_is_written stored nothing in 33 s of a change each 3 s; it has the number, in 3 writes at most.

--- a/magnolialug/entry/entrycount.py
+++ b/magnolialug/entry/entrycount.py
@@ -18,6 +18,8 @@
 # A number is written after it has not changed for this long, so that a fleet
 # that starts writes once. A failed write is repeated after this time.
 _SETTLE_S = 5.0
+# A number that keeps changing is written after this time.
+_MAX_DELAY_S = 15.0
 
 
 class EntryCountValue(msgspec.Struct, frozen=True):
@@ -43,7 +45,7 @@
         self._clock = clock
         self._revision = 0
         self._entries = 0
-        self._since = clock.seconds()
+        self._since = self._differs_since = clock.seconds()
         self._is_writing = False
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
@@ -60,7 +62,7 @@
         self.stored = 0 if entry.value is None else _read(entry)
 
     def update(self, entries: int, is_writer: bool) -> None:
-        """Writes the number if it differs from the stored one for long enough.
+        """Writes the number if it has differed from the stored one for long.
 
         Args:
           entries: the number of entries that share limits now.
@@ -69,9 +71,14 @@
         now = self._clock.seconds()
         if entries != self._entries:
             self._entries, self._since = entries, now
-        is_settled = now - self._since >= _SETTLE_S
-        if is_writer and is_settled and entries != self.stored:
-            self._since = now
+        if entries == self.stored:
+            self._differs_since = now
+        is_due = (
+            now - self._since >= _SETTLE_S
+            or now - self._differs_since >= _MAX_DELAY_S
+        )
+        if is_writer and is_due and entries != self.stored:
+            self._since = self._differs_since = now
             if not self._is_writing:
                 ensureDeferred(self._write(entries))
 
--- a/tests/entry/test_entry_count.py
+++ b/tests/entry/test_entry_count.py
@@ -50,6 +50,13 @@
         self.assertEqual([7, 7], self.stored())
         self.assertEqual(1, self.kv.calls["write"])
 
+    def test_a_number_that_keeps_changing_is_written(self):
+        """Guards against a write that each further change puts off."""
+        for entries in range(1, 12):
+            self.pass_time(3, entries)
+        self.assertGreaterEqual(min(self.stored()), 5)
+        self.assertLessEqual(self.kv.calls["write"], 3)
+
     def test_two_writers_do_not_overwrite_each_other_for_ever(self):
         self.pass_time(30, 7, writers=(0, 1))
         self.assertEqual([7, 7], self.stored())
