Logs: how an answer was framed, and whether it ended inside an event

Cause: listing summaries that engines broke off were logged like whole ones; no line told what had told the gateway that they ended, so an end by the connection's close and a complete framing could not be told apart.

Change: 2003 and 2008 name the framing (length, chunks, close), 2008 also whether a stream ended inside an event. The parser keeps the framing in place of a flag. The stand-in's streams can have any framing and break off by a reset, a close or framed as whole.

Before/after: the test of the lines failed with KeyError 'framing' before.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -8,7 +8,12 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure as TwistedFailure
 
-from magnolialug.carrier.reader import BadResponseError, Head, ResponseReader
+from magnolialug.carrier.reader import (
+    BadResponseError,
+    Framing,
+    Head,
+    ResponseReader,
+)
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
 
 __all__ = [
@@ -66,7 +71,7 @@
     Returns 0 if the connection must not be reused.
     """
     connection = (head.get(b"connection") or b"").lower()
-    if b"close" in connection or not head.is_framed:
+    if b"close" in connection or head.framing is Framing.CLOSE:
         return 0.0
     for part in (head.get(b"keep-alive") or b"").split(b","):
         name, _, value = part.strip().partition(b"=")
--- a/magnolialug/carrier/reader.py
+++ b/magnolialug/carrier/reader.py
@@ -1,28 +1,42 @@
 """Strict parser of the HTTP responses on one connection."""
 
+import enum
 from collections.abc import Callable
 
 import httptools
 import msgspec
 
-__all__ = ["Head", "ResponseReader", "BadResponseError"]
+__all__ = ["BadResponseError", "Framing", "Head", "ResponseReader"]
 
 _NO_BODY = frozenset((204, 304))
 
 
+class Framing(enum.Enum):
+    """What tells the end of a response's body.
+
+    NO_BODY: the status allows no body.
+    LENGTH: its Content-Length.
+    CHUNKS: its last chunk.
+    CLOSE: the close of the connection.
+    """
+
+    NO_BODY = "none"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 class Head(msgspec.Struct):
     """A response's status line and headers.
 
     Attributes:
       headers: names in lower case, values as sent, in order.
-      is_framed: whether the body's end is known from the headers or the
-        status. If not, the body ends when the connection closes.
     """
 
     status: int
     reason: bytes
     headers: list[tuple[bytes, bytes]]
-    is_framed: bool = False
+    framing: Framing = Framing.CLOSE
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if it is absent."""
@@ -90,7 +104,7 @@
         byte.
         """
         head = self._head
-        if head is None or head.is_framed:
+        if head is None or head.framing is not Framing.CLOSE:
             return False
         self._head = None
         self._on_end()
@@ -116,11 +130,8 @@
         self._interim = 100 <= status < 200
         if self._interim:
             return
-        is_framed = status in _NO_BODY or any(
-            name in (b"content-length", b"transfer-encoding")
-            for name, _ in self._headers
-        )
-        self._head = Head(status, self._reason, self._headers, is_framed)
+        framing = _framing(status, {name for name, _ in self._headers})
+        self._head = Head(status, self._reason, self._headers, framing)
         self._on_head(self._head)
 
     def on_body(self, data: bytes) -> None:
@@ -134,3 +145,11 @@
             return
         self._head = None
         self._on_end()
+
+
+def _framing(status: int, names: set[bytes]) -> Framing:
+    if status in _NO_BODY:
+        return Framing.NO_BODY
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -168,6 +168,7 @@
             first_s=round(served.ttft_s, 3),
             in_time=served.ttft_s <= self._call.route.target_s,
             took_s=round(took_s, 3),
+            framing=served.framing.value if served.framing else "",
         )
 
     def _count_failed(self, failure: Failure) -> None:
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -9,11 +9,12 @@
 from twisted.internet.defer import Deferred
 
 from magnolialug.carrier.pool import PendingRequest
-from magnolialug.carrier.reader import Head
+from magnolialug.carrier.reader import Framing, Head
 from magnolialug.carrier.responsereceiver import End
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
+from magnolialug.entry.eventboundary import EventBoundary
 from magnolialug.entry.eventsplitter import EventSplitter
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
 from magnolialug.entry.peer import Peer
@@ -88,6 +89,8 @@
       sent_at: when the request was sent.
       begun: whether part of the body arrived.
       withheld: the body of a failure that was not forwarded.
+      framing: what tells the end of the answer, None if none arrived.
+      in_event: whether the answer is a stream that ended inside an event.
     """
 
     ended: Ended | None
@@ -97,6 +100,8 @@
     sent_at: float = 0.0
     begun: bool = False
     withheld: bytes = b""
+    framing: Framing | None = None
+    in_event: bool = False
 
 
 class HttpAttempt:
@@ -140,6 +145,8 @@
         self._clock = lambda: now
         self._stage = _Stage.WAITING
         self._answer: Answer | None = None
+        self._framing: Framing | None = None
+        self._boundary: EventBoundary | None = None
         self._buffer: list[bytes] = []
         self._first_event_s = 0.0
         self._splitter: EventSplitter | None = None
@@ -197,7 +204,10 @@
         self.answered = True
         answer = self._answer = read_answer(head)
         self._record_limit(answer)
+        self._framing = head.framing
         stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+        if stream:
+            self._boundary = EventBoundary()
         if answer.not_run:
             self._stage = _Stage.REFUSED
         elif self._is_withheld(answer):
@@ -256,6 +266,8 @@
         """Handles a piece of the endpoint's body."""
         self._record_contact()
         self.begun = True
+        if self._boundary is not None:
+            self._boundary.feed(data)
         if self._stage is _Stage.FORWARDING:
             self._deliver(data)
         elif self._stage is _Stage.BUFFERING:
@@ -322,6 +334,10 @@
         outcome.begun = self.begun
         outcome.answer = self._answer
         outcome.first_event_s = self._first_event_s
+        outcome.framing = self._framing
+        outcome.in_event = (
+            self._boundary is not None and self._boundary.is_inside_event
+        )
         done.callback(outcome)
 
     def _outcome(self, end: End) -> Outcome:
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -90,7 +90,7 @@
         self._record_outcome(peer, dispatch, outcome)
         self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
-            return self._served(progress)
+            return self._served(progress, outcome)
         if outcome.ended.ending in (Ending.UNSENT, Ending.NOT_RUN):
             self._placer.record_not_run(self._call, dispatch)
         self._avoid.add(dispatch.endpoint)
@@ -245,6 +245,8 @@
             instance=answer.instance if answer else "",
             weights=answer.weights if answer else 0,
             first_s=round(outcome.first_event_s, 4),
+            framing=outcome.framing.value if outcome.framing else "",
+            in_event=outcome.in_event,
             **explain(outcome.ended.failure),
         )
 
@@ -278,10 +280,11 @@
             self._active_attempts.discard(attempt)
             self._placer.record_ended(self._call, peer)
 
-    def _served(self, progress: Progress) -> Served:
+    def _served(self, progress: Progress, outcome: Outcome) -> Served:
         self._sink.complete()
         first_at = progress.first_at or self._clock()
-        return Served(None, progress.seq, first_at - self._call.arrived)
+        ttft_s = first_at - self._call.arrived
+        return Served(None, progress.seq, ttft_s, outcome.framing)
 
     def _record_outcome(
         self, peer: Peer, dispatch: Dispatch, outcome: Outcome
--- a/magnolialug/entry/progress.py
+++ b/magnolialug/entry/progress.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from magnolialug.carrier.reader import Framing
 from magnolialug.policy.retry import Ending
 from magnolialug.result import Failure
 from magnolialug.wire.messages import Done
@@ -35,8 +36,11 @@
 
     Attributes:
       done: the sidecar's final message, None if the answer has none.
+      framing: what told the end of an endpoint's answer; None for an answer
+        of a sidecar.
     """
 
     done: Done | None
     pieces: int
     ttft_s: float
+    framing: Framing | None = None
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -1,12 +1,23 @@
 """A model engine on the platform's wire: streams, versions, orders, cache."""
 
+import enum
+
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.carrier.reader import Framing
 from magnolialug.standin.endpoint import EndpointStandin, Fault, Received
 from magnolialug.standin.partstore import PartStoreStandin
 
-__all__ = ["ModelServerStandin"]
+__all__ = ["BreakOff", "ModelServerStandin"]
+
+
+class BreakOff(enum.Enum):
+    """How a stream that breaks off ends."""
+
+    RESET = "by a reset"
+    CLOSE = "by an orderly close"
+    FRAMED = "framed as if it were whole"
 
 
 class _Run(msgspec.Struct):
@@ -31,6 +42,9 @@
       save_s: how long it takes to save a part.
       stores: the stores it can reach, by address.
       stop_after: events after which the next runs break off, one each.
+      in_event: whether they break off inside the next event.
+      break_off: how they end.
+      framing: how streams tell their end.
     """
 
     def __init__(
@@ -53,7 +67,9 @@
         self.orders: list[dict] = []
         self.late_orders: list[float] = []
         self.stop_after: list[int] = []
-        self.torn = False
+        self.in_event = False
+        self.break_off = BreakOff.RESET
+        self.framing = Framing.CHUNKS
         self.save_s = 0.1
         self.stores: dict[str, PartStoreStandin] = {}
 
@@ -127,12 +143,25 @@
             f"X-Response-Stamp: stamp.{self.instance}",
             f"X-Weight-Versions: {self.version}",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+            *self._framing_lines(run),
             *(f"{name}: {value}" for name, value in self.own_headers()),
         )
         run.conn.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         self._event(run)
 
+    def _framing_lines(self, run: _Run) -> list[str]:
+        if self.framing is Framing.CHUNKS:
+            return ["Transfer-Encoding: chunked"]
+        if self.framing is Framing.CLOSE:
+            return []
+        numbers = range(run.next_event, self.events + 1)
+        if self.stop_after and self.break_off is BreakOff.FRAMED:
+            numbers = range(run.next_event, self.stop_after[0] + 1)
+        length = sum(len(self._event_bytes(run, n)) for n in numbers)
+        if self.stop_after and self.break_off is BreakOff.FRAMED:
+            length += len(self._partial_event(run, self.stop_after[0] + 1))
+        return [f"Content-Length: {length}"]
+
     def _event(self, run: _Run) -> None:
         if run.conn.current is not run.req:
             return
@@ -141,24 +170,41 @@
             self._break_off(run)
             return
         if run.next_event > self.events:
-            run.conn.transport.write(b"0\r\n\r\n")
-            run.conn.current = None
+            self._finish(run)
             return
-        number = run.next_event
-        self._chunk(
-            run, b"id: %d\ndata: %s\n\n" % (number, self.text(run.req, number))
-        )
+        self._write(run, self._event_bytes(run, run.next_event))
         run.next_event += 1
         self.clock.callLater(self.gap_s, self._event, run)
 
-    def _chunk(self, run: _Run, data: bytes) -> None:
-        run.conn.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+    def _event_bytes(self, run: _Run, number: int) -> bytes:
+        return b"id: %d\ndata: %s\n\n" % (number, self.text(run.req, number))
+
+    def _partial_event(self, run: _Run, number: int) -> bytes:
+        return b"id: %d\ndata: wo" % number if self.in_event else b""
+
+    def _write(self, run: _Run, data: bytes) -> None:
+        if self.framing is Framing.CHUNKS:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        run.conn.transport.write(data)
+
+    def _finish(self, run: _Run) -> None:
+        """Ends a stream as complete."""
+        run.conn.current = None
+        if self.framing is Framing.CHUNKS:
+            run.conn.transport.write(b"0\r\n\r\n")
+        elif self.framing is Framing.CLOSE:
+            run.conn.transport.loseConnection()
 
     def _break_off(self, run: _Run) -> None:
-        if self.torn:
-            self._chunk(run, b"id: %d\ndata: wo" % run.next_event)
+        if self.in_event:
+            self._write(run, self._partial_event(run, run.next_event))
         run.conn.current = None
-        self.clock.callLater(0.001, run.conn.transport.abortConnection)
+        if self.break_off is BreakOff.FRAMED:
+            self._finish(run)
+        elif self.break_off is BreakOff.CLOSE:
+            run.conn.transport.loseConnection()
+        else:
+            self.clock.callLater(0.001, run.conn.transport.abortConnection)
 
     def _report(self) -> dict:
         return {
--- a/tests/entry/test_failure_lines.py
+++ b/tests/entry/test_failure_lines.py
@@ -3,6 +3,7 @@
 import msgspec
 from testtools import TestCase
 
+from magnolialug.carrier.reader import Framing
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster
 from tests.loglines import collect_lines
@@ -29,3 +30,32 @@
         one, again, other = [row["digest"] for row in answered]
         self.assertEqual(one, again)
         self.assertNotEqual(one, other)
+
+
+class FramingLineTest(TestCase):
+    """The log tells what told the end of an answer."""
+
+    def test_lines_tell_the_framing_of_an_answer(self):
+        """Guards against broken-off answers whose lines look like whole ones.
+
+        A stream without a length that ends inside an event was logged like any
+        other, so it could not be told why it was taken for whole.
+        """
+        lines = collect_lines(self)
+        for framing in (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE):
+            cluster = GatewayCluster(desks=0, engines=1)
+            (engine,) = cluster.engines.values()
+            engine.framing = framing
+            cluster.ask("/draft/x")
+            engine.stop_after = [2]
+            engine.in_event = True
+            cluster.ask("/draft/x")
+            rows = [msgspec.json.decode(str(line)) for line in lines]
+            lines.clear()
+            whole = [r for r in rows if r.get("name") == "REQUEST_DONE"]
+            cut = [r for r in rows if r.get("name") == "ANSWERED"]
+            self.assertEqual([framing.value], [r["framing"] for r in whole])
+            self.assertEqual(
+                [(framing.value, True)],
+                [(r["framing"], r["in_event"]) for r in cut],
+            )
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -186,7 +186,7 @@
             for after in range(5):
                 cluster = GatewayCluster(engines=2)
                 for engine in cluster.engines.values():
-                    engine.torn = torn
+                    engine.in_event = torn
                     engine.stop_after = []
                 first = self._first_engine(cluster)
                 first.stop_after = [after]
