--- /dev/null
+++ b/tests/entry/test_broken_off_answers.py
@@ -0,0 +1,64 @@
+"""Tests of answers that end early and must not look complete."""
+
+from testtools import TestCase
+
+from magnolialug.carrier.reader import Framing
+from magnolialug.standin.modelserver import BreakOff
+from tests.gatewaycluster import GatewayCluster
+
+STREAM_FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE)
+
+
+def cluster_with_broken_engines(framing, break_off, stops, in_event=True):
+    """Returns two engines whose next runs break off after two events.
+
+    Args:
+      stops: the number of runs of each engine that break off.
+    """
+    cluster = GatewayCluster(desks=0, engines=2)
+    for engine in cluster.engines.values():
+        engine.framing = framing
+        engine.break_off = break_off
+        engine.in_event = in_event
+        engine.stop_after = [2] * stops
+    return cluster
+
+
+class BrokenOffStreamTest(TestCase):
+    """Streams that end inside an event, for each framing and each end."""
+
+    def cases(self):
+        """Yields every framing with every way of breaking off."""
+        for framing in STREAM_FRAMINGS:
+            for break_off in BreakOff:
+                yield framing, break_off
+
+    def test_stream_ending_inside_an_event_is_not_passed_on_as_whole(self):
+        """Guards against a broken-off stream that is framed as complete."""
+        for case in self.cases():
+            cluster = cluster_with_broken_engines(*case, stops=1)
+            caller = cluster.ask("/draft/x")
+            self.assertEqual(200, caller.last.status, case)
+            self.assertIn(b"id: 2\n", caller.last.body, case)
+            self.assertFalse(caller.last.whole, case)
+            self.assertTrue(caller.closed, case)
+            self.assertEqual(1, cluster.ran(caller.request_id), case)
+
+    def test_stream_that_no_engine_completes_is_not_passed_on_as_whole(self):
+        """Guards against a resumed stream that is framed as complete."""
+        for case in self.cases():
+            cluster = cluster_with_broken_engines(*case, stops=5)
+            caller = cluster.ask("/check/x", seconds=2)
+            self.assertFalse(caller.last.whole, case)
+            self.assertTrue(caller.closed, case)
+
+    def test_whole_streams_stay_whole_with_any_framing(self):
+        """Guards against whole streams that are taken for broken ones."""
+        for framing in STREAM_FRAMINGS:
+            for path in ("/draft/x", "/check/x"):
+                cluster = cluster_with_broken_engines(framing, None, stops=0)
+                caller = cluster.ask(path)
+                self.assertTrue(caller.last.whole, (framing, path))
+                self.assertTrue(
+                    caller.last.body.endswith(b"id: 4\ndata: word4\n\n")
+                )
