Streams: the first engine's length does not frame what several engines sent

Cause: an engine may announce its stream's length. The gateway passed the header on, also where another engine goes on with the stream: with longer events the caller reads the last bytes as the beginning of another answer, with shorter ones it waits. And half an event that fills the announced length leaves as complete. Found while looking for other ends that are taken for whole answers.

Change: streams leave without the engine's length, in chunks, so their end is what the gateway says. Other bodies keep theirs: the parser holds the endpoint to it.

Before/after: test_resumed_stream_does_not_keep_the_first_length got a broken second answer on one connection; it has the four events and the next answer now.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -260,7 +260,16 @@
             self._splitter = EventSplitter(self._progress.seq)
         if not self._sink.opened:
             answer = self._answer
-            self._sink.head(answer.status, answer.reason, answer.passed)
+            headers = answer.passed
+            if stream:
+                # An announced length does not hold if another engine goes on
+                # with the stream, and would frame a partial event as complete.
+                headers = [
+                    (name, value)
+                    for name, value in headers
+                    if name != b"content-length"
+                ]
+            self._sink.head(answer.status, answer.reason, headers)
 
     def on_data(self, data: bytes) -> None:
         """Handles a piece of the endpoint's body."""
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from magnolialug.carrier.reader import Framing
 from magnolialug.standin.endpoint import Fault
 from tests.gatewaycluster import GatewayCluster
 
@@ -202,6 +203,26 @@
                     caller.last.headers["x-response-stamp"],
                 )
 
+    def test_resumed_stream_does_not_keep_the_first_length(self):
+        """Guards against bytes of a stream that are read as the next answer.
+
+        The first engine announces a length and breaks off; the second one's
+        events are longer. The caller read its last bytes as another answer.
+        """
+        cluster = GatewayCluster(engines=2)
+        first = self._first_engine(cluster)
+        for engine in cluster.engines.values():
+            engine.framing = Framing.LENGTH
+            engine.text = lambda req, number: b"longer by some bytes"
+        first.text = lambda req, number: b"short"
+        first.stop_after = [2]
+        caller = cluster.ask("/check/x", seconds=2)
+        self.assertEqual([1, 2, 3, 4], self.event_ids(caller))
+        self.assertTrue(caller.last.whole)
+        self.assertFalse(caller.broken)
+        following = cluster.ask("/read/x", caller=caller)
+        self.assertEqual(b"served", following.last.body)
+
     def test_resumable_stream_leaves_a_silent_engine(self):
         """Guards against a stream that stays at an engine that lost power.
 
