Streams: what ends inside an event has been broken off, whatever told its end

Cause: callers got listing summaries that engines had broken off, framed as complete. Such a stream had neither length nor chunks and ended with an orderly close inside an event. The gateway looked for a partial event only where it splits a stream into events, which it does on routes that may be resumed; this route may not. On others the close was taken for the end of the answer, a last chunk was sent to the caller, the request counted as served and as proof that it ends no engine. Ruled out: an end that the gateway itself made look whole (it logged 2003), a reset (those were cut).

Change: every stream of events is followed to its last blank line, and an end inside an event counts as a lost connection: for the caller, the endpoint's health, the quarantine and the log alike. It holds for every framing and for successes of streaming routes whose type is missing or in other letters.

--- a/magnolialug/entry/eventsplitter.py
+++ b/magnolialug/entry/eventsplitter.py
@@ -46,8 +46,8 @@
 
     @property
     def has_partial_event(self) -> bool:
-        """Whether the buffer holds part of an event."""
-        return bool(self._buffer)
+        """Whether the buffer holds part of an event, not only line ends."""
+        return bool(self._buffer.strip(b"\r\n"))
 
     def _is_new(self, event: bytes) -> bool:
         number = _id_of(event)
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -205,7 +205,7 @@
         answer = self._answer = read_answer(head)
         self._record_limit(answer)
         self._framing = head.framing
-        stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+        stream = self._is_stream(head)
         if stream:
             self._boundary = EventBoundary()
         if answer.not_run:
@@ -220,6 +220,17 @@
         else:
             self._stage = _Stage.BUFFERING
 
+    def _is_stream(self, head: Head) -> bool:
+        """Whether the body is a stream of events.
+
+        A success of a streaming route is one also without a content type.
+        """
+        content_type = head.get(b"content-type")
+        if content_type is None:
+            streaming = self._call.route.form is RouteType.STREAMING
+            return streaming and head.status in _GOOD
+        return content_type.lower().startswith(_EVENT_STREAM)
+
     def _record_limit(self, answer: Answer) -> None:
         """Records the limit that the endpoint names, or that it names none.
 
@@ -331,6 +342,10 @@
         """Handles the end of the exchange."""
         if end is End.DROPPED and self._drop_end is not End.COMPLETE:
             end = self._drop_end
+        if end is End.COMPLETE and self._is_inside_event:
+            # Whatever told its end, a stream that ends inside an event has
+            # been broken off.
+            end = End.CLOSED
         self._sink.set_source(None)
         done, self.done = self.done, None
         if done is None:
@@ -344,9 +359,7 @@
         outcome.answer = self._answer
         outcome.first_event_s = self._first_event_s
         outcome.framing = self._framing
-        outcome.in_event = (
-            self._boundary is not None and self._boundary.is_inside_event
-        )
+        outcome.in_event = self._is_inside_event
         done.callback(outcome)
 
     def _outcome(self, end: End) -> Outcome:
@@ -362,10 +375,14 @@
             failure = failed(Code.ENDPOINT_FAILED, reason)
             withheld = b"".join(self._buffer)
             return Outcome(Ended(Ending.FAILED, failure), withheld=withheld)
-        if self._splitter is not None and self._splitter.has_partial_event:
-            return Outcome(Ended(Ending.LOST, self._lost(End.CLOSED)))
         return Outcome(None)
 
+    @property
+    def _is_inside_event(self) -> bool:
+        if self._splitter is not None:
+            return self._splitter.has_partial_event
+        return self._boundary is not None and self._boundary.is_inside_event
+
     def _lost_ending(self) -> Ending:
         passing = self._stage is _Stage.FORWARDING and self._splitter is None
         return Ending.CUT if passing else Ending.LOST
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -1,6 +1,7 @@
 """A model engine on the platform's wire: streams, versions, orders, cache."""
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -45,6 +46,8 @@
       in_event: whether they break off inside the next event.
       break_off: how they end.
       framing: how streams tell their end.
+      content_type: of streams, "" for none.
+      on_break_off: is called when a run breaks off.
     """
 
     def __init__(
@@ -70,6 +73,8 @@
         self.in_event = False
         self.break_off = BreakOff.RESET
         self.framing = Framing.CHUNKS
+        self.content_type = "text/event-stream"
+        self.on_break_off: Callable[[], None] = lambda: None
         self.save_s = 0.1
         self.stores: dict[str, PartStoreStandin] = {}
 
@@ -142,25 +147,30 @@
             f"X-Request-Id: {run.req.request_id}",
             f"X-Response-Stamp: stamp.{self.instance}",
             f"X-Weight-Versions: {self.version}",
-            "Content-Type: text/event-stream",
-            *self._framing_lines(run),
+            *self._body_lines(run),
             *(f"{name}: {value}" for name, value in self.own_headers()),
         )
         run.conn.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         self._event(run)
 
-    def _framing_lines(self, run: _Run) -> list[str]:
+    def _body_lines(self, run: _Run) -> list[str]:
+        lines = []
+        if self.content_type:
+            lines.append(f"Content-Type: {self.content_type}")
         if self.framing is Framing.CHUNKS:
-            return ["Transfer-Encoding: chunked"]
-        if self.framing is Framing.CLOSE:
-            return []
+            lines.append("Transfer-Encoding: chunked")
+        if self.framing is Framing.LENGTH:
+            lines.append(f"Content-Length: {self._length(run)}")
+        return lines
+
+    def _length(self, run: _Run) -> int:
         numbers = range(run.next_event, self.events + 1)
         if self.stop_after and self.break_off is BreakOff.FRAMED:
             numbers = range(run.next_event, self.stop_after[0] + 1)
         length = sum(len(self._event_bytes(run, n)) for n in numbers)
         if self.stop_after and self.break_off is BreakOff.FRAMED:
             length += len(self._partial_event(run, self.stop_after[0] + 1))
-        return [f"Content-Length: {length}"]
+        return length
 
     def _event(self, run: _Run) -> None:
         if run.conn.current is not run.req:
@@ -205,6 +215,7 @@
             run.conn.transport.loseConnection()
         else:
             self.clock.callLater(0.001, run.conn.transport.abortConnection)
+        self.on_break_off()
 
     def _report(self) -> dict:
         return {
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -1,5 +1,7 @@
 """Tests of answers that end early and must not look complete."""
 
+from functools import partial
+
 from testtools import TestCase
 
 from magnolialug.carrier.reader import Framing
@@ -62,3 +64,52 @@
                 self.assertTrue(
                     caller.last.body.endswith(b"id: 4\ndata: word4\n\n")
                 )
+
+    def test_stream_without_a_content_type_is_checked_too(self):
+        """Guards against a check that a missing or mixed-case type avoids."""
+        for content_type in ("", "Text/Event-Stream; charset=utf-8"):
+            cluster = cluster_with_broken_engines(
+                Framing.CLOSE, BreakOff.CLOSE, stops=1
+            )
+            for engine in cluster.engines.values():
+                engine.content_type = content_type
+            caller = cluster.ask("/draft/x")
+            self.assertFalse(caller.last.whole, content_type)
+            engine.stop_after = []
+            self.assertTrue(cluster.ask("/draft/x").last.whole, content_type)
+
+    def test_engine_that_breaks_streams_off_loses_its_health(self):
+        """Guards against broken-off streams that count as good answers."""
+        cluster = cluster_with_broken_engines(
+            Framing.CLOSE, BreakOff.CLOSE, stops=1
+        )
+        cluster.ask("/draft/x")
+        peers = cluster.gateway.directory.peers.values()
+        failed = [p.listed.endpoint for p in peers if p.health.streak]
+        ran = [e.instance for e in cluster.engines.values() if e.seen]
+        self.assertEqual(ran, failed)
+
+    def test_request_that_ends_engines_inside_an_event_is_quarantined(self):
+        """Guards against a poison request whose crashes look like ends.
+
+        Each engine that runs it closes all connections in order, inside an
+        event of a stream without a length. Such ends counted as answers, and
+        so ruled the request out as a cause of crashes.
+        """
+        cluster = GatewayCluster(desks=0, engines=8)
+
+        def crash(engine):
+            cluster.net.servers.pop(engine.address, None)
+            for conn in list(engine.open):
+                conn.transport.loseConnection()
+
+        for engine in cluster.engines.values():
+            engine.framing = Framing.CLOSE
+            engine.break_off = BreakOff.CLOSE
+            engine.in_event = True
+            engine.stop_after = [2]
+            engine.on_break_off = partial(crash, engine)
+        callers = [cluster.ask("/draft/x", body=b"poison") for _ in range(7)]
+        crashed = [e for e in cluster.engines.values() if not e.stop_after]
+        self.assertLessEqual(len(crashed), 5)
+        self.assertEqual(0, cluster.ran(callers[-1].request_id))
