Callers without chunks: a broken-off answer ends in a reset

Callers of HTTP/1.0 read no chunks, so a close in order is the end of a whole answer for them, and an aborted answer was closed in order. So was one whose gateway was killed or stopped.

Change: while such an answer is under way, each close of its connection is a reset, also the kernel's after a kill. The caller of the stand-in takes an orderly close for the end where an answer has no framing.

Before/after: test_answer_that_breaks_off_ends_in_a_reset got a whole answer of two of four events; it gets a reset now, and whole answers still end in order.

An answer of HTTP/1.1 without a length goes on in chunks: passed on as it came, the close of a killed gateway would end it as whole.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -2,6 +2,7 @@
 
 import enum
 import socket
+import struct
 from collections.abc import Callable
 
 from twisted.internet.error import ConnectionDone
@@ -21,6 +22,7 @@
     "Connection",
     "keep_alive_seconds",
     "enable_dead_peer_detection",
+    "set_reset_on_close",
 ]
 
 # How long sent bytes may stay unacknowledged before the kernel closes the
@@ -65,6 +67,16 @@
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT)
 
 
+def set_reset_on_close(transport, on: bool) -> None:
+    """Sets whether every close of a connection is a reset.
+
+    That includes the close by the kernel when the process is killed.
+    """
+    transport.getHandle().setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", on, 0)
+    )
+
+
 def keep_alive_seconds(head: Head) -> float:
     """Returns how many seconds a connection may idle after this response.
 
--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from magnolialug.carrier.connection import set_reset_on_close
 from magnolialug.carrier.pool import PendingRequest
 from magnolialug.entry.forwardcall import HeaderList
 from magnolialug.entry.gatewaychannel import GatewayRequest
@@ -67,6 +68,9 @@
         for name, value in headers:
             req.responseHeaders.addRawHeader(name, value)
         self._announce_close()
+        if self._ends_by_close:
+            # An orderly close would be the end of a whole answer.
+            set_reset_on_close(req.transport, True)
         req.registerProducer(self, True)
 
     def data(self, data: bytes) -> None:
@@ -79,6 +83,8 @@
         if self.ended:
             return
         self.ended = True
+        if self._ends_by_close:
+            set_reset_on_close(self._req.transport, False)
         self._req.unregisterProducer()
         self._req.finish()
 
@@ -86,7 +92,7 @@
         """Aborts the response so that the caller sees it as incomplete.
 
         The connection closes before the last chunk or before the announced
-        length is reached.
+        length is reached. If there is neither, it is reset.
         """
         if self.ended:
             return
@@ -135,6 +141,17 @@
     def stopProducing(self) -> None:
         """Does nothing when the connection is lost."""
 
+    @property
+    def _ends_by_close(self) -> bool:
+        """Whether only the close of the connection ends the body.
+
+        Callers of HTTP/1.0 read no chunks.
+        """
+        headers = self._req.responseHeaders
+        return self._req.clientproto == b"HTTP/1.0" and not headers.hasHeader(
+            b"Content-Length"
+        )
+
     def _announce_close(self) -> None:
         """Announces, if due, that the connection closes after this response."""
         if self._close_after:
--- a/magnolialug/standin/caller.py
+++ b/magnolialug/standin/caller.py
@@ -4,11 +4,14 @@
 
 import httptools
 import msgspec
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.protocol import Protocol
 
 __all__ = ["Answer", "Caller", "request"]
 
+_FRAMING = {"content-length", "transfer-encoding"}
+
 
 class Answer(msgspec.Struct):
     """What a caller got for one request."""
@@ -18,6 +21,7 @@
     body: bytes = b""
     whole: bool = False
     at: float = 0.0
+    ends_by_close: bool = False
 
 
 class Caller(Protocol):
@@ -40,6 +44,8 @@
     def connectionLost(self, reason) -> None:
         """Notes the close."""
         self.closed = True
+        if self.last.ends_by_close and reason.check(ConnectionDone):
+            self.on_message_complete()
 
     def on_message_begin(self) -> None:
         """Begins an answer."""
@@ -51,7 +57,9 @@
 
     def on_headers_complete(self) -> None:
         """Takes the status."""
-        self.answers[-1].status = self._parser.get_status_code()
+        answer = self.answers[-1]
+        answer.status = self._parser.get_status_code()
+        answer.ends_by_close = not answer.headers.keys() & _FRAMING
 
     def on_body(self, data: bytes) -> None:
         """Takes a piece of the body."""
@@ -79,11 +87,12 @@
     headers: Sequence[str] = (),
     parts: str = "",
     tokens: str = "3000,50",
+    version: str = "1.1",
 ) -> bytes:
     """Returns the bytes of a client's request."""
     prompts = path.startswith(("/draft/", "/check/"))
     method = method or ("POST" if body or prompts else "GET")
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    lines = [f"{method} {path} HTTP/{version}", f"Host: {host}"]
     if request_id:
         lines.append(f"X-Request-Id: {request_id}")
     if deadline_ms:
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -113,3 +113,25 @@
         crashed = [e for e in cluster.engines.values() if not e.stop_after]
         self.assertLessEqual(len(crashed), 5)
         self.assertEqual(0, cluster.ran(callers[-1].request_id))
+
+
+class CallerWithoutChunksTest(TestCase):
+    """Callers of HTTP/1.0, for whom the close is the end of an answer."""
+
+    def test_answer_that_breaks_off_ends_in_a_reset(self):
+        """Guards against an orderly close that ends half an answer."""
+        cluster = cluster_with_broken_engines(
+            Framing.CHUNKS, BreakOff.RESET, stops=1
+        )
+        caller = cluster.ask("/draft/x", version="1.0")
+        self.assertIn(b"id: 2\n", caller.last.body)
+        self.assertTrue(caller.closed)
+        self.assertFalse(caller.last.whole)
+
+    def test_whole_answer_ends_in_an_orderly_close(self):
+        """Guards against resets that end whole answers."""
+        for path in ("/draft/x", "/check/x", "/read/x"):
+            cluster = GatewayCluster(desks=1, engines=1)
+            caller = cluster.ask(path, version="1.0")
+            self.assertTrue(caller.last.whole, path)
+            self.assertTrue(caller.closed, path)
--- a/tests/network.py
+++ b/tests/network.py
@@ -1,5 +1,8 @@
 """TCP and UDP in memory on a virtual clock, with the faults of real ones."""
 
+import socket
+import struct
+
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionLost,
@@ -12,6 +15,8 @@
 from zope.interface import implementer
 
 LATENCY_S = 0.001
+LINGER = (socket.SOL_SOCKET, socket.SO_LINGER)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # A slow link carries the bytes of its connections by turns, in such pieces.
 PIECE_BYTES = 4096
 
@@ -76,6 +81,9 @@
         """Closes in order."""
         if self.closed or self.disconnecting:
             return
+        if self.handle.options.get(LINGER) == RESET_ON_CLOSE:
+            self.abortConnection()
+            return
         self.disconnecting = True
         self.net.callLater(LATENCY_S, self.end, ConnectionDone())
         if not self.silent:
