Blocks: one that ends with its connection is not stored

A block that an engine exports without a length ends where its connection closes; the sidecar then computes the digest of what came and stores half a block as a whole one. Replies in JSON fail to decode, completions need [DONE], stores check length and digest; this one nothing checked.

Change: an export needs a length or chunks. Without, the block counts as missing.

--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -133,9 +133,18 @@
         return msgspec.json.decode(reply.body)["held"]
 
     async def export_block(self, block: BlockId) -> bytes | Failure:
-        """Returns a cached block's bytes."""
+        """Returns a cached block's bytes.
+
+        A block of unproven length is not taken: its digest is computed from
+        these bytes, so nothing later would find that some are missing.
+        """
         reply = await self._ask("GET", f"cache/blocks/{block}")
-        return reply if isinstance(reply, Failure) else reply.body
+        if isinstance(reply, Failure):
+            return reply
+        if not reply.is_framed:
+            reason = "expected Content-Length or chunks, found neither"
+            return failed(Code.BLOCK_MISSING, reason, block)
+        return reply.body
 
     async def import_block(self, block: BlockId, data: bytes) -> None | Failure:
         """Puts a block into the engine's cache."""
--- a/magnolialug/platform/http.py
+++ b/magnolialug/platform/http.py
@@ -22,6 +22,16 @@
     headers: dict[str, str]
     body: bytes
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether its headers tell where the body ends.
+
+        Otherwise the body ended with its connection, and a server that
+        crashes can close that in order.
+        """
+        names = self.headers.keys()
+        return not names.isdisjoint(("content-length", "transfer-encoding"))
+
 
 class StreamTaker:
     """Takes a response piece by piece.
