--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from magnolialug.carrier.reader import Framing
 from magnolialug.soak.poison import MARK, send_again, some_form
 from magnolialug.soak.proxy import Path
 from magnolialug.standin.endpoint import Fault
+from magnolialug.standin.modelserver import BreakOff
 
 if TYPE_CHECKING:
     from magnolialug.soak.run import Soak
@@ -31,6 +33,9 @@
 _LIMIT_KINDS = ("limit_endpoint",)
 _FIRST_SEED_OF_CATCH_UPS = 11_000
 _CATCH_UP_KINDS = ("store_loses_catch_ups",)
+_FIRST_SEED_OF_FRAMINGS = 12_000
+_FRAMING_KINDS = ("break_off_streams",)
+_STREAM_FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE)
 # Requests per second that an endpoint in need accepts.
 _LIMITS_PER_S = (0.0, 0.5, 2.0, 6.0)
 # For this long an endpoint serves on after its entry is removed: longer than a
@@ -50,6 +55,8 @@
     they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_FRAMINGS:
+        left_out += _FRAMING_KINDS
     if seed < _FIRST_SEED_OF_CATCH_UPS:
         left_out += _CATCH_UP_KINDS
     if seed < _FIRST_SEED_OF_LIMITS:
@@ -231,6 +238,22 @@
     soak.later(4.0, slot.endpoint.faults.clear)
 
 
+def break_off_streams(soak: "Soak") -> None:
+    """An engine's streams get another framing; some end inside an event."""
+    slots = soak.world.runs_of("llm")
+    if not slots:
+        return
+    slot = soak.random.choice(slots)
+    slot.faulty_until = soak.now + 6.0
+    engine = slot.endpoint
+    engine.framing = soak.random.choice(_STREAM_FRAMINGS)
+    engine.break_off = soak.random.choice(list(BreakOff))
+    engine.in_event = True
+    number = soak.random.randint(1, 6)
+    engine.stop_after += soak.random.choices((1, 2, 3), k=number)
+    soak.later(4.0, engine.stop_after.clear)
+
+
 def crash_endpoint(soak: "Soak") -> None:
     """An endpoint dies; a fresh one comes, maybe of another service."""
     slot = soak.some_slot()
@@ -416,6 +439,7 @@
         store_loses_catch_ups,
         store_nonsense,
         bad_answers,
+        break_off_streams,
         crash_endpoint,
         harmful_request,
         restart_endpoint,
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -6,6 +6,7 @@
 from magnolialug.entry import retryloop
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.registry import Registry
 from magnolialug.entry.routeconfig import RouteConfig
 from magnolialug.policy.coldstart import ColdStart
@@ -44,6 +45,11 @@
     GatewaySink.abort = GatewaySink.complete
 
 
+def trust_ends():
+    """Takes the end of a connection inside an event for a stream's end."""
+    HttpAttempt._is_inside_event = False
+
+
 def forget():
     """Takes no note of endpoints that end."""
     Quarantine.record_loss = lambda *_: None
@@ -80,6 +86,7 @@
         "repeat": repeat,
         "go-back": go_back,
         "look-whole": look_whole,
+        "trust-ends": trust_ends,
         "forget": forget,
         "stay": stay,
         "rush": rush,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -65,6 +65,11 @@
     def test_a_configuration_gone_back_is_found(self):
         self.assertIn("CONFIG", self.sabotaged("go-back", "change_config"))
 
+    def test_a_stream_that_ends_inside_an_event_is_found(self):
+        self.assertIn(
+            "ORDER", self.sabotaged("trust-ends", "break_off_streams")
+        )
+
     def test_a_cut_answer_that_looks_whole_is_found(self):
         self.assertIn("ORDER", self.sabotaged("look-whole", "bad_answers"))
 
