Logs: software versions of endpoints, and which stream a request takes up

Cause: streams held events of two software versions, and no line named a version or what a caller takes up, so resumptions within an answer and over a caller's tries were not told apart.

Change: registered endpoints keep the version that the registry names. 4101 tells it, 2000 that of the chosen endpoint and the request that `Resumes` names (given twice, it is refused like the other headers that come once); ctl endpoints shows it.

--- a/magnolialug/ctl/endpoints.py
+++ b/magnolialug/ctl/endpoints.py
@@ -44,7 +44,7 @@
     state = _state(listed, evacuated, limits.get(listed.endpoint))
     return (
         f"{listed.zone} {listed.service} {listed.endpoint} {host}:{port}"
-        f" {state}"
+        f" {listed.software} {state}"
     )
 
 
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -379,6 +379,7 @@
             zone=entry.zone,
             address=f"{entry.address[0]}:{entry.address[1]}",
             leaving=entry.leaving,
+            software=entry.software,
         )
         return peer
 
--- a/magnolialug/entry/forwardcall.py
+++ b/magnolialug/entry/forwardcall.py
@@ -22,6 +22,8 @@
       isolated: whether its team shares no cached parts with other teams.
       resume_after: the id of the last event that the caller received, 0 for
         none.
+      resumes: the request that brought the first event of the stream that this
+        one takes up, "" if the caller names none.
     """
 
     route: Route
@@ -34,6 +36,7 @@
     priority: int = 0
     isolated: bool = False
     resume_after: int = 0
+    resumes: str = ""
 
     def cache_namespace(self, weights: int) -> str:
         """Returns the cache namespace of the request's parts.
--- a/magnolialug/entry/gatewayintake.py
+++ b/magnolialug/entry/gatewayintake.py
@@ -93,4 +93,5 @@
         priority=rank(team.priority, route.priority),
         isolated=team.isolated,
         resume_after=marks.resume_after,
+        resumes=marks.resumes,
     )
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -220,6 +220,8 @@
             salt=to.cache_namespace,
             parts=_named_sources(prompt, to),
             after_event=to.resume_after,
+            software=placed.peer.listed.software,
+            resumes=self._call.resumes,
             left_s=round(self._call.deadline - self._clock(), 3),
             costs=[
                 (row.endpoint, round(row.cost, 4), row.sound)
--- a/magnolialug/ids.py
+++ b/magnolialug/ids.py
@@ -13,6 +13,7 @@
     "RequestDigest",
     "RequestId",
     "ServiceName",
+    "SoftwareVersion",
     "StoreId",
     "TeamId",
     "WeightVersion",
@@ -31,6 +32,7 @@
 RequestDigest = NewType("RequestDigest", str)
 RequestId = NewType("RequestId", str)
 ServiceName = NewType("ServiceName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 StoreId = NewType("StoreId", str)
 TeamId = NewType("TeamId", str)
 WeightVersion = NewType("WeightVersion", str)
--- a/magnolialug/platform/registry.py
+++ b/magnolialug/platform/registry.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from magnolialug.ids import EndpointId, ServiceName, ZoneId
+from magnolialug.ids import EndpointId, ServiceName, SoftwareVersion, ZoneId
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
 from magnolialug.result import Code, Failure, failed
 
@@ -74,6 +74,7 @@
         beat=row.sequence,
         weights={model.name: model.version for model in row.models},
         born_ms=row.born,
+        software=SoftwareVersion(row.version),
     )
 
 
--- a/magnolialug/platform/requests.py
+++ b/magnolialug/platform/requests.py
@@ -27,6 +27,7 @@
 _HINT = b"x-length-hint"
 _AUTHORIZATION = b"authorization"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _STAMP = b"x-response-stamp"
 _NOT_RUN = b"x-not-executed"
 _INSTANCE = b"x-instance-id"
@@ -75,7 +76,15 @@
 _HINT_DIGITS = 9
 # A decimal number without sign or exponent.
 _DECIMAL = re.compile(rb"[0-9]{1,30}(\.[0-9]{1,30})?")
-_ONCE = (_REQUEST_ID, _DEADLINE, _MODEL, _TOKENS, _PREFIX, _LAST_EVENT)
+_ONCE = (
+    _REQUEST_ID,
+    _DEADLINE,
+    _MODEL,
+    _TOKENS,
+    _PREFIX,
+    _LAST_EVENT,
+    _RESUMES,
+)
 
 
 class Marks(msgspec.Struct):
@@ -85,6 +94,8 @@
       passed: the headers that go on to the endpoint.
       wait_s: how long the caller waits, None if it does not say.
       resume_after: the last event that the caller already has.
+      resumes: the id of the request that brought the first event of the
+        stream that is taken up, "" for none.
     """
 
     request_id: str
@@ -93,6 +104,7 @@
     key: str = ""
     prompt: Prompt | None = None
     resume_after: int = 0
+    resumes: str = ""
 
 
 class Answer(msgspec.Struct):
@@ -206,6 +218,7 @@
         marks.wait_s = wait_ms / 1000
     resume = found.get(_LAST_EVENT, b"")
     marks.resume_after = int(resume) if resume.isdigit() else 0
+    marks.resumes = found.get(_RESUMES, b"").decode("latin-1")
     key = found.get(_AUTHORIZATION, b"")
     if key[: len(_SCHEME)].lower() == _SCHEME:
         marks.key = key[len(_SCHEME) :].strip().decode("latin-1")
--- a/magnolialug/policy/registeredendpoint.py
+++ b/magnolialug/policy/registeredendpoint.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from magnolialug.ids import EndpointId, ServiceName, ZoneId
+from magnolialug.ids import EndpointId, ServiceName, SoftwareVersion, ZoneId
 
 __all__ = ["RegisteredEndpoint"]
 
@@ -18,6 +18,8 @@
       weights: the version of each model that it has loaded.
       born_ms: its start time by its own clock, in Unix milliseconds; 0 if it
         is not given. It distinguishes two starts under the same id.
+      software: the version of its software, compared as a whole within one
+        service.
     """
 
     endpoint: EndpointId
@@ -30,3 +32,4 @@
     beat: int = 0
     weights: dict[str, int] = {}
     born_ms: int = 0
+    software: SoftwareVersion = SoftwareVersion("")
--- a/tests/ctl/test_endpoints.py
+++ b/tests/ctl/test_endpoints.py
@@ -67,10 +67,10 @@
         self.assertEqual(
             [
                 "zone b evacuated",
-                "a desk i-1 10.0.0.1:80 up",
-                "a desk i-2 10.0.0.1:80 leaving",
-                "a desk i-3 10.0.0.1:80 cold for 2.1 s at its last change",
-                "b desk i-4 10.0.0.1:80 evacuated",
+                "a desk i-1 10.0.0.1:80 v1 up",
+                "a desk i-2 10.0.0.1:80 v1 leaving",
+                "a desk i-3 10.0.0.1:80 v1 cold for 2.1 s at its last change",
+                "b desk i-4 10.0.0.1:80 v1 evacuated",
             ],
             self.lines(),
         )
@@ -90,10 +90,10 @@
         ]
         self.assertEqual(
             [
-                "a desk i-1 10.0.0.1:80 limited to 1.5 requests/s, known for"
+                "a desk i-1 10.0.0.1:80 v1 limited to 1.5 requests/s, known for"
                 " 2.5 s to vm-2 by entry",
-                "a desk i-2 10.0.0.1:80 up",
-                "a desk i-3 10.0.0.1:80 cold for 2.1 s at its last change,"
+                "a desk i-2 10.0.0.1:80 v1 up",
+                "a desk i-3 10.0.0.1:80 v1 cold for 2.1 s at its last change,"
                 " limited to 4 requests/s, known for 1.0 s to vm-1 by answer",
             ],
             self.lines(log),
--- a/tests/entry/test_failure_lines.py
+++ b/tests/entry/test_failure_lines.py
@@ -59,3 +59,22 @@
                 [(framing.value, True)],
                 [(r["framing"], r["in_event"]) for r in cut],
             )
+
+
+class SoftwareLineTest(TestCase):
+    """The log tells which software version a stream goes to."""
+
+    def test_lines_tell_the_version_and_the_stream_that_is_taken_up(self):
+        """Guards against streams of two versions that cannot be traced."""
+        lines = collect_lines(self)
+        cluster = GatewayCluster(desks=0, engines=0)
+        cluster.add_engine(software="v1.2")
+        cluster.pass_time(1)
+        headers = ("Last-Event-Id: 2", "Resumes: 1f")
+        cluster.ask("/check/x", headers=headers)
+        rows = [msgspec.json.decode(str(line)) for line in lines]
+        (listed,) = [r for r in rows if r.get("name") == "ENDPOINT_LISTED"]
+        self.assertEqual("v1.2", listed["software"])
+        (placed,) = [r for r in rows if r.get("name") == "PLACED"]
+        self.assertEqual("v1.2", placed["software"])
+        self.assertEqual("1f", placed["resumes"])
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -171,13 +171,13 @@
         self._list(desk, number, "desk", zone, [])
         return desk
 
-    def add_engine(self, zone="a"):
+    def add_engine(self, zone="a", software="v1"):
         """Adds a model engine."""
         number = next(self._numbers)
         engine = ModelServerStandin(self.net, f"i-llm{number}")
         self.engines[engine.instance] = engine
         models = [{"name": "m", "version": 1}]
-        self._list(engine, number, "llm", zone, models)
+        self._list(engine, number, "llm", zone, models, software)
         return engine
 
     def add_store(self, name="cache", capacity=1_000_000, version=2):
@@ -195,14 +195,14 @@
         self.pass_time(5.5)
         return store
 
-    def _list(self, endpoint, number, service, zone, models):
+    def _list(self, endpoint, number, service, zone, models, software="v1"):
         endpoint.address = (f"10.1.0.{number}", 8080)
         self.net.servers[endpoint.address] = endpoint
         endpoint.row = {
             "service": service,
             "address": f"{endpoint.address[0]}:8080",
             "zone": zone,
-            "version": "v1",
+            "version": software,
             "slots": 6,
             "state": "ready",
             "coldRemainingMs": 0,
