Streams: within one answer, the version that began it goes on

Cause: callers got streams with events of two software versions of a service. A gateway resumed a stream at whichever engine was cheapest; it did not keep the version that the registry names. Ruled out for the record: a version that changed under one id, since each start there has its own.

Change: the version of the engine whose event is forwarded first binds all further attempts of the call; attempts before the first event stay free. The shortlist holds endpoints of that version only. With none left the answer ends cut at once (319 VERSION_GONE). A start that is noticed before its entry has no known version and continues nothing.

Evacuated zones, cold starts and limits still hold for resumptions: those are promises to endpoints.

--- a/magnolialug/entry/candidatelist.py
+++ b/magnolialug/entry/candidatelist.py
@@ -6,6 +6,7 @@
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.peer import Peer
 from magnolialug.ids import EndpointId, ZoneId
+from magnolialug.policy.registeredendpoint import UNKNOWN_SOFTWARE
 from magnolialug.policy.weightbounds import WeightBounds
 
 __all__ = ["CandidateList"]
@@ -86,6 +87,7 @@
             if peer.pool.has_capacity
             and peer.cold.may_send(now)
             and peer.listed.endpoint not in avoid
+            and _has_software(call, peer)
             and not self._weights_expired(call, peer, now)
         ]
 
@@ -101,3 +103,10 @@
             return False
         starts_at = now + peer.load.ahead_s(call.priority)
         return starts_at + _START_MARGIN_S > until
+
+
+def _has_software(call: ForwardCall, peer: Peer) -> bool:
+    """Whether an endpoint is known to have the version that a call needs."""
+    if call.software is None:
+        return True
+    return call.software == peer.listed.software != UNKNOWN_SOFTWARE
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -9,13 +9,16 @@
 from magnolialug.config.routing import Routing
 from magnolialug.entry.peer import Peer
 from magnolialug.events import Event, emit
-from magnolialug.ids import EndpointId, ServiceName, ZoneId
+from magnolialug.ids import EndpointId, ServiceName, SoftwareVersion, ZoneId
 from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.endedinstances import EndedInstances
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.oldweights import EngineWeights
-from magnolialug.policy.registeredendpoint import RegisteredEndpoint
+from magnolialug.policy.registeredendpoint import (
+    UNKNOWN_SOFTWARE,
+    RegisteredEndpoint,
+)
 from magnolialug.policy.ring import Ring
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sendlimit import MIN_RATE
@@ -96,6 +99,15 @@
         serving = [peer for peer in peers if not peer.leaving]
         return bool(serving) and all(peer.evacuated for peer in serving)
 
+    def has_version(
+        self, service: ServiceName, software: SoftwareVersion
+    ) -> bool:
+        """Whether an endpoint of a service has a version and stays."""
+        return any(
+            peer.listed.software == software and not peer.leaving
+            for peer in self._by_service.get(service, ())
+        )
+
     def send_wait_s(self, service: ServiceName) -> float | None:
         """Returns the seconds until some endpoint may get a request.
 
@@ -201,7 +213,10 @@
             return True
         if not self._lifetimes.has_ended(peer.listed.endpoint, born_ms):
             entry = msgspec.structs.replace(
-                peer.listed, born_ms=born_ms, weights=peer.all_weights()
+                peer.listed,
+                born_ms=born_ms,
+                weights=peer.all_weights(),
+                software=UNKNOWN_SOFTWARE,
             )
             self._restart(peer, entry)
         return False
--- a/magnolialug/entry/forwardcall.py
+++ b/magnolialug/entry/forwardcall.py
@@ -2,7 +2,7 @@
 
 from magnolialug.config.routing import Route
 from magnolialug.entry.call import Call
-from magnolialug.ids import RequestDigest
+from magnolialug.ids import RequestDigest, SoftwareVersion
 from magnolialug.policy.cachenamespace import cache_namespace
 from magnolialug.policy.prompt import Prompt
 
@@ -24,6 +24,8 @@
         none.
       resumes: the request that brought the first event of the stream that this
         one takes up, "" if the caller names none.
+      software: the software version of the endpoints that may serve it, None
+        for any. Two versions' parts of one stream do not fit together.
     """
 
     route: Route
@@ -37,6 +39,7 @@
     isolated: bool = False
     resume_after: int = 0
     resumes: str = ""
+    software: SoftwareVersion | None = None
 
     def cache_namespace(self, weights: int) -> str:
         """Returns the cache namespace of the request's parts.
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -113,7 +113,9 @@
       answer_due_at: without an answer by then, another endpoint is tried if
         `may_fail_over` allows it.
       may_fail_over: returns whether another endpoint may be tried.
-      on_first_data: called with the first forwarded data.
+      on_first_data: called when the first data is to be forwarded.
+      on_first_event: called before the first whole event is forwarded, on a
+        route whose streams may be resumed.
     """
 
     def __init__(
@@ -127,10 +129,13 @@
         answer_due_at: float,
         may_fail_over: Callable[[], bool],
         on_first_data: Callable[[], None],
+        on_first_event: Callable[[], None],
     ):
         self._answer_due_at = answer_due_at
         self._may_fail_over = may_fail_over
         self._on_first_data = on_first_data
+        self._on_first_event = on_first_event
+        self._event_forwarded = False
         self.done: Deferred[Outcome] = Deferred(self._cancelled)
         self.peer = peer
         self.dispatch = dispatch
@@ -335,8 +340,12 @@
             self._pending_request.drop()
             return
         self._progress.seq = self._splitter.last_id
-        if events:
-            self._sink.data(events)
+        if not events:
+            return
+        if not self._event_forwarded:
+            self._event_forwarded = True
+            self._on_first_event()
+        self._sink.data(events)
 
     def on_end(self, end: End) -> None:
         """Handles the end of the exchange."""
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -1,5 +1,8 @@
 """Makes a call's attempts directly at endpoints over HTTP."""
 
+from functools import partial
+
+import msgspec
 from twisted.internet.defer import CancelledError
 
 from magnolialug.carrier.responsereceiver import End
@@ -15,7 +18,7 @@
 from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import Ended, Progress, Served
 from magnolialug.events import Event, explain
-from magnolialug.ids import EndpointId
+from magnolialug.ids import EndpointId, SoftwareVersion
 from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
 from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
@@ -265,6 +268,7 @@
             now + placed.answer_timeout_s,
             self._may_fail_over,
             lambda: self._placer.record_first_event(self._call, peer),
+            partial(self._bind, peer.listed.software),
         )
         self._attempt = attempt
         self._attempts_made += 1
@@ -282,6 +286,11 @@
             self._active_attempts.discard(attempt)
             self._placer.record_ended(self._call, peer)
 
+    def _bind(self, software: SoftwareVersion) -> None:
+        """Binds further attempts to the version that began the stream."""
+        if self._call.software is None:
+            self._call = msgspec.structs.replace(self._call, software=software)
+
     def _served(self, progress: Progress, outcome: Outcome) -> Served:
         self._sink.complete()
         first_at = progress.first_at or self._clock()
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -106,7 +106,7 @@
         """Returns an endpoint and the parameters to send to it.
 
         If there is no endpoint, nothing has been sent, and the failure is
-        NO_ENDPOINT, EVACUATED, COLD or LIMITED.
+        NO_ENDPOINT, VERSION_GONE, EVACUATED, COLD or LIMITED.
 
         Args:
           results: the probe results for this choice.
@@ -123,7 +123,7 @@
             best = choose(candidates)
         peer = self._directory.peers.get(best.endpoint) if best else None
         if peer is None:
-            return self._no_endpoint(call.service)
+            return self._no_endpoint(call)
         return Placed(
             peer,
             self._dispatch_builder.build(call, peer, progress.seq, results),
@@ -238,8 +238,14 @@
         peer = self._directory.peers.get(candidate.endpoint)
         return peer is not None and peer.may_send(self._clock())
 
-    def _no_endpoint(self, service: ServiceName) -> Failure:
-        """Returns why no endpoint of a service accepts a request."""
+    def _no_endpoint(self, call: ForwardCall) -> Failure:
+        """Returns why no endpoint of its service accepts a call."""
+        service = call.service
+        if call.software is not None and not self._directory.has_version(
+            service, call.software
+        ):
+            # A version that has left does not return in time for a retry.
+            return failed(Code.VERSION_GONE, value=call.software)
         if self._directory.is_evacuated(service):
             return failed(Code.EVACUATED, retry_after_s=_EVACUATED_RETRY_S)
         wait_s = self._directory.send_wait_s(service)
--- a/magnolialug/policy/registeredendpoint.py
+++ b/magnolialug/policy/registeredendpoint.py
@@ -4,7 +4,10 @@
 
 from magnolialug.ids import EndpointId, ServiceName, SoftwareVersion, ZoneId
 
-__all__ = ["RegisteredEndpoint"]
+__all__ = ["UNKNOWN_SOFTWARE", "RegisteredEndpoint"]
+
+# The version of a start that was noticed before its registry entry arrived.
+UNKNOWN_SOFTWARE = SoftwareVersion("")
 
 
 class RegisteredEndpoint(msgspec.Struct, frozen=True):
@@ -32,4 +35,4 @@
     beat: int = 0
     weights: dict[str, int] = {}
     born_ms: int = 0
-    software: SoftwareVersion = SoftwareVersion("")
+    software: SoftwareVersion = UNKNOWN_SOFTWARE
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -53,6 +53,7 @@
     EVACUATED = 316
     COLD = 317
     LIMITED = 318
+    VERSION_GONE = 319
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -181,6 +182,11 @@
             503,
             "The endpoints have limited how many requests they accept.",
         ),
+        (
+            Code.VERSION_GONE,
+            503,
+            "No endpoint has the software version that began the stream.",
+        ),
         (
             Code.EVACUATED,
             503,
