Soak: releases of another software version, and callers who take streams up

Change: release_software, from seed 13000 on, replaces some engines in turn by engines of another version, so that both serve for a while; streams are slow in such runs, and callers take a cut stream up with their next request, at any gateway. The checker compares the versions of all events of a stream over all of its tries. Recorded seeds keep their kinds, and callers their ways. A sabotaged gateway that lets streams go on at another version must be found.

--- a/magnolialug/soak/clients.py
+++ b/magnolialug/soak/clients.py
@@ -3,9 +3,15 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
 from twisted.internet.protocol import ClientFactory
 
-from magnolialug.soak.historychecker import Form, HistoryChecker, Sent
+from magnolialug.soak.historychecker import (
+    Form,
+    HistoryChecker,
+    Sent,
+    event_ids,
+)
 from magnolialug.soak.machine import Machine
 from magnolialug.soak.proxy import Proxy
 from magnolialug.standin.caller import Answer, Caller, request
@@ -38,12 +44,21 @@
         self.ready = False
 
 
+class _LostStream(msgspec.Struct, frozen=True):
+    """A stream that was cut: its caller's key, its name, its last event."""
+
+    key: str
+    began_by: str
+    last_id: int
+
+
 class Client:
     """One caller: asks, waits, thinks, asks again.
 
     Attributes:
       impatient: whether it leaves some requests early.
       hurried: whether it thinks for a tenth of the usual time.
+      resumes: whether it takes up streams whose connection is lost.
 
     Args:
       new_id: returns a fresh request id.
@@ -64,6 +79,8 @@
     ):
         self.impatient = False
         self.hurried = False
+        self.resumes = False
+        self._stream: _LostStream | None = None
         self._reactor = reactor
         self._random = random
         self._history = history
@@ -100,9 +117,15 @@
         if self._conn is None:
             self._connect()
             return
-        form = self._random.choices(list(_SHARES), list(_SHARES.values()))[0]
-        key = self._random.choice(list(TEAMS))
-        row = self._new_row(form, key)
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            key = stream.key
+            row = self._new_row(Form.CHECK, key)
+            row.resumes, row.resume_after = stream.began_by, stream.last_id
+        else:
+            form = self._random.choices(list(_SHARES), list(_SHARES.values()))
+            key = self._random.choice(list(TEAMS))
+            row = self._new_row(form[0], key)
         self._row = row
         self._history.add(row)
         self._conn.transport.write(self._bytes(row, key))
@@ -130,6 +153,12 @@
 
     def _bytes(self, row: Sent, key: str) -> bytes:
         prompt = self._random.randrange(_PROMPTS)
+        headers = ()
+        if row.resumes:
+            headers = (
+                f"Last-Event-Id: {row.resume_after}",
+                f"Resumes: {row.resumes}",
+            )
         return request(
             row.target,
             row.request_id,
@@ -137,6 +166,7 @@
             method=row.method,
             body=row.body,
             deadline_ms=int(row.deadline_s * 1000),
+            headers=headers,
             parts=f"a{prompt}:500,b{prompt}:2000,c{row.request_id}:500",
         )
 
@@ -163,6 +193,16 @@
         self._conn = conn
         self._ask()
 
+    def _keep_stream(self, row: Sent, answer: Answer) -> None:
+        """Keeps a stream that was cut, to take it up with the next request."""
+        if not self.resumes or row.form is not Form.CHECK:
+            return
+        ids = event_ids(answer.body) or [row.resume_after]
+        began_by = row.resumes or row.request_id
+        key = next(key for key, team in TEAMS.items() if team == row.team)
+        if ids[-1]:
+            self._stream = _LostStream(key, began_by, ids[-1])
+
     def unconnected(self) -> None:
         """Learns that there was no connection to be had."""
         self._think()
@@ -198,6 +238,7 @@
             if answer.status:
                 self._history.answered(row, answer)
             self._lost(row, answer)
+            self._keep_stream(row, answer)
             row.left_at = self._reactor.seconds()
             self._think()
 
--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -7,6 +7,7 @@
 from magnolialug.carrier.reader import Framing
 from magnolialug.soak.poison import MARK, send_again, some_form
 from magnolialug.soak.proxy import Path
+from magnolialug.soak.slot import Slot
 from magnolialug.standin.endpoint import Fault
 from magnolialug.standin.modelserver import BreakOff
 
@@ -35,6 +36,11 @@
 _CATCH_UP_KINDS = ("store_loses_catch_ups",)
 _FIRST_SEED_OF_FRAMINGS = 12_000
 _FRAMING_KINDS = ("break_off_streams",)
+_FIRST_SEED_OF_RELEASES = 13_000
+_RELEASE_KINDS = ("release_software",)
+# An endpoint is replaced by one of another version this long after the one
+# before it, so that both versions serve for a while.
+_RELEASE_STEP_S = 1.5
 _STREAM_FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE)
 # Requests per second that an endpoint in need accepts.
 _LIMITS_PER_S = (0.0, 0.5, 2.0, 6.0)
@@ -55,6 +61,8 @@
     they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_RELEASES:
+        left_out += _RELEASE_KINDS
     if seed < _FIRST_SEED_OF_FRAMINGS:
         left_out += _FRAMING_KINDS
     if seed < _FIRST_SEED_OF_CATCH_UPS:
@@ -316,6 +324,27 @@
     soak.later(4.0, soak.replace, slot, slot.endpoint)
 
 
+def release_software(soak: "Soak") -> None:
+    """Some engines are replaced in turn by engines of another version."""
+    world = soak.world
+    slots = world.runs_of("llm")
+    if soak.now < soak.releasing_until or len(slots) < 2:
+        # Releases that overlap leave hardly an engine that stays.
+        return
+    replaced = soak.random.sample(slots, soak.random.randint(1, len(slots) - 1))
+    soak.releasing_until = soak.now + _RELEASE_STEP_S * (len(replaced) + 1)
+    world.software = f"v{soak.new_id()}"
+    for number, slot in enumerate(replaced):
+        soak.later(number * _RELEASE_STEP_S, _leave_for_release, soak, slot)
+
+
+def _leave_for_release(soak: "Soak", slot: Slot) -> None:
+    others = len(soak.world.runs_of(slot.service)) > 1
+    if slot.endpoint is not None and others and not slot.leaving_at:
+        soak.world.drain(slot)
+        soak.later(_RELEASE_STEP_S, soak.replace, slot, slot.endpoint)
+
+
 def leave_unannounced(soak: "Soak") -> None:
     """An endpoint leaves, and only its entry's removal tells of it."""
     slot = soak.some_slot()
@@ -446,6 +475,7 @@
         restart_part_store,
         foreign_entries,
         drain_endpoint,
+        release_software,
         leave_unannounced,
         evacuate_zone,
         limit_endpoint,
--- a/magnolialug/soak/historychecker.py
+++ b/magnolialug/soak/historychecker.py
@@ -9,7 +9,7 @@
 
 from magnolialug.standin.caller import Answer
 
-__all__ = ["Form", "HistoryChecker", "Sent", "Violation"]
+__all__ = ["Form", "HistoryChecker", "Sent", "Violation", "event_ids"]
 
 # Refusals with these statuses say that the request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -24,6 +24,11 @@
 _LONGER_S = 2.0
 
 
+def event_ids(body: bytes) -> list[int]:
+    """Returns the ids of the whole events in the body of a stream."""
+    return [int(number) for number, _ in _EVENT.findall(body)]
+
+
 class Form(enum.Enum):
     """What may happen to a request."""
 
@@ -74,6 +79,9 @@
       status: of the answer, 0 for none.
       told_not_run: whether the answer says that it has not run.
       removed: whether its route had been removed before it was sent.
+      resumes: the request that brought the first event of the stream that it
+        takes up, "" for none.
+      resume_after: the last event of that stream that its caller has.
     """
 
     request_id: str
@@ -90,6 +98,8 @@
     status: int = 0
     told_not_run: bool = False
     removed: bool = False
+    resumes: str = ""
+    resume_after: int = 0
 
     @property
     def is_served(self) -> bool:
@@ -116,6 +126,7 @@
         self.ran: Counter[str] = Counter()
         self.outcomes: Counter[str] = Counter()
         self._events = events
+        self._versions: dict[str, set[str]] = defaultdict(set)
         self._clock = clock
         self._begun = clock()
 
@@ -165,7 +176,8 @@
     def answered(self, row: Sent, answer: Answer) -> None:
         """Checks an answer of which nothing more will come."""
         row.status = answer.status
-        self.outcomes[f"{row.form.value} {answer.status}"] += 1
+        form = "resumed" if row.resumes else row.form.value
+        self.outcomes[f"{form} {answer.status}"] += 1
         name = row.request_id
         took = self._clock() - row.at
         if took > row.deadline_s + _LONGER_S:
@@ -202,18 +214,27 @@
 
     def _check_stream(self, row: Sent, answer: Answer) -> None:
         events = _EVENT.findall(answer.body)
-        numbers = [int(number) for number, _ in events]
+        numbers = event_ids(answer.body)
         name = row.request_id
-        if numbers != list(range(1, len(numbers) + 1)):
+        last = row.resume_after + len(numbers)
+        if numbers != list(range(row.resume_after + 1, last + 1)):
             self.broken("ORDER", f"events {numbers}", name)
-        if answer.whole and len(numbers) != self._events:
-            self.broken("ORDER", f"complete after {len(numbers)}", name)
+        if answer.whole and last != self._events:
+            self.broken("ORDER", f"complete after {last}", name)
         sources = [data.decode().split("/") for _, data in events]
         if any(source[0] != name for source in sources):
             self.broken("MIXED", "events of another request", name)
         runs = {source[1] for source in sources}
         if len(runs) > 1 and row.form.once:
             self.broken("ORDER", f"pieces of runs {runs}", name)
+        self._check_versions(row, {source[-1] for source in sources})
+
+    def _check_versions(self, row: Sent, versions: set[str]) -> None:
+        """Checks that a stream is of one version over all of its tries."""
+        stream = self._versions[row.resumes or row.request_id]
+        stream |= versions
+        if len(stream) > 1 and versions:
+            self.broken("ORDER", f"events of versions {stream}", row.request_id)
 
     def _check_refusal(self, row: Sent) -> None:
         if row.form.once and self.ran[row.request_id]:
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -71,6 +71,7 @@
     Attributes:
       asker: sends single requests.
       poisoned_until: when the newest poison request comes no more.
+      releasing_until: when the newest release of software has ended.
       catching_up_until: when machines have read what lost calls asked for.
       random: decides everything that is decided by chance.
 
@@ -82,6 +83,7 @@
         self.random = Random(planned.seed)
         self.poisoned_until = 0.0
         self.catching_up_until = 0.0
+        self.releasing_until = 0.0
         self._reactor = reactor
         self._plan = planned
         self._done = done
@@ -98,6 +100,7 @@
             self.history,
             self.touched,
             cold_starts="evacuate_zone" in self._kinds,
+            slow_streams="release_software" in self._kinds,
         )
         self.machines = [self._machine(n) for n in range(planned.machines)]
         self.kv_proxies = [
@@ -191,7 +194,7 @@
         return Front(machine, self._proxy(target, address), address)
 
     def _client(self) -> Client:
-        return Client(
+        client = Client(
             self._reactor,
             Random(self.random.random()),
             self.history,
@@ -200,6 +203,8 @@
             self._lost,
             self.world.limits.answered,
         )
+        client.resumes = "release_software" in self._kinds
+        return client
 
     def _choose(self) -> Front:
         ready = [front for front in self.fronts if front.ready]
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -31,6 +31,9 @@
 # Room for all that a run saves.
 _STORE_TOKENS = 1_000_000
 _HEARTBEATS_S = 3.6
+# Pauses between the events of a stream.
+_GAP_S = 0.01
+_SLOW_GAP_S = 0.15
 # An endpoint has begun a poison request, and not answered it, by then.
 _BEGUN_S = 0.005
 _BACK_S = 1.5
@@ -38,11 +41,18 @@
 
 
 class Engine(ModelServerStandin):
-    """A model engine whose words name the request they belong to."""
+    """A model engine whose words name the request they belong to.
+
+    Attributes:
+      software: the version of its software.
+    """
+
+    software = "v1"
 
     def text(self, req: Received, number: int) -> bytes:
         """Returns an event's data."""
-        return f"{req.request_id}/{self.instance}/{number}".encode()
+        words = (req.request_id, self.instance, str(number), self.software)
+        return "/".join(words).encode()
 
 
 class World:
@@ -53,6 +63,7 @@
       slots: endpoints by their number.
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
+      software: the version that engines have which start now.
       poisoned: what each poison request has done, by its body.
       zones: the evacuated zones and the cold endpoints.
       limits: the request rates that endpoints name.
@@ -60,6 +71,7 @@
     Args:
       touched: tells whether a request's machine and the store are calm.
       cold_starts: whether endpoints are cold after a start.
+      slow_streams: whether streams last long enough to meet most faults.
     """
 
     def __init__(
@@ -71,6 +83,7 @@
         desks: int = 3,
         engines: int = 3,
         cold_starts: bool = False,
+        slow_streams: bool = False,
     ):
         self.zones = ZoneChecks(reactor.seconds, touched, history.broken)
         self.limits = LimitChecks(reactor.seconds, touched, history.broken)
@@ -78,6 +91,8 @@
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
         self.weights = 1
+        self.software = "v1"
+        self._event_gap_s = _SLOW_GAP_S if slow_streams else _GAP_S
         self.store_disturbed_until = 0.0
         self.slots: list[Slot] = []
         self.poisoned: dict[bytes, PoisonRecord] = {}
@@ -252,6 +267,8 @@
         engine = Engine(self._reactor, instance)
         engine.events = EVENTS
         engine.version = self.weights
+        engine.software = self.software
+        engine.gap_s = self._event_gap_s
         host, port = self.part_store_address
         engine.stores[f"{host}:{port}"] = self.part_store
         return engine
@@ -340,7 +357,7 @@
             "service": slot.service,
             "address": f"{slot.address[0]}:{slot.address[1]}",
             "zone": slot.zone,
-            "version": "v1",
+            "version": getattr(slot.endpoint, "software", "v1"),
             "slots": 6,
             "state": "ready",
             "coldRemainingMs": 0,
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -3,7 +3,7 @@
 import sys
 
 from magnolialug.cmd import gateway
-from magnolialug.entry import retryloop
+from magnolialug.entry import candidatelist, retryloop
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.httpattempt import HttpAttempt
@@ -50,6 +50,15 @@
     HttpAttempt._is_inside_event = False
 
 
+def mix_versions():
+    """Lets streams go on at another version than the one that began them."""
+
+    def has_other(call, peer):
+        return call.software != peer.listed.software
+
+    candidatelist._has_software = has_other
+
+
 def forget():
     """Takes no note of endpoints that end."""
     Quarantine.record_loss = lambda *_: None
@@ -87,6 +96,7 @@
         "go-back": go_back,
         "look-whole": look_whole,
         "trust-ends": trust_ends,
+        "mix-versions": mix_versions,
         "forget": forget,
         "stay": stay,
         "rush": rush,
--- a/tests/soak/test_historychecker.py
+++ b/tests/soak/test_historychecker.py
@@ -80,30 +80,42 @@
         (Form.BOOK, 502, b"", True, []),
         (Form.READ, 404, b"", True, ["DENIED"]),
         (Form.PROBE, 404, b"", True, []),
-        (Form.DRAFT, 200, events((1, b"r/i/1"), (2, b"r/i/2")), False, []),
         (
             Form.DRAFT,
             200,
-            events((1, b"r/i/1"), (2, b"r/i/2")),
+            events((1, b"r/i/1/v1"), (2, b"r/i/2/v1")),
+            False,
+            [],
+        ),
+        (
+            Form.DRAFT,
+            200,
+            events((1, b"r/i/1/v1"), (2, b"r/i/2/v1")),
             True,
             ["ORDER"],
         ),
         (
             Form.DRAFT,
             200,
-            events((1, b"r/i/1"), (3, b"r/i/3")),
+            events((1, b"r/i/1/v1"), (3, b"r/i/3/v1")),
             False,
             ["ORDER"],
         ),
         (
             Form.DRAFT,
             200,
-            events((1, b"r/i/1"), (2, b"r/j/2")),
+            events((1, b"r/i/1/v1"), (2, b"r/j/2/v1")),
             False,
             ["ORDER"],
         ),
-        (Form.CHECK, 200, events((1, b"r/i/1"), (2, b"r/j/2")), False, []),
-        (Form.CHECK, 200, events((1, b"q/i/1")), False, ["MIXED"]),
+        (
+            Form.CHECK,
+            200,
+            events((1, b"r/i/1/v1"), (2, b"r/j/2/v1")),
+            False,
+            [],
+        ),
+        (Form.CHECK, 200, events((1, b"q/i/1/v1")), False, ["MIXED"]),
     )
 
     def test_answers(self):
@@ -113,6 +125,21 @@
             history.answered(row, answer)
             self.assertEqual(promises, self.found(history), (form, body))
 
+    def test_a_stream_over_two_tries(self):
+        """Guards against pieces of two versions that nobody compares."""
+        for software, promises in ((b"v1", []), (b"v2", ["ORDER"])):
+            history, row = self.history(Form.CHECK)
+            begun = events((1, b"r/i/1/v1"), (2, b"r/i/2/v1"))
+            history.answered(row, Answer(200, dict(STAMP), begun, False))
+            again = sent(Form.CHECK)
+            again.request_id = "q"
+            again.resumes, again.resume_after = "r", 2
+            history.add(again)
+            rest = ((3, b"q/j/3/" + software), (4, b"q/j/4/" + software))
+            stamp = {**STAMP, "x-request-id": "q"}
+            history.answered(again, Answer(200, stamp, events(*rest), True))
+            self.assertEqual(promises, self.found(history), software)
+
     def test_a_success_without_its_mark(self):
         history, row = self.history()
         history.answered(row, Answer(200, {}, b"i-1|r|/x", True))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -70,6 +70,10 @@
             "ORDER", self.sabotaged("trust-ends", "break_off_streams")
         )
 
+    def test_a_stream_of_two_software_versions_is_found(self):
+        only = "release_software,bad_answers"
+        self.assertIn("ORDER", self.sabotaged("mix-versions", only))
+
     def test_a_cut_answer_that_looks_whole_is_found(self):
         self.assertIn("ORDER", self.sabotaged("look-whole", "bad_answers"))
 
