Answers: one that breaks off before its first event is refused, with a reason

Cause: the connection of a caller was closed without any answer. An engine had sent a head and ended before an event, and so did the next; the head is written with the first data, so nothing had left, but the answer counted as begun and was cut.

Change: while no byte of it has left, the endpoint's head is dropped and the caller gets the numbered error.

--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -102,11 +102,12 @@
 
     def refuse(self, failure: Failure) -> None:
         """Sends a numbered error, or aborts a response that has started."""
-        if self.opened:
+        if self.opened and self._req.startedWriting:
             self.abort()
             return
         if self.ended:
             return
+        self._discard_head()
         self.ended = True
         self.status = refusal_status(failure)
         req = self._req
@@ -141,6 +142,17 @@
     def stopProducing(self) -> None:
         """Does nothing when the connection is lost."""
 
+    def _discard_head(self) -> None:
+        """Drops an endpoint's head, which is sent with the first data only."""
+        if not self.opened:
+            return
+        req = self._req
+        if self._ends_by_close:
+            set_reset_on_close(req.transport, False)
+        req.unregisterProducer()
+        for name, _ in list(req.responseHeaders.getAllRawHeaders()):
+            req.responseHeaders.removeHeader(name)
+
     @property
     def _ends_by_close(self) -> bool:
         """Whether only the close of the connection ends the body.
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -65,6 +65,26 @@
                     caller.last.body.endswith(b"id: 4\ndata: word4\n\n")
                 )
 
+    def test_stream_without_an_event_is_refused_with_a_reason(self):
+        """Guards against a connection that closes without an answer.
+
+        Engines break off after the head, which nothing has sent on yet.
+        """
+        for break_off in (BreakOff.RESET, BreakOff.CLOSE):
+            for path in ("/draft/x", "/check/x"):
+                for version in ("1.1", "1.0"):
+                    cluster = cluster_with_broken_engines(
+                        Framing.CHUNKS, break_off, stops=5, in_event=False
+                    )
+                    for engine in cluster.engines.values():
+                        engine.stop_after = [0] * 5
+                    caller = cluster.ask(path, seconds=2, version=version)
+                    case = (break_off, path, version)
+                    self.assertEqual(502, caller.last.status, case)
+                    self.assertTrue(caller.last.whole, case)
+                    self.assertNotIn("x-response-stamp", caller.last.headers)
+                    self.assertIn(b"outcome_unknown", caller.last.body, case)
+
     def test_stream_without_a_content_type_is_checked_too(self):
         """Guards against a check that a missing or mixed-case type avoids."""
         for content_type in ("", "Text/Event-Stream; charset=utf-8"):
