Streams: a failure is no stream, whatever its content type says

Change: only successes are streams; failures are framed by what framed them.

Before/after: test_failure_that_is_no_stream_is_passed_on_whole got half an answer on a route that may not be resumed; whole now.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -226,14 +226,15 @@
             self._stage = _Stage.BUFFERING
 
     def _is_stream(self, head: Head) -> bool:
-        """Whether the body is a stream of events.
+        """Whether the body is a stream of events, which only a success has.
 
-        A success of a streaming route is one also without a content type.
+        On a streaming route it is one also without a content type.
         """
+        if head.status not in _GOOD:
+            return False
         content_type = head.get(b"content-type")
         if content_type is None:
-            streaming = self._call.route.form is RouteType.STREAMING
-            return streaming and head.status in _GOOD
+            return self._call.route.form is RouteType.STREAMING
         return content_type.lower().startswith(_EVENT_STREAM)
 
     def _record_limit(self, answer: Answer) -> None:
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -47,6 +47,8 @@
       break_off: how they end.
       framing: how streams tell their end.
       content_type: of streams, "" for none.
+      error_status: of the answers that a fault makes errors.
+      error_type: their content type.
       on_break_off: is called when a run breaks off.
     """
 
@@ -74,6 +76,8 @@
         self.break_off = BreakOff.RESET
         self.framing = Framing.CHUNKS
         self.content_type = "text/event-stream"
+        self.error_status = 500
+        self.error_type = "text/plain"
         self.on_break_off: Callable[[], None] = lambda: None
         self.save_s = 0.1
         self.stores: dict[str, PartStoreStandin] = {}
@@ -140,7 +144,8 @@
         if run.fault is Fault.MUTE:
             return
         if run.fault is Fault.ERROR:
-            run.conn.reply(run.req, 500, b"failed")
+            headers = [("Content-Type", self.error_type)]
+            run.conn.reply(run.req, self.error_status, b"failed", headers)
             return
         lines = (
             "HTTP/1.1 200 OK",
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from magnolialug.carrier.reader import Framing
+from magnolialug.standin.endpoint import Fault
 from magnolialug.standin.modelserver import BreakOff
 from tests.gatewaycluster import GatewayCluster
 
@@ -98,6 +99,19 @@
             engine.stop_after = []
             self.assertTrue(cluster.ask("/draft/x").last.whole, content_type)
 
+    def test_failure_that_is_no_stream_is_passed_on_whole(self):
+        """Guards against failures that count as broken off for their type."""
+        for path in ("/draft/x", "/check/x"):
+            cluster = cluster_with_broken_engines(Framing.LENGTH, None, stops=0)
+            for engine in cluster.engines.values():
+                engine.faults = [Fault.ERROR]
+                engine.error_status = 404
+                engine.error_type = "text/event-stream"
+            caller = cluster.ask(path)
+            self.assertEqual(404, caller.last.status, path)
+            self.assertEqual(b"failed", caller.last.body, path)
+            self.assertTrue(caller.last.whole, path)
+
     def test_engine_that_breaks_streams_off_loses_its_health(self):
         """Guards against broken-off streams that count as good answers."""
         cluster = cluster_with_broken_engines(
