Streams: only a stream that is taken up is drawn by the request that began it

Cause: on a route that is split between services, `Resumes` selected the service of any request, also of a new stream and of routes whose streams may not be resumed. A caller could choose among services by a header. Found on reading the change again.

Change: it selects the service only where `Last-Event-Id` says that part of a stream is there, on a route whose streams may be resumed. A split route gets its tests.

--- a/magnolialug/entry/gatewayintake.py
+++ b/magnolialug/entry/gatewayintake.py
@@ -73,10 +73,12 @@
     if marks.wait_s is not None:
         wait_s = min(wait_s, marks.wait_s)
     body = req.body()
+    # A stream that is taken up stays at the service that began it.
+    takes_up = route.resumable and marks.resume_after > 0
+    drawn_by = marks.resumes if takes_up else ""
     return ForwardCall(
         team=team.name,
-        # A stream that is taken up stays at the service that began it.
-        service=service_for(route, marks.resumes or marks.request_id),
+        service=service_for(route, drawn_by or marks.request_id),
         kind_name=KindName(route.name),
         kind=route.kind,
         root=marks.prompt.root if marks.prompt else "",
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -10,7 +10,8 @@
 from testtools import TestCase
 
 from magnolialug.standin.caller import Answer
-from tests.gatewaycluster import GatewayCluster
+from magnolialug.standin.operatorconfig import ENGINES, route
+from tests.gatewaycluster import GatewayCluster, config
 
 VMS = ("front-1", "front-2", "front-3")
 VERSIONS = ("v1", "v1.2")
@@ -27,14 +28,18 @@
     """Returns a cluster with one engine for each given version."""
     cluster = GatewayCluster(desks=0, engines=0, vms=vms)
     for version in software:
-        engine = cluster.add_engine(software=version)
-        engine.software = version
-        text = f"{engine.instance}/{version}/%d".encode()
-        engine.text = lambda req, number, text=text: text % number
+        add_engine(cluster, version, version)
     cluster.pass_time(2)
     return cluster
 
 
+def add_engine(cluster, label, version, **options):
+    """Adds an engine whose events bear a label."""
+    engine = cluster.add_engine(software=version, **options)
+    text = f"{engine.instance}/{label}/%d".encode()
+    engine.text = lambda req, number: text % number
+
+
 def deals():
     """Yields every way to deal two versions out to four engines."""
     for olds in combinations(range(4), 2):
@@ -345,3 +350,63 @@
         cluster.gateway.registry.lost()
         headers = ("Last-Event-Id: 2", "Resumes: ffff")
         self.refused(cluster, self.asks(cluster, *headers, vm=VMS[0]))
+
+
+class SplitRouteTest(TestCase):
+    """A route whose requests are split between two services."""
+
+    SERVICES = ("llm", "llm2")
+
+    def cluster(self):
+        """Returns a cluster with two engines of each service."""
+        cluster = GatewayCluster(desks=0, engines=0, vms=VMS[:2])
+        split = [{"service": name, "weight": 1} for name in self.SERVICES]
+        check = route(
+            "check",
+            "/check/",
+            "",
+            routeType="streaming",
+            sessionAffinity=True,
+            resumable=True,
+            trafficSplit=split,
+        )
+        services = [ENGINES, {**ENGINES, "name": "llm2"}]
+        cluster.configure(config(2, routes=[check], services=services))
+        cluster.pass_time(1)
+        for service in self.SERVICES:
+            for _ in range(2):
+                add_engine(cluster, service, "v1", service=service)
+        cluster.pass_time(2)
+        return cluster
+
+    def test_stream_that_is_taken_up_stays_at_its_service(self):
+        """Guards against a return that is drawn to another service."""
+        cluster = self.cluster()
+        began = set()
+        for number in range(8):
+            for engine in cluster.engines.values():
+                engine.stop_after = [2] * 9
+            first = cluster.ask("/check/x", request_id=f"a{number}")
+            for engine in cluster.engines.values():
+                engine.stop_after = []
+            self.assertEqual([1, 2], ids_in(first.last))
+            caller = cluster.ask(
+                "/check/x",
+                caller=cluster.caller(address_of(VMS[1])),
+                headers=("Last-Event-Id: 2", f"Resumes: a{number}"),
+            )
+            answers = (first.last, caller.last)
+            self.assertEqual([1, 2, 3, 4], ids_in(*answers))
+            self.assertEqual(1, len(versions_in(*answers)))
+            began |= versions_in(*answers)
+            cluster.pass_time(5)
+        self.assertEqual(set(self.SERVICES), began)
+
+    def test_resumes_draws_no_service_for_a_new_stream(self):
+        """Guards against callers who choose among services by a header."""
+        cluster = self.cluster()
+        services = set()
+        for _ in range(12):
+            caller = cluster.ask("/check/x", headers=("Resumes: a1",))
+            services |= versions_in(caller.last)
+        self.assertEqual(set(self.SERVICES), services)
--- a/tests/gatewaycluster.py
+++ b/tests/gatewaycluster.py
@@ -171,13 +171,13 @@
         self._list(desk, number, "desk", zone, [])
         return desk
 
-    def add_engine(self, zone="a", software="v1"):
+    def add_engine(self, zone="a", software="v1", service="llm"):
         """Adds a model engine."""
         number = next(self._numbers)
         engine = ModelServerStandin(self.net, f"i-llm{number}")
         self.engines[engine.instance] = engine
         models = [{"name": "m", "version": 1}]
-        self._list(engine, number, "llm", zone, models, software)
+        self._list(engine, number, service, zone, models, software)
         return engine
 
     def add_store(self, name="cache", capacity=1_000_000, version=2):
