Logs: what the lost requests of a crash had in common

Change: 4109 ENDPOINT_CRASHED names the shared parts that most of the lost prompts had, and how long ago an engine of that build answered a prompt with each; how many requests were unanswered. Entries remember which parts were answered, by service and build, to say so. Conclusion: the hypotheses can be told apart: a part that is at each crash and was never answered, or none. Crash tests share one setup.

--- a/magnolialug/entry/forwardcall.py
+++ b/magnolialug/entry/forwardcall.py
@@ -5,6 +5,7 @@
 from magnolialug.ids import RequestDigest, SoftwareVersion
 from magnolialug.policy.cachenamespace import cache_namespace
 from magnolialug.policy.prompt import Prompt
+from magnolialug.policy.requestidentity import RequestIdentity
 
 __all__ = ["ForwardCall", "HeaderList"]
 
@@ -41,6 +42,13 @@
     resumes: str = ""
     software: SoftwareVersion | None = None
 
+    @property
+    def identity(self) -> RequestIdentity:
+        """What identifies it to the quarantine."""
+        parts = self.prompt.shared if self.prompt else ()
+        names = tuple(part.name for part in parts)
+        return RequestIdentity(self.digest, self.service, self.team, names)
+
     @property
     def takes_up_stream(self) -> bool:
         """Whether its caller has part of a stream and asks for the rest."""
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -88,6 +88,8 @@
       first_event_s: time from sending to the first forwarded data.
       sent_at: when the request was sent.
       begun: whether part of the body arrived.
+      first_data_at: when the first part of the body arrived, infinity if none
+        did.
       withheld: the body of a failure that was not forwarded.
       framing: what tells the end of the answer, None if none arrived.
       in_event: whether the answer is a stream that ended inside an event.
@@ -99,6 +101,7 @@
     end: End = End.COMPLETE
     sent_at: float = 0.0
     begun: bool = False
+    first_data_at: float = float("inf")
     withheld: bytes = b""
     framing: Framing | None = None
     in_event: bool = False
@@ -154,6 +157,7 @@
         self._boundary: EventBoundary | None = None
         self._buffer: list[bytes] = []
         self._first_event_s = 0.0
+        self._first_data_at = float("inf")
         self._splitter: EventSplitter | None = None
         self._pending_request: PendingRequest | None = None
         self._drop_end = End.COMPLETE
@@ -291,7 +295,9 @@
     def on_data(self, data: bytes) -> None:
         """Handles a piece of the endpoint's body."""
         self._record_contact()
-        self.begun = True
+        if not self.begun:
+            self.begun = True
+            self._first_data_at = self.last_contact_at
         if self._boundary is not None:
             self._boundary.feed(data)
         if self._stage is _Stage.FORWARDING:
@@ -366,6 +372,7 @@
         outcome.end = end
         outcome.sent_at = self.sent_at
         outcome.begun = self.begun
+        outcome.first_data_at = self._first_data_at
         outcome.answer = self._answer
         outcome.first_event_s = self._first_event_s
         outcome.framing = self._framing
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -18,11 +18,12 @@
 from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import Ended, Progress, Served
 from magnolialug.events import Event, explain
-from magnolialug.ids import EndpointId, SoftwareVersion
+from magnolialug.ids import EndpointId, EngineBuild, SoftwareVersion
 from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
 from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
+from magnolialug.quarantine.crashdetector import LostAttempt
 from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.requestlog import RequestLog
 from magnolialug.result import Code, Failure, failed
@@ -34,6 +35,7 @@
 # owners reserve memory for prompts that are admitted elsewhere; with one, a
 # prompt waits behind a slow answer while other engines become free.
 _MAX_ADMISSION_QUEUES = 4
+_SUCCESS = range(200, 300)
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
 _CONNECTION_LOST = (End.RESET, End.CLOSED)
@@ -367,12 +369,23 @@
         answer = outcome.answer
         if answer is not None and answer.not_run:
             return
+        identity, build = self._call.identity, self._engine_build(peer)
         if outcome.end is End.COMPLETE:
-            self._quarantine.record_completion(self._call.digest)
+            served = answer is not None and answer.status in _SUCCESS
+            self._quarantine.record_completion(identity, build, served)
         elif outcome.end in _CONNECTION_LOST and not peer.leaving:
-            self._quarantine.record_loss(
-                peer.start_id, peer.pool, self._call.digest, outcome.begun
+            loss = LostAttempt(
+                identity,
+                build,
+                outcome.begun,
+                outcome.sent_at,
+                outcome.first_data_at,
             )
+            self._quarantine.record_loss(peer.start_id, peer.pool, loss)
+
+    def _engine_build(self, peer: Peer) -> EngineBuild:
+        prompt = self._call.prompt
+        return peer.build(prompt.model) if prompt else EngineBuild("")
 
 
 def _named_sources(
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -4,7 +4,7 @@
 
 from magnolialug.carrier.pool import Pool
 from magnolialug.events import Event, emit, explain
-from magnolialug.ids import EndpointId
+from magnolialug.ids import EndpointId, EngineBuild
 from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.engineload import EngineLoad
@@ -272,6 +272,10 @@
         version = self._weights.get(model, 0)
         return version if version > self._excluded.get(model, 0) else 0
 
+    def build(self, model: str) -> EngineBuild:
+        """Returns its software version and its version of a model."""
+        return EngineBuild(f"{self.listed.software}/{self.weights(model)}")
+
     def all_weights(self) -> dict[str, int]:
         """Returns its newest known version of each model."""
         return dict(self._weights)
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -156,7 +156,7 @@
     Event.ENDPOINT_REPLACED: "Another endpoint has an endpoint's address.",
     Event.ENDPOINT_RESTARTED: "An endpoint started again under its id.",
     Event.ENDPOINT_STALE: "An entry of an endpoint that is gone; not used.",
-    Event.ENDPOINT_CRASHED: "An endpoint has crashed; requests that it had.",
+    Event.ENDPOINT_CRASHED: "An endpoint has crashed; what it had in progress.",
     Event.ZONE_EVACUATED: "Nothing more is sent to a zone's endpoints.",
     Event.ZONE_RETURNED: "A zone's endpoints take new work again.",
     Event.EVACUATION_REFUSED: "An evacuation order was not obeyed.",
--- a/magnolialug/ids.py
+++ b/magnolialug/ids.py
@@ -6,6 +6,7 @@
 __all__ = [
     "AttemptId",
     "BlockId",
+    "EngineBuild",
     "EndpointId",
     "EntryId",
     "Incarnation",
@@ -25,6 +26,7 @@
 
 AttemptId = NewType("AttemptId", str)
 BlockId = NewType("BlockId", str)
+EngineBuild = NewType("EngineBuild", str)
 EndpointId = NewType("EndpointId", str)
 EntryId = NewType("EntryId", str)
 Incarnation = NewType("Incarnation", str)
--- a/magnolialug/quarantine/crashdetector.py
+++ b/magnolialug/quarantine/crashdetector.py
@@ -3,11 +3,30 @@
 from collections.abc import Callable
 from functools import partial
 
+import msgspec
+
 from magnolialug.carrier.pool import Pool
-from magnolialug.ids import EndpointId
-from magnolialug.quarantine.messages import LostRequest
+from magnolialug.ids import EndpointId, EngineBuild
+from magnolialug.policy.requestidentity import RequestIdentity
+
+__all__ = ["CrashDetector", "LostAttempt"]
+
+
+class LostAttempt(msgspec.Struct, frozen=True):
+    """An attempt whose connection the endpoint has closed.
+
+    Attributes:
+      build: of the engine, "" for a plain endpoint.
+      answered: whether part of the answer's body had arrived.
+      sent_at: when it was sent.
+      first_data_at: when the body began, infinity if it did not.
+    """
 
-__all__ = ["CrashDetector"]
+    identity: RequestIdentity
+    build: EngineBuild
+    answered: bool
+    sent_at: float
+    first_data_at: float
 
 
 class CrashDetector:
@@ -23,13 +42,13 @@
     """
 
     def __init__(
-        self, on_crash: Callable[[EndpointId, tuple[LostRequest, ...]], None]
+        self, on_crash: Callable[[EndpointId, tuple[LostAttempt, ...]], None]
     ):
         self._on_crash = on_crash
-        self._pending: dict[EndpointId, list[LostRequest]] = {}
+        self._pending: dict[EndpointId, list[LostAttempt]] = {}
 
     def record_loss(
-        self, endpoint: EndpointId, pool: Pool, loss: LostRequest
+        self, endpoint: EndpointId, pool: Pool, loss: LostAttempt
     ) -> None:
         """Records a request whose connection the endpoint has closed."""
         losses = self._pending.get(endpoint)
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -1,18 +1,21 @@
 """Connects crash detection, crash counts and the quarantine list."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address, Pool
 from magnolialug.events import Event, emit
-from magnolialug.ids import EndpointId, RequestDigest
+from magnolialug.ids import EndpointId, EngineBuild, RequestDigest
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
 from magnolialug.platform.kv import Kv
 from magnolialug.policy.crashcounter import CrashCounter, QuarantineTerm
 from magnolialug.policy.recentanswers import RecentAnswers
-from magnolialug.quarantine.crashdetector import CrashDetector
+from magnolialug.policy.requestidentity import RequestIdentity
+from magnolialug.policy.soundparts import SoundParts
+from magnolialug.quarantine.crashdetector import CrashDetector, LostAttempt
 from magnolialug.quarantine.messages import (
     CrashReport,
     LostRequest,
@@ -29,6 +32,8 @@
 _TEMPORARY_S = 60.0
 # Limits a crash report to 1,400 bytes, at 40 bytes per request.
 _LOSSES_PER_MESSAGE = 32
+# Bounds the length of a log line.
+_LOGGED_PARTS = 16
 # Bounds memory use for requests that were reported and not answered since.
 _MAX_REPORTED_REQUESTS = 10_000
 
@@ -62,6 +67,7 @@
         self._messenger = messenger
         self._clock = clock
         self._answered = RecentAnswers()
+        self._sound_parts = SoundParts()
         self._counter = CrashCounter()
         self._crash_detector = CrashDetector(self._report_crash)
         self._reported_requests: dict[RequestDigest, None] = {}
@@ -87,19 +93,25 @@
         return self.quarantined.refusal(digest)
 
     def record_loss(
-        self,
-        endpoint: EndpointId,
-        pool: Pool,
-        digest: RequestDigest,
-        answered: bool,
+        self, endpoint: EndpointId, pool: Pool, loss: LostAttempt
     ) -> None:
-        """Records a request whose connection the endpoint has closed."""
-        self._crash_detector.record_loss(
-            endpoint, pool, LostRequest(digest, answered)
-        )
+        """Records an attempt whose connection the endpoint has closed."""
+        self._crash_detector.record_loss(endpoint, pool, loss)
 
-    def record_completion(self, digest: RequestDigest) -> None:
-        """Records that an endpoint has answered a request completely."""
+    def record_completion(
+        self, identity: RequestIdentity, build: EngineBuild, served: bool
+    ) -> None:
+        """Records that an endpoint has answered a request completely.
+
+        Args:
+          build: of the engine that answered.
+          served: whether the answer was a success.
+        """
+        if served and identity.parts:
+            self._sound_parts.record(
+                identity.service, identity.parts, build, self._clock.seconds()
+            )
+        digest = identity.digest
         self._answered.add(digest)
         if self._reported_requests and digest in self._reported_requests:
             del self._reported_requests[digest]
@@ -111,12 +123,21 @@
         self.quarantined.tick(now)
 
     def _report_crash(
-        self, endpoint: EndpointId, losses: tuple[LostRequest, ...]
+        self, endpoint: EndpointId, losses: tuple[LostAttempt, ...]
     ) -> None:
-        emit(Event.ENDPOINT_CRASHED, endpoint=endpoint, lost=len(losses))
         now = self._clock.seconds()
+        emit(
+            Event.ENDPOINT_CRASHED,
+            endpoint=endpoint,
+            lost=len(losses),
+            unanswered=sum(not loss.answered for loss in losses),
+            parts=self._lost_parts(losses, now),
+        )
         by_owner: dict[Address, list[LostRequest]] = {}
-        for loss in set(losses):
+        requests = {
+            LostRequest(loss.identity.digest, loss.answered) for loss in losses
+        }
+        for loss in requests:
             if self._answered.rules_out(loss.digest, now):
                 continue
             self._reported_requests[loss.digest] = None
@@ -134,6 +155,27 @@
                 batch = tuple(rows[begin : begin + _LOSSES_PER_MESSAGE])
                 self._messenger.send(CrashReport(endpoint, batch), owner)
 
+    def _lost_parts(
+        self, losses: tuple[LostAttempt, ...], now: float
+    ) -> list[tuple[str, int, float]]:
+        """Returns the parts that most of the lost prompts had, for the log.
+
+        Returns:
+          for each the number of prompts, and the seconds since an engine of
+          the same build answered a prompt with it, -1 for never.
+        """
+        count = Counter(
+            (loss.identity.service, part, loss.build)
+            for loss in losses
+            for part in loss.identity.parts
+        )
+        rows = []
+        for key, number in count.most_common(_LOGGED_PARTS):
+            answered_at = self._sound_parts.answered_at(*key)
+            age_s = round(now - answered_at, 3)
+            rows.append((key[1], number, -1 if age_s == float("inf") else age_s))
+        return rows
+
     def _count_crash(self, report: CrashReport) -> None:
         """Counts a crash, and notifies all entries of poison requests."""
         now = self._clock.seconds()
--- a/tests/entry/test_poison_requests.py
+++ b/tests/entry/test_poison_requests.py
@@ -5,101 +5,12 @@
 from testtools import TestCase
 
 from magnolialug.standin.endpoint import Fault
-from tests.gatewaycluster import GatewayCluster
-
-VMS = ("front-1", "front-2", "front-3", "front-4")
-CRASHING_BODY = b"ends whoever begins it"
-# An endpoint starts a request this long after its arrival, and crashes if the
-# request is a crashing one. The first output of any other request comes at
-# WORK_S.
-START_S = 0.1
-WORK_S = 0.11
-# A crashed endpoint is registered again this much later at the same address.
-RESTART_S = 2.5
-# The platform's bound: after a request has crashed three endpoints, and this
-# long after the third crash, it may be sent to endpoints three more times.
-CRASH_LIMIT = 3
-REACTION_S = 3.0
-MAX_SENT_AFTER = 3
-
-
-class CrashSetup:
-    """A cluster whose endpoints crash when they start a crashing request.
-
-    Attributes:
-      sent: time and endpoint of each arrival of a crashing request.
-      crashed: time and endpoint of each crash.
-      crashing: the bodies of crashing requests.
-    """
-
-    def __init__(self, desks=0, engines=6, vms=VMS):
-        self.cluster = GatewayCluster(desks, engines, vms=vms)
-        self.random = Random(1)
-        self.sent = []
-        self.crashed = []
-        self.crashing = {CRASHING_BODY}
-        for endpoint in self.cluster.endpoints():
-            self.watch(endpoint)
-
-    @property
-    def now(self):
-        """The current time in seconds."""
-        return self.cluster.net.seconds()
-
-    def watch(self, endpoint):
-        """Makes an endpoint crash on crashing requests."""
-        endpoint.work_s = WORK_S
-
-        def arrived(req):
-            if req.body in self.crashing:
-                self.sent.append((self.now, endpoint.instance))
-                self.cluster.net.callLater(START_S, started, req)
-
-        def started(req):
-            if any(conn.current is req for conn in endpoint.open):
-                self.crash(endpoint)
-
-        endpoint.on_arrival = arrived
-
-    def crash(self, endpoint):
-        """Crashes an endpoint; a successor takes over its address later."""
-        self.crashed.append((self.now, endpoint.instance))
-        net = self.cluster.net
-        del net.servers[endpoint.address]
-        for conn in list(endpoint.open):
-            conn.current = None
-            conn.transport.loseConnection()
-        net.callLater(RESTART_S, self.restart, endpoint)
-
-    def restart(self, endpoint):
-        """Starts an endpoint under a new id at the same address."""
-        cluster = self.cluster
-        engine = bool(endpoint.row["models"])
-        successor = cluster.add_engine() if engine else cluster.add_desk()
-        del cluster.net.servers[successor.address]
-        successor.address = endpoint.address
-        cluster.net.servers[endpoint.address] = successor
-        address = f"{endpoint.address[0]}:{endpoint.address[1]}"
-        cluster.relist(successor, address=address)
-        cluster.remove(f"servers/{endpoint.instance}")
-        self.watch(successor)
-
-    def send_repeatedly(
-        self, path, seconds, every_s, body=CRASHING_BODY, vms=4
-    ):
-        """Sends a request repeatedly, each time to a random gateway."""
-        until = self.now + seconds
-        while self.now < until:
-            number = 1 + self.random.randrange(vms)
-            caller = self.cluster.caller((f"10.0.0.{number}", 80))
-            self.cluster.ask(path, every_s, caller=caller, body=body)
-
-    def sent_after_limit(self):
-        """Returns the arrivals later than REACTION_S after the third crash."""
-        if len(self.crashed) < CRASH_LIMIT:
-            return []
-        since = self.crashed[CRASH_LIMIT - 1][0] + REACTION_S
-        return [row for row in self.sent if row[0] > since]
+from tests.entry.crashsetup import (
+    CRASHING_BODY,
+    MAX_SENT_AFTER,
+    VMS,
+    CrashSetup,
+)
 
 
 class RepeatedTest(TestCase):
