Quarantine: parts of prompts that crash engines

Callers saw nine in ten long prompts fail for minutes: 38 and 43 engines of six ended, one after the other, under requests with one part in their prompts. Cause: a poison request is known by team, path and body. Requests with the part differ in these, so that each had a count of its own and took two engines, the second by the gateway's retry. Ruled out: equal requests (2008 names other digests), load (each crash follows a placement with the same parts within 0.3 s). The class: a limit kept by a name that the next request does not bear. Change: gateways report all prompts that were lost with an engine, with their shared parts, to three owners of the service; an owner takes the part that explains the most crashes and that no engine of that build has answered, asks all gateways once, and quarantines the set of everything that those prompts have in common. What a crash shows narrows or widens nothing but that set, so that a session, a first part or a team that only came along is never refused without it. Bystanders' temporary quarantines end with the verdict.

--- a/magnolialug/ctl/quarantine.py
+++ b/magnolialug/ctl/quarantine.py
@@ -13,7 +13,7 @@
 
 
 async def quarantine_lines(kv: Kv) -> list[str] | Failure:
-    """Returns a line a request: its digest and the endpoints that crashed."""
+    """Returns a line for each request or pattern, with what crashed."""
     entries = await kv.scan(QUARANTINE_KEYS)
     if isinstance(entries, Failure):
         return entries
@@ -41,4 +41,8 @@
         value = msgspec.json.decode(entry.value, type=QuarantineValue)
     except msgspec.MsgspecError as exc:
         return f"{digest} malformed: {exc}"
-    return f"{digest} {' '.join(value.ended)}"
+    line = f"{digest} {' '.join(value.ended)}"
+    if value.pattern is None:
+        return line
+    service, team, parts = msgspec.structs.astuple(value.pattern)
+    return f"{line} {service}, {team or 'any team'}, parts {' '.join(parts)}"
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -411,10 +411,10 @@
             self.clock,
         )
 
-    def _cancel_attempts(self, digest: RequestDigest) -> None:
-        """Aborts the attempts of a request that crashes endpoints."""
+    def _cancel_attempts(self, _: RequestDigest) -> None:
+        """Aborts the attempts of requests that are now quarantined."""
         for attempt in list(self._in_flight):
-            if attempt.digest == digest:
+            if self.quarantine.refusal(attempt.identity):
                 attempt.abort_unless_started()
 
     def _apply_routing(self, routing: Routing) -> None:
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -146,7 +146,7 @@
         self.last_contact_at = now
         self.answered = False
         self.begun = False
-        self.digest = call.digest
+        self.identity = call.identity
         self._call = call
         self._progress = progress
         self._sink = sink
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -114,7 +114,7 @@
             if refusal:
                 return refusal
         progress.seq = max(progress.seq, self._call.resume_after)
-        refusal = self._quarantine.refusal(self._call.digest)
+        refusal = self._quarantine.refusal(self._call.identity)
         if refusal:
             return refusal
         results = await self._prober.probe(self._call, self._avoid)
@@ -125,7 +125,7 @@
             # The permit to send to it has expired while the prompt waited.
             results = await self._prober.probe(self._call, self._avoid)
         # The request may have been quarantined while it waited.
-        refusal = self._quarantine.refusal(self._call.digest)
+        refusal = self._quarantine.refusal(self._call.identity)
         if refusal:
             return refusal
         placed = self._placer.place(
@@ -377,6 +377,7 @@
             loss = LostAttempt(
                 identity,
                 build,
+                answer is not None,
                 outcome.begun,
                 outcome.sent_at,
                 outcome.first_data_at,
--- a/magnolialug/entry/peermessenger.py
+++ b/magnolialug/entry/peermessenger.py
@@ -25,8 +25,12 @@
 )
 from magnolialug.quarantine.messages import (
     CrashReport,
+    PromptCrashReport,
     Quarantined,
+    Released,
     RequestCompleted,
+    SoundPartsQuery,
+    SoundPartsReport,
 )
 from magnolialug.streamorigins.messages import (
     OriginNotice,
@@ -55,6 +59,10 @@
     | OriginNotice
     | OriginQuery
     | OriginReply
+    | PromptCrashReport
+    | Released
+    | SoundPartsQuery
+    | SoundPartsReport
 )
 
 
--- a/magnolialug/policy/crashcounter.py
+++ b/magnolialug/policy/crashcounter.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections import OrderedDict
+from collections.abc import Collection
 
 import msgspec
 
@@ -76,6 +77,14 @@
         """Clears a request that an endpoint has answered completely."""
         self._rows.pop(digest, None)
 
+    def discount(self, endpoints: Collection[EndpointId]) -> None:
+        """Drops the counts of crashes whose cause has been found."""
+        for digest, row in list(self._rows.items()):
+            for endpoint in endpoints:
+                row.points_by_endpoint.pop(endpoint, None)
+            if not row.points_by_endpoint:
+                del self._rows[digest]
+
     def endpoints(self, digest: RequestDigest) -> tuple[EndpointId, ...]:
         """Returns the endpoints that crashed while serving a request."""
         row = self._rows.get(digest)
--- /dev/null
+++ b/magnolialug/policy/crashevidence.py
@@ -0,0 +1,255 @@
+"""Finds the parts of prompts that explain crashes of endpoints."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import msgspec
+
+from magnolialug.ids import (
+    EndpointId,
+    EngineBuild,
+    RequestDigest,
+    ServiceName,
+    TeamId,
+)
+from magnolialug.policy.partpattern import PartPattern
+from magnolialug.policy.soundparts import SoundParts
+
+__all__ = ["CrashEvidence", "Finding", "LostPrompt"]
+
+# Faults under the same part. Two may be a coincidence.
+_SUSPECT_AT_FAULTS = 2
+_CONVICT_AT_FAULTS = 3
+# With two explanations of the same crashes, the next crash usually decides. At
+# this number, waiting costs more than a wrong choice.
+_CONVICT_ANYWAY_AT_FAULTS = 5
+# Crashes of one fault, such as a loss of power, come within this time. A prompt
+# that was sent after the previous crash is separate evidence at any time.
+_FAULT_WINDOW_S = 0.25
+_CRASH_WINDOW_S = 600.0
+# Bounds memory use and the time of an evaluation.
+_MAX_CRASHES = 32
+_MAX_PROMPTS = 256
+
+
+class LostPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that was in progress at an engine when it crashed.
+
+    Attributes:
+      parts: its shared parts, but for those that the sender can rule out.
+      age_ms: the time since it was sent.
+      begun: whether its answer had begun, with a head at least.
+    """
+
+    digest: RequestDigest
+    team: TeamId
+    parts: tuple[str, ...]
+    age_ms: int
+    begun: bool
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """A pattern of prompts that explains crashes."""
+
+    pattern: PartPattern
+    endpoints: tuple[EndpointId, ...]
+
+
+class _Lost(msgspec.Struct, frozen=True):
+    prompt: LostPrompt
+    sent_at: float
+
+
+class _Crash(msgspec.Struct):
+    at: float
+    build: EngineBuild
+    lost: dict[RequestDigest, _Lost] = {}
+
+
+class _Case(msgspec.Struct):
+    """The crashes that one part would explain."""
+
+    part: str
+    crashes: list[EndpointId]
+    faults: int = 0
+    beginnings: int = 0
+    answered_at: float = float("-inf")
+
+    @property
+    def strength(self) -> tuple[int, float, int]:
+        """Orders cases: more faults, never answered, more beginnings."""
+        return self.faults, -self.answered_at, self.beginnings
+
+
+class CrashEvidence:
+    """Crashes of one service's engines, and the prompts lost in them.
+
+    Dozens of prompts are lost with an engine, and most are bystanders. They are
+    retried, and some are lost again in the next crash. So a pattern is not
+    found by counting alone: of the parts that are not known to be sound, the
+    one that explains the most crashes is found first, and what it explains is
+    no evidence against others. The pattern names all that the prompts with that
+    part have in common, so that it matches no more than the evidence tells.
+    """
+
+    def __init__(self, service: ServiceName, sound: SoundParts):
+        self._service = service
+        self._sound = sound
+        self._crashes: OrderedDict[EndpointId, _Crash] = OrderedDict()
+
+    def record_crash(
+        self,
+        endpoint: EndpointId,
+        build: EngineBuild,
+        prompts: Iterable[LostPrompt],
+        now: float,
+    ) -> None:
+        """Records prompts that were lost with an engine."""
+        crash = self._crashes.setdefault(endpoint, _Crash(now, build))
+        for prompt in prompts:
+            if len(crash.lost) < _MAX_PROMPTS:
+                sent_at = now - prompt.age_ms / 1000
+                crash.lost[prompt.digest] = _Lost(prompt, sent_at)
+        while len(self._crashes) > _MAX_CRASHES:
+            self._crashes.popitem(last=False)
+
+    def suspects(self, now: float) -> list[str]:
+        """Returns the parts that may explain two crashes or more."""
+        return [
+            case.part
+            for case in self._cases(self._recent(now))
+            if case.faults >= _SUSPECT_AT_FAULTS
+        ]
+
+    def findings(self, now: float) -> list[Finding]:
+        """Returns the patterns that explain three crashes or more each."""
+        crashes = self._recent(now)
+        found = []
+        while True:
+            case = self._decisive_case(crashes)
+            if case is None:
+                return found
+            finding = self._finding(case, crashes)
+            found.append(finding)
+            for endpoint in finding.endpoints:
+                del crashes[endpoint]
+
+    def is_refuted(self, finding: Finding) -> bool:
+        """Whether all parts of a pattern have been answered since."""
+        pattern = finding.pattern
+        return all(
+            endpoint in self._crashes
+            and self._sound.rules_out(
+                pattern.service,
+                part,
+                self._crashes[endpoint].build,
+                self._crashes[endpoint].at,
+            )
+            for endpoint in finding.endpoints
+            for part in pattern.parts
+        )
+
+    def _recent(self, now: float) -> dict[EndpointId, _Crash]:
+        return {
+            endpoint: crash
+            for endpoint, crash in self._crashes.items()
+            if now - crash.at <= _CRASH_WINDOW_S
+        }
+
+    def _decisive_case(self, crashes: dict[EndpointId, _Crash]) -> _Case | None:
+        """Returns the strongest case, if it is strong enough on its own."""
+        cases = [
+            case
+            for case in self._cases(crashes)
+            if case.faults >= _CONVICT_AT_FAULTS
+        ]
+        if not cases:
+            return None
+        best = max(cases, key=lambda case: case.strength)
+        rivals = {
+            case.part
+            for case in cases
+            if case.strength == best.strength
+            and not set(case.crashes).isdisjoint(best.crashes)
+        }
+        company = self._company(best, crashes)[0]
+        if rivals <= company or best.faults >= _CONVICT_ANYWAY_AT_FAULTS:
+            return best
+        return None
+
+    def _cases(self, crashes: dict[EndpointId, _Crash]) -> list[_Case]:
+        by_part: dict[str, list[tuple[EndpointId, list[_Lost]]]] = {}
+        for endpoint, crash in crashes.items():
+            lost_with: dict[str, list[_Lost]] = {}
+            for lost in crash.lost.values():
+                for part in self._suspect_parts(lost, crash):
+                    lost_with.setdefault(part, []).append(lost)
+            for part, rows in lost_with.items():
+                by_part.setdefault(part, []).append((endpoint, rows))
+        return [
+            self._case(part, rows, crashes)
+            for part, rows in by_part.items()
+            if len(rows) >= _SUSPECT_AT_FAULTS
+        ]
+
+    def _case(
+        self,
+        part: str,
+        rows: list[tuple[EndpointId, list[_Lost]]],
+        crashes: dict[EndpointId, _Crash],
+    ) -> _Case:
+        case = _Case(part, [endpoint for endpoint, _ in rows])
+        digests: set[RequestDigest] = set()
+        previous_at = float("-inf")
+        for endpoint, lost in rows:
+            crash = crashes[endpoint]
+            digests.update(row.prompt.digest for row in lost)
+            case.beginnings += any(row.prompt.begun for row in lost)
+            case.answered_at = max(
+                case.answered_at,
+                self._sound.answered_at(self._service, part, crash.build),
+            )
+            is_later = crash.at - previous_at >= _FAULT_WINDOW_S
+            if is_later or max(row.sent_at for row in lost) > previous_at:
+                case.faults += 1
+                previous_at = crash.at
+        if len(digests) < _SUSPECT_AT_FAULTS:
+            # One request that is sent again is counted by its digest.
+            case.faults = min(case.faults, _SUSPECT_AT_FAULTS)
+        return case
+
+    def _finding(
+        self, case: _Case, crashes: dict[EndpointId, _Crash]
+    ) -> Finding:
+        parts, teams = self._company(case, crashes)
+        team = next(iter(teams)) if len(teams) == 1 else TeamId("")
+        pattern = PartPattern(self._service, team, tuple(sorted(parts)))
+        return Finding(pattern, tuple(case.crashes))
+
+    def _company(
+        self, case: _Case, crashes: dict[EndpointId, _Crash]
+    ) -> tuple[set[str], set[TeamId]]:
+        """Returns the parts and teams that came with a part at each crash."""
+        common_parts: set[str] | None = None
+        teams: set[TeamId] = set()
+        for endpoint in case.crashes:
+            crash = crashes[endpoint]
+            parts: set[str] = set()
+            for lost in crash.lost.values():
+                suspect = self._suspect_parts(lost, crash)
+                if case.part in suspect:
+                    parts.update(suspect)
+                    teams.add(lost.prompt.team)
+            common_parts = (
+                parts if common_parts is None else common_parts & parts
+            )
+        return common_parts or {case.part}, teams
+
+    def _suspect_parts(self, lost: _Lost, crash: _Crash) -> list[str]:
+        return [
+            part
+            for part in lost.prompt.parts
+            if not self._sound.rules_out(
+                self._service, part, crash.build, crash.at
+            )
+        ]
--- a/magnolialug/policy/soundparts.py
+++ b/magnolialug/policy/soundparts.py
@@ -5,14 +5,16 @@
 
 from magnolialug.ids import EngineBuild, ServiceName
 
-__all__ = ["SOUND_S", "SoundParts"]
+__all__ = ["SoundParts"]
 
-# A part of a prompt that was answered within this time does not crash engines
-# of the same build. It is longer than the pauses between two prompts of a team
-# that works, and than a storm of crashes in which nobody is answered.
-SOUND_S = 60.0
-# Bounds memory use: the parts of some minutes of an entry's prompts, 2 MB.
-_MAX_ROWS = 8192
+# An answer within this time before a crash rules a part out as its cause. It is
+# longer than a storm of crashes in which nobody is answered.
+_SOUND_S = 60.0
+# Bounds memory use: the parts of some minutes of an entry's prompts, 3 MB.
+_MAX_PARTS = 8192
+# An upgrade has two builds at a time; new weights during one make three.
+_MAX_BUILDS = 4
+_NEVER = float("-inf")
 
 
 class SoundParts:
@@ -23,8 +25,8 @@
     """
 
     def __init__(self) -> None:
-        self._answered_at: OrderedDict[
-            tuple[ServiceName, str, EngineBuild], float
+        self._rows: OrderedDict[
+            tuple[ServiceName, str], dict[EngineBuild, float]
         ] = OrderedDict()
 
     def record(
@@ -36,21 +38,31 @@
     ) -> None:
         """Records that a prompt with these parts was answered."""
         for part in parts:
-            key = service, part, build
-            known = self._answered_at.get(key, float("-inf"))
-            self._answered_at[key] = max(known, at)
-            self._answered_at.move_to_end(key)
-        while len(self._answered_at) > _MAX_ROWS:
-            self._answered_at.popitem(last=False)
+            builds = self._rows.setdefault((service, part), {})
+            builds[build] = max(at, builds.pop(build, _NEVER))
+            if len(builds) > _MAX_BUILDS:
+                del builds[next(iter(builds))]
+            self._rows.move_to_end((service, part))
+        while len(self._rows) > _MAX_PARTS:
+            self._rows.popitem(last=False)
 
     def answered_at(
         self, service: ServiceName, part: str, build: EngineBuild
     ) -> float:
         """Returns when a part was last answered, minus infinity for never."""
-        return self._answered_at.get((service, part, build), float("-inf"))
+        return self.builds(service, part).get(build, _NEVER)
 
-    def is_sound(
-        self, service: ServiceName, part: str, build: EngineBuild, now: float
+    def builds(
+        self, service: ServiceName, part: str
+    ) -> dict[EngineBuild, float]:
+        """Returns when engines of each build last answered a part."""
+        return self._rows.get((service, part), {})
+
+    def rules_out(
+        self, service: ServiceName, part: str, build: EngineBuild, at: float
     ) -> bool:
-        """Whether a part is known not to crash engines of a build."""
-        return now - self.answered_at(service, part, build) <= SOUND_S
+        """Whether a part cannot have caused a crash of an engine at a time.
+
+        It was answered by an engine of that build shortly before, or since.
+        """
+        return at - self.answered_at(service, part, build) <= _SOUND_S
--- a/magnolialug/quarantine/messages.py
+++ b/magnolialug/quarantine/messages.py
@@ -9,9 +9,26 @@
 
 import msgspec
 
-from magnolialug.ids import EndpointId, RequestDigest
-
-__all__ = ["CrashReport", "LostRequest", "Quarantined", "RequestCompleted"]
+from magnolialug.ids import (
+    EndpointId,
+    EngineBuild,
+    RequestDigest,
+    ServiceName,
+)
+from magnolialug.policy.crashevidence import LostPrompt
+from magnolialug.policy.partpattern import PartPattern
+
+__all__ = [
+    "CrashReport",
+    "LostRequest",
+    "PromptCrashReport",
+    "Quarantined",
+    "Released",
+    "RequestCompleted",
+    "SoundPart",
+    "SoundPartsQuery",
+    "SoundPartsReport",
+]
 
 
 class LostRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -44,10 +61,56 @@
     """A request is quarantined: it must not be sent to any endpoint.
 
     Attributes:
+      digest: identifies the request, or the pattern.
       crashed_endpoints: the endpoints that crashed while serving it.
       for_ms: duration of the quarantine, 0 for a permanent one.
+      pattern: matches all requests that are quarantined, None if it is one.
     """
 
     digest: RequestDigest
     crashed_endpoints: tuple[EndpointId, ...]
     for_ms: int = 0
+    pattern: PartPattern | None = None
+
+
+class Released(msgspec.Struct, frozen=True, array_like=True, tag="unbar"):
+    """A request or pattern is quarantined no longer."""
+
+    digest: RequestDigest
+
+
+class PromptCrashReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="lostprompts"
+):
+    """An engine has crashed while serving these prompts of the sender."""
+
+    service: ServiceName
+    endpoint: EndpointId
+    build: EngineBuild
+    prompts: tuple[LostPrompt, ...]
+
+
+class SoundPartsQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag="soundquery"
+):
+    """Asks which of these parts the sender's engines have answered."""
+
+    service: ServiceName
+    parts: tuple[str, ...]
+
+
+class SoundPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts that an engine of some build has answered."""
+
+    name: str
+    build: EngineBuild
+    age_ms: int
+
+
+class SoundPartsReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="sound"
+):
+    """Parts of prompts that engines of a service have answered."""
+
+    service: ServiceName
+    parts: tuple[SoundPart, ...]
--- /dev/null
+++ b/magnolialug/quarantine/partquarantine.py
@@ -0,0 +1,286 @@
+"""Finds parts of prompts that crash engines, together with other entries."""
+
+from collections.abc import Iterable
+
+import msgspec
+from twisted.internet.interfaces import IReactorTime
+
+from magnolialug.ids import EndpointId, EngineBuild, RequestDigest, ServiceName
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.owners.wiring import Messenger
+from magnolialug.policy.crashevidence import (
+    CrashEvidence,
+    Finding,
+    LostPrompt,
+)
+from magnolialug.policy.requestidentity import RequestIdentity
+from magnolialug.policy.soundparts import SoundParts
+from magnolialug.quarantine.batches import batches
+from magnolialug.quarantine.crashdetector import LostAttempt
+from magnolialug.quarantine.messages import (
+    PromptCrashReport,
+    Quarantined,
+    Released,
+    SoundPart,
+    SoundPartsQuery,
+    SoundPartsReport,
+)
+from magnolialug.quarantine.quarantinelist import QuarantineList
+
+__all__ = ["PartQuarantine"]
+
+# An engine that has written an answer for this long does not crash on its
+# prompt.
+_BEGINNING_S = 1.0
+# Time for the other entries to say which parts they know to be sound.
+_REPLY_S = 0.1
+# A part is asked for again only after this time; meanwhile the entries report
+# by themselves when it is answered.
+_ACCUSED_S = 60.0
+_REPORT_INTERVAL_S = 1.0
+# Each verdict is sent this often, as datagrams get lost.
+_ANNOUNCEMENTS = 3
+_ANNOUNCEMENT_INTERVAL_S = 0.2
+# Limit a message to 1,400 bytes, at 100 bytes a prompt and 30 a part.
+_PROMPTS_PER_MESSAGE = 12
+_PARTS_PER_MESSAGE = 40
+
+
+class _Announcement(msgspec.Struct):
+    message: Quarantined
+    left: int
+    due_at: float
+
+
+class PartQuarantine:
+    """Detects parts of prompts that crash engines and quarantines them.
+
+    No two prompts with such a part are alike, so that crashes are counted by
+    part. All prompts that were lost with an engine are reported to the owners
+    of the service, as only all of them together tell a cause from bystanders.
+    Before an owner decides, it asks all entries which parts were answered.
+
+    Args:
+      owners: selects the entries that decide.
+      quarantined: the quarantine list, which takes the patterns found.
+      sound: the parts that were answered, here or at other entries.
+    """
+
+    def __init__(
+        self,
+        owners: OwnerRing,
+        messenger: Messenger,
+        clock: IReactorTime,
+        quarantined: QuarantineList,
+        sound: SoundParts,
+    ):
+        self._owners = owners
+        self._messenger = messenger
+        self._clock = clock
+        self._quarantined = quarantined
+        self._sound = sound
+        self._evidence: dict[ServiceName, CrashEvidence] = {}
+        self._changed: set[ServiceName] = set()
+        self._asked_at: dict[tuple[ServiceName, str], float] = {}
+        self._accused_at: dict[tuple[ServiceName, str], float] = {}
+        self._reported_at: dict[tuple[ServiceName, str], float] = {}
+        self._announcements: list[_Announcement] = []
+        self._verdicts: dict[RequestDigest, Finding] = {}
+        for message, handler in (
+            (PromptCrashReport, lambda report, _: self._record_crash(report)),
+            (SoundPartsQuery, self._answer_query),
+            (SoundPartsReport, lambda report, _: self._record_sound(report)),
+        ):
+            messenger.register_handler(message, handler)
+
+    def report_crash(
+        self, endpoint: EndpointId, losses: Iterable[LostAttempt]
+    ) -> None:
+        """Reports the prompts that were lost with an engine to its owners."""
+        now = self._clock.seconds()
+        by_service: dict[
+            tuple[ServiceName, EngineBuild], dict[RequestDigest, LostPrompt]
+        ] = {}
+        for loss in losses:
+            prompt = self._lost_prompt(loss, now)
+            if prompt.parts:
+                key = loss.identity.service, loss.build
+                by_service.setdefault(key, {})[prompt.digest] = prompt
+        for (service, build), prompts in by_service.items():
+            for batch in batches(prompts.values(), _PROMPTS_PER_MESSAGE):
+                report = PromptCrashReport(service, endpoint, build, batch)
+                self._send_to_owners(service, report)
+
+    def record_answer(
+        self, identity: RequestIdentity, build: EngineBuild
+    ) -> None:
+        """Records that an engine has answered a prompt."""
+        now = self._clock.seconds()
+        service = identity.service
+        self._sound.record(service, identity.parts, build, now)
+        wanted = [
+            part
+            for part in identity.parts
+            if self._is_wanted(service, part, now)
+        ]
+        if wanted:
+            self._report_sound(service, wanted, now)
+
+    def tick(self, now: float) -> None:
+        """Decides on new evidence and repeats announcements."""
+        if self._changed:
+            for service in list(self._changed):
+                self._decide(service, now)
+        if self._announcements:
+            self._announce(now)
+        for rows in (self._accused_at, self._reported_at, self._asked_at):
+            if rows:
+                _drop_expired(rows, now)
+
+    def _lost_prompt(self, loss: LostAttempt, now: float) -> LostPrompt:
+        identity = loss.identity
+        if now - loss.first_data_at >= _BEGINNING_S:
+            self.record_answer(identity, loss.build)
+        parts = tuple(
+            part
+            for part in identity.parts
+            if not self._sound.rules_out(
+                identity.service, part, loss.build, now
+            )
+        )
+        age_ms = round((now - loss.sent_at) * 1000)
+        return LostPrompt(
+            identity.digest, identity.team, parts, age_ms, loss.begun
+        )
+
+    def _is_wanted(self, service: ServiceName, part: str, now: float) -> bool:
+        """Whether to report that a part was answered."""
+        key = service, part
+        accused_at = self._accused_at.get(key, float("-inf"))
+        reported_at = self._reported_at.get(key, float("-inf"))
+        return now - reported_at >= _REPORT_INTERVAL_S and (
+            now - accused_at <= _ACCUSED_S
+            or self._quarantined.names_part(service, part)
+        )
+
+    def _report_sound(
+        self, service: ServiceName, parts: list[str], now: float
+    ) -> None:
+        for part in parts:
+            self._reported_at[service, part] = now
+        for report in self._sound_reports(service, parts, now):
+            self._send_to_owners(service, report)
+
+    def _sound_reports(
+        self, service: ServiceName, parts: Iterable[str], now: float
+    ) -> list[SoundPartsReport]:
+        rows = [
+            SoundPart(part, build, round((now - at) * 1000))
+            for part in parts
+            for build, at in self._sound.builds(service, part).items()
+        ]
+        return [
+            SoundPartsReport(service, batch)
+            for batch in batches(rows, _PARTS_PER_MESSAGE)
+        ]
+
+    def _answer_query(self, query: SoundPartsQuery, sender) -> None:
+        now = self._clock.seconds()
+        for part in query.parts:
+            self._accused_at[query.service, part] = now
+        for report in self._sound_reports(query.service, query.parts, now):
+            self._messenger.send(report, sender)
+
+    def _record_crash(self, report: PromptCrashReport) -> None:
+        evidence = self._evidence.setdefault(
+            report.service, CrashEvidence(report.service, self._sound)
+        )
+        now = self._clock.seconds()
+        evidence.record_crash(
+            report.endpoint, report.build, report.prompts, now
+        )
+        self._changed.add(report.service)
+
+    def _record_sound(self, report: SoundPartsReport) -> None:
+        now = self._clock.seconds()
+        for row in report.parts:
+            at = now - row.age_ms / 1000
+            self._sound.record(report.service, [row.name], row.build, at)
+        if report.service in self._evidence:
+            self._changed.add(report.service)
+
+    def _decide(self, service: ServiceName, now: float) -> None:
+        """Quarantines what is found, and releases what has been refuted."""
+        evidence = self._evidence[service]
+        self._ask(service, evidence.suspects(now), now)
+        undecided = False
+        for finding in evidence.findings(now):
+            if self._is_asked(finding, now):
+                self._quarantine(finding, now)
+            else:
+                undecided = True
+        for digest, finding in list(self._verdicts.items()):
+            if evidence.is_refuted(finding):
+                del self._verdicts[digest]
+                self._send_to_all(Released(digest))
+        if not undecided:
+            self._changed.discard(service)
+
+    def _ask(
+        self, service: ServiceName, suspects: list[str], now: float
+    ) -> None:
+        new = [
+            part for part in suspects if (service, part) not in self._asked_at
+        ]
+        for batch in batches(new, _PARTS_PER_MESSAGE):
+            for part in batch:
+                self._asked_at[service, part] = now
+            self._send_to_all(SoundPartsQuery(service, batch))
+
+    def _is_asked(self, finding: Finding, now: float) -> bool:
+        """Whether all entries had time to object to a finding."""
+        pattern = finding.pattern
+        return all(
+            now - self._asked_at.get((pattern.service, part), now) >= _REPLY_S
+            for part in pattern.parts
+        )
+
+    def _quarantine(self, finding: Finding, now: float) -> None:
+        pattern = finding.pattern
+        if self._quarantined.covers(pattern):
+            return
+        self._verdicts[pattern.digest] = finding
+        message = Quarantined(pattern.digest, finding.endpoints, 0, pattern)
+        self._announcements.append(_Announcement(message, _ANNOUNCEMENTS, now))
+
+    def _announce(self, now: float) -> None:
+        for row in self._announcements:
+            if now >= row.due_at and row.message.digest in self._verdicts:
+                self._send_to_all(row.message)
+                row.left -= 1
+                row.due_at = now + _ANNOUNCEMENT_INTERVAL_S
+        self._announcements = [
+            row
+            for row in self._announcements
+            if row.left and row.message.digest in self._verdicts
+        ]
+
+    def _send_to_owners(self, service: ServiceName, message) -> None:
+        # This entry also counts by itself, in case it is disconnected from the
+        # others.
+        task = f"crashes/{service}"
+        owners = {self._owners.me, *self._owners.owner_candidates(task)}
+        for owner in owners:
+            self._messenger.send(message, owner)
+
+    def _send_to_all(self, message) -> None:
+        for entry in (self._owners.me, *self._owners.others):
+            self._messenger.send(message, entry)
+
+
+def _drop_expired(
+    rows: dict[tuple[ServiceName, str], float], now: float
+) -> None:
+    for key, at in list(rows.items()):
+        if now - at > _ACCUSED_S:
+            del rows[key]
--- a/magnolialug/quarantine/quarantinelist.py
+++ b/magnolialug/quarantine/quarantinelist.py
@@ -1,14 +1,16 @@
 """The list of quarantined requests, stored in the key-value service."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import msgspec
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.events import Event, emit, explain
-from magnolialug.ids import EndpointId, RequestDigest
+from magnolialug.ids import EndpointId, RequestDigest, ServiceName
 from magnolialug.platform.kv import Kv, KvEntry
+from magnolialug.policy.partpattern import PartPattern
+from magnolialug.policy.requestidentity import RequestIdentity
 from magnolialug.quarantine.messages import Quarantined
 from magnolialug.result import Code, Failure, failed
 from magnolialug.watchsubscriber import WatchSubscriber
@@ -30,6 +32,7 @@
     """The value of a quarantined request's key."""
 
     ended: tuple[EndpointId, ...]
+    pattern: PartPattern | None = None
 
 
 class _Row(msgspec.Struct):
@@ -38,6 +41,7 @@
     crashed_endpoints: tuple[EndpointId, ...]
     until: float
     revision: int = 0
+    pattern: PartPattern | None = None
 
     @property
     def is_permanent(self) -> bool:
@@ -48,11 +52,12 @@
     """The quarantined requests, persisted in the key-value service.
 
     There they outlive the entries. Otherwise a poison request would crash
-    further endpoints after each restart of the entries.
+    further endpoints after each restart of the entries. A row stands for one
+    request, or for all that match a pattern.
 
     Args:
-      writes: returns whether this entry has to write a request.
-      on_quarantined: receives each request that is newly quarantined.
+      is_writer: returns whether this entry has to write a row.
+      on_quarantined: receives the digest of each row that is newly quarantined.
     """
 
     def __init__(
@@ -67,21 +72,36 @@
         self._is_writer = is_writer
         self._on_quarantined = on_quarantined
         self._rows: dict[RequestDigest, _Row] = {}
+        self._by_part: dict[tuple[ServiceName, str], set[RequestDigest]] = {}
         self._writing = False
         self._write_at = 0.0
 
     def __len__(self) -> int:
         return len(self._rows)
 
-    def refusal(self, digest: RequestDigest) -> Failure | None:
+    def refusal(self, identity: RequestIdentity) -> Failure | None:
         """Returns the failure of a quarantined request, None for any other."""
-        row = self._rows.get(digest) if self._rows else None
-        if row is None or self._clock.seconds() >= row.until:
+        if not self._rows:
             return None
-        reason = (
-            f"{len(row.crashed_endpoints)} endpoints crashed under this request"
+        row = self._rows.get(identity.digest)
+        if row is not None and self._clock.seconds() < row.until:
+            return _failure(row, "this request")
+        for row in self._patterns_with(identity.service, identity.parts):
+            if row.pattern.matches(identity):
+                return _failure(row, "prompts with parts of this one")
+        return None
+
+    def names_part(self, service: ServiceName, part: str) -> bool:
+        """Whether a part of prompts belongs to a quarantined pattern."""
+        return bool(self._by_part) and (service, part) in self._by_part
+
+    def covers(self, pattern: PartPattern) -> bool:
+        """Whether all requests that match a pattern are quarantined."""
+        return any(
+            row.pattern.team in ("", pattern.team)
+            and set(row.pattern.parts) <= set(pattern.parts)
+            for row in self._patterns_with(pattern.service, pattern.parts)
         )
-        return failed(Code.QUARANTINED, reason)
 
     def add(self, notice: Quarantined) -> None:
         """Adds a request that another entry has quarantined."""
@@ -90,7 +110,23 @@
         row = self._rows.get(notice.digest)
         if row is not None and row.until >= until:
             return
-        self._put(notice.digest, _Row(notice.crashed_endpoints, until))
+        ended, pattern = notice.crashed_endpoints, notice.pattern
+        self._put(notice.digest, _Row(ended, until, 0, pattern))
+
+    def release(self, digest: RequestDigest) -> None:
+        """Removes a request or pattern, here and from the service."""
+        row = self._rows.get(digest)
+        self._release(digest)
+        if row is not None and row.revision and self._is_writer(digest):
+            ensureDeferred(self._delete(digest))
+
+    def release_explained(self, endpoints: Collection[EndpointId]) -> None:
+        """Removes temporary rows that only these crashes speak against."""
+        explained = set(endpoints)
+        for digest, row in list(self._rows.items()):
+            is_temporary = not row.is_permanent and row.pattern is None
+            if is_temporary and explained.issuperset(row.crashed_endpoints):
+                self._release(digest)
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
         """Replaces the persisted requests with those stored now."""
@@ -117,7 +153,8 @@
         if row is not None and row.is_permanent:
             row.revision = entry.revision
             return
-        self._put(digest, _Row(value.ended, float("inf"), entry.revision))
+        row = _Row(value.ended, float("inf"), entry.revision, value.pattern)
+        self._put(digest, row)
 
     def tick(self, now: float) -> None:
         """Ends expired temporary quarantines and writes permanent ones."""
@@ -132,18 +169,42 @@
     def _put(self, digest: RequestDigest, row: _Row) -> None:
         known = digest in self._rows
         self._rows[digest] = row
+        for key in _part_keys(row):
+            self._by_part.setdefault(key, set()).add(digest)
         if not known or row.is_permanent:
             emit(
                 Event.REQUEST_QUARANTINED,
                 digest=digest,
                 ended=list(row.crashed_endpoints),
                 permanent=row.is_permanent,
+                **_pattern_fields(row.pattern),
             )
+        if row.pattern is not None:
+            self.release_explained(row.crashed_endpoints)
         self._on_quarantined(digest)
 
     def _release(self, digest: RequestDigest) -> None:
-        if self._rows.pop(digest, None) is not None:
-            emit(Event.REQUEST_RELEASED, digest=digest)
+        row = self._rows.pop(digest, None)
+        if row is None:
+            return
+        for key in _part_keys(row):
+            self._by_part[key].discard(digest)
+            if not self._by_part[key]:
+                del self._by_part[key]
+        emit(Event.REQUEST_RELEASED, digest=digest)
+
+    def _patterns_with(
+        self, service: ServiceName, parts: Iterable[str]
+    ) -> list[_Row]:
+        """Returns the rows whose patterns name at least one of some parts."""
+        if not self._by_part:
+            return []
+        digests = {
+            digest
+            for part in parts
+            for digest in self._by_part.get((service, part), ())
+        }
+        return [self._rows[digest] for digest in digests]
 
     async def _write(self) -> None:
         """Writes the permanent quarantines that this entry has to write."""
@@ -161,7 +222,9 @@
             self._write_at = self._clock.seconds() + _WRITE_RETRY_S
 
     async def _write_one(self, digest: RequestDigest, row: _Row) -> None:
-        value = msgspec.json.encode(QuarantineValue(row.crashed_endpoints))
+        value = msgspec.json.encode(
+            QuarantineValue(row.crashed_endpoints, row.pattern)
+        )
         swap = await self._kv.put_if(QUARANTINE_KEYS + digest, value, 0)
         if isinstance(swap, Failure):
             emit(Event.QUARANTINE_UNWRITTEN, digest=digest, **explain(swap))
@@ -172,8 +235,34 @@
     async def _release_oldest(self) -> None:
         written = {d: r.revision for d, r in self._rows.items() if r.revision}
         if len(written) > _MAX_QUARANTINED:
-            oldest = min(written, key=written.get)
-            await self._kv.delete(QUARANTINE_KEYS + oldest)
+            await self._delete(min(written, key=written.get))
+
+    async def _delete(self, digest: RequestDigest) -> None:
+        deleted = await self._kv.delete(QUARANTINE_KEYS + digest)
+        if isinstance(deleted, Failure):
+            emit(Event.QUARANTINE_UNWRITTEN, digest=digest, **explain(deleted))
+
+
+def _failure(row: _Row, what: str) -> Failure:
+    count = len(row.crashed_endpoints)
+    return failed(Code.QUARANTINED, f"{count} endpoints crashed under {what}")
+
+
+def _part_keys(row: _Row) -> list[tuple[ServiceName, str]]:
+    if row.pattern is None:
+        return []
+    return [(row.pattern.service, part) for part in row.pattern.parts]
+
+
+def _pattern_fields(pattern: PartPattern | None) -> dict[str, object]:
+    """Returns the log fields of a pattern."""
+    if pattern is None:
+        return {}
+    return {
+        "service": pattern.service,
+        "team": pattern.team,
+        "parts": list(pattern.parts),
+    }
 
 
 def _digest_of(key: str) -> RequestDigest:
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -15,13 +15,16 @@
 from magnolialug.policy.recentanswers import RecentAnswers
 from magnolialug.policy.requestidentity import RequestIdentity
 from magnolialug.policy.soundparts import SoundParts
+from magnolialug.quarantine.batches import batches
 from magnolialug.quarantine.crashdetector import CrashDetector, LostAttempt
 from magnolialug.quarantine.messages import (
     CrashReport,
     LostRequest,
     Quarantined,
+    Released,
     RequestCompleted,
 )
+from magnolialug.quarantine.partquarantine import PartQuarantine
 from magnolialug.quarantine.quarantinelist import QuarantineList
 from magnolialug.result import Failure
 
@@ -52,7 +55,8 @@
 
     Args:
       owners: selects the entries that count, and the one that writes.
-      on_quarantined: receives the digest of each newly quarantined request.
+      on_quarantined: receives the digest of each newly quarantined request or
+        pattern.
     """
 
     def __init__(
@@ -85,12 +89,18 @@
             lambda done, _: self._counter.record_completion(done.digest),
         )
         messenger.register_handler(
-            Quarantined, lambda notice, _: self.quarantined.add(notice)
+            Quarantined, lambda notice, _: self._add(notice)
+        )
+        messenger.register_handler(
+            Released, lambda notice, _: self.quarantined.release(notice.digest)
+        )
+        self._parts = PartQuarantine(
+            owners, messenger, clock, self.quarantined, self._sound_parts
         )
 
-    def refusal(self, digest: RequestDigest) -> Failure | None:
+    def refusal(self, identity: RequestIdentity) -> Failure | None:
         """Returns the failure of a quarantined request, None for any other."""
-        return self.quarantined.refusal(digest)
+        return self.quarantined.refusal(identity)
 
     def record_loss(
         self, endpoint: EndpointId, pool: Pool, loss: LostAttempt
@@ -108,9 +118,7 @@
           served: whether the answer was a success.
         """
         if served and identity.parts:
-            self._sound_parts.record(
-                identity.service, identity.parts, build, self._clock.seconds()
-            )
+            self._parts.record_answer(identity, build)
         digest = identity.digest
         self._answered.add(digest)
         if self._reported_requests and digest in self._reported_requests:
@@ -121,6 +129,12 @@
     def tick(self, now: float) -> None:
         """Ends expired quarantines and writes new ones."""
         self.quarantined.tick(now)
+        self._parts.tick(now)
+
+    def _add(self, notice: Quarantined) -> None:
+        if notice.pattern is not None:
+            self._counter.discount(notice.crashed_endpoints)
+        self.quarantined.add(notice)
 
     def _report_crash(
         self, endpoint: EndpointId, losses: tuple[LostAttempt, ...]
@@ -133,6 +147,7 @@
             unanswered=sum(not loss.answered for loss in losses),
             parts=self._lost_parts(losses, now),
         )
+        self._parts.report_crash(endpoint, losses)
         by_owner: dict[Address, list[LostRequest]] = {}
         requests = {
             LostRequest(loss.identity.digest, loss.answered) for loss in losses
@@ -151,8 +166,7 @@
         while len(self._reported_requests) > _MAX_REPORTED_REQUESTS:
             del self._reported_requests[next(iter(self._reported_requests))]
         for owner, rows in by_owner.items():
-            for begin in range(0, len(rows), _LOSSES_PER_MESSAGE):
-                batch = tuple(rows[begin : begin + _LOSSES_PER_MESSAGE])
+            for batch in batches(rows, _LOSSES_PER_MESSAGE):
                 self._messenger.send(CrashReport(endpoint, batch), owner)
 
     def _lost_parts(
@@ -173,7 +187,9 @@
         for key, number in count.most_common(_LOGGED_PARTS):
             answered_at = self._sound_parts.answered_at(*key)
             age_s = round(now - answered_at, 3)
-            rows.append((key[1], number, -1 if age_s == float("inf") else age_s))
+            rows.append(
+                (key[1], number, -1 if age_s == float("inf") else age_s)
+            )
         return rows
 
     def _count_crash(self, report: CrashReport) -> None:
--- a/tests/ctl/test_quarantine.py
+++ b/tests/ctl/test_quarantine.py
@@ -33,6 +33,13 @@
         self.assertEqual("aa i-1 i-2 i-3", one)
         self.assertTrue(other.startswith("bb malformed"))
 
+    def test_a_pattern_is_told_with_its_parts(self):
+        row = {"ended": ["i-1"], "pattern": ["llm", "", ["dead", "s"]]}
+        value = msgspec.json.encode(row)
+        self.kv._write(QUARANTINE_KEYS + "cc", value, 0)
+        line = self.result(quarantine_lines(self.kv))[-1]
+        self.assertEqual("cc i-1 llm, any team, parts dead s", line)
+
     def test_a_request_is_released_once(self):
         self.assertIsNone(self.result(release(self.kv, "aa")))
         self.assertEqual(1, len(self.result(quarantine_lines(self.kv))))
