Connections: a gateway borrows what others leave unused

Cause: each gateway had an equal share of an endpoint's connections, whatever arrives at it. The class: an equal share by count where arrivals are unequal. Ruled out: the endpoints (four to six of 64 connections in use). Change: entries report their connections with their work; the owner's reply tells the others' sum, and a gateway may have half of what is left above its share, an eighth kept back for first connections. At its limit it asks every 50 ms. A loan ends 0.2 s after the report it rests on. Processor and accepted connections are a matter of their own.

--- a/magnolialug/entry/candidatelist.py
+++ b/magnolialug/entry/candidatelist.py
@@ -84,7 +84,7 @@
         return [
             peer
             for peer in peers
-            if peer.pool.has_capacity
+            if peer.may_connect(now)
             and peer.cold.may_send(now)
             and peer.listed.endpoint not in avoid
             and _has_software(call, peer)
--- a/magnolialug/entry/candidateprober.py
+++ b/magnolialug/entry/candidateprober.py
@@ -90,6 +90,8 @@
         for peer in fresh:
             rank = len(peers) if call.root else 0
             peers[peer.listed.endpoint] = peer
+            if not peer.pool.has_capacity:
+                continue
             if not peer.limit.may_send(now):
                 results.limited = True
                 continue
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -308,6 +308,7 @@
         now = self._reactor.seconds()
         for peer in self.peers.values():
             peer.pool.trim()
+            peer.apply_connection_limit(now)
             if peer.load is not None:
                 peer.load.tick(now)
 
@@ -390,7 +391,7 @@
         pool = Pool(
             self._reactor,
             entry.address,
-            self._connections(entry),
+            1,
             self._reactor.seconds,
             self._on_connect,
         )
@@ -416,7 +417,8 @@
 
     def _apply_limits(self, peer: Peer) -> None:
         """Sets this entry's shares of an endpoint's limits."""
-        peer.pool.limit = self._connections(peer.listed)
+        peer.connections.divide(self._connections(peer.listed), self.entries)
+        peer.apply_connection_limit(self._reactor.seconds())
         peer.limit.share(self.entries, self._rank / self.entries)
         service = self._service(peer.listed)
         if service is not None:
@@ -433,10 +435,9 @@
         return EngineLoad(service.engine.memory_tokens, service.engine.slots)
 
     def _connections(self, entry: RegisteredEndpoint) -> int:
-        """Returns this entry's share of an endpoint's connections."""
+        """Returns how many connections an endpoint accepts."""
         service = self._service(entry)
-        total = service.connections if service else entry.slots
-        return max(1, total // (self.entries + 1))
+        return service.connections if service else entry.slots
 
     def _service(self, entry: RegisteredEndpoint):
         if self._routing is None:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -7,6 +7,7 @@
 from magnolialug.ids import EndpointId, EngineBuild
 from magnolialug.owners.ledgers import EndpointFacts
 from magnolialug.policy.coldstart import ColdStart
+from magnolialug.policy.connectionshare import ConnectionShare
 from magnolialug.policy.engineload import EngineLoad
 from magnolialug.policy.health import Health
 from magnolialug.policy.limitnotice import LimitNotice
@@ -42,6 +43,7 @@
       unreachable: whether the last connection attempt failed.
       cold: limits its new work after a start.
       limit: the request rate that its answers name.
+      connections: this entry's share of its connections.
       load: the estimated load of its engine, None for a plain service.
     """
 
@@ -54,6 +56,7 @@
     ):
         self.cold = cold
         self.limit = SendLimit()
+        self.connections = ConnectionShare()
         self.unreachable = False
         self.listed = listed
         self.pool = pool
@@ -193,6 +196,10 @@
 
     def apply_shared_state(self, state: EndpointState, now: float) -> None:
         """Applies its state as reported by its owner, for all entries."""
+        self.connections.record_others(
+            self.pool.connection_count, state.connections, now
+        )
+        self.apply_connection_limit(now)
         self._running_elsewhere = state.running
         self._shared_state_at = now
         for model, version in state.weights.items():
@@ -212,6 +219,14 @@
         else:
             self.limit.fall_back(now)
 
+    def apply_connection_limit(self, now: float) -> None:
+        """Bounds the pool by what this entry may use now."""
+        self.pool.limit = self.connections.limit(now)
+
+    def may_connect(self, now: float) -> bool:
+        """Whether a connection is left, or may be after asking its owner."""
+        return self.pool.has_capacity or self.connections.may_ask(now)
+
     def total_running(self, now: float) -> int:
         """Returns the requests in progress there, from all entries."""
         is_recent = now - self._shared_state_at <= _SHARED_STATE_MAX_AGE_S
@@ -253,11 +268,13 @@
                 born_ms=listed.born_ms,
                 cold_ms=cold_ms,
             )
+        connections = self.pool.connection_count
         notice = self.limit.known.report(now)
         if notice is None:
-            return share
+            return msgspec.structs.replace(share, connections=connections)
         return msgspec.structs.replace(
             share,
+            connections=connections,
             notice=notice,
             sent=self.limit.sent,
             recently_sent=self.limit.recently_sent(now),
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -236,7 +236,11 @@
     def _is_open(self, candidate: Candidate) -> bool:
         """Whether an endpoint still accepts work, which a wait can change."""
         peer = self._directory.peers.get(candidate.endpoint)
-        return peer is not None and peer.may_send(self._clock())
+        return (
+            peer is not None
+            and peer.may_send(self._clock())
+            and peer.pool.has_capacity
+        )
 
     def _no_endpoint(self, call: ForwardCall) -> Failure:
         """Returns why no endpoint of its service accepts a call."""
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -39,6 +39,9 @@
 # shares and half a second, in which any of its streams would have had ten
 # events.
 _SILENT_S = 1.0
+# An entry reports its connections with its work. Those that it leaves idle are
+# closed within this time.
+_CONNECTIONS_S = 5.0
 
 
 class _ReportedShare(msgspec.Struct):
@@ -75,6 +78,7 @@
         self.queue = AdmissionQueue()
         self.sends = SendBucket()
         self._shares: dict[str, _ReportedShare] = {}
+        self._connections: dict[str, tuple[int, float]] = {}
         self._reservations: dict[Hashable, _Reservation] = {}
         self._weights: dict[str, int] = {}
         self._min_weights: dict[str, int] = {}
@@ -92,6 +96,7 @@
         if share.notice is not None:
             self.sends.known.record(share.notice.to_notice(now))
             self.sends.record_sent(entry, share.sent, share.recently_sent, now)
+        self._connections[entry] = share.connections, now
         if share.running:
             self._shares[entry] = _ReportedShare(share, now)
         else:
@@ -114,6 +119,9 @@
         for entry, row in list(self._shares.items()):
             if now - row.at > SHARE_TIMEOUT_S:
                 del self._shares[entry]
+        for entry, (_, at) in list(self._connections.items()):
+            if now - at > _CONNECTIONS_S:
+                del self._connections[entry]
         for ticket, reservation in list(self._reservations.items()):
             if now >= reservation.until:
                 del self._reservations[ticket]
@@ -185,6 +193,11 @@
             },
             cold_ms=round(max(0.0, self._cold_until - now) * 1000),
             notice=self.sends.known.report(now),
+            connections=sum(
+                count
+                for entry, (count, _) in self._connections.items()
+                if entry != client
+            ),
         )
 
     def is_silent(self, now: float) -> bool:
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -31,6 +31,7 @@
       notice: what is known of its request limit, None if it never had one.
       sent: all requests that this entry has sent.
       recently_sent: those of the last second.
+      connections: that this entry has to it, idle ones included.
     """
 
     endpoint: EndpointId
@@ -46,6 +47,7 @@
     notice: ReportedNotice | None = None
     sent: int = 0
     recently_sent: int = 0
+    connections: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -83,6 +85,7 @@
         one.
       send_wait_ms: with a limit, the time until the entry that asks may send
         a request; 0 is a permit.
+      connections: that the entries have to it, idle ones included.
     """
 
     endpoint: EndpointId
@@ -98,6 +101,7 @@
     cold_ms: int = 0
     notice: ReportedNotice | None = None
     send_wait_ms: int = 0
+    connections: int = 0
 
 
 def sum_by_priority(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
--- a/magnolialug/standin/endpoint.py
+++ b/magnolialug/standin/endpoint.py
@@ -59,6 +59,7 @@
       on_arrival: is told of each request as it arrives.
       born_ms: when it was started, 0 if it does not tell.
       send_limit: the limit that its answers name, None for none.
+      max_connections: further ones are closed, 0 for no bound.
     """
 
     noisy = False
@@ -74,14 +75,17 @@
         self.ran: Counter[str] = Counter()
         self.cut: list[str] = []
         self.connections = 0
+        self.max_connections = 0
         self.born_ms = 0
         self.send_limit: object = None
         self.body_of: Callable[[Received], bytes] = lambda req: b"served"
         self.open: set[_Serving] = set()
         self.on_arrival: Callable[[Received], None] = lambda req: None
 
-    def buildProtocol(self, addr) -> "_Serving":
-        """Returns the protocol of a new connection."""
+    def buildProtocol(self, addr) -> "_Serving | None":
+        """Returns the protocol of a new connection, None to close it."""
+        if self.max_connections and len(self.open) >= self.max_connections:
+            return None
         self.connections += 1
         return _Serving(self)
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -10,6 +10,7 @@
     TCPTimedOutError,
 )
 from twisted.internet.interfaces import IPushProducer, ITCPTransport
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -279,6 +280,8 @@
 
     def _pair(self, protocol, server):
         other = server.buildProtocol(None)
+        if other is None:
+            return self._pair_with_closed(protocol)
         other.factory = getattr(other, "factory", server)
         near, far = Pipe(self, protocol), Pipe(self, other)
         near.peer, far.peer = far, near
@@ -287,6 +290,15 @@
         protocol.makeConnection(near)
         return near
 
+    def _pair_with_closed(self, protocol):
+        """Joins a client's protocol to a server that closes at once."""
+        near = Pipe(self, protocol)
+        near.peer = Pipe(self, Protocol())
+        near.peer.closed = True
+        protocol.makeConnection(near)
+        self.callLater(LATENCY_S, near.end, ConnectionLost())
+        return near
+
 
 class RunningNetwork(Network):
     """A network whose clock runs on while a segment is read."""
