Quarantine: what was sent after a crash, and one entry's view, decide nothing

By reading: each gateway also decided on its own losses alone, in which a bystander of three crashes may have no rival. Change: a loss counts only if its request was sent before the endpoint's crash was found. A gateway decides on parts only as an owner of the service, or if it reaches no owner, and 50 ms after the newest crash, when all have reported.

--- a/magnolialug/owners/ownerring.py
+++ b/magnolialug/owners/ownerring.py
@@ -112,6 +112,10 @@
         names = self._ring.candidates(task, OWNER_CANDIDATES)
         return tuple(self._addresses[name] for name in names)
 
+    def is_responsive(self, address: Address) -> bool:
+        """Whether an entry has answered lately, as far as is known."""
+        return address not in self._unresponsive
+
     def mark_unresponsive(self, address: Address) -> None:
         """Records that an entry has not answered."""
         probe_at = self._clock() + _FIRST_PROBE_DELAY_S
--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -90,12 +90,16 @@
     one that explains the most crashes is found first, and what it explains is
     no evidence against others. The pattern names all that the prompts with that
     part have in common, so that it matches no more than the evidence tells.
+
+    Attributes:
+      last_crash_at: when the newest crash was first reported.
     """
 
     def __init__(self, service: ServiceName, sound: SoundParts):
         self._service = service
         self._sound = sound
         self._crashes: OrderedDict[EndpointId, _Crash] = OrderedDict()
+        self.last_crash_at = float("-inf")
 
     def record_crash(
         self,
@@ -105,7 +109,10 @@
         now: float,
     ) -> None:
         """Records prompts that were lost with an engine."""
-        crash = self._crashes.setdefault(endpoint, _Crash(now, build))
+        crash = self._crashes.get(endpoint)
+        if crash is None:
+            crash = self._crashes[endpoint] = _Crash(now, build)
+            self.last_crash_at = now
         for prompt in prompts:
             if len(crash.lost) < _MAX_PROMPTS:
                 sent_at = now - prompt.age_ms / 1000
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.carrier.pool import Address
 from magnolialug.ids import EndpointId, EngineBuild, RequestDigest, ServiceName
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
@@ -34,6 +35,8 @@
 _BEGINNING_S = 1.0
 # Time for the other entries to say which parts they know to be sound.
 _REPLY_S = 0.1
+# Time for all entries to report what they lost in a crash.
+_SETTLE_S = 0.05
 # A part is asked for again only after this time; meanwhile the entries report
 # by themselves when it is answered.
 _ACCUSED_S = 60.0
@@ -213,6 +216,8 @@
         """Quarantines what is found, and releases what has been refuted."""
         evidence = self._evidence[service]
         self._ask(service, evidence.suspects(now), now)
+        if now - evidence.last_crash_at < _SETTLE_S:
+            return
         undecided = False
         for finding in evidence.findings(now):
             if self._is_asked(finding, now):
@@ -266,13 +271,20 @@
         ]
 
     def _send_to_owners(self, service: ServiceName, message) -> None:
-        # This entry also counts by itself, in case it is disconnected from the
-        # others.
-        task = f"crashes/{service}"
-        owners = {self._owners.me, *self._owners.owner_candidates(task)}
-        for owner in owners:
+        for owner in self._service_owners(service):
             self._messenger.send(message, owner)
 
+    def _service_owners(self, service: ServiceName) -> set[Address]:
+        """Returns the owners of a service; this entry if it reaches none.
+
+        An entry that knows its own losses only would take a bystander that it
+        lost again and again for the cause.
+        """
+        owners = set(self._owners.owner_candidates(f"crashes/{service}"))
+        if not any(map(self._owners.is_responsive, owners)):
+            owners.add(self._owners.me)
+        return owners
+
     def _send_to_all(self, message) -> None:
         for entry in (self._owners.me, *self._owners.others):
             self._messenger.send(message, entry)
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -37,6 +37,8 @@
 _LOSSES_PER_MESSAGE = 32
 # Bounds the length of a log line.
 _LOGGED_PARTS = 16
+# Bounds memory use; endpoints that crashed in the last minutes.
+_MAX_CRASHED_ENDPOINTS = 256
 # Bounds memory use for requests that were reported and not answered since.
 _MAX_REPORTED_REQUESTS = 10_000
 
@@ -75,6 +77,7 @@
         self._counter = CrashCounter()
         self._crash_detector = CrashDetector(self._report_crash)
         self._reported_requests: dict[RequestDigest, None] = {}
+        self._crashed_at: dict[EndpointId, float] = {}
         self.quarantined = QuarantineList(
             kv,
             clock,
@@ -140,6 +143,9 @@
         self, endpoint: EndpointId, losses: tuple[LostAttempt, ...]
     ) -> None:
         now = self._clock.seconds()
+        losses = self._sent_before_crash(endpoint, losses, now)
+        if not losses:
+            return
         emit(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint,
@@ -169,6 +175,22 @@
             for batch in batches(rows, _LOSSES_PER_MESSAGE):
                 self._messenger.send(CrashReport(endpoint, batch), owner)
 
+    def _sent_before_crash(
+        self,
+        endpoint: EndpointId,
+        losses: tuple[LostAttempt, ...],
+        now: float,
+    ) -> tuple[LostAttempt, ...]:
+        """Returns the losses that may have caused an endpoint's crash.
+
+        What takes connections for a crashed endpoint and closes them loses
+        further requests, which no endpoint has begun.
+        """
+        crashed_at = self._crashed_at.setdefault(endpoint, now)
+        while len(self._crashed_at) > _MAX_CRASHED_ENDPOINTS:
+            del self._crashed_at[next(iter(self._crashed_at))]
+        return tuple(loss for loss in losses if loss.sent_at <= crashed_at)
+
     def _lost_parts(
         self, losses: tuple[LostAttempt, ...], now: float
     ) -> list[tuple[str, int, float]]:
--- /dev/null
+++ b/tests/quarantine/test_reports.py
@@ -0,0 +1,118 @@
+"""What an entry reports of a crash, and to whom."""
+
+from testtools import TestCase
+from twisted.internet.task import Clock
+
+from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.policy.requestidentity import RequestIdentity
+from magnolialug.quarantine.crashdetector import LostAttempt
+from magnolialug.quarantine.messages import PromptCrashReport
+from magnolialug.quarantine.wiring import Quarantine
+from magnolialug.standin.kv import KvStore
+
+ME = ("10.0.0.1", 7000)
+
+
+class CrashedPool:
+    """The connections to a crashed endpoint; each probe finds it closed."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def probe(self, done):
+        """Reports the crash a millisecond later."""
+        self._clock.callLater(0.001, done, True)
+
+
+class OneEntry:
+    """A messenger of one entry, which keeps what is sent.
+
+    Attributes:
+      sent: each message with its receiver.
+    """
+
+    def __init__(self):
+        self.sent = []
+        self._handlers = {}
+
+    def register_handler(self, message_type, handler):
+        """Keeps a handler."""
+        self._handlers[message_type] = handler
+
+    def send(self, message, to):
+        """Handles a message to this entry at once."""
+        self.sent.append((message, to))
+        if to == ME:
+            self._handlers[type(message)](message, to)
+
+
+class LateLossTest(TestCase):
+    """What a crashed endpoint, or what stands before it, still loses."""
+
+    def test_a_request_sent_after_the_crash_is_not_suspect(self):
+        """Guards against quarantining requests that no endpoint has begun.
+
+        What takes connections for two crashed endpoints closed them one after
+        the other on the same sound request, which was then refused.
+        """
+        clock = Clock()
+        quarantine = Quarantine(
+            OwnerRing(ME, clock.seconds),
+            OneEntry(),
+            KvStore(clock),
+            clock,
+            lambda digest: None,
+        )
+        pool = CrashedPool(clock)
+        cause = RequestIdentity("cause", "llm", "a")
+        for endpoint in ("i-1", "i-2"):
+            loss = LostAttempt(cause, "", False, False, clock.seconds(), 9e9)
+            quarantine.record_loss(endpoint, pool, loss)
+            clock.advance(0.01)
+        late = RequestIdentity("late", "llm", "a")
+        for endpoint in ("i-1", "i-2"):
+            loss = LostAttempt(late, "", False, False, clock.seconds(), 9e9)
+            quarantine.record_loss(endpoint, pool, loss)
+            clock.advance(0.01)
+        self.assertIsNotNone(quarantine.refusal(cause))
+        self.assertIsNone(quarantine.refusal(late))
+
+
+class OwnerTest(TestCase):
+    """Who hears of lost prompts."""
+
+    def test_an_entry_decides_by_itself_only_if_it_reaches_no_owner(self):
+        """Guards against verdicts from one entry's losses alone.
+
+        Its own losses in three crashes may be bystanders of one session, while
+        the cause was sent by other entries.
+        """
+        clock, messenger = Clock(), OneEntry()
+        ring = OwnerRing(ME, clock.seconds)
+        ring.entries({(f"10.0.0.{number}", 7000): 1.0 for number in range(9)})
+        quarantine = Quarantine(
+            ring, messenger, KvStore(clock), clock, lambda digest: None
+        )
+        service = next(
+            name
+            for name in map(str, range(99))
+            if ME not in ring.owner_candidates(f"crashes/{name}")
+        )
+
+        def receivers(endpoint):
+            messenger.sent.clear()
+            prompt = RequestIdentity("d", service, "a", ("first",))
+            loss = LostAttempt(prompt, "", False, False, clock.seconds(), 9e9)
+            quarantine.record_loss(endpoint, CrashedPool(clock), loss)
+            clock.advance(0.01)
+            return {
+                to
+                for message, to in messenger.sent
+                if isinstance(message, PromptCrashReport)
+            }
+
+        owners = set(ring.owner_candidates(f"crashes/{service}"))
+        self.assertEqual(owners, receivers("i-1"))
+        for owner in owners:
+            ring.mark_unresponsive(owner)
+        self.assertEqual({*owners, ME}, receivers("i-2"))
