Callers: a saturated gateway turns new connections away

Cause, by reading: every connection was accepted and every request read, whatever the event loop's delay. The gateway that gets most new connections reads more than its processor can serve, and all of it waits; a request that was read counts, a connection that was closed unread does not, and its caller meets another gateway. Change: each gateway measures the delay of its event loop and tells it in its replies to load queries. From 0.1 s on, averaged, new connections are closed unread, until it is below 0.03 s, and only while most of the gateways heard within a second have less than 0.05 s; a saturated one asks three others at each tick. Connections that are open are served; readiness and probes are unaffected.

--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -131,20 +131,24 @@
       limits: returns the current limits.
       clock: returns the time in seconds.
       call_later: calls a function after a delay in seconds.
+      accepts: returns whether a new connection is accepted.
     """
 
     noisy = False
     protocol = GatewayChannel
 
-    def __init__(self, handle, limits, clock, call_later):
+    def __init__(self, handle, limits, clock, call_later, accepts):
         self.handle = handle
         self.limits = limits
         self.clock = clock
         self.channels: set[GatewayChannel] = set()
         self._call_later = call_later
+        self._accepts = accepts
 
-    def buildProtocol(self, addr) -> HTTPChannel:
-        """Returns the channel for a new connection."""
+    def buildProtocol(self, addr) -> HTTPChannel | None:
+        """Returns the channel for a new connection, None to close it."""
+        if not self._accepts():
+            return None
         channel = super().buildProtocol(addr)
         channel.callLater = self._call_later
         return channel
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -36,6 +36,8 @@
     STOP_FORCED = 1003
     RELOADED = 1004
     SETTINGS_REFUSED = 1005
+    SATURATED = 1006
+    UNSATURATED = 1007
     CONFIG_IN_FORCE = 1100
     CONFIG_REFUSED = 1101
     WEIGHTS_NAMED = 1102
@@ -116,6 +118,8 @@
     Event.STOP_FORCED: "The drain limit passed; what was left is listed.",
     Event.RELOADED: "The settings were read again.",
     Event.SETTINGS_REFUSED: "The settings are wrong; the old ones stay.",
+    Event.SATURATED: "New connections are closed; other entries have room.",
+    Event.UNSATURATED: "New connections are accepted again.",
     Event.CONFIG_IN_FORCE: "A configuration version is in force here.",
     Event.CONFIG_REFUSED: "A configuration version was not applied.",
     Event.WEIGHTS_NAMED: "The operator wants a model to have a version.",
--- a/magnolialug/owners/messages.py
+++ b/magnolialug/owners/messages.py
@@ -111,12 +111,14 @@
       rollout: a rollout newer than the one in the query, if any.
       evacuated: the evacuated zones, if their revision is later than the one in
         the query.
+      delay_ms: the delay of the sender's event loop.
     """
 
     number: int
     states: tuple[EndpointState, ...]
     rollout: Rollout | None = None
     evacuated: EvacuatedZones | None = None
+    delay_ms: int = 0
 
 
 class Enqueue(msgspec.Struct, frozen=True, array_like=True, tag="wait"):
--- a/magnolialug/owners/wiring.py
+++ b/magnolialug/owners/wiring.py
@@ -2,8 +2,10 @@
 
 import secrets
 from collections.abc import Callable, Mapping
+from itertools import cycle, islice
 from typing import Any, Protocol
 
+import msgspec
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
@@ -29,6 +31,7 @@
 )
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.pendingqueries import PendingQueries
+from magnolialug.policy.saturation import Saturation
 from magnolialug.policy.sharedload import WorkShare
 
 __all__ = ["LocalState", "Ownership", "Messenger"]
@@ -36,6 +39,8 @@
 _ENTRY_NAME_BYTES = 4
 # The number of a query that only probes the owner.
 _PROBE_NUMBER = 0
+# Entries that a saturated entry asks at each tick whether they have room.
+_SATURATION_PROBES = 3
 # Interval at which ledgers of endpoints that are gone are dropped.
 _CLEANUP_INTERVAL_S = 1.0
 
@@ -69,6 +74,9 @@
     at the endpoint to the owner and query it before they choose. So the
     messages of an entry grow with its own requests and not with the fleet.
 
+    Attributes:
+      saturation: the load of this entry, and of those that answer it.
+
     Args:
       me: this entry's own address.
     """
@@ -83,6 +91,7 @@
     ):
         entry = secrets.token_hex(_ENTRY_NAME_BYTES)
         dissemination = Dissemination(local_state, evacuations, clock.seconds)
+        self.saturation = Saturation()
         self.ring = OwnerRing(me, clock.seconds)
         self._ledgers = Ledgers(local_state.facts)
         self.ledger_service = LedgerService(
@@ -110,9 +119,11 @@
             entry, self.ring, messenger.send, clock
         )
         self._cleanup_at = 0.0
+        self._turn = 0
+        self._clock = clock
         self._messenger = messenger
         messenger.register_handler(LoadQuery, self._query)
-        messenger.register_handler(LoadReply, self.pending_queries.on_reply)
+        messenger.register_handler(LoadReply, self._on_reply)
         messenger.register_handler(
             AdmissionReply, self.admission_client.on_reply
         )
@@ -132,11 +143,15 @@
     def tick(self, now: float) -> None:
         """Repeats reports, probes owners, and drops expired ledgers."""
         self.load_reporter.tick(now)
-        for address in self.ring.due_probes():
+        probed = self.ring.due_probes()
+        if self.saturation.is_saturated:
+            probed += self._next_others()
+        for address in probed:
             self._messenger.send(LoadQuery("", _PROBE_NUMBER, ()), address)
         if now >= self._cleanup_at:
             self._cleanup_at = now + _CLEANUP_INTERVAL_S
             self._ledgers.drop_expired(now)
+            self.saturation.drop_expired(now)
 
     def stop(self) -> None:
         """Cancels all timers."""
@@ -144,5 +159,24 @@
         self.admission_client.stop()
         self.admission_queues.stop()
 
+    def _next_others(self) -> list[Address]:
+        """Returns a few other entries, different ones each time."""
+        others = self.ring.others
+        self._turn += _SATURATION_PROBES
+        count = min(_SATURATION_PROBES, len(others))
+        begin = self._turn % max(1, len(others))
+        return list(islice(cycle(others), begin, begin + count))
+
     def _query(self, query: LoadQuery, client: Address) -> None:
-        self._messenger.send(self.ledger_service.answer(query), client)
+        delay_ms = round(self.saturation.delay_s * 1000)
+        reply = self.ledger_service.answer(query)
+        if delay_ms:
+            reply = msgspec.structs.replace(reply, delay_ms=delay_ms)
+        self._messenger.send(reply, client)
+
+    def _on_reply(self, reply: LoadReply, owner: Address) -> None:
+        if owner != self.ring.me:
+            self.saturation.record_other(
+                owner, reply.delay_ms / 1000, self._clock.seconds()
+            )
+        self.pending_queries.on_reply(reply, owner)
