--- a/magnolialug/soak/clients.py
+++ b/magnolialug/soak/clients.py
@@ -59,6 +59,7 @@
       impatient: whether it leaves some requests early.
       hurried: whether it thinks for a tenth of the usual time.
       resumes: whether it takes up streams whose connection is lost.
+      reconnects: whether it opens a connection for each request.
 
     Args:
       new_id: returns a fresh request id.
@@ -80,6 +81,7 @@
         self.impatient = False
         self.hurried = False
         self.resumes = False
+        self.reconnects = False
         self._stream: _LostStream | None = None
         self._reactor = reactor
         self._random = random
@@ -218,7 +220,8 @@
         self._history.answered(row, answer)
         stamp = answer.headers.get("x-response-stamp", "")
         self._passed_on(stamp.removeprefix("stamp."), row.machine)
-        if answer.headers.get("connection", "") == "close":
+        closes = answer.headers.get("connection", "") == "close"
+        if closes or self.reconnects:
             self._conn = None
             conn.transport.loseConnection()
         self._think()
--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -5,7 +5,14 @@
 from typing import TYPE_CHECKING
 
 from magnolialug.carrier.reader import Framing
-from magnolialug.soak.poison import MARK, send_again, some_form
+from magnolialug.soak.poison import (
+    MARK,
+    PART_MARK,
+    send_again,
+    send_part_again,
+    some_form,
+    some_prompt_form,
+)
 from magnolialug.soak.proxy import Path
 from magnolialug.soak.slot import Slot
 from magnolialug.standin.endpoint import Fault
@@ -38,6 +45,8 @@
 _FRAMING_KINDS = ("break_off_streams",)
 _FIRST_SEED_OF_RELEASES = 13_000
 _RELEASE_KINDS = ("release_software",)
+_FIRST_SEED_OF_PARTS = 14_000
+_PART_KINDS = ("harmful_part", "flood_machine")
 # An endpoint is replaced by one of another version this long after the one
 # before it, so that both versions serve for a while.
 _RELEASE_STEP_S = 1.5
@@ -61,6 +70,8 @@
     they are drawn in the order of these.
     """
     left_out: tuple[str, ...] = ()
+    if seed < _FIRST_SEED_OF_PARTS:
+        left_out += _PART_KINDS
     if seed < _FIRST_SEED_OF_RELEASES:
         left_out += _RELEASE_KINDS
     if seed < _FIRST_SEED_OF_FRAMINGS:
@@ -284,6 +295,22 @@
     send_again(soak, body, some_form(soak), soak.poisoned_until)
 
 
+def harmful_part(soak: "Soak") -> None:
+    """A caller sends prompts with a part that crashes each engine."""
+    if soak.now < soak.poisoned_until:
+        return
+    part = f"{PART_MARK}{soak.new_id()}"
+    soak.poisoned_until = soak.now + _for_s(soak, 7.0, 9.0)
+    form, place = some_prompt_form(soak), soak.random.randrange(3)
+    send_part_again(soak, part, form, place, soak.poisoned_until)
+
+
+def flood_machine(soak: "Soak") -> None:
+    """Most new connections go to one machine, and callers open many."""
+    if soak.now >= soak.flooded_until:
+        soak.flood(soak.random.choice(soak.fronts), _for_s(soak, 5.0, 8.0))
+
+
 def restart_endpoint(soak: "Soak") -> None:
     """An endpoint starts again under its id, and knows nothing of before."""
     slot = soak.some_slot()
@@ -471,6 +498,8 @@
         break_off_streams,
         crash_endpoint,
         harmful_request,
+        harmful_part,
+        flood_machine,
         restart_endpoint,
         restart_part_store,
         foreign_entries,
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -10,7 +10,7 @@
 from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.limits import LimitChecks
 from magnolialug.soak.machine import CONTACT_S
-from magnolialug.soak.poison import MARK, PoisonRecord
+from magnolialug.soak.poison import PoisonRecord, poison_of
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.slot import Slot
 from magnolialug.soak.worldconfig import soak_config
@@ -64,7 +64,7 @@
       versions: when which configuration was acknowledged.
       weights: the newest that were named.
       software: the version that engines have which start now.
-      poisoned: what each poison request has done, by its body.
+      poisoned: what each poison request or part has done, by its name.
       zones: the evacuated zones and the cold endpoints.
       limits: the request rates that endpoints name.
 
@@ -293,8 +293,9 @@
                 endpoint.instance, slot.zone, req.request_id, machine, sent_at
             )
             self.limits.arrived(endpoint.instance, req.request_id, machine)
-            if req.body.startswith(MARK):
-                self._poisoned(slot, req, machine)
+            poison = poison_of(req)
+            if poison is not None:
+                self._poisoned(slot, req, machine, *poison)
         if slot.service == "llm":
             self._check_walls(endpoint, req)
 
@@ -308,9 +309,11 @@
             detail = f"{late:.2f} s after {slot.endpoint.instance} left"
             self._history.broken("DRAIN", detail, req.request_id)
 
-    def _poisoned(self, slot: Slot, req: Received, machine: str) -> None:
+    def _poisoned(
+        self, slot: Slot, req: Received, machine: str, name: bytes, allowed: int
+    ) -> None:
         """Ends an endpoint that has begun a poison request."""
-        record = self.poisoned.setdefault(req.body, PoisonRecord())
+        record = self.poisoned.setdefault(name, PoisonRecord(allowed=allowed))
         known_from = record.known_from
         late = self._reactor.seconds() > known_from + _SLACK_S
         if late and self._touched(machine, known_from):
