Soak: tests of parts that crash engines and of flooded machines

Two that nothing breaks, and two with a gateway that forgets crashes, or serves no more than an equal share of callers, which the soak must find.

--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -5,6 +5,7 @@
 from magnolialug.cmd import gateway
 from magnolialug.entry import candidatelist, retryloop
 from magnolialug.entry.directory import Directory
+from magnolialug.entry.gateway import Gateway
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.registry import Registry
@@ -12,8 +13,12 @@
 from magnolialug.policy.coldstart import ColdStart
 from magnolialug.policy.sendlimit import SendLimit
 from magnolialug.quarantine.wiring import Quarantine
+from magnolialug.result import Code, failed
 from magnolialug.silencetimer import SilenceTimer
 
+# More than a third of twenty callers, with some to spare.
+_EQUAL_SHARE = 12
+
 
 def repeat():
     """Sends a request that may run once to a second endpoint."""
@@ -89,6 +94,18 @@
     SilenceTimer.check = lambda _: None
 
 
+def divide():
+    """Serves no more callers than an equal share of them."""
+    admit = Gateway._admit
+
+    def strict(self, req):
+        if len(self.factory.channels) > _EQUAL_SHARE:
+            return failed(Code.LIMITED)
+        return admit(self, req)
+
+    Gateway._admit = strict
+
+
 if __name__ == "__main__":
     {
         "overrun": overrun,
@@ -102,5 +119,6 @@
         "rush": rush,
         "cling": cling,
         "wait": wait,
+        "divide": divide,
     }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -94,6 +94,29 @@
     def test_a_request_that_ends_endpoints_and_is_sent_on_is_found(self):
         self.assertIn("BUDGET", self.sabotaged("forget", "harmful_request"))
 
+    def test_a_part_that_crashes_engines_is_kept_back(self):
+        """Guards against prompts with one part that crash every engine."""
+        code, report = self.soak(
+            "--seed=14001", "--minutes=0.3", "--only=harmful_part"
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["outcomes"]["poison 502"], 20)
+
+    def test_a_part_that_crashes_engines_and_is_sent_on_is_found(self):
+        self.assertIn("BUDGET", self.sabotaged("forget", "harmful_part"))
+
+    def test_a_flooded_machine_serves_as_before(self):
+        code, report = self.soak(
+            "--seed=14001", "--minutes=0.25", "--only=flood_machine"
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["flood_machine"], 1)
+
+    def test_a_flooded_machine_that_refuses_is_found(self):
+        self.assertIn("RECOVER", self.sabotaged("divide", "flood_machine"))
+
     def test_evacuations_and_cold_endpoints_break_no_promise(self):
         code, report = self.soak(
             "--seed=3001",
