Quarantine: verdicts follow the evidence, and reach every gateway

Cause, by own tests of the first version: a part that turned deadly without a release was ruled out for 60 s after its last answer (24 crashes in 10 s); until it was found, a sound session that was at each crash was quarantined for good; crashes of before an operator's release quarantined the part again; a gateway that had missed all datagrams of a verdict, without the service, went on. Change: an answer rules a part out for 2 s, older ones decide between equal explanations only. An owner releases what another finding explains better. After an operator's release only new crashes count. An owner that hears of a lost prompt that matches a pattern tells its sender. A gateway deaf to the verdict: one crash more.

--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -120,6 +120,11 @@
         while len(self._crashes) > _MAX_CRASHES:
             self._crashes.popitem(last=False)
 
+    def discard(self, endpoints: Iterable[EndpointId]) -> None:
+        """Forgets the crashes of some engines."""
+        for endpoint in endpoints:
+            self._crashes.pop(endpoint, None)
+
     def suspects(self, now: float) -> list[str]:
         """Returns the parts that may explain two crashes or more."""
         return [
--- a/magnolialug/policy/soundparts.py
+++ b/magnolialug/policy/soundparts.py
@@ -7,9 +7,10 @@
 
 __all__ = ["SoundParts"]
 
-# An answer within this time before a crash rules a part out as its cause. It is
-# longer than a storm of crashes in which nobody is answered.
-_SOUND_S = 60.0
+# An answer within this time before a crash rules a part out as its cause. It
+# may become one without a release, so that older answers only decide between
+# equal explanations.
+_SOUND_S = 2.0
 # Bounds memory use: the parts of some minutes of an entry's prompts, 3 MB.
 _MAX_PARTS = 8192
 # An upgrade has two builds at a time; new weights during one make three.
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -90,7 +90,7 @@
         self._announcements: list[_Announcement] = []
         self._verdicts: dict[RequestDigest, Finding] = {}
         for message, handler in (
-            (PromptCrashReport, lambda report, _: self._record_crash(report)),
+            (PromptCrashReport, self._record_crash),
             (SoundPartsQuery, self._answer_query),
             (SoundPartsReport, lambda report, _: self._record_sound(report)),
         ):
@@ -194,7 +194,8 @@
         for report in self._sound_reports(query.service, query.parts, now):
             self._messenger.send(report, sender)
 
-    def _record_crash(self, report: PromptCrashReport) -> None:
+    def _record_crash(self, report: PromptCrashReport, sender: Address) -> None:
+        self._remind(report, sender)
         evidence = self._evidence.setdefault(
             report.service, CrashEvidence(report.service, self._sound)
         )
@@ -204,6 +205,20 @@
         )
         self._changed.add(report.service)
 
+    def _remind(self, report: PromptCrashReport, sender: Address) -> None:
+        """Tells an entry of a pattern that it has not heard of.
+
+        It sent a prompt that matches; all datagrams of the verdict to it were
+        lost, and it may not reach the key-value service either.
+        """
+        for prompt in report.prompts:
+            identity = RequestIdentity(
+                prompt.digest, report.service, prompt.team, prompt.parts
+            )
+            notice = self._quarantined.notice(identity)
+            if notice is not None and sender != self._owners.me:
+                self._messenger.send(notice, sender)
+
     def _record_sound(self, report: SoundPartsReport) -> None:
         now = self._clock.seconds()
         for row in report.parts:
@@ -218,18 +233,32 @@
         self._ask(service, evidence.suspects(now), now)
         if now - evidence.last_crash_at < _SETTLE_S:
             return
-        undecided = False
-        for finding in evidence.findings(now):
-            if self._is_asked(finding, now):
-                self._quarantine(finding, now)
-            else:
-                undecided = True
+        findings = evidence.findings(now)
+        asked = [row for row in findings if self._is_asked(row, now)]
+        for finding in asked:
+            self._quarantine(evidence, finding, now)
+        self._release(evidence, findings)
+        if len(asked) == len(findings):
+            self._changed.discard(service)
+
+    def _release(
+        self, evidence: CrashEvidence, findings: list[Finding]
+    ) -> None:
+        """Releases verdicts that are refuted, or that others explain better."""
+        found = {finding.pattern.digest for finding in findings}
+        explained = {
+            endpoint
+            for finding in findings
+            if self._quarantined.covers(finding.pattern)
+            for endpoint in finding.endpoints
+        }
         for digest, finding in list(self._verdicts.items()):
-            if evidence.is_refuted(finding):
+            if digest not in found and (
+                evidence.is_refuted(finding)
+                or explained.issuperset(finding.endpoints)
+            ):
                 del self._verdicts[digest]
                 self._send_to_all(Released(digest))
-        if not undecided:
-            self._changed.discard(service)
 
     def _ask(
         self, service: ServiceName, suspects: list[str], now: float
@@ -250,11 +279,21 @@
             for part in pattern.parts
         )
 
-    def _quarantine(self, finding: Finding, now: float) -> None:
+    def _quarantine(
+        self, evidence: CrashEvidence, finding: Finding, now: float
+    ) -> None:
+        """Announces a finding, unless it is known or has been released."""
         pattern = finding.pattern
-        if self._quarantined.covers(pattern):
+        is_covered = self._quarantined.covers(pattern)
+        if pattern.digest in self._verdicts:
+            if not is_covered:
+                # An operator has released it; only new crashes count again.
+                del self._verdicts[pattern.digest]
+                evidence.discard(finding.endpoints)
             return
         self._verdicts[pattern.digest] = finding
+        if is_covered:
+            return
         message = Quarantined(pattern.digest, finding.endpoints, 0, pattern)
         self._announcements.append(_Announcement(message, _ANNOUNCEMENTS, now))
 
--- a/magnolialug/quarantine/quarantinelist.py
+++ b/magnolialug/quarantine/quarantinelist.py
@@ -91,6 +91,14 @@
                 return _failure(row, "prompts with parts of this one")
         return None
 
+    def notice(self, identity: RequestIdentity) -> Quarantined | None:
+        """Returns the message about the pattern that a request matches."""
+        for row in self._patterns_with(identity.service, identity.parts):
+            if row.pattern.matches(identity):
+                ended, pattern = row.crashed_endpoints, row.pattern
+                return Quarantined(pattern.digest, ended, 0, pattern)
+        return None
+
     def names_part(self, service: ServiceName, part: str) -> bool:
         """Whether a part of prompts belongs to a quarantined pattern."""
         return bool(self._by_part) and (service, part) in self._by_part
--- a/tests/entry/test_poison_parts.py
+++ b/tests/entry/test_poison_parts.py
@@ -6,6 +6,7 @@
 import msgspec
 from testtools import TestCase
 
+from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from tests.entry.crashsetup import REACTION_S, CrashAt, CrashSetup
 
 DEAD = "dead"
@@ -203,6 +204,53 @@
         traffic.run(10)
         self.assertEqual(crashes, len(traffic.setup.crashed))
 
+    def test_a_gateway_that_missed_the_verdict_is_told(self):
+        """Guards against one gateway that goes on for ever.
+
+        It heard nothing of the verdict, and does not reach the service.
+        """
+        traffic = PartTraffic()
+        cluster = traffic.setup.cluster
+        cluster.kv.faults.down = True
+        deaf = ("10.0.0.4", 7000)
+        cluster.net.loses_datagram = lambda sender, to: to == deaf
+        traffic.run(3)
+        cluster.net.loses_datagram = lambda sender, to: False
+        crashes = len(traffic.setup.crashed)
+        traffic.run(10)
+        self.assertLessEqual(len(traffic.setup.crashed), crashes + 1)
+
+    def test_a_released_part_is_quarantined_only_after_new_crashes(self):
+        """Guards against old crashes that undo an operator's release."""
+        traffic = PartTraffic()
+        traffic.run(5)
+        cluster = traffic.setup.cluster
+        rows = cluster.gateway.quarantine.quarantined._rows
+        digest = next(d for d, row in rows.items() if row.pattern)
+        cluster.remove(f"{QUARANTINE_KEYS}{digest}")
+        traffic.setup.crashing_parts.clear()
+        crashed = len(traffic.setup.crashed)
+        cluster.pass_time(3)
+        traffic.poison.clear()
+        traffic.run(5)
+        cluster.pass_time(2)
+        self.assertEqual({200}, {c.last.status for c in traffic.poison})
+        self.assertEqual(crashed, len(traffic.setup.crashed))
+
+    def test_a_part_that_turns_deadly_is_found_soon(self):
+        """Guards against answers of before that clear a part for long."""
+        for seed in range(3):
+            traffic = PartTraffic(place=seed)
+            traffic.setup.random.seed(seed)
+            traffic.setup.crashing_parts.clear()
+            traffic.run(5)
+            traffic.setup.crashing_parts.add(DEAD)
+            traffic.run(20)
+            late = len(traffic.sent_after_limit())
+            self.assertLessEqual(late, MAX_SENT_AFTER, seed)
+            # Sessions that were taken for the cause at first are released.
+            self.assertEqual({("team-a", (DEAD,))}, traffic.patterns(), seed)
+
     def test_its_callers_are_refused_at_once_without_retry_after(self):
         traffic = PartTraffic()
         traffic.run(5)
