Gateway: the connection gate in a file of its own; fewer parts remembered

No behaviour changes but one bound: an entry remembers 1,024 answered parts, not 8,192, 0.6 MB of the 64 MB that a node may have; an answer counts for 2 s, older ones only decide between equal explanations.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -1,6 +1,5 @@
 """The gateway's application object: wires its parts and serves requests."""
 
-import resource
 import secrets
 from collections.abc import Callable
 from random import Random
@@ -12,6 +11,7 @@
 from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.candidateprober import CandidateProber
+from magnolialug.entry.connectiongate import ConnectionGate
 from magnolialug.entry.costestimator import CostEstimator
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatchbuilder import DispatchBuilder
@@ -74,9 +74,6 @@
 # Share of the settings' ratio of retries to requests that entries use. Neither
 # restarts nor the number of entries change what all entries earn together.
 _RETRY_RATIO_SHARE = 0.9
-# Share of this process's descriptors for callers' connections. The others are
-# for endpoints and the key-value service, without which no caller is served.
-_CALLERS_DESCRIPTORS = 0.6
 # A watch returns at once when a key changes, and after this time when none
 # does. A dead network path is detected by the kernel's probes, not by this.
 _WATCH_TIMEOUT_S = 25.0
@@ -131,11 +128,9 @@
             self._limits,
             reactor.seconds,
             reactor.callLater,
-            self._accepts_connection,
+            lambda: self._connection_gate.accepts(),
         )
         self.in_progress = 0
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        self._max_connections = int(descriptors * _CALLERS_DESCRIPTORS)
         self._reactor = reactor
         self._entry_count = EntryCount(kv, reactor)
         self._entries = self._entry_membership(kv, reactor, random)
@@ -154,6 +149,11 @@
             self.messenger,
             reactor,
         )
+        self._connection_gate = ConnectionGate(
+            self.owners.saturation,
+            lambda: len(self.factory.channels),
+            metrics,
+        )
         self.quarantine = Quarantine(
             self.owners.ring, self.messenger, kv, reactor, self._cancel_attempts
         )
@@ -210,8 +210,6 @@
             reactor.seconds, lambda: self.settings.bounds.grace_s
         )
         self._tick = None
-        self._tick_due_at = float("inf")
-        self._turns_away = False
         self._clean_up_at = 0.0
         self._budget = self._new_budget()
         self._context = self._call_context(random)
@@ -488,7 +486,7 @@
     def _on_tick(self) -> None:
         self._tick = self._reactor.callLater(_TICK_INTERVAL_S, self._on_tick)
         now = self.clock()
-        self._check_saturation(now)
+        self._connection_gate.tick(now, _TICK_INTERVAL_S)
         if now >= self._clean_up_at:
             self._clean_up_at = now + _CLEAN_UP_INTERVAL_S
             self._clean_up(now)
@@ -504,33 +502,6 @@
         self.quarantine.tick(now)
         self._origins.tick(now)
 
-    def _check_saturation(self, now: float) -> None:
-        """Measures the delay of the event loop, and logs what follows."""
-        saturation = self.owners.saturation
-        saturation.record(max(0.0, now - self._tick_due_at))
-        self._tick_due_at = now + _TICK_INTERVAL_S
-        turns_away = saturation.turns_away(now)
-        if turns_away == self._turns_away:
-            return
-        self._turns_away = turns_away
-        emit(
-            Event.SATURATED if turns_away else Event.UNSATURATED,
-            delay_s=round(saturation.delay_s, 3),
-            connections=len(self.factory.channels),
-            running=self.in_progress,
-        )
-
-    def _accepts_connection(self) -> bool:
-        """Whether a new connection is accepted; one that is not is counted."""
-        if len(self.factory.channels) >= self._max_connections:
-            reason = "descriptors"
-        elif self._turns_away:
-            reason = "saturated"
-        else:
-            return True
-        self.metrics.connections_refused.add(1, {"reason": reason})
-        return False
-
     def _clean_up(self, now: float) -> None:
         self.prefix_cache.tick(now)
         self.directory.trim()
--- a/magnolialug/policy/soundparts.py
+++ b/magnolialug/policy/soundparts.py
@@ -11,8 +11,8 @@
 # may become one without a release, so that older answers only decide between
 # equal explanations.
 _SOUND_S = 2.0
-# Bounds memory use: the parts of some minutes of an entry's prompts, 3 MB.
-_MAX_PARTS = 8192
+# Bounds memory use: the parts of some seconds of an entry's prompts, 0.6 MB.
+_MAX_PARTS = 1024
 # An upgrade has two builds at a time; new weights during one make three.
 _MAX_BUILDS = 4
 _NEVER = float("-inf")
