Quarantine: crashes of one build, prompts sent before the crash, no tie broken by a head

Behind something that takes connections for a crashed engine, other gateways lost prompts there long after the crash, each by its own count; a head that had arrived decided between two equal explanations, and sound streams have one; by reading, answers of new weights never cleared crashes under the weights before. Change: an owner leaves out prompts that were sent after the crash was first reported; equal explanations wait for the next crash; crashes of engines of one build are counted together, and within 120 s, not 600; an answer that an engine has written on for 0.5 s clears its parts, not 1 s. The soak checks at its end that no part is quarantined but those that crash engines (SOUND).

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -377,7 +377,6 @@
             loss = LostAttempt(
                 identity,
                 build,
-                answer is not None,
                 outcome.begun,
                 outcome.sent_at,
                 outcome.first_data_at,
--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -26,7 +26,7 @@
 # Crashes of one fault, such as a loss of power, come within this time. A prompt
 # that was sent after the previous crash is separate evidence at any time.
 _FAULT_WINDOW_S = 0.25
-_CRASH_WINDOW_S = 600.0
+_CRASH_WINDOW_S = 120.0
 # Bounds memory use and the time of an evaluation.
 _MAX_CRASHES = 32
 _MAX_PROMPTS = 256
@@ -38,14 +38,12 @@
     Attributes:
       parts: its shared parts, but for those that the sender can rule out.
       age_ms: the time since it was sent.
-      begun: whether its answer had begun, with a head at least.
     """
 
     digest: RequestDigest
     team: TeamId
     parts: tuple[str, ...]
     age_ms: int
-    begun: bool
 
 
 class Finding(msgspec.Struct, frozen=True):
@@ -62,7 +60,6 @@
 
 class _Crash(msgspec.Struct):
     at: float
-    build: EngineBuild
     lost: dict[RequestDigest, _Lost] = {}
 
 
@@ -71,18 +68,17 @@
 
     part: str
     crashes: list[EndpointId]
+    answered_at: float
     faults: int = 0
-    beginnings: int = 0
-    answered_at: float = float("-inf")
 
     @property
-    def strength(self) -> tuple[int, float, int]:
-        """Orders cases: more faults, never answered, more beginnings."""
-        return self.faults, -self.answered_at, self.beginnings
+    def strength(self) -> tuple[int, float]:
+        """Orders cases: more faults first, then the longest without answer."""
+        return self.faults, -self.answered_at
 
 
 class CrashEvidence:
-    """Crashes of one service's engines, and the prompts lost in them.
+    """Crashes of one service's engines of one build, and the lost prompts.
 
     Dozens of prompts are lost with an engine, and most are bystanders. They are
     retried, and some are lost again in the next crash. So a pattern is not
@@ -95,8 +91,11 @@
       last_crash_at: when the newest crash was first reported.
     """
 
-    def __init__(self, service: ServiceName, sound: SoundParts):
+    def __init__(
+        self, service: ServiceName, build: EngineBuild, sound: SoundParts
+    ):
         self._service = service
+        self._build = build
         self._sound = sound
         self._crashes: OrderedDict[EndpointId, _Crash] = OrderedDict()
         self.last_crash_at = float("-inf")
@@ -104,18 +103,21 @@
     def record_crash(
         self,
         endpoint: EndpointId,
-        build: EngineBuild,
         prompts: Iterable[LostPrompt],
         now: float,
     ) -> None:
-        """Records prompts that were lost with an engine."""
+        """Records prompts that were lost with an engine.
+
+        A prompt that was sent after the crash was first reported is left out:
+        something took connections for the engine, which had not begun it.
+        """
         crash = self._crashes.get(endpoint)
         if crash is None:
-            crash = self._crashes[endpoint] = _Crash(now, build)
+            crash = self._crashes[endpoint] = _Crash(now)
             self.last_crash_at = now
         for prompt in prompts:
-            if len(crash.lost) < _MAX_PROMPTS:
-                sent_at = now - prompt.age_ms / 1000
+            sent_at = now - prompt.age_ms / 1000
+            if sent_at <= crash.at and len(crash.lost) < _MAX_PROMPTS:
                 crash.lost[prompt.digest] = _Lost(prompt, sent_at)
         while len(self._crashes) > _MAX_CRASHES:
             self._crashes.popitem(last=False)
@@ -151,12 +153,7 @@
         pattern = finding.pattern
         return all(
             endpoint in self._crashes
-            and self._sound.rules_out(
-                pattern.service,
-                part,
-                self._crashes[endpoint].build,
-                self._crashes[endpoint].at,
-            )
+            and self._is_ruled_out(part, self._crashes[endpoint])
             for endpoint in finding.endpoints
             for part in pattern.parts
         )
@@ -210,17 +207,16 @@
         rows: list[tuple[EndpointId, list[_Lost]]],
         crashes: dict[EndpointId, _Crash],
     ) -> _Case:
-        case = _Case(part, [endpoint for endpoint, _ in rows])
+        case = _Case(
+            part,
+            [endpoint for endpoint, _ in rows],
+            self._sound.answered_at(self._service, part, self._build),
+        )
         digests: set[RequestDigest] = set()
         previous_at = float("-inf")
         for endpoint, lost in rows:
             crash = crashes[endpoint]
             digests.update(row.prompt.digest for row in lost)
-            case.beginnings += any(row.prompt.begun for row in lost)
-            case.answered_at = max(
-                case.answered_at,
-                self._sound.answered_at(self._service, part, crash.build),
-            )
             is_later = crash.at - previous_at >= _FAULT_WINDOW_S
             if is_later or max(row.sent_at for row in lost) > previous_at:
                 case.faults += 1
@@ -261,7 +257,8 @@
         return [
             part
             for part in lost.prompt.parts
-            if not self._sound.rules_out(
-                self._service, part, crash.build, crash.at
-            )
+            if not self._is_ruled_out(part, crash)
         ]
+
+    def _is_ruled_out(self, part: str, crash: _Crash) -> bool:
+        return self._sound.rules_out(self._service, part, self._build, crash.at)
--- a/magnolialug/quarantine/crashdetector.py
+++ b/magnolialug/quarantine/crashdetector.py
@@ -17,15 +17,13 @@
 
     Attributes:
       build: of the engine, "" for a plain endpoint.
-      begun: whether the answer's head had arrived.
-      answered: whether part of its body had arrived.
+      answered: whether part of the answer's body had arrived.
       sent_at: when the request was sent.
       first_data_at: when the body began, infinity if it did not.
     """
 
     identity: RequestIdentity
     build: EngineBuild
-    begun: bool
     answered: bool
     sent_at: float
     first_data_at: float
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -32,7 +32,7 @@
 
 # An engine that has written an answer for this long does not crash on its
 # prompt.
-_BEGINNING_S = 1.0
+_BEGINNING_S = 0.5
 # Time for the other entries to say which parts they know to be sound.
 _REPLY_S = 0.1
 # Time for all entries to report what they lost in a crash.
@@ -44,6 +44,8 @@
 # Each verdict is sent this often, as datagrams get lost.
 _ANNOUNCEMENTS = 3
 _ANNOUNCEMENT_INTERVAL_S = 0.2
+# Bounds memory use; services times the builds of an upgrade.
+_MAX_BUILDS = 64
 # Limit a message to 1,400 bytes, at 100 bytes a prompt and 30 a part.
 _PROMPTS_PER_MESSAGE = 12
 _PARTS_PER_MESSAGE = 40
@@ -82,8 +84,10 @@
         self._clock = clock
         self._quarantined = quarantined
         self._sound = sound
-        self._evidence: dict[ServiceName, CrashEvidence] = {}
-        self._changed: set[ServiceName] = set()
+        self._evidence: dict[
+            tuple[ServiceName, EngineBuild], CrashEvidence
+        ] = {}
+        self._changed: set[tuple[ServiceName, EngineBuild]] = set()
         self._asked_at: dict[tuple[ServiceName, str], float] = {}
         self._accused_at: dict[tuple[ServiceName, str], float] = {}
         self._reported_at: dict[tuple[ServiceName, str], float] = {}
@@ -132,8 +136,8 @@
     def tick(self, now: float) -> None:
         """Decides on new evidence and repeats announcements."""
         if self._changed:
-            for service in list(self._changed):
-                self._decide(service, now)
+            for service, build in list(self._changed):
+                self._decide(service, build, now)
         if self._announcements:
             self._announce(now)
         for rows in (self._accused_at, self._reported_at, self._asked_at):
@@ -152,9 +156,7 @@
             )
         )
         age_ms = round((now - loss.sent_at) * 1000)
-        return LostPrompt(
-            identity.digest, identity.team, parts, age_ms, loss.begun
-        )
+        return LostPrompt(identity.digest, identity.team, parts, age_ms)
 
     def _is_wanted(self, service: ServiceName, part: str, now: float) -> bool:
         """Whether to report that a part was answered."""
@@ -196,14 +198,17 @@
 
     def _record_crash(self, report: PromptCrashReport, sender: Address) -> None:
         self._remind(report, sender)
-        evidence = self._evidence.setdefault(
-            report.service, CrashEvidence(report.service, self._sound)
-        )
-        now = self._clock.seconds()
+        key = report.service, report.build
+        evidence = self._evidence.get(key)
+        if evidence is None:
+            evidence = CrashEvidence(*key, self._sound)
+            self._evidence[key] = evidence
+            if len(self._evidence) > _MAX_BUILDS:
+                del self._evidence[next(iter(self._evidence))]
         evidence.record_crash(
-            report.endpoint, report.build, report.prompts, now
+            report.endpoint, report.prompts, self._clock.seconds()
         )
-        self._changed.add(report.service)
+        self._changed.add(key)
 
     def _remind(self, report: PromptCrashReport, sender: Address) -> None:
         """Tells an entry of a pattern that it has not heard of.
@@ -224,12 +229,18 @@
         for row in report.parts:
             at = now - row.age_ms / 1000
             self._sound.record(report.service, [row.name], row.build, at)
-        if report.service in self._evidence:
-            self._changed.add(report.service)
+            key = report.service, row.build
+            if key in self._evidence:
+                self._changed.add(key)
 
-    def _decide(self, service: ServiceName, now: float) -> None:
+    def _decide(
+        self, service: ServiceName, build: EngineBuild, now: float
+    ) -> None:
         """Quarantines what is found, and releases what has been refuted."""
-        evidence = self._evidence[service]
+        evidence = self._evidence.get((service, build))
+        if evidence is None:
+            self._changed.discard((service, build))
+            return
         self._ask(service, evidence.suspects(now), now)
         if now - evidence.last_crash_at < _SETTLE_S:
             return
@@ -239,7 +250,7 @@
             self._quarantine(evidence, finding, now)
         self._release(evidence, findings)
         if len(asked) == len(findings):
-            self._changed.discard(service)
+            self._changed.discard((service, build))
 
     def _release(
         self, evidence: CrashEvidence, findings: list[Finding]
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -9,11 +9,16 @@
 
 from magnolialug.carrier.client import Client as Asker
 from magnolialug.carrier.client import Reply, request_bytes
+from magnolialug.quarantine.quarantinelist import (
+    QUARANTINE_KEYS,
+    QuarantineValue,
+)
 from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.faults import FAULTS, kinds_of, plan
 from magnolialug.soak.historychecker import HistoryChecker, Sent, Violation
 from magnolialug.soak.machine import CONTACT_S, Machine
+from magnolialug.soak.poison import PART_MARK
 from magnolialug.soak.probes import Probes
 from magnolialug.soak.proxy import Path, Proxy
 from magnolialug.soak.slot import Slot
@@ -347,6 +352,7 @@
                 detail += "; not: " + describe_unserved(unserved)
             self.history.broken("RECOVER", detail)
         self._check_engines()
+        self._check_quarantine()
         self._finish()
 
     def _check_engines(self) -> None:
@@ -391,6 +397,14 @@
         for machine in self.machines:
             machine.close()
 
+    def _check_quarantine(self) -> None:
+        """Checks that no part is quarantined but those that crash engines."""
+        for entry in self.world.stored(QUARANTINE_KEYS):
+            value = msgspec.json.decode(entry.value, type=QuarantineValue)
+            parts = value.pattern.parts if value.pattern else ()
+            if parts and not any(part.startswith(PART_MARK) for part in parts):
+                self.history.broken("SOUND", f"quarantined: {value}")
+
     def _finish(self) -> None:
         for client in self.clients:
             client.stop()
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Site
 
+from magnolialug.platform.kv import KvEntry
 from magnolialug.soak.block import Block
 from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.limits import LimitChecks
@@ -229,6 +230,11 @@
         ensureDeferred(self.kv.put_if(key, data, revision))
         self.kv.faults = faults
 
+    def stored(self, prefix: str) -> list[KvEntry]:
+        """Returns what keys with a prefix hold, past all faults."""
+        rows = self.kv._rows.items()
+        return [row for key, row in rows if key.startswith(prefix)]
+
     def remove(self, key: str) -> None:
         """Removes a key."""
         self.kv._remove(key)
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -15,21 +15,21 @@
 
     def __init__(self):
         self.sound = SoundParts()
-        self.evidence = CrashEvidence(SERVICE, self.sound)
+        self.evidence = CrashEvidence(SERVICE, BUILD, self.sound)
         self.now = 100.0
         self._numbers = iter(range(1000))
 
-    def crash(self, *prompts, after_s=2.0, build=BUILD):
+    def crash(self, *prompts, after_s=2.0):
         """Records the crash of an engine with some prompts."""
         self.now += after_s
         endpoint = f"i-{next(self._numbers)}"
-        self.evidence.record_crash(endpoint, build, prompts, self.now)
+        self.evidence.record_crash(endpoint, prompts, self.now)
         return endpoint
 
-    def prompt(self, *parts, team="a", digest=None, age_s=0.1, begun=False):
+    def prompt(self, *parts, team="a", digest=None, age_s=0.1):
         """Returns a lost prompt; each has a digest of its own."""
         digest = digest or f"d{next(self._numbers)}"
-        return LostPrompt(digest, team, parts, round(age_s * 1000), begun)
+        return LostPrompt(digest, team, parts, round(age_s * 1000))
 
     def answered(self, *parts, build=BUILD):
         """Records an answer to a prompt with some parts."""
@@ -102,10 +102,10 @@
     def test_a_part_is_found_anew_with_other_weights(self):
         """Guards against old answers that clear a part for new weights."""
         crashes = Crashes()
-        crashes.answered("dead")
+        crashes.answered("dead", build="v1/0")
         for session in "stu":
-            crashes.crash(crashes.prompt(session, "dead"), build="v1/2")
-            crashes.answered("dead")
+            crashes.crash(crashes.prompt(session, "dead"))
+            crashes.answered("dead", build="v1/0")
         self.assertEqual([("a", ("dead",))], crashes.patterns)
 
 
@@ -148,6 +148,19 @@
             )
         self.assertEqual(1, len(crashes.patterns))
 
+    def test_prompts_sent_after_a_crash_are_left_out(self):
+        """Guards against suspects that a crashed engine never began.
+
+        What takes connections for crashed engines closes them; each entry
+        finds that out by itself.
+        """
+        crashes = Crashes()
+        for session in "stu":
+            endpoint = crashes.crash(crashes.prompt(session, "first"))
+            late = crashes.prompt("sound", session, age_s=0.1)
+            crashes.evidence.record_crash(endpoint, [late], crashes.now + 0.5)
+        self.assertEqual([("a", ("first",))], crashes.patterns)
+
     def test_a_loss_of_power_is_one_fault(self):
         """Guards against barring what runs everywhere when power fails."""
         crashes = Crashes()
--- a/tests/quarantine/test_reports.py
+++ b/tests/quarantine/test_reports.py
@@ -66,12 +66,12 @@
         pool = CrashedPool(clock)
         cause = RequestIdentity("cause", "llm", "a")
         for endpoint in ("i-1", "i-2"):
-            loss = LostAttempt(cause, "", False, False, clock.seconds(), 9e9)
+            loss = LostAttempt(cause, "", False, clock.seconds(), 9e9)
             quarantine.record_loss(endpoint, pool, loss)
             clock.advance(0.01)
         late = RequestIdentity("late", "llm", "a")
         for endpoint in ("i-1", "i-2"):
-            loss = LostAttempt(late, "", False, False, clock.seconds(), 9e9)
+            loss = LostAttempt(late, "", False, clock.seconds(), 9e9)
             quarantine.record_loss(endpoint, pool, loss)
             clock.advance(0.01)
         self.assertIsNotNone(quarantine.refusal(cause))
@@ -102,7 +102,7 @@
         def receivers(endpoint):
             messenger.sent.clear()
             prompt = RequestIdentity("d", service, "a", ("first",))
-            loss = LostAttempt(prompt, "", False, False, clock.seconds(), 9e9)
+            loss = LostAttempt(prompt, "", False, clock.seconds(), 9e9)
             quarantine.record_loss(endpoint, CrashedPool(clock), loss)
             clock.advance(0.01)
             return {
