--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -157,6 +157,7 @@
             waiting_prompt(self._call),
             self._admission_requests(results),
             queued_work_limit_s(self._call),
+            partial(self._quarantine.refusal, self._call.identity),
         )
         self._waited_s = self._clock() - begun
         return admitted_by
--- a/magnolialug/owners/admissionclient.py
+++ b/magnolialug/owners/admissionclient.py
@@ -64,6 +64,7 @@
     ahead_s: float
     places: dict[EndpointId, _Place]
     granted: Deferred
+    refusal: Callable[[], Failure | None]
 
 
 class AdmissionClient:
@@ -103,6 +104,7 @@
         waiting: WaitingPrompt,
         requests: Iterable[AdmissionRequest],
         ahead_s: float,
+        refusal: Callable[[], Failure | None] = lambda: None,
     ) -> Deferred[EndpointId | Failure | None]:
         """Returns the engine that admits a prompt.
 
@@ -114,6 +116,8 @@
           requests: the engines that it may go to, the best one first.
           ahead_s: it is admitted only by an engine with less than this time of
             prefill ahead of it.
+          refusal: returns why the prompt may not be sent any more, None while
+            it may.
         """
         now = self._clock.seconds()
         number = next(self._numbers)
@@ -126,7 +130,9 @@
         granted: Deferred[EndpointId | Failure | None] = Deferred(
             lambda _: self._end(number)
         )
-        self._rows[number] = _PendingPrompt(waiting, ahead_s, places, granted)
+        self._rows[number] = _PendingPrompt(
+            waiting, ahead_s, places, granted, refusal
+        )
         self._renew(number)
         if self._timer is None and number in self._rows:
             self._timer = self._clock.callLater(
@@ -172,8 +178,11 @@
         self._timer = None
         now = self._clock.seconds()
         for number, row in list(self._rows.items()):
-            if now >= row.waiting.ends_at:
-                self._finish(number, _no_room(_RETRY_AFTER_S))
+            refusal = row.refusal()
+            if refusal is None and now >= row.waiting.ends_at:
+                refusal = _no_room(_RETRY_AFTER_S)
+            if refusal is not None:
+                self._finish(number, refusal)
                 continue
             self._drop_unresponsive(number, row, now)
             if number in self._rows:
