--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -75,7 +75,7 @@
         self._answered = RecentAnswers()
         self._sound_parts = SoundParts()
         self._counter = CrashCounter()
-        self._crash_detector = CrashDetector(self._report_crash)
+        self._crash_detector = CrashDetector(clock, self._report_crash)
         self._reported_requests: dict[RequestDigest, None] = {}
         self._crashed_at: dict[EndpointId, float] = {}
         self.quarantined = QuarantineList(
