Quarantine: a team answers only for crashes that it was at

Callers of a team could have been refused for prompts of another one. Cause: a pattern was widened to any team as soon as two teams had had its part at any of the crashes, a bystander included. A team that names another's part in prompts that crash engines could have that part refused for its owner. Change: a pattern's team is the one that had the part at every crash; any team only if there is none or more than one such. Before/after: the new test found ('', dead), now ('b', dead).

--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -237,21 +237,28 @@
     def _company(
         self, case: _Case, crashes: dict[EndpointId, _Crash]
     ) -> tuple[set[str], set[TeamId]]:
-        """Returns the parts and teams that came with a part at each crash."""
-        common_parts: set[str] | None = None
-        teams: set[TeamId] = set()
+        """Returns the parts and teams that came with a part at each crash.
+
+        A team that had the part at some of the crashes only is no cause of the
+        others: another team could name its part in prompts that crash engines.
+        """
+        parts_by_crash: list[set[str]] = []
+        teams_by_crash: list[set[TeamId]] = []
         for endpoint in case.crashes:
             crash = crashes[endpoint]
             parts: set[str] = set()
+            teams: set[TeamId] = set()
             for lost in crash.lost.values():
                 suspect = self._suspect_parts(lost, crash)
                 if case.part in suspect:
                     parts.update(suspect)
                     teams.add(lost.prompt.team)
-            common_parts = (
-                parts if common_parts is None else common_parts & parts
-            )
-        return common_parts or {case.part}, teams
+            parts_by_crash.append(parts)
+            teams_by_crash.append(teams)
+        return (
+            set.intersection(*parts_by_crash),
+            set.intersection(*teams_by_crash),
+        )
 
     def _suspect_parts(self, lost: _Lost, crash: _Crash) -> list[str]:
         return [
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -90,6 +90,20 @@
         crashes.crash(crashes.prompt("dead", team="a"))
         self.assertEqual([("", ("dead",))], crashes.patterns)
 
+    def test_a_bystander_does_not_widen_a_pattern_to_its_team(self):
+        """Guards against a team that has another team's part quarantined.
+
+        Team b names a part of team a in prompts that crash engines; a prompt
+        of team a is in progress at one of them.
+        """
+        crashes = Crashes()
+        crashes.crash(
+            crashes.prompt("dead", team="b"), crashes.prompt("dead", team="a")
+        )
+        for _ in range(2):
+            crashes.crash(crashes.prompt("dead", team="b"))
+        self.assertEqual([("b", ("dead",))], crashes.patterns)
+
     def test_two_parts_are_found_apart(self):
         crashes = Crashes()
         for session in "stu":
