Quarantine: a part that was answered before needs five crashes

A team whose first part was at three crashes by coincidence, and had no answer for 2 s before them, could have been refused for good. Cause: three crashes were enough for every part, also for one that engines of the same build had answered before. Ruled out: a first part that is answered between the crashes, which was cleared. Change: three crashes are enough for a part that no engine of the build is known to have answered, five for others. Before/after: the new test found it after three, now after five.

--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -20,8 +20,10 @@
 # Faults under the same part. Two may be a coincidence.
 _SUSPECT_AT_FAULTS = 2
 _CONVICT_AT_FAULTS = 3
-# With two explanations of the same crashes, the next crash usually decides. At
-# this number, waiting costs more than a wrong choice.
+# For a part that engines of this build have answered before, three coincidences
+# are more likely than that it crashes them now. With two explanations of the
+# same crashes, the next crash usually decides. At this number of faults, either
+# costs more than a wrong choice.
 _CONVICT_ANYWAY_AT_FAULTS = 5
 # Crashes of one fault, such as a loss of power, come within this time. A prompt
 # that was sent after the previous crash is separate evidence at any time.
@@ -71,6 +73,13 @@
     answered_at: float
     faults: int = 0
 
+    @property
+    def is_strong(self) -> bool:
+        """Whether the crashes are enough for this part."""
+        if self.answered_at == float("-inf"):
+            return self.faults >= _CONVICT_AT_FAULTS
+        return self.faults >= _CONVICT_ANYWAY_AT_FAULTS
+
     @property
     def strength(self) -> tuple[int, float]:
         """Orders cases: more faults first, then the longest without answer."""
@@ -167,11 +176,7 @@
 
     def _decisive_case(self, crashes: dict[EndpointId, _Crash]) -> _Case | None:
         """Returns the strongest case, if it is strong enough on its own."""
-        cases = [
-            case
-            for case in self._cases(crashes)
-            if case.faults >= _CONVICT_AT_FAULTS
-        ]
+        cases = [case for case in self._cases(crashes) if case.is_strong]
         if not cases:
             return None
         best = max(cases, key=lambda case: case.strength)
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -153,6 +153,16 @@
         crashes.crash(crashes.prompt("v", "dead"))
         self.assertEqual([("a", ("dead",))], crashes.patterns)
 
+    def test_a_part_that_was_answered_before_needs_more_crashes(self):
+        """Guards against quarantining a first part that was just unlucky."""
+        crashes = Crashes()
+        crashes.answered("first")
+        for number in range(4):
+            crashes.crash(crashes.prompt("first", f"s{number}"), after_s=3.0)
+            self.assertEqual([], crashes.patterns)
+        crashes.crash(crashes.prompt("first", "s"), after_s=3.0)
+        self.assertEqual([("a", ("first",))], crashes.patterns)
+
     def test_five_crashes_are_decided_anyway(self):
         """Guards against endless crashes while two explanations are equal."""
         crashes = Crashes()
