Test: reports of prompts with many and long parts stay small

Cause: the test that came with passed on the code before too: a caller's headers are bounded by 4,096 bytes there, so that one prompt always fits; what did not fit are a dozen of them in one message. Ruled out: a message of one prompt. Change: twelve prompts of 60 parts with names of 100 characters are lost at once; no message is over 1,400 bytes, and all parts arrive. The former test says that engines crash at all.

--- a/tests/entry/test_poison_parts.py
+++ b/tests/entry/test_poison_parts.py
@@ -69,7 +69,7 @@
             if poison_every and step % poison_every == 0:
                 dead = self._dead[step // poison_every % len(self._dead)]
                 session = self.poison_session
-                more = [f"x{step}-{n}" for n in range(self.own_parts)]
+                more = [f"{step:020}{n:020}" for n in range(self.own_parts)]
                 self.poison.append(self.send([*more, dead], session=session))
             self.setup.cluster.pass_time(STEP_S)
 
@@ -178,13 +178,11 @@
             self.assertGreaterEqual(share, SERVED_SHARE, seed)
 
     def test_a_long_name_among_many_parts_is_blocked(self):
-        """Guards against reports that are too long for a message.
-
-        Names and numbers of parts are the caller's own.
-        """
+        """Guards against a part that escapes by how its caller names it."""
         traffic = PartTraffic(dead=("d" * 300,))
         traffic.own_parts = 60
         traffic.run(12)
+        self.assertGreater(len(traffic.setup.crashed), 0)
         self.assertLessEqual(len(traffic.setup.crashed), CRASH_LIMIT)
         self.assertEqual([], traffic.sent_after_limit())
 
--- a/tests/quarantine/test_reports.py
+++ b/tests/quarantine/test_reports.py
@@ -1,15 +1,18 @@
 """What an entry reports of a crash, and to whom."""
 
+import msgspec
 from testtools import TestCase
 from twisted.internet.task import Clock
 
 from magnolialug.owners.ownerring import OwnerRing
-from magnolialug.policy.requestidentity import RequestIdentity
+from magnolialug.policy.requestidentity import RequestIdentity, part_names
 from magnolialug.quarantine.crashdetector import LostAttempt
 from magnolialug.quarantine.messages import PromptCrashReport
 from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.standin.kv import KvStore
 
+# A datagram that no network on the way has to split.
+MAX_MESSAGE_BYTES = 1400
 ME = ("10.0.0.1", 7000)
 
 
@@ -116,3 +119,34 @@
         for owner in owners:
             ring.mark_unresponsive(owner)
         self.assertEqual({*owners, ME}, receivers("i-2"))
+
+    def test_many_parts_with_long_names_go_in_small_messages(self):
+        """Guards against reports that are dropped because they are too long.
+
+        Names and numbers of parts are callers' own.
+        """
+        clock, messenger = Clock(), OneEntry()
+        quarantine = Quarantine(
+            OwnerRing(ME, clock.seconds),
+            messenger,
+            KvStore(clock),
+            clock,
+            lambda digest: None,
+        )
+        pool = CrashedPool(clock)
+        wanted = {}
+        for number in range(12):
+            names = part_names(f"{number:050}{n:050}" for n in range(60))
+            wanted[f"d{number}"] = set(names)
+            prompt = RequestIdentity(f"d{number}", "llm", "a", names)
+            loss = LostAttempt(prompt, "", False, clock.seconds(), 9e9)
+            quarantine.record_loss("i-1", pool, loss)
+        clock.advance(0.01)
+        found = {}
+        for message, _ in messenger.sent:
+            if isinstance(message, PromptCrashReport):
+                size = len(msgspec.msgpack.encode(message))
+                self.assertLessEqual(size, MAX_MESSAGE_BYTES)
+                for row in message.prompts:
+                    found.setdefault(row.digest, set()).update(row.parts)
+        self.assertEqual(wanted, found)
