Wording: answered parts, explanations and findings in the quarantine

Cause: the new code had two words of its own: 'sound' for parts, which elsewhere means healthy endpoints, and a court's terms (convict, verdict, accused, rival, case), which the field does not use here. Change: AnsweredParts and its messages, explanations, findings, ties, queried parts. Conclusion: one term for one thing.

--- a/magnolialug/entry/peermessenger.py
+++ b/magnolialug/entry/peermessenger.py
@@ -24,13 +24,13 @@
     SaveNotice,
 )
 from magnolialug.quarantine.messages import (
+    AnsweredPartsQuery,
+    AnsweredPartsReport,
     CrashReport,
     PromptCrashReport,
     Quarantined,
     Released,
     RequestCompleted,
-    SoundPartsQuery,
-    SoundPartsReport,
 )
 from magnolialug.streamorigins.messages import (
     OriginNotice,
@@ -61,8 +61,8 @@
     | OriginReply
     | PromptCrashReport
     | Released
-    | SoundPartsQuery
-    | SoundPartsReport
+    | AnsweredPartsQuery
+    | AnsweredPartsReport
 )
 
 
--- a/magnolialug/policy/soundparts.py
+++ b/magnolialug/policy/answeredparts.py
@@ -7,12 +7,12 @@
 
 from magnolialug.ids import EngineBuild, ServiceName, TeamId
 
-__all__ = ["SoundParts"]
+__all__ = ["AnsweredParts"]
 
 # An answer within this time before a crash rules a part out as its cause. It
 # may become one without a release, so that older answers only decide between
 # equal explanations.
-_SOUND_S = 2.0
+_RULES_OUT_S = 2.0
 # Bounds memory use: the parts of some seconds of an entry's prompts, 0.6 MB.
 _MAX_PARTS = 1024
 # An upgrade has two builds at a time; new weights during one make three.
@@ -27,7 +27,7 @@
     builds: dict[EngineBuild, float] = {}
 
 
-class SoundParts:
+class AnsweredParts:
     """Remembers which parts of prompts the engines of a build have answered.
 
     A part may crash engines after a release, or with other weights, so that an
@@ -84,7 +84,7 @@
 
         It was answered by an engine of that build shortly before, or since.
         """
-        return at - self.answered_at(service, part, build) <= _SOUND_S
+        return at - self.answered_at(service, part, build) <= _RULES_OUT_S
 
     def _touch(self, key: _Key, team: TeamId) -> _Row:
         """Returns a part's row, as the newest one of a team."""
--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -12,19 +12,19 @@
     ServiceName,
     TeamId,
 )
+from magnolialug.policy.answeredparts import AnsweredParts
 from magnolialug.policy.partpattern import PartPattern
-from magnolialug.policy.soundparts import SoundParts
 
 __all__ = ["CrashEvidence", "Finding", "LostPrompt"]
 
 # Faults under the same part. Two may be a coincidence.
 _SUSPECT_AT_FAULTS = 2
-_CONVICT_AT_FAULTS = 3
+_QUARANTINE_AT_FAULTS = 3
 # For a part that engines of this build have answered before, three coincidences
 # are more likely than that it crashes them now. With two explanations of the
 # same crashes, the next crash usually decides. At this number of faults, either
 # costs more than a wrong choice.
-_CONVICT_ANYWAY_AT_FAULTS = 5
+_CERTAIN_AT_FAULTS = 5
 # Crashes of one fault, such as a loss of power, come within this time. A prompt
 # that was sent after the previous crash is separate evidence at any time.
 _FAULT_WINDOW_S = 0.25
@@ -65,7 +65,7 @@
     lost: dict[RequestDigest, _Lost] = {}
 
 
-class _Case(msgspec.Struct):
+class _Explanation(msgspec.Struct):
     """The crashes that one part would explain."""
 
     part: str
@@ -74,15 +74,15 @@
     faults: int = 0
 
     @property
-    def is_strong(self) -> bool:
+    def is_sufficient(self) -> bool:
         """Whether the crashes are enough for this part."""
         if self.answered_at == float("-inf"):
-            return self.faults >= _CONVICT_AT_FAULTS
-        return self.faults >= _CONVICT_ANYWAY_AT_FAULTS
+            return self.faults >= _QUARANTINE_AT_FAULTS
+        return self.faults >= _CERTAIN_AT_FAULTS
 
     @property
     def strength(self) -> tuple[int, float]:
-        """Orders cases: more faults first, then the longest without answer."""
+        """Orders explanations: by faults, then by time without an answer."""
         return self.faults, -self.answered_at
 
 
@@ -91,7 +91,7 @@
 
     Dozens of prompts are lost with an engine, and most are bystanders. They are
     retried, and some are lost again in the next crash. So a pattern is not
-    found by counting alone: of the parts that are not known to be sound, the
+    found by counting alone: of the parts that no answer rules out, the
     one that explains the most crashes is found first, and what it explains is
     no evidence against others. The pattern names all that the prompts with that
     part have in common, so that it matches no more than the evidence tells.
@@ -101,11 +101,11 @@
     """
 
     def __init__(
-        self, service: ServiceName, build: EngineBuild, sound: SoundParts
+        self, service: ServiceName, build: EngineBuild, answered: AnsweredParts
     ):
         self._service = service
         self._build = build
-        self._sound = sound
+        self._answered = answered
         self._crashes: OrderedDict[EndpointId, _Crash] = OrderedDict()
         self.last_crash_at = float("-inf")
 
@@ -145,10 +145,10 @@
 
     def suspects(self, now: float) -> list[str]:
         """Returns the parts that may explain two crashes, best first."""
-        cases = self._cases(self._recent(now))
-        cases.sort(key=lambda case: case.strength, reverse=True)
+        explanations = self._explanations(self._recent(now))
+        explanations.sort(key=lambda row: row.strength, reverse=True)
         return [
-            case.part for case in cases if case.faults >= _SUSPECT_AT_FAULTS
+            row.part for row in explanations if row.faults >= _SUSPECT_AT_FAULTS
         ]
 
     def findings(self, now: float) -> list[Finding]:
@@ -156,15 +156,15 @@
         crashes = self._recent(now)
         found = []
         while True:
-            case = self._decisive_case(crashes)
-            if case is None:
+            best = self._decisive_explanation(crashes)
+            if best is None:
                 return found
-            finding = self._finding(case, crashes)
+            finding = self._finding(best, crashes)
             found.append(finding)
             for endpoint in finding.endpoints:
                 del crashes[endpoint]
 
-    def is_refuted(self, finding: Finding) -> bool:
+    def all_parts_answered(self, finding: Finding) -> bool:
         """Whether all parts of a pattern have been answered since."""
         pattern = finding.pattern
         return all(
@@ -181,24 +181,30 @@
             if now - crash.at <= _CRASH_WINDOW_S
         }
 
-    def _decisive_case(self, crashes: dict[EndpointId, _Crash]) -> _Case | None:
-        """Returns the strongest case, if it is strong enough on its own."""
-        cases = [case for case in self._cases(crashes) if case.is_strong]
-        if not cases:
+    def _decisive_explanation(
+        self, crashes: dict[EndpointId, _Crash]
+    ) -> _Explanation | None:
+        """Returns the strongest explanation, unless more crashes are needed."""
+        explanations = [
+            row for row in self._explanations(crashes) if row.is_sufficient
+        ]
+        if not explanations:
             return None
-        best = max(cases, key=lambda case: case.strength)
-        rivals = {
-            case.part
-            for case in cases
-            if case.strength == best.strength
-            and not set(case.crashes).isdisjoint(best.crashes)
+        best = max(explanations, key=lambda row: row.strength)
+        ties = {
+            row.part
+            for row in explanations
+            if row.strength == best.strength
+            and not set(row.crashes).isdisjoint(best.crashes)
         }
-        company = self._company(best, crashes)[0]
-        if rivals <= company or best.faults >= _CONVICT_ANYWAY_AT_FAULTS:
+        common_parts = self._common_to_all(best, crashes)[0]
+        if ties <= common_parts or best.faults >= _CERTAIN_AT_FAULTS:
             return best
         return None
 
-    def _cases(self, crashes: dict[EndpointId, _Crash]) -> list[_Case]:
+    def _explanations(
+        self, crashes: dict[EndpointId, _Crash]
+    ) -> list[_Explanation]:
         by_part: dict[str, list[tuple[EndpointId, list[_Lost]]]] = {}
         for endpoint, crash in crashes.items():
             lost_with: dict[str, list[_Lost]] = {}
@@ -208,21 +214,21 @@
             for part, rows in lost_with.items():
                 by_part.setdefault(part, []).append((endpoint, rows))
         return [
-            self._case(part, rows, crashes)
+            self._explanation(part, rows, crashes)
             for part, rows in by_part.items()
             if len(rows) >= _SUSPECT_AT_FAULTS
         ]
 
-    def _case(
+    def _explanation(
         self,
         part: str,
         rows: list[tuple[EndpointId, list[_Lost]]],
         crashes: dict[EndpointId, _Crash],
-    ) -> _Case:
-        case = _Case(
+    ) -> _Explanation:
+        explanation = _Explanation(
             part,
             [endpoint for endpoint, _ in rows],
-            self._sound.answered_at(self._service, part, self._build),
+            self._answered.answered_at(self._service, part, self._build),
         )
         digests: set[RequestDigest] = set()
         previous_at = float("-inf")
@@ -231,23 +237,23 @@
             digests.update(row.prompt.digest for row in lost)
             is_later = crash.at - previous_at >= _FAULT_WINDOW_S
             if is_later or max(row.sent_at for row in lost) > previous_at:
-                case.faults += 1
+                explanation.faults += 1
                 previous_at = crash.at
         if len(digests) < _SUSPECT_AT_FAULTS:
             # One request that is sent again is counted by its digest.
-            case.faults = min(case.faults, _SUSPECT_AT_FAULTS)
-        return case
+            explanation.faults = min(explanation.faults, _SUSPECT_AT_FAULTS)
+        return explanation
 
     def _finding(
-        self, case: _Case, crashes: dict[EndpointId, _Crash]
+        self, explanation: _Explanation, crashes: dict[EndpointId, _Crash]
     ) -> Finding:
-        parts, teams = self._company(case, crashes)
+        parts, teams = self._common_to_all(explanation, crashes)
         team = next(iter(teams)) if len(teams) == 1 else TeamId("")
         pattern = PartPattern(self._service, team, tuple(sorted(parts)))
-        return Finding(pattern, tuple(case.crashes))
+        return Finding(pattern, tuple(explanation.crashes))
 
-    def _company(
-        self, case: _Case, crashes: dict[EndpointId, _Crash]
+    def _common_to_all(
+        self, explanation: _Explanation, crashes: dict[EndpointId, _Crash]
     ) -> tuple[set[str], set[TeamId]]:
         """Returns the parts and teams that came with a part at each crash.
 
@@ -256,13 +262,13 @@
         """
         parts_by_crash: list[set[str]] = []
         teams_by_crash: list[set[TeamId]] = []
-        for endpoint in case.crashes:
+        for endpoint in explanation.crashes:
             crash = crashes[endpoint]
             parts: set[str] = set()
             teams: set[TeamId] = set()
             for lost in crash.lost.values():
                 suspect = self._suspect_parts(lost, crash)
-                if case.part in suspect:
+                if explanation.part in suspect:
                     parts.update(suspect)
                     teams.add(lost.prompt.team)
             parts_by_crash.append(parts)
@@ -280,4 +286,6 @@
         ]
 
     def _is_ruled_out(self, part: str, crash: _Crash) -> bool:
-        return self._sound.rules_out(self._service, part, self._build, crash.at)
+        return self._answered.rules_out(
+            self._service, part, self._build, crash.at
+        )
--- a/magnolialug/quarantine/messages.py
+++ b/magnolialug/quarantine/messages.py
@@ -25,9 +25,9 @@
     "Quarantined",
     "Released",
     "RequestCompleted",
-    "SoundPart",
-    "SoundPartsQuery",
-    "SoundPartsReport",
+    "AnsweredPart",
+    "AnsweredPartsQuery",
+    "AnsweredPartsReport",
 ]
 
 
@@ -90,8 +90,8 @@
     prompts: tuple[LostPrompt, ...]
 
 
-class SoundPartsQuery(
-    msgspec.Struct, frozen=True, array_like=True, tag="soundquery"
+class AnsweredPartsQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag="answeredquery"
 ):
     """Asks which of these parts the sender's engines have answered."""
 
@@ -99,7 +99,7 @@
     parts: tuple[str, ...]
 
 
-class SoundPart(msgspec.Struct, frozen=True, array_like=True):
+class AnsweredPart(msgspec.Struct, frozen=True, array_like=True):
     """A part of prompts that an engine of some build has answered."""
 
     name: str
@@ -107,10 +107,10 @@
     age_ms: int
 
 
-class SoundPartsReport(
-    msgspec.Struct, frozen=True, array_like=True, tag="sound"
+class AnsweredPartsReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="answered"
 ):
     """Parts of prompts that engines of a service have answered."""
 
     service: ServiceName
-    parts: tuple[SoundPart, ...]
+    parts: tuple[AnsweredPart, ...]
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -9,6 +9,7 @@
 from magnolialug.ids import EndpointId, EngineBuild, RequestDigest, ServiceName
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
+from magnolialug.policy.answeredparts import AnsweredParts
 from magnolialug.policy.crashevidence import (
     CrashEvidence,
     Finding,
@@ -16,16 +17,15 @@
 )
 from magnolialug.policy.recenttimes import RecentTimes
 from magnolialug.policy.requestidentity import RequestIdentity
-from magnolialug.policy.soundparts import SoundParts
 from magnolialug.quarantine.batches import batches
 from magnolialug.quarantine.crashdetector import LostAttempt
 from magnolialug.quarantine.messages import (
+    AnsweredPart,
+    AnsweredPartsQuery,
+    AnsweredPartsReport,
     PromptCrashReport,
     Quarantined,
     Released,
-    SoundPart,
-    SoundPartsQuery,
-    SoundPartsReport,
 )
 from magnolialug.quarantine.quarantinelist import QuarantineList
 
@@ -34,22 +34,22 @@
 # An engine that has written an answer for this long does not crash on its
 # prompt.
 _BEGINNING_S = 0.5
-# Time for the other entries to say which parts they know to be sound.
+# Time for the other entries to say which parts were answered.
 _REPLY_S = 0.1
 # Time for all entries to report what they lost in a crash.
 _SETTLE_S = 0.05
 # A part is asked for again only after this time; meanwhile the entries report
 # by themselves when it is answered.
-_ACCUSED_S = 60.0
+_QUERY_LIFETIME_S = 60.0
 _REPORT_INTERVAL_S = 1.0
-# Each verdict is sent this often, as datagrams get lost.
+# Each finding is sent this often, as datagrams get lost.
 _ANNOUNCEMENTS = 3
 _ANNOUNCEMENT_INTERVAL_S = 0.2
 # Bounds memory use; services times the builds of an upgrade.
 _MAX_BUILDS = 64
 # Bound memory use; what a few crashes of full engines can name.
 _MAX_PARTS = 4096
-_MAX_VERDICTS = 1000
+_MAX_FINDINGS = 1000
 # Parts that are asked for at once, those at the most crashes first.
 _MAX_ASKED = 256
 # Limit a message to 1,400 bytes, at 60 bytes a prompt and 34 a part at most.
@@ -74,7 +74,7 @@
     Args:
       owners: selects the entries that decide.
       quarantined: the quarantine list, which takes the patterns found.
-      sound: the parts that were answered, here or at other entries.
+      answered: the parts that were answered, here or at other entries.
     """
 
     def __init__(
@@ -83,26 +83,29 @@
         messenger: Messenger,
         clock: IReactorTime,
         quarantined: QuarantineList,
-        sound: SoundParts,
+        answered: AnsweredParts,
     ):
         self._owners = owners
         self._messenger = messenger
         self._clock = clock
         self._quarantined = quarantined
-        self._sound = sound
+        self._answered = answered
         self._evidence: dict[
             tuple[ServiceName, EngineBuild], CrashEvidence
         ] = {}
         self._changed: set[tuple[ServiceName, EngineBuild]] = set()
-        self._asked = RecentTimes(_ACCUSED_S, _MAX_PARTS)
-        self._accused = RecentTimes(_ACCUSED_S, _MAX_PARTS)
-        self._reported = RecentTimes(_ACCUSED_S, _MAX_PARTS)
+        self._asked = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
+        self._queried = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
+        self._reported = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
         self._announcements: list[_Announcement] = []
-        self._verdicts: dict[RequestDigest, Finding] = {}
+        self._findings: dict[RequestDigest, Finding] = {}
         for message, handler in (
             (PromptCrashReport, self._record_crash),
-            (SoundPartsQuery, self._answer_query),
-            (SoundPartsReport, lambda report, _: self._record_sound(report)),
+            (AnsweredPartsQuery, self._answer_query),
+            (
+                AnsweredPartsReport,
+                lambda report, _: self._record_answered(report),
+            ),
         ):
             messenger.register_handler(message, handler)
 
@@ -129,14 +132,16 @@
         """Records that an engine has answered a prompt."""
         now = self._clock.seconds()
         service = identity.service
-        self._sound.record(service, identity.parts, build, now, identity.team)
+        self._answered.record(
+            service, identity.parts, build, now, identity.team
+        )
         wanted = [
             part
             for part in identity.parts
             if self._is_wanted(service, part, now)
         ]
         if wanted:
-            self._report_sound(service, wanted, now)
+            self._report_answered(service, wanted, now)
 
     def tick(self, now: float) -> None:
         """Decides on new evidence and repeats announcements."""
@@ -145,7 +150,7 @@
                 self._decide(service, build, now)
         if self._announcements:
             self._announce(now)
-        for times in (self._accused, self._reported, self._asked):
+        for times in (self._queried, self._reported, self._asked):
             times.drop_expired(now)
 
     def _lost_prompt(self, loss: LostAttempt, now: float) -> LostPrompt:
@@ -155,7 +160,7 @@
         parts = tuple(
             part
             for part in identity.parts
-            if not self._sound.rules_out(
+            if not self._answered.rules_out(
                 identity.service, part, loss.build, now
             )
         )
@@ -167,35 +172,35 @@
         key = service, part
         if self._reported.age_s(key, now) < _REPORT_INTERVAL_S:
             return False
-        is_accused = self._accused.age_s(key, now) <= _ACCUSED_S
-        return is_accused or self._quarantined.names_part(service, part)
+        is_queried = self._queried.age_s(key, now) <= _QUERY_LIFETIME_S
+        return is_queried or self._quarantined.names_part(service, part)
 
-    def _report_sound(
+    def _report_answered(
         self, service: ServiceName, parts: list[str], now: float
     ) -> None:
         for part in parts:
             self._reported.record((service, part), now)
-        for report in self._sound_reports(service, parts, now):
+        for report in self._answered_reports(service, parts, now):
             self._send_to_owners(service, report)
 
-    def _sound_reports(
+    def _answered_reports(
         self, service: ServiceName, parts: Iterable[str], now: float
-    ) -> list[SoundPartsReport]:
+    ) -> list[AnsweredPartsReport]:
         rows = [
-            SoundPart(part, build, round((now - at) * 1000))
+            AnsweredPart(part, build, round((now - at) * 1000))
             for part in parts
-            for build, at in self._sound.builds(service, part).items()
+            for build, at in self._answered.builds(service, part).items()
         ]
         return [
-            SoundPartsReport(service, batch)
+            AnsweredPartsReport(service, batch)
             for batch in batches(rows, _PARTS_PER_MESSAGE)
         ]
 
-    def _answer_query(self, query: SoundPartsQuery, sender) -> None:
+    def _answer_query(self, query: AnsweredPartsQuery, sender) -> None:
         now = self._clock.seconds()
         for part in query.parts:
-            self._accused.record((query.service, part), now)
-        for report in self._sound_reports(query.service, query.parts, now):
+            self._queried.record((query.service, part), now)
+        for report in self._answered_reports(query.service, query.parts, now):
             self._messenger.send(report, sender)
 
     def _record_crash(self, report: PromptCrashReport, sender: Address) -> None:
@@ -203,7 +208,7 @@
         key = report.service, report.build
         evidence = self._evidence.get(key)
         if evidence is None:
-            evidence = CrashEvidence(*key, self._sound)
+            evidence = CrashEvidence(*key, self._answered)
             self._evidence[key] = evidence
             if len(self._evidence) > _MAX_BUILDS:
                 del self._evidence[next(iter(self._evidence))]
@@ -215,7 +220,7 @@
     def _remind(self, report: PromptCrashReport, sender: Address) -> None:
         """Tells an entry of a pattern that it has not heard of.
 
-        It sent a prompt that matches; all datagrams of the verdict to it were
+        It sent a prompt that matches; all datagrams of the finding to it were
         lost, and it may not reach the key-value service either.
         """
         for prompt in report.prompts:
@@ -226,11 +231,11 @@
             if notice is not None and sender != self._owners.me:
                 self._messenger.send(notice, sender)
 
-    def _record_sound(self, report: SoundPartsReport) -> None:
+    def _record_answered(self, report: AnsweredPartsReport) -> None:
         now = self._clock.seconds()
         for row in report.parts:
             at = now - row.age_ms / 1000
-            self._sound.record(report.service, [row.name], row.build, at)
+            self._answered.record(report.service, [row.name], row.build, at)
             key = report.service, row.build
             if key in self._evidence:
                 self._changed.add(key)
@@ -238,7 +243,7 @@
     def _decide(
         self, service: ServiceName, build: EngineBuild, now: float
     ) -> None:
-        """Quarantines what is found, and releases what has been refuted."""
+        """Quarantines what is found, and releases what no longer explains."""
         evidence = self._evidence.get((service, build))
         if evidence is None:
             self._changed.discard((service, build))
@@ -257,7 +262,7 @@
     def _release(
         self, evidence: CrashEvidence, findings: list[Finding]
     ) -> None:
-        """Releases verdicts that are refuted, or that others explain better."""
+        """Releases findings that no longer explain their crashes best."""
         found = {finding.pattern.digest for finding in findings}
         explained = {
             endpoint
@@ -265,12 +270,12 @@
             if self._quarantined.covers(finding.pattern)
             for endpoint in finding.endpoints
         }
-        for digest, finding in list(self._verdicts.items()):
+        for digest, finding in list(self._findings.items()):
             if digest not in found and (
-                evidence.is_refuted(finding)
+                evidence.all_parts_answered(finding)
                 or explained.issuperset(finding.endpoints)
             ):
-                del self._verdicts[digest]
+                del self._findings[digest]
                 self._send_to_all(Released(digest))
 
     def _ask(
@@ -279,12 +284,12 @@
         new = [
             part
             for part in suspects
-            if self._asked.age_s((service, part), now) > _ACCUSED_S
+            if self._asked.age_s((service, part), now) > _QUERY_LIFETIME_S
         ]
         for batch in batches(new[:_MAX_ASKED], _PARTS_PER_MESSAGE):
             for part in batch:
                 self._asked.record((service, part), now)
-            self._send_to_all(SoundPartsQuery(service, batch))
+            self._send_to_all(AnsweredPartsQuery(service, batch))
 
     def _is_asked(self, finding: Finding, now: float) -> bool:
         """Whether all entries had time to object to a finding."""
@@ -292,7 +297,7 @@
         return all(
             _REPLY_S
             <= self._asked.age_s((pattern.service, part), now)
-            <= _ACCUSED_S
+            <= _QUERY_LIFETIME_S
             for part in pattern.parts
         )
 
@@ -302,15 +307,15 @@
         """Announces a finding, unless it is known or has been released."""
         pattern = finding.pattern
         is_covered = self._quarantined.covers(pattern)
-        if pattern.digest in self._verdicts:
+        if pattern.digest in self._findings:
             if not is_covered:
                 # An operator has released it; only new crashes count again.
-                del self._verdicts[pattern.digest]
+                del self._findings[pattern.digest]
                 evidence.discard(finding.endpoints)
             return
-        self._verdicts[pattern.digest] = finding
-        if len(self._verdicts) > _MAX_VERDICTS:
-            del self._verdicts[next(iter(self._verdicts))]
+        self._findings[pattern.digest] = finding
+        if len(self._findings) > _MAX_FINDINGS:
+            del self._findings[next(iter(self._findings))]
         if is_covered:
             return
         message = Quarantined(pattern.digest, finding.endpoints, 0, pattern)
@@ -318,14 +323,14 @@
 
     def _announce(self, now: float) -> None:
         for row in self._announcements:
-            if now >= row.due_at and row.message.digest in self._verdicts:
+            if now >= row.due_at and row.message.digest in self._findings:
                 self._send_to_all(row.message)
                 row.left -= 1
                 row.due_at = now + _ANNOUNCEMENT_INTERVAL_S
         self._announcements = [
             row
             for row in self._announcements
-            if row.left and row.message.digest in self._verdicts
+            if row.left and row.message.digest in self._findings
         ]
 
     def _send_to_owners(self, service: ServiceName, message) -> None:
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -11,10 +11,10 @@
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
 from magnolialug.platform.kv import Kv
+from magnolialug.policy.answeredparts import AnsweredParts
 from magnolialug.policy.crashcounter import CrashCounter, QuarantineTerm
 from magnolialug.policy.recentanswers import RecentAnswers
 from magnolialug.policy.requestidentity import RequestIdentity
-from magnolialug.policy.soundparts import SoundParts
 from magnolialug.quarantine.batches import batches
 from magnolialug.quarantine.crashdetector import CrashDetector, LostAttempt
 from magnolialug.quarantine.messages import (
@@ -73,7 +73,7 @@
         self._messenger = messenger
         self._clock = clock
         self._answered = RecentAnswers()
-        self._sound_parts = SoundParts()
+        self._answered_parts = AnsweredParts()
         self._counter = CrashCounter()
         self._crash_detector = CrashDetector(clock, self._report_crash)
         self._reported_requests: dict[RequestDigest, None] = {}
@@ -98,7 +98,7 @@
             Released, lambda notice, _: self.quarantined.release(notice.digest)
         )
         self._parts = PartQuarantine(
-            owners, messenger, clock, self.quarantined, self._sound_parts
+            owners, messenger, clock, self.quarantined, self._answered_parts
         )
 
     def refusal(self, identity: RequestIdentity) -> Failure | None:
@@ -207,7 +207,7 @@
         )
         rows = []
         for key, number in count.most_common(_LOGGED_PARTS):
-            answered_at = self._sound_parts.answered_at(*key)
+            answered_at = self._answered_parts.answered_at(*key)
             age_s = round(now - answered_at, 3)
             rows.append(
                 (key[1], number, -1 if age_s == float("inf") else age_s)
--- a/tests/policy/test_sound_parts.py
+++ b/tests/policy/test_answered_parts.py
@@ -2,15 +2,15 @@
 
 from testtools import TestCase
 
-from magnolialug.policy.soundparts import SoundParts
+from magnolialug.policy.answeredparts import AnsweredParts
 
 
-class SoundPartsTest(TestCase):
+class AnsweredPartsTest(TestCase):
     """What rules a part out, and what is forgotten."""
 
     def setUp(self):
         super().setUp()
-        self.parts = SoundParts()
+        self.parts = AnsweredParts()
 
     def test_an_answer_shortly_before_or_since_rules_a_part_out(self):
         self.parts.record("llm", ["p"], "v1/1", 10.0)
--- a/tests/policy/test_crash_evidence.py
+++ b/tests/policy/test_crash_evidence.py
@@ -2,9 +2,9 @@
 
 from testtools import TestCase
 
+from magnolialug.policy.answeredparts import AnsweredParts
 from magnolialug.policy.crashevidence import CrashEvidence, LostPrompt
 from magnolialug.policy.requestidentity import RequestIdentity
-from magnolialug.policy.soundparts import SoundParts
 
 SERVICE = "llm"
 BUILD = "v1/1"
@@ -14,7 +14,7 @@
     """Evidence that is filled by the names of lost prompts' parts."""
 
     def __init__(self):
-        self.sound = SoundParts()
+        self.sound = AnsweredParts()
         self.evidence = CrashEvidence(SERVICE, BUILD, self.sound)
         self.now = 100.0
         self._numbers = iter(range(1000))
@@ -215,13 +215,13 @@
             crashes.crash(crashes.prompt(session, "rare"), after_s=400)
         self.assertEqual([], crashes.patterns)
 
-    def test_a_finding_is_refuted_by_answers_of_the_same_build(self):
+    def test_a_finding_all_parts_answered_by_answers_of_the_same_build(self):
         crashes = Crashes()
         for _ in range(3):
             crashes.crash(crashes.prompt("s", "sound"))
         finding = crashes.evidence.findings(crashes.now)[0]
         crashes.answered("s")
         crashes.answered("sound", build="v0/1")
-        self.assertFalse(crashes.evidence.is_refuted(finding))
+        self.assertFalse(crashes.evidence.all_parts_answered(finding))
         crashes.answered("sound")
-        self.assertTrue(crashes.evidence.is_refuted(finding))
+        self.assertTrue(crashes.evidence.all_parts_answered(finding))
