Quarantine: what reports and what decides are two files

Change: partreporter.py and partquarantine.py. One behaviour changes: a report of another entry, which names no team, does not take a part from the team that had it. Before/after: the test of that failed with an empty team last; all others as before.

--- a/magnolialug/policy/answeredparts.py
+++ b/magnolialug/policy/answeredparts.py
@@ -91,10 +91,10 @@
         row = self._rows.get(key)
         if row is None:
             row = self._rows[key] = _Row(team)
-        elif row.team != team:
+        elif team and row.team != team:
             self._leave(key, row.team)
             row.team = team
-        keys = self._by_team.setdefault(team, OrderedDict())
+        keys = self._by_team.setdefault(row.team, OrderedDict())
         keys[key] = None
         keys.move_to_end(key)
         return row
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -1,60 +1,49 @@
 """Finds parts of prompts that crash engines, together with other entries."""
 
-from collections.abc import Iterable, Iterator
-
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
-from magnolialug.ids import EndpointId, EngineBuild, RequestDigest, ServiceName
+from magnolialug.ids import EngineBuild, RequestDigest, ServiceName
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
 from magnolialug.policy.answeredparts import AnsweredParts
 from magnolialug.policy.crashevidence import (
     CrashEvidence,
     Finding,
-    LostPrompt,
 )
 from magnolialug.policy.recenttimes import RecentTimes
 from magnolialug.policy.requestidentity import RequestIdentity
 from magnolialug.quarantine.batches import batches
-from magnolialug.quarantine.crashdetector import LostAttempt
 from magnolialug.quarantine.messages import (
-    AnsweredPart,
     AnsweredPartsQuery,
     AnsweredPartsReport,
     PromptCrashReport,
     Quarantined,
     Released,
 )
+from magnolialug.quarantine.partreporter import (
+    MAX_PARTS,
+    PARTS_PER_MESSAGE,
+    QUERY_LIFETIME_S,
+)
 from magnolialug.quarantine.quarantinelist import QuarantineList
 
 __all__ = ["PartQuarantine"]
 
-# An engine that has written an answer for this long does not crash on its
-# prompt.
-_BEGINNING_S = 0.5
 # Time for the other entries to say which parts were answered.
 _REPLY_S = 0.1
 # Time for all entries to report what they lost in a crash.
 _SETTLE_S = 0.05
-# A part is asked for again only after this time; meanwhile the entries report
-# by themselves when it is answered.
-_QUERY_LIFETIME_S = 60.0
-_REPORT_INTERVAL_S = 1.0
 # Each finding is sent this often, as datagrams get lost.
 _ANNOUNCEMENTS = 3
 _ANNOUNCEMENT_INTERVAL_S = 0.2
 # Bounds memory use; services times the builds of an upgrade.
 _MAX_BUILDS = 64
-# Bound memory use; what a few crashes of full engines can name.
-_MAX_PARTS = 4096
+# Bounds memory use.
 _MAX_FINDINGS = 1000
 # Parts that are asked for at once, those at the most crashes first.
 _MAX_ASKED = 256
-# Limit a message to 1,400 bytes, at 60 bytes a prompt and 34 a part at most.
-_PROMPTS_PER_MESSAGE = 12
-_PARTS_PER_MESSAGE = 16
 
 
 class _Announcement(msgspec.Struct):
@@ -64,12 +53,11 @@
 
 
 class PartQuarantine:
-    """Detects parts of prompts that crash engines and quarantines them.
+    """Finds parts of prompts that crash engines and quarantines them.
 
-    No two prompts with such a part are alike, so that crashes are counted by
-    part. All prompts that were lost with an engine are reported to the owners
-    of the service, as only all of them together tell a cause from bystanders.
-    Before an owner decides, it asks all entries which parts were answered.
+    It decides for the services that this entry owns, from what the entries
+    report of crashes. Before that, it asks all entries which parts were
+    answered.
 
     Args:
       owners: selects the entries that decide.
@@ -94,14 +82,11 @@
             tuple[ServiceName, EngineBuild], CrashEvidence
         ] = {}
         self._changed: set[tuple[ServiceName, EngineBuild]] = set()
-        self._asked = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
-        self._queried = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
-        self._reported = RecentTimes(_QUERY_LIFETIME_S, _MAX_PARTS)
+        self._asked = RecentTimes(QUERY_LIFETIME_S, MAX_PARTS)
         self._announcements: list[_Announcement] = []
         self._findings: dict[RequestDigest, Finding] = {}
         for message, handler in (
             (PromptCrashReport, self._record_crash),
-            (AnsweredPartsQuery, self._answer_query),
             (
                 AnsweredPartsReport,
                 lambda report, _: self._record_answered(report),
@@ -109,40 +94,6 @@
         ):
             messenger.register_handler(message, handler)
 
-    def report_crash(
-        self, endpoint: EndpointId, losses: Iterable[LostAttempt]
-    ) -> None:
-        """Reports the prompts that were lost with an engine to its owners."""
-        now = self._clock.seconds()
-        by_service: dict[
-            tuple[ServiceName, EngineBuild], dict[RequestDigest, LostPrompt]
-        ] = {}
-        for loss in losses:
-            prompt = self._lost_prompt(loss, now)
-            key = loss.identity.service, loss.build
-            by_service.setdefault(key, {})[prompt.digest] = prompt
-        for (service, build), prompts in by_service.items():
-            for batch in _prompt_batches(prompts.values()):
-                report = PromptCrashReport(service, endpoint, build, batch)
-                self._send_to_owners(service, report)
-
-    def record_answer(
-        self, identity: RequestIdentity, build: EngineBuild
-    ) -> None:
-        """Records that an engine has answered a prompt."""
-        now = self._clock.seconds()
-        service = identity.service
-        self._answered.record(
-            service, identity.parts, build, now, identity.team
-        )
-        wanted = [
-            part
-            for part in identity.parts
-            if self._is_wanted(service, part, now)
-        ]
-        if wanted:
-            self._report_answered(service, wanted, now)
-
     def tick(self, now: float) -> None:
         """Decides on new evidence and repeats announcements."""
         if self._changed:
@@ -150,58 +101,7 @@
                 self._decide(service, build, now)
         if self._announcements:
             self._announce(now)
-        for times in (self._queried, self._reported, self._asked):
-            times.drop_expired(now)
-
-    def _lost_prompt(self, loss: LostAttempt, now: float) -> LostPrompt:
-        identity = loss.identity
-        if now - loss.first_data_at >= _BEGINNING_S:
-            self.record_answer(identity, loss.build)
-        parts = tuple(
-            part
-            for part in identity.parts
-            if not self._answered.rules_out(
-                identity.service, part, loss.build, now
-            )
-        )
-        age_ms = round((now - loss.sent_at) * 1000)
-        return LostPrompt(identity.digest, identity.team, parts, age_ms)
-
-    def _is_wanted(self, service: ServiceName, part: str, now: float) -> bool:
-        """Whether to report that a part was answered."""
-        key = service, part
-        if self._reported.age_s(key, now) < _REPORT_INTERVAL_S:
-            return False
-        is_queried = self._queried.age_s(key, now) <= _QUERY_LIFETIME_S
-        return is_queried or self._quarantined.names_part(service, part)
-
-    def _report_answered(
-        self, service: ServiceName, parts: list[str], now: float
-    ) -> None:
-        for part in parts:
-            self._reported.record((service, part), now)
-        for report in self._answered_reports(service, parts, now):
-            self._send_to_owners(service, report)
-
-    def _answered_reports(
-        self, service: ServiceName, parts: Iterable[str], now: float
-    ) -> list[AnsweredPartsReport]:
-        rows = [
-            AnsweredPart(part, build, round((now - at) * 1000))
-            for part in parts
-            for build, at in self._answered.builds(service, part).items()
-        ]
-        return [
-            AnsweredPartsReport(service, batch)
-            for batch in batches(rows, _PARTS_PER_MESSAGE)
-        ]
-
-    def _answer_query(self, query: AnsweredPartsQuery, sender) -> None:
-        now = self._clock.seconds()
-        for part in query.parts:
-            self._queried.record((query.service, part), now)
-        for report in self._answered_reports(query.service, query.parts, now):
-            self._messenger.send(report, sender)
+        self._asked.drop_expired(now)
 
     def _record_crash(self, report: PromptCrashReport, sender: Address) -> None:
         self._remind(report, sender)
@@ -284,9 +184,9 @@
         new = [
             part
             for part in suspects
-            if self._asked.age_s((service, part), now) > _QUERY_LIFETIME_S
+            if self._asked.age_s((service, part), now) > QUERY_LIFETIME_S
         ]
-        for batch in batches(new[:_MAX_ASKED], _PARTS_PER_MESSAGE):
+        for batch in batches(new[:_MAX_ASKED], PARTS_PER_MESSAGE):
             for part in batch:
                 self._asked.record((service, part), now)
             self._send_to_all(AnsweredPartsQuery(service, batch))
@@ -297,7 +197,7 @@
         return all(
             _REPLY_S
             <= self._asked.age_s((pattern.service, part), now)
-            <= _QUERY_LIFETIME_S
+            <= QUERY_LIFETIME_S
             for part in pattern.parts
         )
 
@@ -333,39 +233,6 @@
             if row.left and row.message.digest in self._findings
         ]
 
-    def _send_to_owners(self, service: ServiceName, message) -> None:
-        for owner in self._service_owners(service):
-            self._messenger.send(message, owner)
-
-    def _service_owners(self, service: ServiceName) -> set[Address]:
-        """Returns the owners of a service; this entry if it reaches none.
-
-        An entry that knows its own losses only would take a bystander that it
-        lost again and again for the cause.
-        """
-        owners = set(self._owners.owner_candidates(f"crashes/{service}"))
-        if not any(map(self._owners.is_responsive, owners)):
-            owners.add(self._owners.me)
-        return owners
-
     def _send_to_all(self, message) -> None:
         for entry in (self._owners.me, *self._owners.others):
             self._messenger.send(message, entry)
-
-
-def _prompt_batches(
-    prompts: Iterable[LostPrompt],
-) -> Iterator[tuple[LostPrompt, ...]]:
-    """Yields prompts for one message each; one with many parts is split."""
-    batch: list[LostPrompt] = []
-    parts = 0
-    for prompt in prompts:
-        for piece in batches(prompt.parts, _PARTS_PER_MESSAGE):
-            is_full = parts + len(piece) > _PARTS_PER_MESSAGE
-            if batch and (is_full or len(batch) == _PROMPTS_PER_MESSAGE):
-                yield tuple(batch)
-                batch, parts = [], 0
-            batch.append(msgspec.structs.replace(prompt, parts=piece))
-            parts += len(piece)
-    if batch:
-        yield tuple(batch)
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -25,6 +25,7 @@
     RequestCompleted,
 )
 from magnolialug.quarantine.partquarantine import PartQuarantine
+from magnolialug.quarantine.partreporter import PartReporter
 from magnolialug.quarantine.quarantinelist import QuarantineList
 from magnolialug.result import Failure
 
@@ -97,9 +98,15 @@
         messenger.register_handler(
             Released, lambda notice, _: self.quarantined.release(notice.digest)
         )
-        self._parts = PartQuarantine(
-            owners, messenger, clock, self.quarantined, self._answered_parts
+        shared = (
+            owners,
+            messenger,
+            clock,
+            self.quarantined,
+            self._answered_parts,
         )
+        self._reporter = PartReporter(*shared)
+        self._parts = PartQuarantine(*shared)
 
     def refusal(self, identity: RequestIdentity) -> Failure | None:
         """Returns the failure of a quarantined request, None for any other."""
@@ -121,7 +128,7 @@
           served: whether the answer was a success.
         """
         if served and identity.parts:
-            self._parts.record_answer(identity, build)
+            self._reporter.record_answer(identity, build)
         digest = identity.digest
         self._answered.add(digest)
         if self._reported_requests and digest in self._reported_requests:
@@ -132,6 +139,7 @@
     def tick(self, now: float) -> None:
         """Ends expired quarantines and writes new ones."""
         self.quarantined.tick(now)
+        self._reporter.tick(now)
         self._parts.tick(now)
 
     def _add(self, notice: Quarantined) -> None:
@@ -153,7 +161,7 @@
             unanswered=sum(not loss.answered for loss in losses),
             parts=self._lost_parts(losses, now),
         )
-        self._parts.report_crash(endpoint, losses)
+        self._reporter.report_crash(endpoint, losses)
         by_owner: dict[Address, list[LostRequest]] = {}
         requests = {
             LostRequest(loss.identity.digest, loss.answered) for loss in losses
--- a/tests/policy/test_answered_parts.py
+++ b/tests/policy/test_answered_parts.py
@@ -36,7 +36,7 @@
         self.assertEqual(1024, len(self.parts))
 
     def test_a_part_belongs_to_the_team_that_had_it_last(self):
-        for team in ("a", "b", "a"):
+        for team in ("a", "b", "a", ""):
             self.parts.record("llm", ["p"], "v1/1", 10.0, team)
         for number in range(2000):
             self.parts.record("llm", [f"p{number}"], "v1/1", 11.0, "c")
