--- a/tests/policy/test_answered_parts.py
+++ b/tests/policy/test_answered_parts.py
@@ -36,9 +36,20 @@
         self.assertEqual(1024, len(self.parts))
 
     def test_a_part_belongs_to_the_team_that_had_it_last(self):
-        for team in ("a", "b", "a", ""):
+        for team in ("a", "b", "a"):
             self.parts.record("llm", ["p"], "v1/1", 10.0, team)
         for number in range(2000):
             self.parts.record("llm", [f"p{number}"], "v1/1", 11.0, "c")
         self.assertTrue(self.parts.rules_out("llm", "p", "v1/1", 11.0))
         self.assertEqual(1024, len(self.parts))
+
+    def test_a_report_without_a_team_does_not_take_a_part_over(self):
+        """Guards against reports of others that make a team's parts forgotten.
+
+        They name no team, and are many while engines crash.
+        """
+        self.parts.record("llm", ["p"], "v1/1", 10.0, "a")
+        self.parts.record("llm", ["p"], "v1/1", 10.5)
+        for number in range(2000):
+            self.parts.record("llm", [f"p{number}"], "v1/1", 11.0)
+        self.assertTrue(self.parts.rules_out("llm", "p", "v1/1", 11.0))
