Quarantine: a crash that is found late makes no answer

Since losses are kept until a crash is found, a prompt whose first event came just before it could count as answered. Cause: how long an engine had written was measured when the crash was reported, not when the connection was lost; 0.5 s of it clears a prompt's parts. Ruled out: crashes found at once, as before. Change: a loss bears its own time. Before/after: the new test reported ('other',) alone, now ('dead',) and ('other',).

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -381,6 +381,7 @@
                 outcome.begun,
                 outcome.sent_at,
                 outcome.first_data_at,
+                self._clock(),
             )
             self._quarantine.record_loss(peer.start_id, peer.pool, loss)
 
--- a/magnolialug/quarantine/crashdetector.py
+++ b/magnolialug/quarantine/crashdetector.py
@@ -29,6 +29,7 @@
       answered: whether part of the answer's body had arrived.
       sent_at: when the request was sent.
       first_data_at: when the body began, infinity if it did not.
+      lost_at: when its connection was closed.
     """
 
     identity: RequestIdentity
@@ -36,6 +37,7 @@
     answered: bool
     sent_at: float
     first_data_at: float
+    lost_at: float
 
 
 class CrashDetector:
--- a/magnolialug/quarantine/partreporter.py
+++ b/magnolialug/quarantine/partreporter.py
@@ -110,13 +110,13 @@
 
     def _lost_prompt(self, loss: LostAttempt, now: float) -> LostPrompt:
         identity = loss.identity
-        if now - loss.first_data_at >= _BEGINNING_S:
+        if loss.lost_at - loss.first_data_at >= _BEGINNING_S:
             self.record_answer(identity, loss.build)
         parts = tuple(
             part
             for part in identity.parts
             if not self._answered.rules_out(
-                identity.service, part, loss.build, now
+                identity.service, part, loss.build, loss.lost_at
             )
         )
         age_ms = round((now - loss.sent_at) * 1000)
--- a/tests/quarantine/test_crash_detector.py
+++ b/tests/quarantine/test_crash_detector.py
@@ -45,7 +45,8 @@
     def lose(self, digest, pool):
         """Records a loss and lets time pass until the probe has ended."""
         identity = RequestIdentity(digest, "llm", "a")
-        loss = LostAttempt(identity, "", False, self.clock.seconds(), 9e9)
+        now = self.clock.seconds()
+        loss = LostAttempt(identity, "", False, now, 9e9, now)
         self.detector.record_loss("i-1", pool, loss)
         self.clock.advance(0.01)
 
--- a/tests/quarantine/test_reports.py
+++ b/tests/quarantine/test_reports.py
@@ -17,14 +17,20 @@
 
 
 class CrashedPool:
-    """The connections to a crashed endpoint; each probe finds it closed."""
+    """The connections to a crashed endpoint; a probe finds it closed.
 
-    def __init__(self, clock):
+    Args:
+      missed: how many probes end too soon before.
+    """
+
+    def __init__(self, clock, missed=0):
         self._clock = clock
+        self._missed = missed
 
     def probe(self, done):
         """Reports the crash a millisecond later."""
-        self._clock.callLater(0.001, done, True)
+        self._missed -= 1
+        self._clock.callLater(0.001, done, self._missed < 0)
 
 
 class OneEntry:
@@ -49,6 +55,12 @@
             self._handlers[type(message)](message, to)
 
 
+def _lost(identity, clock, first_data_at=9e9):
+    """Returns an attempt that was sent and lost now."""
+    now = clock.seconds()
+    return LostAttempt(identity, "", False, now, first_data_at, now)
+
+
 class LateLossTest(TestCase):
     """What a crashed endpoint, or what stands before it, still loses."""
 
@@ -69,12 +81,12 @@
         pool = CrashedPool(clock)
         cause = RequestIdentity("cause", "llm", "a")
         for endpoint in ("i-1", "i-2"):
-            loss = LostAttempt(cause, "", False, clock.seconds(), 9e9)
+            loss = _lost(cause, clock)
             quarantine.record_loss(endpoint, pool, loss)
             clock.advance(0.01)
         late = RequestIdentity("late", "llm", "a")
         for endpoint in ("i-1", "i-2"):
-            loss = LostAttempt(late, "", False, clock.seconds(), 9e9)
+            loss = _lost(late, clock)
             quarantine.record_loss(endpoint, pool, loss)
             clock.advance(0.01)
         self.assertIsNotNone(quarantine.refusal(cause))
@@ -105,7 +117,7 @@
         def receivers(endpoint):
             messenger.sent.clear()
             prompt = RequestIdentity("d", service, "a", ("first",))
-            loss = LostAttempt(prompt, "", False, clock.seconds(), 9e9)
+            loss = _lost(prompt, clock)
             quarantine.record_loss(endpoint, CrashedPool(clock), loss)
             clock.advance(0.01)
             return {
@@ -139,7 +151,7 @@
             names = part_names(f"{number:050}{n:050}" for n in range(60))
             wanted[f"d{number}"] = set(names)
             prompt = RequestIdentity(f"d{number}", "llm", "a", names)
-            loss = LostAttempt(prompt, "", False, clock.seconds(), 9e9)
+            loss = _lost(prompt, clock)
             quarantine.record_loss("i-1", pool, loss)
         clock.advance(0.01)
         found = {}
@@ -150,3 +162,35 @@
                 for row in message.prompts:
                     found.setdefault(row.digest, set()).update(row.parts)
         self.assertEqual(wanted, found)
+
+    def test_a_crash_that_is_found_late_makes_no_answer(self):
+        """Guards against a part that is cleared by the answer it cut short.
+
+        Its first event came 5 ms before the crash, which was found 0.6 s
+        later; that was taken for 0.6 s of an answer.
+        """
+        clock, messenger = Clock(), OneEntry()
+        quarantine = Quarantine(
+            OwnerRing(ME, clock.seconds),
+            messenger,
+            KvStore(clock),
+            clock,
+            lambda digest: None,
+        )
+        pool = CrashedPool(clock, missed=2)
+        clock.advance(10.0)
+        prompt = RequestIdentity("d", "llm", "a", ("dead",))
+        loss = _lost(prompt, clock, clock.seconds() - 0.005)
+        quarantine.record_loss("i-1", pool, loss)
+        for _ in range(4):
+            clock.advance(0.15)
+        other = RequestIdentity("e", "llm", "a", ("other",))
+        quarantine.record_loss("i-1", pool, _lost(other, clock))
+        clock.advance(0.01)
+        reports = [
+            row.parts
+            for message, _ in messenger.sent
+            if isinstance(message, PromptCrashReport)
+            for row in message.prompts
+        ]
+        self.assertEqual([("dead",), ("other",)], reports)
