Engines: owners learn how many streams are written, and their shortest pause

Owners know pending prefill only, so neither they nor entries can tell whether an engine writes anything that prefill would hold up. Change: shares and states carry the streams past their first event, and the shortest pause that a running stream allows. Fields are last and have defaults, so entries of two releases understand each other.

--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -217,6 +217,7 @@
                 unread,
                 dispatch.priority,
                 now,
+                call.route.gap_s,
             )
             placement = Placement(
                 dispatch.endpoint,
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -14,6 +14,7 @@
     EndpointState,
     Placement,
     WorkShare,
+    shortest_gap_ms,
     sum_by_priority,
 )
 
@@ -198,6 +199,8 @@
                 for entry, (count, _) in self._connections.items()
                 if entry != client
             ),
+            writing=sum(share.writing for share in others),
+            gap_ms=shortest_gap_ms(share.gap_ms for share in others),
         )
 
     def is_silent(self, now: float) -> bool:
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -9,6 +9,7 @@
 from magnolialug.policy.sharedload import (
     EndpointState,
     WorkShare,
+    shortest_gap_ms,
     sum_by_priority,
 )
 
@@ -40,6 +41,8 @@
       sent_at: time when it was sent, in seconds.
       ahead_s: expected wait before its own prefill when it was sent.
       in_prefill: whether its first event has not come yet.
+      gap_s: the longest pause between its events that is on time, 0 if its
+        route names none.
     """
 
     priority: int
@@ -48,6 +51,7 @@
     sent_at: float
     ahead_s: float
     in_prefill: bool = True
+    gap_s: float = 0.0
 
 
 class EngineLoad:
@@ -149,6 +153,8 @@
             weights=weights,
             min_weights=min_weights,
             cold_ms=cold_ms,
+            writing=sum(not placed.in_prefill for placed in rows),
+            gap_ms=shortest_gap_ms(_ms(placed.gap_s) for placed in rows),
         )
 
     def _pending_prefill(self) -> tuple[int, ...]:
@@ -171,6 +177,7 @@
         unread: int,
         priority: int,
         now: float,
+        gap_s: float = 0.0,
     ) -> None:
         """Records an attempt that was sent, and its parts as cached."""
         self._running[name] = Placed(
@@ -179,6 +186,7 @@
             held=prompt.memory_tokens,
             sent_at=now,
             ahead_s=self.ahead_s(priority),
+            gap_s=gap_s,
         )
         self._total_pending_prefill = None
         self._parts.touch(salt, prompt.shared)
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -8,7 +8,13 @@
 from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.prompt import Part
 
-__all__ = ["EndpointState", "Placement", "WorkShare", "sum_by_priority"]
+__all__ = [
+    "EndpointState",
+    "Placement",
+    "WorkShare",
+    "shortest_gap_ms",
+    "sum_by_priority",
+]
 
 
 class WorkShare(msgspec.Struct, frozen=True, array_like=True):
@@ -32,6 +38,9 @@
       sent: all requests that this entry has sent.
       recently_sent: those of the last second.
       connections: that this entry has to it, idle ones included.
+      writing: its running streams whose first event has arrived.
+      gap_ms: the shortest pause between events that any of its running
+        streams allows, 0 if none names one.
     """
 
     endpoint: EndpointId
@@ -48,6 +57,8 @@
     sent: int = 0
     recently_sent: int = 0
     connections: int = 0
+    writing: int = 0
+    gap_ms: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -87,6 +98,9 @@
         a request; 0 is a permit.
       connections: that the entries have to it, idle ones included.
       leaving: whether an answer to any entry has said that it leaves.
+      writing: running streams whose first event has arrived.
+      gap_ms: the shortest pause between events that any running stream allows,
+        0 if none names one.
     """
 
     endpoint: EndpointId
@@ -104,6 +118,8 @@
     send_wait_ms: int = 0
     connections: int = 0
     leaving: bool = False
+    writing: int = 0
+    gap_ms: int = 0
 
 
 def sum_by_priority(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
@@ -114,3 +130,8 @@
         for place, tokens in enumerate(row):
             total[place] += tokens
     return tuple(total)
+
+
+def shortest_gap_ms(gaps: Iterable[int]) -> int:
+    """Returns the shortest pause that is named, 0 if none is."""
+    return min(filter(None, gaps), default=0)
