Prefix cache: an engine waits for a store's link no longer than in time

Cause: callers of short prompts on the uneven deployment got late labels for eight seconds, from the moment at which the links of half of the stores moved parts four times as slowly. An engine waited up to two seconds for a part that takes 0.03 s to read: 526 of 1,700 short answers from 15 to 24 s. Ruled out: engines (their prompts without fetches were in time), room (none waited), crashes (over at 12 s). Change: a fetch has a deadline from the route's target, the engine's queue and the time to read the prompt; what has not come by then is read. The servers' clock comes with the store owner's reply. The bound against torn reads holds as well, and an owner that tells no clock leaves only that one. Which links are slow is still not learned.

--- a/magnolialug/entry/dispatchbuilder.py
+++ b/magnolialug/entry/dispatchbuilder.py
@@ -8,6 +8,7 @@
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.ids import ServiceName
+from magnolialug.policy.fetchdeadline import fetch_deadline
 from magnolialug.policy.partplan import MissReason, PartPlan, plan_part
 from magnolialug.policy.prompt import Part, Prompt
 from magnolialug.policy.storemap import StoreMap
@@ -22,6 +23,7 @@
       costs: returns the parts that an engine itself has cached.
       stores: the stores of cached parts.
       newest_version: returns the newest known version of a model.
+      clock: returns the time in seconds.
     """
 
     def __init__(
@@ -29,10 +31,12 @@
         costs: CostEstimator,
         stores: StoreMap,
         newest_version: Callable[[str], int],
+        clock: Callable[[], float],
     ):
         self._costs = costs
         self._stores = stores
         self._newest_version = newest_version
+        self._clock = clock
 
     def build(
         self,
@@ -62,9 +66,7 @@
             resume_after=resume_after,
             fetch=fetch,
             save=save,
-            fetch_until_ms=min(
-                (plan.until_ms for plan in plans if plan.fetch), default=0
-            ),
+            fetch_until_ms=self._fetch_until_ms(call, peer, plans),
             sources=_sources(call.prompt, held, plans),
         )
 
@@ -79,6 +81,33 @@
             if address in names
         ]
 
+    def _fetch_until_ms(
+        self, call: ForwardCall, peer: Peer, plans: list[PartPlan]
+    ) -> int:
+        """Returns the deadline of the fetches, 0 without any.
+
+        The stores bound it, so that no part is read while it is written
+        again, and so does the time that reading the parts would take.
+        """
+        bounds = [plan.until_ms for plan in plans if plan.fetch]
+        ahead_s = next(
+            (
+                plan.clock_ahead_s
+                for plan in plans
+                if plan.clock_ahead_s is not None
+            ),
+            None,
+        )
+        if bounds and ahead_s is not None and peer.load is not None:
+            deadline = fetch_deadline(
+                call.arrived + call.route.target_s,
+                self._clock(),
+                peer.load.ahead_s(call.priority),
+                call.prompt.input_tokens / peer.load.rate,
+            )
+            bounds.append(int((deadline + ahead_s) * 1000))
+        return min(bounds, default=0)
+
     def _plans(
         self,
         prompt: Prompt,
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -192,7 +192,10 @@
             candidates,
             costs,
             DispatchBuilder(
-                costs, self.prefix_cache.store_map, self._newest_version
+                costs,
+                self.prefix_cache.store_map,
+                self._newest_version,
+                reactor.seconds,
             ),
             AttemptCallbacks(
                 reporter.sent,
--- a/magnolialug/policy/partplan.py
+++ b/magnolialug/policy/partplan.py
@@ -38,12 +38,14 @@
     Attributes:
       until_ms: deadline for the end of a fetch, on the servers' clock.
       reader: the engine that prefills it and will save it, "" for none.
+      clock_ahead_s: the servers' clock minus this entry's, None if not known.
     """
 
     store: ServiceName
     status: PartStatus
     until_ms: int = 0
     reader: EndpointId = EndpointId("")
+    clock_ahead_s: float | None = None
 
 
 class PartPlan(msgspec.Struct, frozen=True):
@@ -54,12 +56,15 @@
       save: the store to save it to, None for none.
       miss: why it is not fetched, None if it is.
       until_ms: when a fetch that has not ended is discarded.
+      clock_ahead_s: the clock of that time minus this entry's, None if not
+        known.
     """
 
     fetch: ServiceName | None = None
     save: ServiceName | None = None
     miss: MissReason | None = None
     until_ms: int = 0
+    clock_ahead_s: float | None = None
 
 
 _MISSES = {
@@ -83,7 +88,11 @@
     if reported is None:
         return PartPlan(miss=MissReason.NO_CONTACT)
     if reported.status is PartStatus.HELD:
-        return PartPlan(fetch=reported.store, until_ms=reported.until_ms)
+        return PartPlan(
+            fetch=reported.store,
+            until_ms=reported.until_ms,
+            clock_ahead_s=reported.clock_ahead_s,
+        )
     if reported.status is not PartStatus.ROOM:
         return PartPlan(miss=_MISSES[reported.status])
     if not may_save:
--- a/magnolialug/policy/storeindex.py
+++ b/magnolialug/policy/storeindex.py
@@ -113,6 +113,12 @@
             (self.last_contact_at + _FETCH_VALID_S + self.clock_offset_s) * 1000
         )
 
+    def clock_ms(self, now: float) -> int:
+        """Returns the time on the store's clock, 0 if not known."""
+        if self.clock_offset_s is None:
+            return 0
+        return int((now + self.clock_offset_s) * 1000)
+
     def is_same_start(self, epoch: int, born_ms: int) -> bool:
         """Whether the last known state is from this start of the store."""
         if epoch != self.epoch:
--- a/magnolialug/prefixcache/indexservice.py
+++ b/magnolialug/prefixcache/indexservice.py
@@ -47,7 +47,12 @@
             until_ms = index.fetch_until_ms() if held else 0
             states.append(
                 PartState(
-                    queried.store, *key, status, until_ms, index.reader(key)
+                    queried.store,
+                    *key,
+                    status,
+                    until_ms,
+                    index.reader(key),
+                    index.clock_ms(now) if held else 0,
                 )
             )
         return PartReply(query.number, tuple(states))
--- a/magnolialug/prefixcache/messages.py
+++ b/magnolialug/prefixcache/messages.py
@@ -41,6 +41,7 @@
     Attributes:
       until_ms: deadline for the end of a fetch, on the servers' clock.
       reader: the engine that prefills it and will save it, "" for none.
+      clock_ms: the servers' clock when the reply is sent, 0 if not known.
     """
 
     store: ServiceName
@@ -49,6 +50,7 @@
     status: PartStatus
     until_ms: int = 0
     reader: EndpointId = EndpointId("")
+    clock_ms: int = 0
 
 
 class PartReply(msgspec.Struct, frozen=True, array_like=True, tag="parts"):
--- a/magnolialug/prefixcache/queryclient.py
+++ b/magnolialug/prefixcache/queryclient.py
@@ -40,6 +40,7 @@
       stores: the stores of the configuration.
       pending_queries: sends queries and waits for the replies.
       send: sends a message to an entry.
+      clock: returns the time in seconds.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         stores: StoreMap,
         pending_queries: PendingQueries,
         send: Callable[[SaveNotice | SaveCancelled, Address], None],
+        clock: Callable[[], float],
     ):
         self._owners = owners
         self._stores = stores
         self._pending_queries = pending_queries
         self._send = send
+        self._clock = clock
 
     async def ask(
         self, cache_namespaces: Iterable[str], parts: Iterable[Part]
@@ -84,7 +87,7 @@
             if not queried:
                 break
             for reported in await self._ask(queried):
-                _merge(stored, reported)
+                _merge(stored, reported, self._clock())
         return stored
 
     def save(
@@ -141,12 +144,18 @@
     return reported is None or reported.status in _TRY_NEXT_STATUSES
 
 
-def _merge(stored: dict[PartKey, PartReport], reported: PartReply) -> None:
+def _merge(
+    stored: dict[PartKey, PartReport], reported: PartReply, now: float
+) -> None:
     """Merges a reply; a further store's status counts only if usable."""
     for state in reported.states:
         key = (state.cache_namespace, state.name)
         if key in stored and state.status in _TRY_NEXT_STATUSES:
             continue
         stored[key] = PartReport(
-            state.store, state.status, state.until_ms, state.reader
+            state.store,
+            state.status,
+            state.until_ms,
+            state.reader,
+            state.clock_ms / 1000 - now if state.clock_ms else None,
         )
--- a/magnolialug/prefixcache/wiring.py
+++ b/magnolialug/prefixcache/wiring.py
@@ -61,7 +61,11 @@
             lambda store: owners.ring.rank(store) < _OWNERS_PER_STORE,
         )
         self.queries = PartQueryClient(
-            owners.ring, self.store_map, owners.pending_queries, messenger.send
+            owners.ring,
+            self.store_map,
+            owners.pending_queries,
+            messenger.send,
+            clock.seconds,
         )
         self.collector = GarbageCollector(
             self.store_pollers, calls, clock.seconds, engines
--- a/tests/prefixcache/test_cache_parts.py
+++ b/tests/prefixcache/test_cache_parts.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from magnolialug.policy.storeindex import StoreIndex
 from tests.gatewaycluster import GatewayCluster
 
 
@@ -102,6 +103,30 @@
         now_ms = cluster.net.seconds() * 1000 + 5000
         self.assertTrue(now_ms < until_ms + 200 < now_ms + 2200)
 
+    def test_a_fetch_is_given_up_while_the_prompt_can_be_in_time(self):
+        """Guards against prompts that wait for a slow link until they are late.
+
+        The target of the route is 0.8 s, and reading the prompt takes 0.02 s.
+        """
+        cluster, _ = self.started()
+        cluster.ask("/draft/x", seconds=1)
+        sent_ms = cluster.net.seconds() * 1000
+        cluster.ask("/draft/x", seconds=0.2)
+        until_ms = int(headers(cluster, "x-kv-until")[-1])
+        allowed_ms = until_ms - 5000 - sent_ms
+        self.assertTrue(0 < allowed_ms < 800, allowed_ms)
+
+    def test_an_owner_of_the_last_release_bounds_a_fetch_as_before(self):
+        """Guards against a deadline on a clock that no reply has told."""
+        cluster, _ = self.started()
+        (poller,) = cluster.gateway.prefix_cache.store_pollers.pollers.values()
+        self.patch(StoreIndex, "clock_ms", lambda index, now: 0)
+        cluster.ask("/draft/x", seconds=1)
+        bound_ms = poller.index.fetch_until_ms()
+        cluster.ask("/draft/x", seconds=0.2)
+        until_ms = int(headers(cluster, "x-kv-until")[-1])
+        self.assertGreaterEqual(until_ms, bound_ms)
+
     def test_only_earlier_parts_of_replaced_weights_are_fetched(self):
         """Weights are being replaced while prompts return.
 
--- a/tests/prefixcache/test_owners_of_stores.py
+++ b/tests/prefixcache/test_owners_of_stores.py
@@ -248,6 +248,7 @@
             stores,
             pending_queries,
             lambda save, owner: sent.append(save),
+            lambda: 0.0,
         )
         return client, ranking, pending_queries, sent
 
