Streams: the bytes that pass tell how many events have ended

Cause: nothing counts the events of a stream that is forwarded, so nobody can tell how long its engine takes from one to the next. Change: EventBoundary.feed returns how many events ended in the data, whatever ends their lines and wherever the pieces begin. Conclusion: the pace of engines can be measured by their streams.

--- a/magnolialug/entry/eventboundary.py
+++ b/magnolialug/entry/eventboundary.py
@@ -1,9 +1,13 @@
 """Tracks whether a stream of server-sent events is inside an event."""
 
+import re
+
 __all__ = ["EventBoundary"]
 
 # The longest blank line with the end of the line before it: CRLF CRLF.
 _MAX_SEPARATOR_BYTES = 4
+# The last byte of an event, the end of its line and a blank line.
+_END = re.compile(rb"[^\r\n](?>\r\n|\r|\n){2}")
 
 
 class EventBoundary:
@@ -15,10 +19,19 @@
     def __init__(self) -> None:
         self._tail = b"\n\n"
 
-    def feed(self, data: bytes) -> None:
-        """Adds the next bytes of the stream."""
+    def feed(self, data: bytes) -> int:
+        """Adds the next bytes of the stream; returns how many events end."""
+        ended = len(_END.findall(self._last_line_end() + data))
         tail = self._tail + data[-_MAX_SEPARATOR_BYTES:]
         self._tail = tail[-_MAX_SEPARATOR_BYTES:]
+        return ended
+
+    def _last_line_end(self) -> bytes:
+        """Returns the last byte of an event that goes on, and its line end."""
+        if not self.is_inside_event:
+            return b""
+        line = self._tail.rstrip(b"\r\n")
+        return self._tail[len(line) - 1 :]
 
     @property
     def is_inside_event(self) -> bool:
