Engines: the pace of each start, measured by all entries together

Cause: each entry learns an engine's prefill rate by itself, a tenth with each long prompt. With many entries that takes longer than a slow moment lasts, and nobody learns how long a stream waits for its next event. Change: PaceEstimator measures one entry's first events and pauses, shares carry the result, PaceLedger merges them beside the usual pace of that start, and EndpointState brings it to all entries. EngineLoad.rate is the merged pace while it is known, else what it was. Routes that name no pause measure nothing.

--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -6,6 +6,8 @@
 
 from magnolialug.ids import EndpointId
 from magnolialug.policy.admissionqueue import AdmissionQueue, QueuedPrompt
+from magnolialug.policy.enginepace import EnginePace
+from magnolialug.policy.paceledger import PaceLedger
 from magnolialug.policy.partcache import PartCache
 from magnolialug.policy.prefillwait import PRIORITY_LEVELS, prefill_wait_s
 from magnolialug.policy.prompt import Part
@@ -69,6 +71,7 @@
       parts: estimate of the prompt parts that its memory holds.
       queue: the prompts that wait for its memory.
       sends: permits for its requests while it limits them.
+      paces: what entries have measured of its pace.
     """
 
     def __init__(self, endpoint: EndpointId, memory: int, born_ms: int):
@@ -78,6 +81,7 @@
         self.parts = PartCache(memory)
         self.queue = AdmissionQueue()
         self.sends = SendBucket()
+        self.paces = PaceLedger()
         self._shares: dict[str, _ReportedShare] = {}
         self._connections: dict[str, tuple[int, float]] = {}
         self._reservations: dict[Hashable, _Reservation] = {}
@@ -97,6 +101,8 @@
         if share.notice is not None:
             self.sends.known.record(share.notice.to_notice(now))
             self.sends.record_sent(entry, share.sent, share.recently_sent, now)
+        if share.pace is not None:
+            self.paces.record(entry, share.pace, now)
         self._connections[entry] = share.connections, now
         if share.running:
             self._shares[entry] = _ReportedShare(share, now)
@@ -126,6 +132,7 @@
         for ticket, reservation in list(self._reservations.items()):
             if now >= reservation.until:
                 del self._reservations[ticket]
+        self.paces.drop_expired(now)
         self.queue.drop_expired(now)
 
     def is_idle(self) -> bool:
@@ -201,8 +208,13 @@
             ),
             writing=sum(share.writing for share in others),
             gap_ms=shortest_gap_ms(share.gap_ms for share in others),
+            pace=self.pace(now),
         )
 
+    def pace(self, now: float) -> EnginePace | None:
+        """Returns its pace by all entries, None if too little is known."""
+        return self.paces.pace(now)
+
     def is_silent(self, now: float) -> bool:
         """Whether requests have waited for any byte of it for too long.
 
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -3,6 +3,13 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.enginepace import (
+    DEFAULT_EVENT_S,
+    MAX_RATE_TOKENS_PER_S,
+    MIN_RATE_TOKENS_PER_S,
+    EnginePace,
+)
+from magnolialug.policy.paceestimator import PaceEstimator
 from magnolialug.policy.partcache import PartCache
 from magnolialug.policy.prefillwait import PRIORITY_LEVELS, prefill_wait_s
 from magnolialug.policy.prompt import Prompt
@@ -16,11 +23,8 @@
 __all__ = ["EngineLoad", "Placed"]
 
 # Prompt tokens that an engine is assumed to prefill per second, between the
-# steps of running requests, until the first response gives a measurement; and
-# the bounds of a measurement.
+# steps of running requests, until the first response gives a measurement.
 _INITIAL_RATE_TOKENS_PER_S = 75_000.0
-_MIN_RATE_TOKENS_PER_S = 5_000.0
-_MAX_RATE_TOKENS_PER_S = 120_000.0
 # Time from the end of the prefill to the first event at the caller.
 _FIRST_EVENT_S = 0.09
 # Weight of the newest response in the measured prefill rate.
@@ -30,6 +34,9 @@
 # The reported load from other entries is used for this long. Even long prompts
 # are prefilled within it, so an older report says little about the queue.
 _STATE_MAX_AGE_S = 0.5
+# The pace that all entries have measured is used for this long without a new
+# reply: an engine can be slow for a moment, and its owner may have died.
+_PACE_MAX_AGE_S = 2.0
 
 
 class Placed(msgspec.Struct):
@@ -43,6 +50,11 @@
       in_prefill: whether its first event has not come yet.
       gap_s: the longest pause between its events that is on time, 0 if its
         route names none.
+      work: tokens that are read before its first event, 0 if that is not known
+        well enough to measure the engine by it.
+      event_at: when its last event arrived, None before the first and after
+        its caller's reading was paused.
+      event_pending: prompt tokens pending then, None if not known.
     """
 
     priority: int
@@ -52,6 +64,9 @@
     ahead_s: float
     in_prefill: bool = True
     gap_s: float = 0.0
+    work: float = 0.0
+    event_at: float | None = None
+    event_pending: int | None = None
 
 
 class EngineLoad:
@@ -59,13 +74,17 @@
 
     Attributes:
       memory: capacity in tokens, shared by running requests and cached parts.
-      rate: estimated prefill rate in prompt tokens per second.
+      pace: what all entries have measured of this start, None if that is not
+        known or too old.
     """
 
     def __init__(self, memory: int, slots: int):
         self.memory = memory
         self.slots = slots
-        self.rate = _INITIAL_RATE_TOKENS_PER_S
+        self.pace: EnginePace | None = None
+        self._pace_at = float("-inf")
+        self._own_rate = _INITIAL_RATE_TOKENS_PER_S
+        self._estimator = PaceEstimator()
         self._others: EndpointState | None = None
         self._others_at = float("-inf")
         self._running: dict[str, Placed] = {}
@@ -79,6 +98,18 @@
         """Number of this entry's attempts in progress."""
         return len(self._running)
 
+    @property
+    def rate(self) -> float:
+        """Estimated prefill rate in prompt tokens per second."""
+        measured = self.pace.tokens_per_s if self.pace else 0
+        return measured or self._own_rate
+
+    @property
+    def event_s(self) -> float:
+        """Time between two events of a stream while nothing is read."""
+        measured_ms = self.pace.event_ms if self.pace else 0
+        return measured_ms / 1000 or DEFAULT_EVENT_S
+
     def leading(self, salt: str, prompt: Prompt) -> int:
         """Returns how many leading parts of a prompt this entry sent there."""
         return self._parts.leading(salt, prompt.shared)
@@ -89,22 +120,23 @@
         self._others_at = now
         self._total_pending_prefill = None
 
+    def record_pace(self, pace: EnginePace | None, now: float) -> None:
+        """Records the pace that all entries have measured."""
+        if pace is not None:
+            self.pace = pace
+            self._pace_at = now
+
     def tick(self, now: float) -> None:
-        """Drops the load from other entries once it is too old."""
+        """Drops what other entries have reported once it is too old."""
+        if self.pace and now - self._pace_at > _PACE_MAX_AGE_S:
+            self.pace = None
         if self._others and now - self._others_at > _STATE_MAX_AGE_S:
             self._others = None
             self._total_pending_prefill = None
 
     def ahead_s(self, priority: int) -> float:
         """Returns the expected wait before a new prompt's prefill starts."""
-        pending_prefill = self._total_pending_prefill
-        if pending_prefill is None:
-            pending_prefill = self._pending_prefill()
-            if self._others is not None:
-                pending_prefill = sum_by_priority(
-                    (pending_prefill, self._others.pending_prefill)
-                )
-            self._total_pending_prefill = pending_prefill
+        pending_prefill = self._all_pending_prefill()
         running = len(self._running)
         if self._others is not None:
             running += self._others.running
@@ -155,8 +187,26 @@
             cold_ms=cold_ms,
             writing=sum(not placed.in_prefill for placed in rows),
             gap_ms=shortest_gap_ms(_ms(placed.gap_s) for placed in rows),
+            pace=self._estimator.pace(now),
         )
 
+    def _all_pending_prefill(self) -> tuple[int, ...]:
+        """Returns the prompt tokens of all entries, by priority."""
+        pending_prefill = self._total_pending_prefill
+        if pending_prefill is None:
+            pending_prefill = self._pending_prefill()
+            if self._others is not None:
+                pending_prefill = sum_by_priority(
+                    (pending_prefill, self._others.pending_prefill)
+                )
+            self._total_pending_prefill = pending_prefill
+        return pending_prefill
+
+    def _knows_others(self, now: float) -> bool:
+        """Whether the load of the other entries is known."""
+        recent = now - self._others_at <= _STATE_MAX_AGE_S
+        return self._others is not None and recent
+
     def _pending_prefill(self) -> tuple[int, ...]:
         """Returns this entry's prompt tokens to be prefilled, by priority."""
         pending_prefill = [0] * PRIORITY_LEVELS
@@ -180,6 +230,11 @@
         gap_s: float = 0.0,
     ) -> None:
         """Records an attempt that was sent, and its parts as cached."""
+        pending_prefill = self._all_pending_prefill()
+        # At one token a second, the wait in seconds is the number of tokens.
+        ahead = prefill_wait_s(pending_prefill, 0, priority, rate=1.0)
+        # It is not known how far the prompts ahead of it have been read.
+        certain = self._knows_others(now) and ahead <= unread
         self._running[name] = Placed(
             priority=priority,
             unread=unread,
@@ -187,25 +242,61 @@
             sent_at=now,
             ahead_s=self.ahead_s(priority),
             gap_s=gap_s,
+            work=unread + ahead if certain and gap_s else 0.0,
         )
         self._total_pending_prefill = None
         self._parts.touch(salt, prompt.shared)
 
-    def first_event(self, name: str, now: float) -> None:
-        """Updates the prefill rate from the time to the first event."""
+    def first_event(self, name: str, now: float) -> bool:
+        """Updates the prefill rate from the time to the first event.
+
+        Returns:
+          whether it measures the engine's pace.
+        """
         placed = self._running.get(name)
         if placed is None or not placed.in_prefill:
-            return
+            return False
         placed.in_prefill = False
         self._total_pending_prefill = None
-        took = now - placed.sent_at - _FIRST_EVENT_S - placed.ahead_s
-        if placed.unread < _MIN_SAMPLE_TOKENS or took <= 0:
+        reading_s = now - placed.sent_at - _FIRST_EVENT_S
+        self._update_own_rate(placed.unread, reading_s - placed.ahead_s)
+        return bool(placed.work) and self._estimator.record_read(
+            placed.work, reading_s, now
+        )
+
+    def _update_own_rate(self, unread: int, took_s: float) -> None:
+        if unread < _MIN_SAMPLE_TOKENS or took_s <= 0:
             return
         rate = min(
-            _MAX_RATE_TOKENS_PER_S,
-            max(_MIN_RATE_TOKENS_PER_S, placed.unread / took),
+            MAX_RATE_TOKENS_PER_S,
+            max(MIN_RATE_TOKENS_PER_S, unread / took_s),
+        )
+        self._own_rate += _RATE_SMOOTHING * (rate - self._own_rate)
+
+    def events(self, name: str, count: int, now: float) -> bool:
+        """Measures the engine's pace by the events of a stream.
+
+        Args:
+          count: events that have arrived now; 0 if the caller's reading is
+            paused, so that the time is not the engine's.
+
+        Returns:
+          whether they measure it.
+        """
+        placed = self._running.get(name)
+        if placed is None or not placed.gap_s:
+            return False
+        began_at, before = placed.event_at, placed.event_pending
+        placed.event_at = now if count else None
+        pending = None
+        if self._knows_others(now):
+            pending = sum(self._all_pending_prefill())
+        placed.event_pending = pending
+        if None in (began_at, before, pending) or not count:
+            return False
+        return self._estimator.record_pause(
+            (now - began_at) / count, (before + pending) / 2, self.pace, now
         )
-        self.rate += _RATE_SMOOTHING * (rate - self.rate)
 
     def ended(self, name: str) -> None:
         """Removes an attempt that has ended."""
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.enginepace import EnginePace
 from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.prompt import Part
 
@@ -41,6 +42,7 @@
       writing: its running streams whose first event has arrived.
       gap_ms: the shortest pause between events that any of its running
         streams allows, 0 if none names one.
+      pace: what this entry has measured lately of this start, None if nothing.
     """
 
     endpoint: EndpointId
@@ -59,6 +61,7 @@
     connections: int = 0
     writing: int = 0
     gap_ms: int = 0
+    pace: EnginePace | None = None
 
 
 class Placement(msgspec.Struct, frozen=True, array_like=True):
@@ -101,6 +104,7 @@
       writing: running streams whose first event has arrived.
       gap_ms: the shortest pause between events that any running stream allows,
         0 if none names one.
+      pace: what all entries have measured of this start, None if too little.
     """
 
     endpoint: EndpointId
@@ -120,6 +124,7 @@
     leaving: bool = False
     writing: int = 0
     gap_ms: int = 0
+    pace: EnginePace | None = None
 
 
 def sum_by_priority(rows: Iterable[Sequence[int]]) -> tuple[int, ...]:
