Owners: prompts are admitted at the measured pace, and slow engines are logged

Cause: an owner admits prompts at the rate of its own requests, which are few, and no line tells that an engine is slower than it was.

--- a/magnolialug/owners/admissionqueues.py
+++ b/magnolialug/owners/admissionqueues.py
@@ -88,7 +88,7 @@
             ends_at=now + message.ends_ms / 1000,
             size=message.tokens / max(1, ledger.memory),
             first_event_s=_FIRST_EVENT_DELAY_S
-            + message.unread / self._rate(message),
+            + message.unread / self._rate(ledger),
         )
         row = QueuedPrompt(
             ticket=ticket,
@@ -107,8 +107,12 @@
         self._reply(ticket, message.endpoint, state, after_s or 0.0)
         self._schedule_grants()
 
-    def _rate(self, message: Enqueue) -> float:
-        facts = self._ledgers.facts(message.endpoint)
+    def _rate(self, ledger: EndpointLedger) -> float:
+        """Returns the prompt tokens that an engine reads in a second."""
+        pace = ledger.pace(self._clock.seconds())
+        if pace is not None and pace.tokens_per_s:
+            return pace.tokens_per_s
+        facts = self._ledgers.facts(ledger.endpoint)
         return (
             facts.rate
             if facts and facts.rate
@@ -145,7 +149,7 @@
         facts = self._ledgers.facts(endpoint)
         if not facts.sound or ledger.is_silent(now):
             return
-        while row := ledger.grant_next(now, facts.rate):
+        while row := ledger.grant_next(now, self._rate(ledger)):
             self._reply(row.ticket, endpoint, AdmissionState.GRANTED)
 
     def _reply(
--- a/magnolialug/owners/ledgers.py
+++ b/magnolialug/owners/ledgers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from magnolialug.events import Event, emit
 from magnolialug.ids import EndpointId
 from magnolialug.policy.endpointledger import EndpointLedger
 
@@ -73,10 +74,25 @@
         """Drops expired state, and the ledgers of endpoints that are gone."""
         for ledger in self:
             ledger.drop_expired(now)
+            _log_pace(ledger, now)
             if ledger.is_idle() and self.facts(ledger.endpoint) is None:
                 del self._ledgers[ledger.endpoint]
 
 
+def _log_pace(ledger: EndpointLedger, now: float) -> None:
+    """Logs that an engine has left its usual pace, or is back at it."""
+    became_slow = ledger.paces.take_change(now)
+    if became_slow is not None:
+        pace = ledger.pace(now)
+        emit(
+            Event.ENGINE_SLOW if became_slow else Event.ENGINE_PACE_BACK,
+            endpoint=ledger.endpoint,
+            tokens_per_s=pace.tokens_per_s,
+            usual=ledger.paces.usual.tokens_per_s,
+            event_ms=pace.event_ms,
+        )
+
+
 def _is_current(
     ledger: EndpointLedger, facts: EndpointFacts | None, born_ms: int
 ) -> bool:
