Gateways: forwarded streams measure their engines

Cause: nothing passes the events of forwarded streams to the load estimates. Change: attempts tell how many events each piece completes, and when their caller's reading is paused, because that time is not the engine's. PLACED names the pace that was believed; counter engine_pace_samples, gauge engine_pace with the slowest and the median engine of each service. A state about another start of an engine brings no pace.

--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -44,6 +44,7 @@
         self.connections_made = meter.create_counter("connections_made")
         self.tokens = meter.create_counter("prompt_tokens")
         self.parts = meter.create_counter("cache_parts")
+        self.pace_samples = meter.create_counter("engine_pace_samples")
         self.orders = meter.create_counter("orders")
         self.lines_dropped = meter.create_counter("log_lines_dropped")
 
--- a/magnolialug/entry/gauges.py
+++ b/magnolialug/entry/gauges.py
@@ -1,6 +1,8 @@
 """Gauges of the gateway, evaluated whenever metrics are read."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterator
+from statistics import median
 
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
@@ -46,6 +48,18 @@
             for name in directory.services
         ]
 
+    def paces() -> Rows:
+        rates = defaultdict(list)
+        for peer in directory.peers.values():
+            if peer.load is not None and peer.load.pace is not None:
+                rates[peer.listed.service].append(peer.load.rate)
+        return [
+            (choose(rows), {"service": service, "which": which})
+            for service, rows in rates.items()
+            for which, choose in (("slowest", min), ("median", median))
+        ]
+
+    metrics.observe("engine_pace", paces)
     metrics.observe("endpoints", directory.states)
     metrics.observe("endpoint_connections", directory.connections)
     metrics.observe("retries_left", retries)
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -136,12 +136,15 @@
       on_first_data: called when the first data is to be forwarded.
       on_first_event: called before the first whole event is forwarded, on a
         route whose streams may be resumed.
+      on_events: receives how many events a piece of a forwarded stream has
+        completed; 0 when its caller's reading is paused.
     """
 
     on_overdue: Callable[["HttpAttempt"], None]
     on_claim: Callable[["HttpAttempt"], None]
     on_first_data: Callable[[], None]
     on_first_event: Callable[[], None]
+    on_events: Callable[[int], None]
 
 
 class HttpAttempt:
@@ -218,6 +221,7 @@
     def pause(self) -> None:
         """Stops reading the answer; its endpoint can send little more."""
         self._is_paused = True
+        self._callbacks.on_events(0)
         self._pending_request.pause()
 
     def resume(self) -> None:
@@ -382,10 +386,11 @@
         if not self.begun:
             self.begun = True
             self._first_data_at = self.last_contact_at
-        if self._boundary is not None:
-            self._boundary.feed(data)
+        events = self._boundary.feed(data) if self._boundary else 0
         if self._stage is _Stage.FORWARDING:
             self._deliver(data)
+            if events and not self._is_paused:
+                self._callbacks.on_events(events)
         elif self._stage is _Stage.BUFFERING:
             self._buffer_data(data)
         elif self._stage is _Stage.WITHHELD:
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -226,6 +226,7 @@
             unread=placed.unread_tokens,
             waited_s=round(self._waited_s, 3),
             room=placed.room,
+            pace=round(placed.peer.load.rate) if placed.peer.load else 0,
             fetched=sum(map(bool, to.fetch)),
             saved=sum(map(bool, to.save)),
             salt=to.cache_namespace,
@@ -341,8 +342,13 @@
             AttemptCallbacks(
                 hedging.on_overdue,
                 race.win,
-                lambda: self._placer.record_first_event(self._call, peer),
+                lambda: self._count_pace_sample(
+                    self._placer.record_first_event(self._call, peer)
+                ),
                 partial(self._record_beginning, peer.listed.software),
+                lambda count: self._count_pace_sample(
+                    self._placer.record_events(self._call, peer, count)
+                ),
             ),
         )
         self._attempts.append(attempt)
@@ -382,6 +388,10 @@
         if outcome.withheld or outcome.ended.ending is Ending.FAILED:
             self._withheld = outcome
 
+    def _count_pace_sample(self, measured: bool) -> None:
+        if measured:
+            self._metrics.pace_samples.add(1)
+
     def _record_unsent(self, attempt: HttpAttempt) -> None:
         """Counts an attempt that no endpoint received as not made."""
         self._unsent += 1
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -316,6 +316,8 @@
             self._log_cold(cold_s)
         if self.load is not None:
             self.load.record_others(state, now)
+            if not self.is_other_start(state.born_ms):
+                self.load.record_pace(state.pace, now)
         if state.leaving and not self.is_other_start(state.born_ms):
             self.record_leaving(NoticeSource.ENTRY)
         notice = state.notice
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -232,11 +232,27 @@
                 )
         self._callbacks.sent(dispatch.endpoint, placement)
 
-    def record_first_event(self, call: ForwardCall, peer: Peer) -> None:
-        """Records that an attempt's prompt has been read."""
-        if peer.load is not None:
-            peer.load.first_event(call.name, self._clock())
-            self._callbacks.changed(peer.listed.endpoint)
+    def record_first_event(self, call: ForwardCall, peer: Peer) -> bool:
+        """Records that an attempt's prompt has been read.
+
+        Returns:
+          whether that measures the pace of its engine.
+        """
+        if peer.load is None:
+            return False
+        measured = peer.load.first_event(call.name, self._clock())
+        self._callbacks.changed(peer.listed.endpoint)
+        return measured
+
+    def record_events(self, call: ForwardCall, peer: Peer, count: int) -> bool:
+        """Records events of an attempt's stream, 0 while it is paused.
+
+        Returns:
+          whether they measure the pace of its engine.
+        """
+        return peer.load is not None and peer.load.events(
+            call.name, count, self._clock()
+        )
 
     def record_not_run(self, call: ForwardCall, dispatch: Dispatch) -> None:
         """Records that an attempt did not run and never will."""
