Event gaps: each streamed answer's longest pause, in its line and in metrics

Cause: a route's targetGapMs entered no line and no metric. A gateway's line calls an answer in time if its first event was, while callers see hundreds of long answers late by a pause, so an operator could not find them.

Change: eventgaps/ measures at the sink, where whole events are handed to the caller's connection: events, the longest pause and after which event, over all attempts; time in which the caller does not read is told apart. policy/ontime decides what made an answer late. 2003 keeps its fields and gains events, longest_gap_s, gap_after, gap_s, gaps_in_time, reader_paused_s and late; 2004 and 2006 gain the pause once an event was sent. Metrics event_gap_seconds and answers_late. docs/design/event-gaps.md.

Conclusion: nothing decides by it yet.

--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -17,6 +17,7 @@
 from magnolialug.entry.placer import Placer
 from magnolialug.entry.progress import Served
 from magnolialug.entry.retryloop import RetryLoop, ServingContext
+from magnolialug.eventgaps.answer import AnswerGaps
 from magnolialug.events import Event, explain
 from magnolialug.owners.admissionclient import AdmissionClient
 from magnolialug.quarantine.wiring import Quarantine
@@ -71,6 +72,7 @@
         self._sink = sink
         self._on_done = on_done
         self._log = RequestLog(call.name)
+        self._gaps = AnswerGaps(call, sink, context.metrics, context.clock)
         self._carrier = HttpAttemptRunner(
             context.placer,
             context.prober,
@@ -138,6 +140,7 @@
             silent_s=round(state.silent_s, 3),
             took_s=round(now - self._call.arrived, 3),
             left_s=round(self._call.deadline - now, 3),
+            **self._gaps.broken_off_fields(),
         )
 
     def _on_error(self, reason: TwistedFailure) -> None:
@@ -173,6 +176,7 @@
             in_time=served.ttft_s <= self._call.route.target_s,
             took_s=round(took_s, 3),
             framing=served.framing.value if served.framing else "",
+            **self._gaps.count_whole(served.ttft_s),
         )
 
     def _count_failed(self, failure: Failure) -> None:
@@ -186,6 +190,7 @@
             took_s=round(took_s, 3),
             phase=state.phase.value,
             silent_s=round(state.silent_s, 3),
+            **self._gaps.broken_off_fields(),
             **explain(failure),
         )
         self._log.failed()
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -29,6 +29,12 @@
             "s",
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
+        self.event_gap = meter.create_histogram(
+            "event_gap_seconds",
+            "s",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self.answers_late = meter.create_counter("answers_late")
         self.requests = meter.create_counter("requests")
         self.refusals = meter.create_counter("refusals")
         self.limited = meter.create_counter("requests_limited")
--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -8,6 +8,7 @@
 from magnolialug.entry.forwardcall import HeaderList
 from magnolialug.entry.gatewaychannel import GatewayRequest
 from magnolialug.entry.responseformats import error_body
+from magnolialug.eventgaps.meter import GapMeter
 from magnolialug.result import CODES, Code, Executed, Failure
 
 __all__ = ["GatewaySink", "refusal_status"]
@@ -51,6 +52,7 @@
       opened: whether the status line and headers have been sent.
       gone: whether the caller has disconnected.
       ended: whether the response has ended, complete or not.
+      meter: measures the pauses between events, None if nobody asks.
     """
 
     def __init__(self, req: GatewayRequest):
@@ -58,6 +60,7 @@
         self.gone = False
         self.ended = False
         self.status = 0
+        self.meter: GapMeter | None = None
         self._req = req
         self._source: Source | None = None
         self._paused = False
@@ -85,8 +88,11 @@
 
     def data(self, data: bytes) -> None:
         """Sends a piece of the body."""
-        if not self.ended:
-            self._req.write(data)
+        if self.ended:
+            return
+        self._req.write(data)
+        if self.meter is not None:
+            self.meter.record(data)
 
     def complete(self) -> None:
         """Ends the response as complete."""
@@ -140,12 +146,16 @@
     def pauseProducing(self) -> None:
         """Pauses the endpoint's response; the socket buffer is full."""
         self._paused = True
+        if self.meter is not None:
+            self.meter.pause()
         if self._source is not None:
             self._source.pause()
 
     def resumeProducing(self) -> None:
         """Resumes the endpoint's response; the socket buffer has room again."""
         self._paused = False
+        if self.meter is not None:
+            self.meter.resume()
         if self._source is not None:
             self._source.resume()
 
