ctl: account shows answers late by a pause; explain, after which event

Cause: an operator could not see from logs which answers were late by a pause, what was read beside them, or who had waited for room and how long.

Change: account gains three groups of tables, each a module of its own: both kinds of lateness by route, with percentiles of the first event and of the longest pause; pauses by the unread tokens a second that others brought to the endpoint; waits before placement. explain says a request's longest pause and after which event.

--- a/magnolialug/ctl/account.py
+++ b/magnolialug/ctl/account.py
@@ -6,7 +6,23 @@
 
 import msgspec
 
+from magnolialug.ctl.answertimes import (
+    RouteTimes,
+    answer_times,
+    answer_times_tables,
+)
+from magnolialug.ctl.placementwaits import (
+    RouteWaits,
+    placement_waits,
+    placement_waits_table,
+)
+from magnolialug.ctl.readbeside import (
+    BesidePauses,
+    pauses_beside,
+    pauses_beside_table,
+)
 from magnolialug.ctl.records import read_records, time_of
+from magnolialug.ctl.textrow import text_row
 from magnolialug.policy.partplan import MissReason
 
 __all__ = ["Account", "Ending", "Reread", "account", "as_tables"]
@@ -90,6 +106,9 @@
       reread_seconds: the same by second, all reasons.
       first_reads: tokens of shared parts read for the first time.
       kept: tokens of shared parts that were expected to be found.
+      times: what made whole answers late, by route.
+      waits: waits before placement, by route.
+      beside: pauses by route and by what was read beside the answers.
     """
 
     endings: Counter[tuple[str, Ending]] = msgspec.field(
@@ -104,6 +123,9 @@
     reread_seconds: Counter[int] = msgspec.field(default_factory=Counter)
     first_reads: int = 0
     kept: int = 0
+    times: dict[str, RouteTimes] = {}
+    waits: dict[str, RouteWaits] = {}
+    beside: dict[tuple[str, str], BesidePauses] = {}
 
 
 def account(lines: Iterable[str]) -> Account:
@@ -114,6 +136,9 @@
     _Parts(found, start).read(records)
     for call in _calls(records):
         _count(found, call, start)
+    found.times = answer_times(records)
+    found.waits = placement_waits(records)
+    found.beside = pauses_beside(records)
     return found
 
 
@@ -262,13 +287,17 @@
 
 def as_tables(found: Account) -> str:
     """Returns an account as text."""
-    lines = [*_endings(found), "", *_times(found), "", *_cuts(found)]
-    lines += ["", *_rereads(found), "", *_seconds(found)]
-    return "\n".join(lines)
-
-
-def _row(name: str, cells: Iterable[object]) -> str:
-    return f"{name:<24}" + "".join(f"{cell!s:>14}" for cell in cells)
+    tables = (
+        _endings(found),
+        answer_times_tables(found.times),
+        pauses_beside_table(found.beside),
+        placement_waits_table(found.waits),
+        _times(found),
+        _cuts(found),
+        _rereads(found),
+        _seconds(found),
+    )
+    return "\n\n".join("\n".join(rows) for rows in tables)
 
 
 def _routes(found: Account) -> list[str]:
@@ -276,38 +305,38 @@
 
 
 def _endings(found: Account) -> list[str]:
-    rows = [_row("calls by route", [ending.value for ending in Ending])]
+    rows = [text_row("calls by route", [ending.value for ending in Ending])]
     for route in _routes(found):
         counts = [found.endings[route, ending] for ending in Ending]
-        rows.append(_row(route or "(none)", counts))
+        rows.append(text_row(route or "(none)", counts))
     return rows
 
 
 def _times(found: Account) -> list[str]:
     names = ("queue and reading", "writing", "silent endpoint", "retry")
     heads = ("to 1st event", "writing", "silent", "retry")
-    rows = [_row("seconds a call", heads)]
+    rows = [text_row("seconds a call", heads)]
     for route in _routes(found):
         calls = sum(found.endings[route, ending] for ending in Ending)
         means = [f"{found.spent[route, name] / calls:.3f}" for name in names]
-        rows.append(_row(route or "(none)", means))
+        rows.append(text_row(route or "(none)", means))
     return rows
 
 
 def _cuts(found: Account) -> list[str]:
     phases = ("reading", "writing", "silent endpoint", "unplaced", "plain")
-    rows = [_row("failed while", phases)]
+    rows = [text_row("failed while", phases)]
     for route in _routes(found):
         counts = [found.cut_in[route, phase] for phase in phases]
-        rows.append(_row(route or "(none)", counts))
+        rows.append(text_row(route or "(none)", counts))
     return rows
 
 
 def _rereads(found: Account) -> list[str]:
     rows = [
-        _row("shared tokens", ["count"]),
-        _row("expected found", [found.kept]),
-        _row("read first", [found.first_reads]),
+        text_row("shared tokens", ["count"]),
+        text_row("expected found", [found.kept]),
+        text_row("read first", [found.first_reads]),
     ]
     for reason in Reread:
         name = f"again: {reason.value}"
@@ -317,9 +346,10 @@
 
 def _seconds(found: Account) -> list[str]:
     heads = [*(ending.value for ending in Ending), "read again"]
-    rows = [_row("ended in second", heads)]
+    rows = [text_row("ended in second", heads)]
     times = {second for second, _ in found.seconds} | set(found.reread_seconds)
     for second in range(min(times, default=0), max(times, default=-1) + 1):
         counts = [found.seconds[second, ending] for ending in Ending]
-        rows.append(_row(str(second), [*counts, found.reread_seconds[second]]))
+        counts.append(found.reread_seconds[second])
+        rows.append(text_row(str(second), counts))
     return rows
--- a/magnolialug/ctl/explain.py
+++ b/magnolialug/ctl/explain.py
@@ -155,11 +155,22 @@
         f"{time_of(record):.3f}{where}: {record.get('event')}"
         f" {record.get('name')}: {fields}"
     )
+    if "gap_after" in record:
+        text += f"\n    {_longest_pause(record)}"
     for row in record.get("costs", ()):
         text += f"\n    {_cost(row)}"
     return text
 
 
+def _longest_pause(record: dict) -> str:
+    """Returns an answer's longest pause, and what its route allows."""
+    after, events = record["gap_after"], record.get("events")
+    where = f"{after} of {events}" if events else f"{after}"
+    text = f"longest pause {record.get('longest_gap_s')} s after event {where}"
+    allowed_s = record.get("gap_s")
+    return f"{text}; {allowed_s} s is on time" if allowed_s else text
+
+
 def _cost(row: list) -> str:
     """Returns one compared endpoint of either placement."""
     if len(row) == 4:
--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -46,6 +46,24 @@
         self.assertIn("NOT_RETRIED: code=", story)
         self.assertIn("executed=no", story)
 
+    def test_late_by_a_pause(self):
+        """Guards against a long answer whose line calls it in time."""
+        cluster = GatewayCluster(desks=0, engines=1)
+        (engine,) = cluster.engines.values()
+        engine.gap_s = 0.6
+        caller = cluster.ask("/check/x", 2.9)
+        self.assertEqual(200, caller.last.status)
+        found = r"longest pause 0\.6\d* s after event \d of 4"
+        self.assertRegex(self.story(caller), found)
+
+    def test_a_pause_beside_what_the_route_allows(self):
+        fields = {"longest_gap_s": 0.9, "gap_after": 2, "gap_s": 0.5}
+        rows = [line(1, "v", "CANCELLED", request="a", **fields)]
+        self.assertIn(
+            "longest pause 0.9 s after event 2; 0.5 s is on time",
+            "".join(explain_request(rows, "a")),
+        )
+
     def test_ended_unknown_after_its_endpoint_died(self):
         cluster = GatewayCluster(desks=1, engines=0)
         (desk,) = cluster.desks.values()
