Soak: waves of long prompts, slower engines, endpoints that start again thrice

Cause: the soak's engines took the same time for each prompt and one pace for all, so nothing in it told whether long prompts hold up short ones. No fault gave several addresses to new endpoints at once.

Change: stand-in engines can read in chunks, the most urgent prompt first; streams under way get one step a chunk. SHORT compares short prompts beside waves with those without: within .02, the users' aim, and three standard errors of chance.

Conclusion: the stand-in shows delays by queues and priorities, not by memory.

--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -50,8 +50,9 @@
                     were
   release DIGEST    take a request out of the quarantine
   explain REQUEST   how a request was decided, from JSON logs on stdin
-  account           how calls ended, where their time went, and what was
-                    read again and why, from JSON logs on stdin
+  account           how calls ended, what made answers late, where their
+                    time went, and what was read again and why, from JSON
+                    logs on stdin
   hash-key          the hash of a bearer key read from stdin"""
 
 _GROUPS = (
--- a/magnolialug/soak/clients.py
+++ b/magnolialug/soak/clients.py
@@ -33,12 +33,16 @@
     Form.BOOK: 3.0,
     Form.DRAFT: 6.0,
     Form.CHECK: 3.0,
+    Form.LONG: 6.0,
     Form.PROBE: 1.0,
 }
 _SHARES = {Form.READ: 40, Form.BOOK: 25, Form.DRAFT: 20, Form.CHECK: 15}
 # Callers leave with this chance while callers are impatient.
 _LEAVES = 0.3
 _PROMPTS = 6
+_LONG_TOKENS = 16_000
+# A caller that is paused looks this often whether it still is.
+_PAUSE_S = 0.1
 
 
 class Front:
@@ -71,6 +75,8 @@
       reliable_idle_s: returns how long a new connection may be idle and reused,
         as long as no answer names a time.
       reconnects: whether it opens a connection for each request.
+      shares: how often it chooses each form of request.
+      paused: whether it sends nothing for now; its connection stays.
 
     Args:
       new_id: returns a fresh request id.
@@ -94,6 +100,8 @@
         self.hurried = False
         self.resumes = False
         self.reconnects = False
+        self.shares = _SHARES
+        self.paused = False
         self.idle_share = 0.0
         self.idle_until = 0.0
         self.reliable_idle_s: Callable[[], float] = lambda: float("inf")
@@ -131,6 +139,9 @@
     def _ask(self) -> None:
         if self._over:
             return
+        if self.paused:
+            self._later(_PAUSE_S, self._ask)
+            return
         if self._conn is not None and self._conn.has_expired:
             conn, self._conn = self._conn, None
             conn.transport.loseConnection()
@@ -143,7 +154,8 @@
             row = self._new_row(Form.CHECK, key)
             row.resumes, row.resume_after = stream.began_by, stream.last_id
         else:
-            form = self._random.choices(list(_SHARES), list(_SHARES.values()))
+            forms, weights = list(self.shares), list(self.shares.values())
+            form = self._random.choices(forms, weights)
             key = self._random.choice(list(TEAMS))
             row = self._new_row(form[0], key)
         self._row = row
@@ -175,6 +187,12 @@
     def _bytes(self, row: Sent, key: str) -> bytes:
         prompt = self._random.randrange(_PROMPTS)
         headers = ()
+        if row.form is Form.LONG:
+            headers = (
+                "X-Model-Name: m",
+                f"X-Token-Counts: {_LONG_TOKENS},50",
+                f"X-Prompt-Prefix: l{row.request_id}:{_LONG_TOKENS}",
+            )
         if row.resumes:
             headers = (
                 f"Last-Event-Id: {row.resume_after}",
@@ -233,6 +251,14 @@
         if ids[-1]:
             self._stream = _LostStream(key, began_by, ids[-1])
 
+    def record_body(self, conn: "_Connection") -> None:
+        """Notes when the first whole event of an answer has arrived."""
+        row = self._row
+        if conn is not self._conn or row is None or not row.form.streams:
+            return
+        if row.first_event_at is None and event_ids(conn.last.body):
+            row.first_event_at = self._reactor.seconds()
+
     def unconnected(self) -> None:
         """Learns that there was no connection to be had."""
         self._think()
@@ -307,6 +333,11 @@
         super().on_message_begin()
         self.begun = True
 
+    def on_body(self, data: bytes) -> None:
+        """Takes a piece of an answer."""
+        super().on_body(data)
+        self._client.record_body(self)
+
     def on_message_complete(self) -> None:
         """Ends an answer."""
         super().on_message_complete()
--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -15,9 +15,15 @@
     some_prompt_form,
 )
 from magnolialug.soak.proxy import Path
+from magnolialug.soak.restarts import (
+    RESTARTS_S,
+    choose_slots,
+    restart_thrice,
+)
 from magnolialug.soak.rests import ask_for_rest
 from magnolialug.soak.silences import silence_endpoints
 from magnolialug.soak.slot import Slot
+from magnolialug.soak.slowengines import slow_for_good, slow_in_spells
 from magnolialug.standin.endpoint import Fault
 from magnolialug.standin.modelserver import BreakOff
 
@@ -39,6 +45,8 @@
 _BETWEEN_FLOODS_S = 4.0
 # A machine that has lost a watch and a call is up to date again by then.
 _CATCH_UP_S = 3.0
+# By then the entries of endpoints that have ended are gone.
+_BETWEEN_RESTARTS_S = 4.0
 _CUTS = (Path.HELD, Path.DEAF, Path.MUTE, Path.REFUSED)
 
 
@@ -410,6 +418,32 @@
         soak.later(2.0, setattr, client, act, False)
 
 
+def wave_of_long_prompts(soak: "Soak") -> None:
+    """Long prompts come beside the short ones, for a while."""
+    soak.long_prompts.begin(_for_s(soak, 2.0, 4.0))
+
+
+def slow_engine(soak: "Soak") -> None:
+    """An engine becomes a little slower, for good."""
+    slow_for_good(soak.random, soak.engines)
+
+
+def slow_spells(soak: "Soak") -> None:
+    """An engine is much slower for several moments."""
+    slow_in_spells(soak.random, soak.engines, soak.later)
+
+
+def restart_several(soak: "Soak") -> None:
+    """Endpoints give their address to new ones at once, three times."""
+    if soak.now < soak.restarting_until:
+        # Restarts without end show only that there is no endpoint left.
+        return
+    soak.restarting_until = soak.now + RESTARTS_S + _BETWEEN_RESTARTS_S
+    up = [slot for slot in soak.world.slots if slot.endpoint is not None]
+    chosen = choose_slots(soak.random, up)
+    restart_thrice(chosen, soak.restart, soak.later)
+
+
 FAULTS: dict[str, Callable[["Soak"], None]] = {
     act.__name__: act
     for act in (
@@ -453,5 +487,9 @@
         change_idle_limit,
         announce_leaving,
         ask_for_rest,
+        wave_of_long_prompts,
+        slow_engine,
+        slow_spells,
+        restart_several,
     )
 }
--- a/magnolialug/soak/historychecker.py
+++ b/magnolialug/soak/historychecker.py
@@ -36,6 +36,7 @@
     BOOK = "book"
     DRAFT = "draft"
     CHECK = "check"
+    LONG = "long"
     PROBE = "probe"
 
     @property
@@ -46,7 +47,7 @@
     @property
     def streams(self) -> bool:
         """Whether its answer is a series of events."""
-        return self in (Form.DRAFT, Form.CHECK)
+        return self in (Form.DRAFT, Form.CHECK, Form.LONG)
 
     @property
     def service(self) -> str:
@@ -77,6 +78,7 @@
       idle_since: since when its connection had been idle.
       left_at: when its caller left, None while it waits.
       arrivals: when and where it reached endpoints.
+      first_event_at: when its caller had the first whole event, if any.
       status: of the answer, 0 for none.
       told_not_run: whether the answer says that it has not run.
       removed: whether its route had been removed before it was sent.
@@ -102,6 +104,7 @@
     resumes: str = ""
     resume_after: int = 0
     idle_since: float = 0.0
+    first_event_at: float | None = None
 
     @property
     def is_served(self) -> bool:
--- a/magnolialug/soak/plan.py
+++ b/magnolialug/soak/plan.py
@@ -26,6 +26,12 @@
     14_000: ("harmful_part", "flood_machine"),
     15_000: ("silence_endpoints", "change_idle_limit"),
     16_000: ("announce_leaving", "ask_for_rest"),
+    18_000: (
+        "wave_of_long_prompts",
+        "slow_engine",
+        "slow_spells",
+        "restart_several",
+    ),
 }
 
 
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -18,6 +18,7 @@
 from magnolialug.soak.faults import FAULTS
 from magnolialug.soak.flood import Flood
 from magnolialug.soak.historychecker import HistoryChecker, Sent, Violation
+from magnolialug.soak.longprompts import LONG_CLIENTS, LongPrompts
 from magnolialug.soak.machine import CONTACT_S, Machine
 from magnolialug.soak.plan import kinds_of, plan
 from magnolialug.soak.poison import PART_MARK
@@ -26,6 +27,7 @@
 from magnolialug.soak.slot import Slot
 from magnolialug.soak.unserved import describe_unserved
 from magnolialug.soak.world import EVENTS, World
+from magnolialug.standin.modelserver import ModelServerStandin
 
 __all__ = ["Plan", "Report", "Soak"]
 
@@ -45,6 +47,9 @@
 _RESTART_FAULTY_S = 8.0
 # Faults that only a stream of some length meets.
 _SLOW_STREAM_KINDS = frozenset(("release_software", "silence_endpoints"))
+_LONG_PROMPT_KINDS = frozenset(
+    ("wave_of_long_prompts", "slow_engine", "slow_spells")
+)
 # A request that was read and not passed on must be answered by then.
 _LOSS_S = 0.2
 
@@ -85,10 +90,12 @@
       asker: sends single requests.
       poisoned_until: when the newest poison request comes no more.
       releasing_until: when the newest release of software has ended.
+      restarting_until: when the newest restarts of several endpoints are over.
       catching_up_until: when machines have read what lost calls asked for.
       idle_limit_changing_until: when the newest change of the limit of idle
         connections is over.
       flood: sends most new connections to one machine.
+      long_prompts: sends waves of long prompts.
       random: decides everything that is decided by chance.
 
     Args:
@@ -101,6 +108,7 @@
         self.catching_up_until = 0.0
         self.idle_limit_changing_until = 0.0
         self.releasing_until = 0.0
+        self.restarting_until = 0.0
         self._reactor = reactor
         self._plan = planned
         self._done = done
@@ -112,6 +120,7 @@
         self.history = HistoryChecker(reactor.seconds, EVENTS)
         self._kinds = planned.only or kinds_of(planned.seed)
         self._has_idle_callers = "change_idle_limit" in self._kinds
+        has_long_prompts = not _LONG_PROMPT_KINDS.isdisjoint(self._kinds)
         self.world = World(
             reactor,
             self._block,
@@ -120,6 +129,7 @@
             self.halted,
             cold_starts="evacuate_zone" in self._kinds,
             slow_streams=not _SLOW_STREAM_KINDS.isdisjoint(self._kinds),
+            long_prompts=has_long_prompts,
         )
         self.machines = [self._machine(n) for n in range(planned.machines)]
         self.kv_proxies = [
@@ -129,6 +139,14 @@
         self.fronts = [self._front(m) for m in self.machines]
         self.clients = [self._client() for _ in range(planned.clients)]
         self.flood = Flood(self)
+        long_clients = LONG_CLIENTS if has_long_prompts else 0
+        self.long_prompts = LongPrompts(
+            [self._client() for _ in range(long_clients)],
+            reactor.seconds,
+            self.later,
+            self._is_calm,
+            self.history.broken,
+        )
         self._probes = Probes(self, self.asker, self._block)
 
     @property
@@ -171,6 +189,25 @@
         up = [p for p in self.world.slots if p.endpoint is not None]
         return self.random.choice(up)
 
+    @property
+    def engines(self) -> list[ModelServerStandin]:
+        """The engines that are up."""
+        return [slot.endpoint for slot in self.world.runs_of("llm")]
+
+    def _is_calm(self) -> bool:
+        """Whether no machine and no endpoint has had a fault just now."""
+        calm = all(self.touched(m.name, self.now) for m in self.machines)
+        return calm and all(
+            slot.endpoint is not None
+            and max(slot.faulty_until, slot.silent_until) < self.now
+            and not slot.endpoint.refuses
+            and not slot.endpoint.faults
+            and slot.endpoint.send_limit is None
+            and slot.leaving_at is None
+            and not self.world.zones.evacuated(slot.zone)
+            for slot in self.world.slots
+        )
+
     def reopen(self, slot: Slot) -> None:
         """Opens the way to an endpoint, unless it is down."""
         if slot.endpoint is not None:
@@ -194,6 +231,13 @@
             self.world.crash(slot)
             self.later(0.2, self.world.revive, slot)
 
+    def restart(self, slot: Slot) -> None:
+        """Ends an endpoint and starts another at its address at once."""
+        if slot.endpoint is not None:
+            slot.faulty_until = self.now + _RESTART_FAULTY_S
+            self.world.crash(slot)
+            self.world.revive(slot)
+
     def start_anew(self, slot: Slot, endpoint) -> None:
         """Starts an endpoint again under its id, if it still lives."""
         if slot.endpoint is endpoint:
@@ -258,6 +302,7 @@
     def _look(self) -> None:
         for machine in self.machines:
             machine.look()
+        self.long_prompts.look()
         self._timers = [timer for timer in self._timers if timer.active()]
 
     def _ask_ready(self) -> None:
@@ -280,7 +325,7 @@
             self.later(_LOOK_S, self._await_ready, limit)
 
     def _begin(self) -> None:
-        for client in self.clients:
+        for client in [*self.clients, *self.long_prompts.clients]:
             client.start()
         self._probes.start()
         planned = self._plan
@@ -331,6 +376,9 @@
             if unserved:
                 detail += "; not: " + describe_unserved(unserved)
             self.history.broken("RECOVER", detail)
+        if self.long_prompts.clients:
+            rows = self.history.sent.values()
+            self.long_prompts.check(rows, self.history.outcomes)
         self._check_engines()
         self._check_quarantine()
         self._finish()
@@ -406,7 +454,7 @@
                 self.history.broken("SOUND", f"quarantined: {value}")
 
     def _finish(self) -> None:
-        for client in self.clients:
+        for client in [*self.clients, *self.long_prompts.clients]:
             client.stop()
         for timer in self._timers:
             if timer.active():
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -38,6 +38,8 @@
 # Pauses between the events of a stream.
 _GAP_S = 0.01
 _SLOW_GAP_S = 0.15
+# How fast engines read where the length of a prompt matters.
+_PREFILL_TOKENS_PER_S = 57_000.0
 # An endpoint has begun a poison request, and not answered it, by then.
 _BEGUN_S = 0.005
 _BACK_S = 1.5
@@ -80,6 +82,8 @@
       halted: tells whether a machine has started or stood still since a time.
       cold_starts: whether endpoints are cold after a start.
       slow_streams: whether streams last long enough to meet most faults.
+      long_prompts: whether callers send long prompts too, and engines take as
+        long as they have to read.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         engines: int = 3,
         cold_starts: bool = False,
         slow_streams: bool = False,
+        long_prompts: bool = False,
     ):
         self.zones = ZoneChecks(reactor.seconds, touched, history.broken)
         self.limits = LimitChecks(reactor.seconds, touched, history.broken)
@@ -100,6 +105,7 @@
         self.rests = RestChecks(reactor.seconds, halted, history.broken)
         self.idle_limits = IdleLimits(reactor.seconds)
         self._cold_starts = cold_starts
+        self._long_prompts = long_prompts
         self.kv = KvStore(reactor)
         self.versions: list[float] = []
         self.weights = 1
@@ -141,7 +147,9 @@
         version = len(self.versions) + 1
         host, port = self.part_store_address
         store = cache_store(_STORE, f"{host}:{port}", _STORE_TOKENS)
-        config = soak_config(version, store, self.idle_limits.newest_s)
+        config = soak_config(
+            version, store, self.idle_limits.newest_s, self._long_prompts
+        )
         if self._cold_starts:
             for row in config["services"][:2]:
                 row.update(coldStartS=COLD_S, coldPerS=COLD_PER_S)
@@ -300,6 +308,8 @@
         engine.version = self.weights
         engine.software = self.software
         engine.gap_s = self._event_gap_s
+        if self._long_prompts:
+            engine.reads_in_chunks(_PREFILL_TOKENS_PER_S)
         host, port = self.part_store_address
         engine.stores[f"{host}:{port}"] = self.part_store
         return engine
--- a/magnolialug/soak/worldconfig.py
+++ b/magnolialug/soak/worldconfig.py
@@ -5,9 +5,26 @@
 __all__ = ["soak_config"]
 
 
-def soak_config(version: int, store: dict, idle_s: float) -> dict:
-    """Returns a configuration; one route is there in this version only."""
+def soak_config(
+    version: int, store: dict, idle_s: float, long_prompts: bool = False
+) -> dict:
+    """Returns a configuration; one route is there in this version only.
+
+    Args:
+      long_prompts: whether there is a route for prompts that are less urgent.
+    """
     prompts = {"routeType": "streaming", "sessionAffinity": True}
+    long_route = route(
+        "long",
+        "/long/",
+        "llm",
+        **prompts,
+        resumable=True,
+        timeoutMs=6000,
+        targetLatencyMs=2000,
+        targetGapMs=500,
+        priority=2,
+    )
     return {
         "version": version,
         "routes": [
@@ -22,6 +39,7 @@
                 maxAttempts=1,
             ),
             route("check", "/check/", "llm", **prompts, resumable=True),
+            *([long_route] if long_prompts else []),
             route(f"at{version}", f"/at{version}/", "desk"),
         ],
         "services": [
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -9,9 +10,18 @@
 from magnolialug.carrier.reader import Framing
 from magnolialug.standin.endpoint import EndpointStandin, Fault, Received
 from magnolialug.standin.partstore import PartStoreStandin
+from magnolialug.standin.prefill import (
+    PartKey,
+    Prefill,
+    prompt_parts,
+    unread_tokens,
+)
 
 __all__ = ["BreakOff", "ModelServerStandin"]
 
+# Steps of decoding between two events.
+_STEPS_PER_EVENT = 7
+
 
 class BreakOff(enum.Enum):
     """How a stream that breaks off ends."""
@@ -34,6 +44,10 @@
     Attributes:
       events: how many events an answer has.
       gap_s: pause between events.
+      pace: how many times as long as usual everything takes, for good.
+      spell: the same, for a moment.
+      prefill: reads prompts before they are answered, and slows the streams
+        under way; None if each prompt takes `work_s`.
       version: of the weights it has.
       load_s: how long it takes new weights.
       accepted: orders that it has accepted.
@@ -66,6 +80,10 @@
         self.load_s = 1.3
         self.events = 4
         self.gap_s = 0.01
+        self.pace = 1.0
+        self.spell = 1.0
+        self.prefill: Prefill | None = None
+        self._known_parts: set[PartKey] = set()
         self.accepted = 0
         self.fence = 0
         self.busy = False
@@ -104,7 +122,7 @@
             after = int(req.headers.get("last-event-id", "0"))
             run = _Run(conn, req, fault, after + 1)
             self._move_cache(req)
-            self.clock.callLater(self.work_s, self._begin, run)
+            self._read(run)
 
     def start_again(self, born_ms: int) -> None:
         """Starts again with its weights, and with nothing else of before."""
@@ -112,6 +130,32 @@
         self.accepted = 0
         self.fence = 0
         self.busy = False
+        self._known_parts.clear()
+
+    def reads_in_chunks(self, tokens_per_s: float) -> None:
+        """Lets prompts take as long as the tokens that it has not read."""
+        self.prefill = Prefill(self.clock, tokens_per_s, self._slowed)
+
+    def _slowed(self, seconds: float) -> float:
+        """Returns how long something takes at its present pace."""
+        return seconds * self.pace * self.spell
+
+    def _read(self, run: _Run) -> None:
+        if self.prefill is None:
+            work_s = self._slowed(self.work_s)
+            self.clock.callLater(work_s, self._begin, run)
+            return
+        headers = run.req.headers
+        self.prefill.add(
+            unread_tokens(headers, self._known_parts),
+            int(headers.get("x-request-priority", "0")),
+            lambda: run.conn.current is run.req,
+            partial(self._begin_read, run),
+        )
+
+    def _begin_read(self, run: _Run) -> None:
+        self._known_parts |= {part for part, _ in prompt_parts(run.req.headers)}
+        self._begin(run)
 
     def text(self, req: Received, number: int) -> bytes:
         """Returns an event's data; to be overridden."""
@@ -189,7 +233,14 @@
             return
         self._write(run, self._event_bytes(run, run.next_event))
         run.next_event += 1
-        self.clock.callLater(self.gap_s, self._event, run)
+        self.clock.callLater(self._until_next_s(), self._event, run)
+
+    def _until_next_s(self) -> float:
+        """Returns the pause before the next event."""
+        if self.prefill is None:
+            return self._slowed(self.gap_s)
+        steps_s = _STEPS_PER_EVENT * self.prefill.step_s
+        return self._slowed(max(self.gap_s, steps_s))
 
     def _event_bytes(self, run: _Run, number: int) -> bytes:
         return b"id: %d\ndata: %s\n\n" % (number, self.text(run.req, number))
--- a/tests/soak/sabotaged.py
+++ b/tests/soak/sabotaged.py
@@ -4,7 +4,12 @@
 
 from magnolialug.carrier.reader import ResponseReader
 from magnolialug.cmd import gateway
-from magnolialug.entry import candidatelist, retryloop
+from magnolialug.entry import (
+    candidatelist,
+    costestimator,
+    gatewayintake,
+    retryloop,
+)
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gateway import Gateway
 from magnolialug.entry.gatewaychannel import GatewayChannel
@@ -123,6 +128,12 @@
     HttpAttempt.sweep = impatient
 
 
+def pile_up():
+    """Sends prompts anywhere, and lets engines read them as they come."""
+    costestimator.engine_cost_s = lambda *_, **__: 0.0
+    gatewayintake.rank = lambda *_: 0
+
+
 def take_back():
     """Closes idle connections when the limits change."""
     check = GatewayChannel.check_timeouts
@@ -173,5 +184,6 @@
         "ignore-leaving": ignore(b"server-leaving"),
         "ignore-rest": ignore(b"retry-after"),
         "take-back": take_back,
+        "pile-up": pile_up,
     }[sys.argv.pop(1)]()
     gateway.run()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -246,6 +246,36 @@
         self.assertIn("BUDGET", self.sabotaged("ignore-rest", "ask_for_rest"))
         self.assertIn("of rest", " ".join(self.details))
 
+    def test_short_prompts_are_in_time_beside_waves_of_long_ones(self):
+        """Guards against long prompts that hold up short ones."""
+        code, report = self.soak(
+            "--seed=18001",
+            "--minutes=0.8",
+            "--clients=20",
+            "--only=wave_of_long_prompts,slow_engine,slow_spells",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["outcomes"]["long 200"], 20)
+        # With fewer prompts nothing would be compared.
+        self.assertGreaterEqual(report["outcomes"]["short beside long"], 100)
+
+    def test_long_prompts_that_hold_up_short_ones_are_found(self):
+        found = self.sabotaged("pile-up", "wave_of_long_prompts", minutes=0.8)
+        self.assertIn("SHORT", found)
+
+    def test_endpoints_that_start_again_at_once_lose_no_answer(self):
+        """Guards against answers lost to a start with another id."""
+        code, report = self.soak(
+            "--seed=18002",
+            "--minutes=0.3",
+            "--clients=20",
+            "--only=restart_several",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["restart_several"], 1)
+
     def test_a_lost_call_that_is_waited_for_is_found(self):
         found = self.sabotaged("wait", "store_loses_catch_ups")
         self.assertIn("CONFIG", found)
