Retries: a 421 is not one of the endpoints that a request may run at

Cause: a start that answers 421 has run nothing, but the attempt counted toward the route's maxAttempts. Routes that allow one endpoint, as all non-idempotent ones do, ended with 503 WRONG_ENDPOINT while others were open. With the retry budget spent, plain requests were told to return after a second although the ended start was known by then. Change: an attempt that another start refused is not counted, neither between attempts nor for hedges; it is paid from the retry budget as before. Its Retry-After is 0.05 s. A non-idempotent request may also go to endpoints that were not probed, never to one that has refused it. Before/after: tests/entry/test_restarted_endpoints.py: two of four cases failed (503 at /book/ in three rounds of crashes; Retry-After 1.0), none now. tests/entry, tests/policy, tests/promises: 643 passed. Conclusion: what remains of 421s is paid; knowing ended starts earlier is next.

--- a/magnolialug/entry/attemptrace.py
+++ b/magnolialug/entry/attemptrace.py
@@ -79,7 +79,8 @@
             self._finish(None)
             self.win(attempt)
             return
-        self._sent += outcome.ended.ending is not Ending.UNSENT
+        if outcome.ended.ending is not Ending.UNSENT:
+            self._sent += outcome.ended.sent
         self._ended = _more_severe(self._ended, outcome.ended)
         if not self._running:
             ended = Ended(self._ended.ending, self._ended.failure, self._sent)
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -47,8 +47,8 @@
 # Retry-After of a request that its endpoint refused. An engine refuses requests
 # while it loads weights, or when it has other weights than expected: an
 # immediate retry can be in time. So it can where the endpoint has asked for a
-# rest, since it is passed over then. A plain service that is full stays full
-# for the time of an answer or more.
+# rest, or another start has its address, since it is passed over then. A plain
+# service that is full stays full for the time of an answer or more.
 _PASSED_OVER_RETRY_AFTER_S = 0.05
 _PLAIN_RETRY_AFTER_S = 1.0
 # A stream that has begun is late after a shorter pause, so little is lost by
@@ -485,7 +485,8 @@
 
     def _outcome(self, end: End) -> Outcome:
         if self._stage is _Stage.REFUSED:
-            return Outcome(Ended(Ending.NOT_RUN, self._refusal()))
+            sent = 0 if self._answer.misdirected else 1
+            return Outcome(Ended(Ending.NOT_RUN, self._refusal(), sent))
         if end is End.UNSENT:
             failure = failed(Code.CONNECTION_REFUSED, retry_after_s=0.5)
             return Outcome(Ended(Ending.UNSENT, failure))
@@ -515,7 +516,7 @@
             code = Code.WRONG_ENDPOINT
         elif self.peer.rest.is_resting(self.last_contact_at):
             code = Code.RESTING
-        if self.peer.load or code is Code.RESTING:
+        if self.peer.load or code is not Code.QUEUE_FULL:
             after_s = _PASSED_OVER_RETRY_AFTER_S
         reason = f"status {self._answer.status}"
         return failed(code, reason, executed=Executed.NO, retry_after_s=after_s)
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -376,6 +376,8 @@
             return
         if outcome.ended.ending is Ending.UNSENT:
             self._record_unsent(attempt)
+        elif not outcome.ended.sent:
+            self._unsent += 1
         if outcome.ended.ending in (Ending.UNSENT, Ending.NOT_RUN):
             self._placer.record_not_run(self._call, dispatch)
         self._avoid.add(dispatch.endpoint)
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -116,12 +116,13 @@
         """
         candidates = [row for row in results.candidates if self._is_open(row)]
         best = self._reserved(candidates, admitted_by) or choose(candidates)
-        if best is None and (call.kind.idempotent or not avoid):
-            # Includes endpoints of earlier attempts, and unprobed ones, since
-            # the probed ones may have begun to leave.
+        if best is None:
+            # Includes unprobed endpoints, since the probed ones may have begun
+            # to leave, and those of earlier attempts if the call may run twice.
+            tried = set() if call.kind.idempotent else avoid
             candidates = [
                 row
-                for row in self._all_candidates(call, results.count)
+                for row in self._all_candidates(call, tried, results.count)
                 if self._is_open(row)
             ]
             best = choose(candidates)
@@ -305,13 +306,15 @@
         after_s = self._returns.after_s(service, wait_s, rate, self._clock())
         return failed(Code.LIMITED, retry_after_s=after_s)
 
-    def _all_candidates(self, call: ForwardCall, count: int) -> list[Candidate]:
-        """Returns candidates from local state alone, tried ones included."""
+    def _all_candidates(
+        self, call: ForwardCall, avoid: set[EndpointId], count: int
+    ) -> list[Candidate]:
+        """Returns candidates from local state alone."""
         results = ProbeResults(count)
         return [
             self._costs.candidate(call, peer, rank, results)
             for rank, peer in enumerate(
-                self._shortlist.peers(call, set(), count)
+                self._shortlist.peers(call, avoid, count)
             )
         ]
 
--- a/magnolialug/entry/progress.py
+++ b/magnolialug/entry/progress.py
@@ -28,7 +28,8 @@
     """The result of attempts that ended without a complete answer.
 
     Attributes:
-      sent: the number of endpoints that the request was sent to.
+      sent: the number of endpoints that the request was sent to, without those
+        at whose address another start has answered.
     """
 
     ending: Ending
