Health: a 421 ends the request that probes a suspected endpoint

Cause: an engine with other weights than expected answered 421 to the one request that a suspected endpoint gets at a time. That request stayed recorded as under way, so the engine stayed unsound until none else was left to try. Change: a 421 ends it, as other refusals do. Before/after: test_a_suspected_endpoint_with_other_weights_is_tried_again failed, passes.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -435,6 +435,7 @@
         self._record_survival(peer, outcome)
         answer = outcome.answer
         if answer is not None and answer.misdirected:
+            peer.health.probing = False
             self._placer.record_misdirected(self._call, peer, dispatch, answer)
         elif answer is not None and answer.not_run:
             peer.health.probing = False
--- a/tests/entry/test_restarted_endpoints.py
+++ b/tests/entry/test_restarted_endpoints.py
@@ -115,6 +115,36 @@
             ran = {fleet.cluster.ran(c.request_id) for c in callers}
             self.assertEqual({1}, ran, path)
 
+    def test_unprobed_endpoints_take_what_another_start_refused(self):
+        """Guards against a 503 where the probed endpoints close meanwhile."""
+        fleet = Fleet(desks=3, vms=VMS[:1])
+        prober = fleet.cluster.gateway._prober
+        probe = prober.probe
+
+        async def probe_closing(call, avoid):
+            results = await probe(call, avoid)
+            if avoid:
+                results.candidates.clear()
+            return results
+
+        prober.probe = probe_closing
+        fleet.return_at_once(fleet.starts[:1])
+        for _ in range(4):
+            caller = fleet.ask("/book/x")
+            self.assertEqual(200, caller.last.status)
+        self.assertEqual(1, fleet.wrong_starts())
+
+    def test_a_suspected_endpoint_with_other_weights_is_tried_again(self):
+        """Guards against a 421 that leaves an engine unsound for good."""
+        fleet = Fleet(desks=0, engines=1, vms=VMS[:1])
+        (engine,) = fleet.starts
+        (peer,) = fleet.cluster.gateway.directory.peers.values()
+        engine.version = 2
+        peer.health.streak = 1
+        fleet.ask("/draft/x", seconds=0.5)
+        self.assertEqual(0, len(engine.ran))
+        self.assertTrue(peer.sound(fleet.cluster.net.seconds()))
+
     def test_a_storm_of_421_is_paid_from_the_retry_budget(self):
         """Guards against load that grows with each endpoint that restarts."""
         fleet = Fleet(desks=6, vms=VMS[:1])
--- a/tests/entry/test_unsent_hedges.py
+++ b/tests/entry/test_unsent_hedges.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from magnolialug.standin.modelserver import ModelServerStandin
 from tests.entry.test_silent_endpoints import result, set_streams
 from tests.gatewaycluster import GatewayCluster
 
@@ -35,13 +36,16 @@
         """Guards against an attempt that counts though it reached nobody."""
         first, second = self.order()
         seen = {}
-        for trouble in ("refused", "dark"):
+        for trouble in ("refused", "dark", "replaced"):
             for resets in (False, True):
                 cluster, caller = self.begin()
                 cluster.engines[first].fall_silent(60)
                 address = cluster.engines[second].address
                 if trouble == "refused":
                     del cluster.net.servers[address]
+                elif trouble == "replaced":
+                    start = ModelServerStandin(cluster.net, "i-new")
+                    cluster.net.servers[address] = start
                 else:
                     cluster.net.dark.add(address)
                 if resets:
