Restarts: entries tell each other which starts have ended

Cause: an endpoint that crashes and is back at once is listed a heartbeat later. Until then each entry learned by its own requests that the start it knew has ended: one 421, or a refused connection for each pause, at each entry and endpoint. Change: magnolialug/restarts. The first entry that meets a 421 of another endpoint, or a refused connection that a second one confirms, tells all others once, and again after 0.3 s. What was told makes the start unsound for 4 s or 0.8 s; contacts and listings outweigh it, starts in use are not touched, and reports close a start for 4 s in 10 s at most. Conclusion: requests under way at once still meet the same start. Endpoints that are back needed no change: ReturnTest.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -31,6 +31,7 @@
 from magnolialug.policy.sendlimit import MIN_RATE
 from magnolialug.policy.sharedload import WorkShare
 from magnolialug.policy.softwarehistory import SoftwareHistory
+from magnolialug.policy.startreport import StartReport
 
 __all__ = ["Directory"]
 
@@ -49,6 +50,9 @@
       software: the software versions that have been listed lately.
       on_leaving: called when an answer to this entry is the first from which it
         learns that an endpoint leaves.
+      on_replaced: called when another endpoint has answered a request of this
+        entry at an endpoint's address.
+      on_unreachable: called when this entry could not connect to an endpoint.
 
     Args:
       reactor: for connections and time.
@@ -69,6 +73,10 @@
         self._rings: dict[ServiceName, Ring] = {}
         self.software = SoftwareHistory()
         self.on_leaving: Callable[[LeavingEndpoint], None] = lambda _: None
+        self.on_replaced: Callable[[Peer, EndpointId], None] = (
+            lambda peer, instance: None
+        )
+        self.on_unreachable: Callable[[Peer], None] = lambda peer: None
         self._leaving = LeavingStarts()
         self._lifetimes = EndedInstances()
         self._removed: dict[tuple[EndpointId, Address], Peer] = {}
@@ -276,6 +284,25 @@
         current = self.peers.get(instance)
         if current is not None and current.gone:
             self._revive(current)
+        self.on_replaced(peer, instance)
+
+    def record_reported_end(self, report: StartReport, seen_at: float) -> bool:
+        """Applies another entry's report; returns whether it changes anything.
+
+        A report does not decide which of two endpoints has an address: where
+        its successor is taken for displaced here, an answer to this entry does.
+        """
+        peer = self.peers.get(report.endpoint)
+        successor = self.peers.get(report.successor)
+        if peer is None or peer.is_other_start(report.born_ms):
+            return False
+        if peer.listed.address != report.address:
+            return False
+        if successor is not None and successor.gone:
+            return False
+        return peer.record_reported_end(
+            report.evidence, seen_at, self._reactor.seconds()
+        )
 
     def retire(self, peer: Peer) -> None:
         """Gives no more work to a removed or displaced endpoint."""
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -56,6 +56,7 @@
 from magnolialug.prefixcache.wiring import PrefixCache
 from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from magnolialug.quarantine.wiring import Quarantine
+from magnolialug.restarts.wiring import Restarts
 from magnolialug.result import Code, Failure, failed
 from magnolialug.streamorigins.wiring import StreamOrigins
 from magnolialug.timing import sleep
@@ -170,6 +171,13 @@
             self.messenger,
             reactor,
         )
+        self._restarts = Restarts(
+            self.directory,
+            self.owners.ring,
+            self.messenger,
+            lambda source: metrics.wrong_starts.add(1, {"learned": source}),
+            reactor,
+        )
         self._bounds = WeightBounds(settings.bounds.weights_s)
         self.prefix_cache = PrefixCache(
             self.owners,
@@ -502,6 +510,7 @@
         self.owners.tick(now)
         self.quarantine.tick(now)
         self._origins.tick(now)
+        self._restarts.tick(now)
 
     def _clean_up(self, now: float) -> None:
         self.prefix_cache.tick(now)
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -45,6 +45,7 @@
         self.tokens = meter.create_counter("prompt_tokens")
         self.parts = meter.create_counter("cache_parts")
         self.orders = meter.create_counter("orders")
+        self.wrong_starts = meter.create_counter("wrong_starts")
         self.lines_dropped = meter.create_counter("log_lines_dropped")
 
     def observe(
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -446,7 +446,9 @@
             peer.health.record_answer(False)
         elif outcome.end is End.UNSENT or outcome.end in _ENDPOINT_AT_FAULT:
             peer.health.record_failure(self._clock())
-            peer.unreachable = outcome.end is End.UNSENT
+            peer.unreachable = False
+            if outcome.end is End.UNSENT:
+                self._placer.record_unreachable(peer)
         elif answer is not None:
             peer.health.record_answer(answer.status < 500)
             if answer.weights and self._call.prompt:
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -23,6 +23,7 @@
 from magnolialug.policy.restperiod import RestPeriod
 from magnolialug.policy.sendlimit import SendLimit
 from magnolialug.policy.sharedload import EndpointState, WorkShare
+from magnolialug.policy.startreport import Evidence, ReportedEnd
 from magnolialug.result import Code, Failure
 
 __all__ = ["Peer"]
@@ -61,6 +62,7 @@
         that it leaves, None if it has not.
       on_leaving: called when that becomes known.
       rest: the rest that it has asked this entry for.
+      reported_end: whether other entries report that this start has ended.
       connections: this entry's share of its connections.
       load: the estimated load of its engine, None for a plain service.
     """
@@ -77,6 +79,7 @@
         self.rest = RestPeriod()
         self.connections = ConnectionShare()
         self.unreachable = False
+        self.reported_end = ReportedEnd()
         self.listed = listed
         self.pool = pool
         self.load = load
@@ -96,6 +99,7 @@
         self._excluded: dict[str, int] = {}
         self._refused: dict[str, str] = {}
         self._refusals = 0
+        self._refutes_report = False
 
     @property
     def start_id(self) -> EndpointId:
@@ -164,7 +168,7 @@
 
     def sound(self, now: float) -> bool:
         """Whether it is open, responsive and healthy."""
-        closed = now < self.closed_until
+        closed = now < self.closed_until or self.reported_end.holds(now)
         return not closed and not self.unresponsive and self.health.usable(now)
 
     def record_contact(self, now: float) -> None:
@@ -173,10 +177,33 @@
         if self.unresponsive or self.unreachable:
             self.presume_cold(now)
         self.unreachable = False
+        if self.reported_end.record_alive(now):
+            self._refutes_report = True
         if self.unresponsive:
             self.unresponsive = False
             emit(Event.ENDPOINT_BACK, endpoint=self.listed.endpoint)
 
+    def record_reported_end(
+        self, evidence: Evidence, seen_at: float, now: float
+    ) -> bool:
+        """Records that another entry has found this start to have ended.
+
+        An entry with requests in progress there learns it from them.
+
+        Returns:
+          whether that changes anything.
+        """
+        if (
+            self.gone
+            or self.running
+            or not self.reported_end.record(evidence, seen_at, now)
+        ):
+            return False
+        if evidence is Evidence.REFUSED:
+            self.unreachable = True
+            self.health.suspect()
+        return True
+
     def presume_cold(self, now: float) -> None:
         """Treats it as cold, because it may have just restarted."""
         if self.cold.assume_started(now):
@@ -198,6 +225,9 @@
     def record_notices(self, received: ReceivedNotices) -> None:
         """Applies what an answer to this entry says of the endpoint."""
         notices = received.notices
+        if notices.executed and self._refutes_report:
+            emit(Event.START_ANSWERS, endpoint=self.listed.endpoint)
+            self._refutes_report = False
         for said in (notices.send_limit, notices.leaving, notices.rest_s):
             if isinstance(said, Failure):
                 self._refuse_notice(said)
@@ -452,5 +482,6 @@
             self._log_cold(listed.cold_s)
         born_ms = listed.born_ms or self.listed.born_ms
         self.listed = msgspec.structs.replace(listed, born_ms=born_ms)
+        self.reported_end.record_alive(now)
         for model, version in listed.weights.items():
             self.record_weights(model, version)
--- a/magnolialug/entry/peermessenger.py
+++ b/magnolialug/entry/peermessenger.py
@@ -32,6 +32,7 @@
     Released,
     RequestCompleted,
 )
+from magnolialug.restarts.messages import StartNotice
 from magnolialug.streamorigins.messages import (
     OriginNotice,
     OriginQuery,
@@ -63,6 +64,7 @@
     | Released
     | AnsweredPartsQuery
     | AnsweredPartsReport
+    | StartNotice
 )
 
 
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -255,6 +255,11 @@
             peer.load.ended(call.name)
         self._callbacks.changed(peer.listed.endpoint)
 
+    def record_unreachable(self, peer: Peer) -> None:
+        """Records that no connection to an endpoint could be made."""
+        peer.unreachable = True
+        self._directory.on_unreachable(peer)
+
     def record_misdirected(
         self, call: ForwardCall, peer: Peer, to: Dispatch, answer: Answer
     ) -> None:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -92,6 +92,8 @@
     NOTICE_REFUSED = 4118
     ENDPOINT_RESTING = 4120
     ENDPOINT_RESTED = 4121
+    START_LOST = 4135
+    START_ANSWERS = 4136
     KV_LOST = 4200
     KV_BACK = 4201
     WATCH_STALE = 4202
@@ -176,6 +178,8 @@
     Event.NOTICE_REFUSED: "What an endpoint says of itself is malformed.",
     Event.ENDPOINT_RESTING: "An endpoint wants no requests for some time.",
     Event.ENDPOINT_RESTED: "The rest that an endpoint asked for has ended.",
+    Event.START_LOST: "A start of an endpoint has ended; how that is known.",
+    Event.START_ANSWERS: "A start answers that others reported as ended.",
     Event.ENTRY_MISSING: "An entry is removed; its endpoint is kept for now.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
--- a/magnolialug/policy/health.py
+++ b/magnolialug/policy/health.py
@@ -46,6 +46,10 @@
         self.streak += 1
         self.paused_until = now + pause
 
+    def suspect(self) -> None:
+        """Lets one request at a time show whether it works."""
+        self.streak = max(1, self.streak)
+
     def record_answer(self, good: bool) -> None:
         """Records a complete response; good unless the endpoint failed."""
         self.probing = False
--- /dev/null
+++ b/magnolialug/restarts/__init__.py
@@ -0,0 +1,1 @@
+"""Which starts of endpoints have ended, as told between entries."""
--- a/tests/entry/test_restarted_endpoints.py
+++ b/tests/entry/test_restarted_endpoints.py
@@ -9,8 +9,11 @@
 from magnolialug.standin.endpoint import EndpointStandin, Fault
 from magnolialug.standin.modelserver import ModelServerStandin
 from tests.gatewaycluster import GatewayCluster
+from tests.loglines import collect_lines
 
 VMS = ("front-1", "front-2", "front-3")
+# A gateway whose last contact is younger finds out by itself.
+CONTACT_S = 0.2
 
 
 class Fleet:
@@ -67,11 +70,16 @@
         self.cluster.pass_time(seconds)
         return caller
 
-    def load(self, path, count, interval_s=0.01):
-        """Sends requests through all gateways; returns their callers."""
+    def load(self, path, count, interval_s=0.01, parts="x{n}:500"):
+        """Sends requests through all gateways; returns their callers.
+
+        Args:
+          parts: the parts of a prompt, with the number of the request.
+        """
         callers = []
         for _ in range(count):
-            callers.append(self.send(path))
+            named = parts.format(n=self._sender)
+            callers.append(self.send(path, parts=named))
             self.cluster.pass_time(interval_s)
         self.cluster.pass_time(0.5)
         return callers
@@ -140,7 +148,7 @@
         (engine,) = fleet.starts
         (peer,) = fleet.cluster.gateway.directory.peers.values()
         engine.version = 2
-        peer.health.streak = 1
+        peer.health.suspect()
         fleet.ask("/draft/x", seconds=0.5)
         self.assertEqual(0, len(engine.ran))
         self.assertTrue(peer.sound(fleet.cluster.net.seconds()))
@@ -180,3 +188,174 @@
             self.assertEqual(502, caller.last.status)
             self.assertEqual(1, fleet.cluster.ran(caller.request_id))
         self.assertEqual(1, fleet.wrong_starts())
+
+
+class SharedKnowledgeTest(TestCase):
+    """What one gateway's request meets, the others need not meet."""
+
+    def test_the_first_421_spares_the_others_theirs(self):
+        """Guards against one refused request at each gateway and endpoint."""
+        fleet = Fleet()
+        for _ in range(3):
+            fresh = fleet.return_at_once(fleet.starts[:2])
+            fleet.cluster.pass_time(CONTACT_S)
+            callers = fleet.load("/read/x", 45, 0.03)
+            self.assertEqual({200}, {c.last.status for c in callers})
+            fleet.list_starts(fresh)
+            fleet.cluster.pass_time(1)
+        # Each gateway by itself meets all six. Two requests at once may meet
+        # the same start before the notice of the first arrives.
+        self.assertLessEqual(fleet.wrong_starts(), len(VMS) * 6 / 2)
+
+    def test_a_lost_notice_is_made_up_for(self):
+        """Guards against a gateway that one lost datagram leaves behind."""
+        fleet = Fleet(desks=1)
+        net = fleet.cluster.net
+        fleet.return_at_once(fleet.starts)
+        net.loses_datagram = lambda sender, receiver: True
+        fleet.ask("/read/x", 1)
+        net.loses_datagram = lambda sender, receiver: False
+        fleet.cluster.pass_time(0.5)
+        peer = fleet.cluster.gateways[1].directory.peers["i-desk1"]
+        self.assertFalse(peer.sound(net.seconds()))
+
+    def test_the_first_refused_connection_spares_the_others_theirs(self):
+        """Guards against connections refused at each gateway in turn."""
+        fleet = Fleet()
+        fleet.crash(fleet.starts[:2])
+        dialled = fleet.cluster.net.dialled
+        del dialled[:]
+        callers = fleet.load("/read/x", 60)
+        self.assertEqual({200}, {c.last.status for c in callers})
+        tried = [dialled.count(start.address) for start in fleet.starts[:2]]
+        # The request, its confirmation, and the same 0.8 s later.
+        self.assertLessEqual(max(tried), 4)
+
+    def test_a_refusing_endpoint_is_used_when_it_is_back(self):
+        """Guards against an endpoint that reports keep closed."""
+        fleet = Fleet(desks=2)
+        (start,) = gone = fleet.starts[:1]
+        fleet.crash(gone)
+        fleet.load("/read/x", 30)
+        fleet.cluster.net.servers[start.address] = start
+        seen = len(start.seen)
+        fleet.cluster.pass_time(1)
+        fleet.load("/read/x", 60)
+        self.assertGreater(len(start.seen) - seen, 10)
+
+    def test_one_request_at_a_time_tries_a_refusing_endpoint(self):
+        """Guards against callers that all wait for the same dead address."""
+        fleet = Fleet(desks=2, vms=VMS[:1])
+        net = fleet.cluster.net
+        gone = fleet.starts[0]
+        fleet.crash([gone])
+        fleet.load("/read/x", 10)
+        fleet.cluster.pass_time(1)
+        net.dark.add(gone.address)
+        del net.dialled[:]
+        callers = [fleet.send("/read/x") for _ in range(20)]
+        net.advance_by(0.1)
+        answered = [c for c in callers if c.last.status == 200]
+        self.assertLessEqual(net.dialled.count(gone.address), 1)
+        self.assertGreaterEqual(len(answered), 19)
+
+    def test_a_false_report_closes_no_endpoint_in_use(self):
+        """Guards against one faulty gateway that takes endpoints from all."""
+        fleet = Fleet(desks=2)
+        reporter, other = fleet.cluster.gateways[:2]
+        fleet.ask("/read/x", 2)
+        fleet.ask("/read/x", 2)
+        now = fleet.cluster.net.seconds
+        fleet.cluster.pass_time(CONTACT_S)
+        for peer in list(reporter.directory.peers.values()):
+            reporter.directory.on_replaced(peer, "i-liar")
+        fleet.cluster.pass_time(0.02)
+        peers = list(other.directory.peers.values())
+        self.assertFalse(any(peer.sound(now()) for peer in peers))
+        # None looks sound, so all are tried, and an answer clears the first.
+        lines = collect_lines(self)
+        self.assertEqual(200, fleet.ask("/read/x", 2).last.status)
+        self.assertEqual(1, sum("START_ANSWERS" in line for line in lines))
+        self.assertTrue(any(peer.sound(now()) for peer in peers))
+        fleet.cluster.pass_time(4)
+        self.assertTrue(all(peer.sound(now()) for peer in peers))
+        self.assertFalse(any(peer.gone for peer in peers))
+
+    def test_a_late_report_of_an_earlier_start_changes_nothing(self):
+        """Guards against a start closed for the end of the one before it."""
+        fleet = Fleet(desks=2)
+        start = fleet.starts[0]
+        fleet.cluster.relist(start, born=1000)
+        fleet.cluster.pass_time(1)
+        reporter, other = fleet.cluster.gateways[:2]
+        before = reporter.directory.peers[start.instance]
+        fleet.cluster.start_again(start, 2000)
+        fleet.cluster.pass_time(1)
+        reporter.directory.on_replaced(before, "i-other")
+        fleet.cluster.pass_time(0.1)
+        peer = other.directory.peers[start.instance]
+        self.assertEqual(2000, peer.listed.born_ms)
+        self.assertTrue(peer.sound(fleet.cluster.net.seconds()))
+
+    def test_the_registry_outweighs_a_report(self):
+        fleet = Fleet(desks=1)
+        gateway = fleet.cluster.gateway
+        (peer,) = gateway.directory.peers.values()
+        fleet.cluster.gateways[1].directory.on_replaced(peer, "i-liar")
+        fleet.cluster.pass_time(0.1)
+        now = fleet.cluster.net.seconds
+        self.assertFalse(peer.sound(now()))
+        fleet.cluster.relist(fleet.starts[0], slots=7)
+        fleet.cluster.pass_time(0.5)
+        self.assertTrue(peer.sound(now()))
+
+    def test_the_owners_death_loses_nothing(self):
+        """Guards against knowledge that is lost with an endpoint's owner."""
+        fleet = Fleet(desks=3)
+        ring = fleet.cluster.gateway.owners.ring
+        owner, _ = ring.owner(fleet.starts[0].instance)
+        number = int(owner.rpartition(".")[2])
+        left = [n for n in (1, 2, 3) if n != number]
+        fleet.return_at_once(fleet.starts[:1])
+        fleet.cluster.pass_time(CONTACT_S)
+        del fleet.cluster.net.listeners[owner, 7000]
+        fleet.cluster.gateways[number - 1].messenger.transport = None
+        for count in range(16):
+            caller = fleet.ask("/book/x", left[count % 2], 0.2)
+            self.assertEqual(200, caller.last.status)
+        self.assertEqual(1, fleet.wrong_starts())
+
+
+class ReturnTest(TestCase):
+    """Endpoints that are back, cold and idle, beside busy ones."""
+
+    def share(self, path, interval_s):
+        """Returns the first arrivals at a returned endpoint by equal share."""
+        engines = 6 if "draft" in path else 0
+        parts = "a{n}:6000,b{n}:3000"
+        vms = [f"front-{number}" for number in range(1, 7)]
+        fleet = Fleet(6 - engines, engines, vms)
+        for start in fleet.starts:
+            self._set_work(start)
+        fleet.load(path, 100, interval_s, parts)
+        fleet.crash(fleet.starts[:1])
+        fleet.load(path, 20, interval_s, parts)
+        (back,) = fresh = fleet.return_at_once(fleet.starts[:1])
+        self._set_work(back)
+        fleet.list_starts(fresh)
+        fleet.cluster.pass_time(0.3)
+        before = sum(len(start.seen) for start in fleet.starts)
+        fleet.load(path, 60, interval_s, parts)
+        arrivals = sum(len(start.seen) for start in fleet.starts) - before
+        return len(back.seen) / (arrivals / len(fleet.starts))
+
+    def _set_work(self, start):
+        start.work_s = 0.3
+        start.events, start.gap_s = 20, 0.02
+
+    def test_a_returned_endpoint_gets_no_more_than_twice_its_share(self):
+        """Guards against an idle-looking endpoint that takes everything."""
+        for path in ("/draft/x", "/read/x"):
+            for interval_s in (0.005, 0.02):
+                share = self.share(path, interval_s)
+                self.assertLess(share, 2.0, (path, interval_s))
