--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -52,6 +52,7 @@
         self.parts = meter.create_counter("cache_parts")
         self.pace_samples = meter.create_counter("engine_pace_samples")
         self.orders = meter.create_counter("orders")
+        self.wrong_starts = meter.create_counter("wrong_starts")
         self.lines_dropped = meter.create_counter("log_lines_dropped")
 
     def observe(
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -382,6 +382,8 @@
             return
         if outcome.ended.ending is Ending.UNSENT:
             self._record_unsent(attempt)
+        elif not outcome.ended.sent:
+            self._unsent += 1
         if outcome.ended.ending in (Ending.UNSENT, Ending.NOT_RUN):
             self._placer.record_not_run(self._call, dispatch)
         self._avoid.add(dispatch.endpoint)
@@ -443,6 +445,7 @@
         self._record_survival(peer, outcome)
         answer = outcome.answer
         if answer is not None and answer.misdirected:
+            peer.health.probing = False
             self._placer.record_misdirected(self._call, peer, dispatch, answer)
         elif answer is not None and answer.not_run:
             peer.health.probing = False
@@ -453,7 +456,9 @@
             peer.health.record_answer(False)
         elif outcome.end is End.UNSENT or outcome.end in _ENDPOINT_AT_FAULT:
             peer.health.record_failure(self._clock())
-            peer.unreachable = outcome.end is End.UNSENT
+            peer.unreachable = False
+            if outcome.end is End.UNSENT:
+                self._placer.record_unreachable(peer)
         elif answer is not None:
             peer.health.record_answer(answer.status < 500)
             if answer.weights and self._call.prompt:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -94,6 +94,8 @@
     ENDPOINT_RESTED = 4121
     ENGINE_SLOW = 4130
     ENGINE_PACE_BACK = 4131
+    START_LOST = 4135
+    START_ANSWERS = 4136
     KV_LOST = 4200
     KV_BACK = 4201
     WATCH_STALE = 4202
@@ -180,6 +182,8 @@
     Event.ENDPOINT_RESTED: "The rest that an endpoint asked for has ended.",
     Event.ENGINE_SLOW: "An engine is much slower than it usually is.",
     Event.ENGINE_PACE_BACK: "An engine is about as fast as usual again.",
+    Event.START_LOST: "A start of an endpoint has ended; how that is known.",
+    Event.START_ANSWERS: "A start answers that others reported as ended.",
     Event.ENTRY_MISSING: "An entry is removed; its endpoint is kept for now.",
     Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
     Event.KV_LOST: "The key-value service does not answer.",
