Owners: a query for a preview only reads

Cause: a load query asks the owner of a limited endpoint for a permit, and tells it of limits; a question that no request follows would hold both against others. Change: LoadQuery.is_preview, last and with a default. The owner asks a copy of its permits; the client takes no announcements from such a reply. OwnerCase starts its owner in a method, so that a test can compare two owners.

--- a/magnolialug/owners/ledgerservice.py
+++ b/magnolialug/owners/ledgerservice.py
@@ -1,5 +1,6 @@
 """Maintains the load ledgers of owned endpoints and answers queries."""
 
+import copy
 import math
 from collections import OrderedDict
 from collections.abc import Callable
@@ -76,11 +77,14 @@
         for asked in query.endpoints:
             ledger = self._ledgers.of(asked.endpoint)
             ledger.drop_expired(now)
+            sends = ledger.sends
+            if query.is_preview:
+                sends = copy.deepcopy(sends)
             if asked.notice is not None:
-                ledger.sends.known.record(asked.notice.to_notice(now))
+                sends.known.record(asked.notice.to_notice(now))
             state = ledger.state(query.entry, now, asked.salt, query.parts)
-            ledger.sends.share = self._reached()
-            wait_s = ledger.sends.ask(query.entry, query.priority, now)
+            sends.share = self._reached()
+            wait_s = sends.ask(query.entry, query.priority, now)
             if wait_s is not None:
                 state = msgspec.structs.replace(
                     state, send_wait_ms=math.ceil(wait_s * 1000)
--- a/magnolialug/owners/loadqueryclient.py
+++ b/magnolialug/owners/loadqueryclient.py
@@ -29,6 +29,7 @@
       pending: sends queries and collects the replies.
       dissemination: returns the known versions of announcements, and applies
         newer announcements.
+      is_preview: whether owners must only read, and replies announce nothing.
     """
 
     def __init__(
@@ -37,11 +38,23 @@
         ring: OwnerRing,
         pending: PendingQueries,
         dissemination: Dissemination,
+        is_preview: bool = False,
     ):
         self._entry = entry
         self._ring = ring
         self._pending = pending
         self._dissemination = dissemination
+        self._is_preview = is_preview
+
+    def for_preview(self, pending: PendingQueries) -> "LoadQueryClient":
+        """Returns a client whose queries change nothing.
+
+        Args:
+          pending: sends its queries.
+        """
+        return LoadQueryClient(
+            self._entry, self._ring, pending, self._dissemination, True
+        )
 
     async def ask(
         self,
@@ -69,11 +82,12 @@
                     rollout=known.rollout,
                     evacuated=known.evacuated,
                     priority=priority,
+                    is_preview=self._is_preview,
                 )
                 for owner, rows in by_owner.items()
             }
         )
-        for reply in replies:
+        for reply in () if self._is_preview else replies:
             self._dissemination.take(
                 Announcements(reply.rollout, reply.evacuated)
             )
--- a/magnolialug/owners/messages.py
+++ b/magnolialug/owners/messages.py
@@ -102,6 +102,7 @@
       rollout: the number of the newest rollout that the sender knows.
       evacuated: the revision of the evacuated zones that the sender knows.
       priority: of the request to be placed, 0 is the most urgent.
+      is_preview: whether nothing will be sent, so that the owner only reads.
     """
 
     entry: str
@@ -111,6 +112,7 @@
     rollout: int = 0
     evacuated: int = 0
     priority: int = 0
+    is_preview: bool = False
 
 
 class LoadReply(msgspec.Struct, frozen=True, array_like=True, tag="told"):
--- a/tests/owners/test_ledger_service.py
+++ b/tests/owners/test_ledger_service.py
@@ -35,10 +35,14 @@
 
     def setUp(self):
         super().setUp()
-        nothing = NoAnnouncements()
         self.now = 10.0
         self.facts = None
-        self.service = LedgerService(
+        self.service = self.started()
+
+    def started(self):
+        """Returns an owner that knows nothing yet."""
+        nothing = NoAnnouncements()
+        return LedgerService(
             Ledgers(lambda endpoint: self.facts),
             Dissemination(nothing, nothing, nothing, lambda: self.now),
             lambda: 1.0,
