Preview: where a gateway would send a request now, and why

Cause: nobody can ask a gateway where a request would go; explain tells only of requests that were sent. Change: the code of requests (intake, quarantine, prober, must_wait, placer) decides on copies of the endpoints' state, and ends before the admission queue and before anything is sent. GET /preview can stand beside the metrics; two are made at a time. 109 BAD_PREVIEW, 322 TOO_MANY_PREVIEWS.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -54,6 +54,7 @@
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.weightbounds import WeightBounds
 from magnolialug.prefixcache.wiring import PrefixCache
+from magnolialug.preview.previewer import Previewer, PreviewSources
 from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from magnolialug.quarantine.wiring import Quarantine
 from magnolialug.result import Code, Failure, failed
@@ -103,6 +104,9 @@
       kv: the platform's key-value service.
       calls: reads reports of engines and sends them rollout commands.
       cache_calls: reads which cached parts the stores hold.
+
+    Attributes:
+      previewer: explains to operators where requests would go.
     """
 
     def __init__(
@@ -216,6 +220,7 @@
         self._clean_up_at = 0.0
         self._budget = self._new_budget()
         self._context = self._call_context(random)
+        self.previewer = self._new_previewer()
         self._lease = RolloutLease(
             kv,
             settings.vm,
@@ -377,6 +382,24 @@
             metrics=metrics,
         )
 
+    def _new_previewer(self) -> Previewer:
+        return Previewer(
+            PreviewSources(
+                self.settings.vm,
+                self.settings.zone,
+                self.directory,
+                self._bounds,
+                self.owners,
+                self.prefix_cache,
+                self._newest_version,
+                self._context,
+                lambda: self.routes.table,
+                lambda: self.registry.known,
+                self._admit,
+                self._reactor,
+            )
+        )
+
     def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
         if self.routes.table is None:
             return failed(Code.CONFIG_MISSING, retry_after_s=0.5)
--- /dev/null
+++ b/magnolialug/preview/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request would go now, and why, without sending it."""
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -27,6 +27,7 @@
     BODY_TOO_SLOW = 106
     MISSING_IDEMPOTENCY_KEY = 107
     KEY_REUSED = 108
+    BAD_PREVIEW = 109
     UNAUTHENTICATED = 200
     UNKNOWN_TEAM = 201
     UNKNOWN_SERVICE = 202
@@ -56,6 +57,7 @@
     VERSION_GONE = 319
     ORIGIN_UNKNOWN = 320
     RESTING = 321
+    TOO_MANY_PREVIEWS = 322
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -132,6 +134,7 @@
             "A non-idempotent kind needs an Idempotency-Key header.",
         ),
         (Code.KEY_REUSED, 422, "The idempotency key names another body."),
+        (Code.BAD_PREVIEW, 400, "A parameter of a preview is wrong."),
         (Code.UNAUTHENTICATED, 401, "No bearer key was given."),
         (Code.UNKNOWN_TEAM, 401, "The bearer key belongs to no team."),
         (Code.UNKNOWN_SERVICE, 404, "No such service is configured."),
@@ -191,6 +194,11 @@
             503,
             "The endpoints have asked for a time without requests.",
         ),
+        (
+            Code.TOO_MANY_PREVIEWS,
+            429,
+            "The gateway already makes as many previews as it does at once.",
+        ),
         (
             Code.VERSION_GONE,
             503,
