--- a/magnolialug/cmd/ctl.py
+++ b/magnolialug/cmd/ctl.py
@@ -27,6 +27,7 @@
 from magnolialug.ctl.explain import explain_request
 from magnolialug.ctl.fleetstatus import ask_entry, ask_sidecars
 from magnolialug.ctl.limits import standing_limits
+from magnolialug.ctl.preview import preview_lines
 from magnolialug.ctl.quarantine import quarantine_lines, release
 from magnolialug.ctl.rests import standing_rests
 from magnolialug.events import setup_logging
@@ -50,6 +51,9 @@
                     were
   release DIGEST    take a request out of the quarantine
   explain REQUEST   how a request was decided, from JSON logs on stdin
+  preview NAME=VALUE ...
+                    where a gateway would send a request now, and why,
+                    without sending it; with --gateway
   account           how calls ended, where their time went, and what was
                     read again and why, from JSON logs on stdin
   hash-key          the hash of a bearer key read from stdin"""
@@ -72,6 +76,13 @@
                 "id of the change; give the same when trying again",
             ),
             Flag("entries", "str", "", "URLs of entries, for status"),
+            Flag("gateway", "str", "", "URL of a gateway's metrics port"),
+            Flag(
+                "format",
+                ("text", "json"),
+                "text",
+                "form of a preview",
+            ),
             Flag("plot", "str", "", "file to draw an account into"),
             Flag(
                 "gateway_log",
@@ -101,6 +112,13 @@
             return await self._print_endpoints()
         if name == "quarantine":
             return _print_lines(await quarantine_lines(self._kv))
+        if name == "preview":
+            flags = self._flags
+            return _print_lines(
+                await preview_lines(
+                    reactor, flags.gateway, arguments, flags.format
+                )
+            )
         if name == "release":
             failure = await release(self._kv, arguments[0])
             return _fail(failure) if failure else 0
@@ -294,6 +312,7 @@
     "endpoints",
     "quarantine",
     "release",
+    "preview",
 )
 
 
@@ -303,7 +322,8 @@
     setup_logging(flags.log_format, flags.log_level)
     name, *arguments = rest or [""]
     known = {*_OFFLINE, *_ONLINE, "account"}
-    if name not in known or len(arguments) != _ARGUMENTS.get(name, 0):
+    count = _ARGUMENTS.get(name, 0)
+    if name not in known or (name != "preview" and len(arguments) != count):
         print(
             f"magnolialug-ctl: bad command {' '.join(rest)!r}; see --help",
             file=sys.stderr,
--- a/magnolialug/cmd/gatewayprogram.py
+++ b/magnolialug/cmd/gatewayprogram.py
@@ -29,7 +29,12 @@
                 "",
                 "the platform's settings file; from MAGNOLIALUG_SETTINGS",
             ),
-            Flag("metrics_port", "int", 0, "port for metrics, 0 for none"),
+            Flag(
+                "metrics_port",
+                "int",
+                0,
+                "port for metrics and previews, 0 for none",
+            ),
         ),
     ),
     COMMON,
@@ -73,6 +78,7 @@
     from magnolialug.platform.cachecalls import CacheCalls
     from magnolialug.platform.enginecalls import EngineCalls
     from magnolialug.platform.kvhttp import KvHttp
+    from magnolialug.preview.page import PREVIEW_PATH, preview_page
 
     client = Client(reactor)
     metrics = GatewayMetrics()
@@ -100,7 +106,10 @@
             _listen(reactor, settings.ready, ready_factory(gateway.ready)),
         ]
         if metrics_port:
-            factory = text_factory(lambda: as_text(metrics.snapshot()))
+            factory = text_factory(
+                lambda: as_text(metrics.snapshot()),
+                {PREVIEW_PATH: preview_page(gateway.previewer.explain)},
+            )
             address = (settings.host, metrics_port)
             ports.append(_listen(reactor, address, factory))
 
