Fair admission: a lead or lag by past waits in the admission order

Cause: prompts that can be in time are ordered by due time alone, so a team with four fifths of the load takes four fifths of what is in time, and a caller that was refused starts again at the end. Change: policy/admissionlead computes a lead between -0.5 and 1 s from a team's share of the room, from what team, dossier and size have waited beside the others, and from what the caller lost by refusals. AdmissionQueue orders by it where prompts say whose they are; priority and lateness stay first. Refusals count what is ahead in this order.

--- a/magnolialug/policy/admissionorder.py
+++ b/magnolialug/policy/admissionorder.py
@@ -1,7 +1,7 @@
 """Admission order of waiting prompts, and which cannot meet their deadline."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -82,7 +82,9 @@
 
 
 def admission_order(
-    waiting: Iterable[WaitingPrompt], now: float
+    waiting: Iterable[WaitingPrompt],
+    now: float,
+    leads_s: Mapping[int, float] | None = None,
 ) -> list[WaitingPrompt]:
     """Returns the prompts in the order in which they are admitted.
 
@@ -91,11 +93,17 @@
     Large prompts are ordered earlier than their due time. In order of arrival
     every prompt would wait for the whole queue, and once the queue is longer
     than the target none would be in time.
+
+    Args:
+      leads_s: how much earlier some prompts are ordered, by their number. A
+        lead changes neither the priority nor whether a prompt is late.
     """
+    leads_s = leads_s or {}
 
     def key(row: WaitingPrompt) -> tuple[int, bool, float]:
         late = row.is_late(now)
         due = row.ends_at if late else row.target_at - row.first_event_s
+        due -= leads_s.get(row.number, 0.0)
         return row.priority, late, due - _SIZE_LEAD_S * row.size
 
     return sorted(waiting, key=key)
--- a/magnolialug/policy/admissionqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -5,12 +5,20 @@
 
 import msgspec
 
+from magnolialug.policy.admissionlead import (
+    NO_LEAD,
+    AdmissionLead,
+    Claimant,
+    QueueStandings,
+)
 from magnolialug.policy.admissionorder import (
     GrantRate,
     WaitingPrompt,
     admission_order,
     cannot_meet_deadline,
 )
+from magnolialug.policy.sizeclass import SizeClass, SizeClasses
+from magnolialug.policy.waitledger import FlowId, WaitLedger, WaitReport
 
 __all__ = ["QueuedPrompt", "AdmissionQueue"]
 
@@ -21,6 +29,9 @@
 # times the clients' renewal interval, so that a few lost datagrams do not drop
 # a waiting prompt.
 _RENEWAL_TIMEOUT_S = 0.8
+# Leads are kept for this long, because places are renewed far more often than
+# standings change.
+_LEADS_INTERVAL_S = 0.02
 
 
 class QueuedPrompt(msgspec.Struct):
@@ -36,6 +47,10 @@
         in one of its queues only; otherwise it would keep memory of all the
         other engines unused.
       renewed_at: when its place was last renewed.
+      claimant: whose it is, None if that is not told.
+      joined_at: when it was added.
+      too_late: whether it was last found to miss its deadline.
+      lead: its lead when the queue was last ordered.
     """
 
     ticket: Hashable
@@ -46,6 +61,10 @@
     lists: int
     first: bool
     renewed_at: float
+    claimant: Claimant | None = None
+    joined_at: float = 0.0
+    too_late: bool = False
+    lead: AdmissionLead = NO_LEAD
 
 
 class AdmissionQueue:
@@ -62,6 +81,9 @@
         self._rows: dict[Hashable, QueuedPrompt] = {}
         self._numbers = itertools.count()
         self._rate = GrantRate()
+        self._size_classes = SizeClasses()
+        self._waits = WaitLedger()
+        self._leads_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -74,12 +96,20 @@
         """Adds a prompt, or renews the place of one that is in the queue."""
         before = self._rows.get(row.ticket)
         number = before.waiting.number if before else next(self._numbers)
+        if before is None:
+            row.joined_at = row.renewed_at
+            self._size_classes.record(row.tokens)
+        else:
+            row.joined_at = before.joined_at
+            row.too_late, row.lead = before.too_late, before.lead
         row.waiting = msgspec.structs.replace(row.waiting, number=number)
         self._rows[row.ticket] = row
 
     def drop(self, ticket: Hashable) -> None:
         """Removes a prompt."""
-        self._rows.pop(ticket, None)
+        row = self._rows.pop(ticket, None)
+        if row is not None:
+            self._record_wait(row, row.renewed_at)
 
     def clear(self) -> list[Hashable]:
         """Removes all prompts; returns their tickets."""
@@ -91,7 +121,7 @@
         """Drops prompts whose places were not renewed in time."""
         for row in list(self._rows.values()):
             if now - row.renewed_at > _RENEWAL_TIMEOUT_S:
-                del self._rows[row.ticket]
+                self.drop(row.ticket)
 
     def retry_after_s(self, ticket: Hashable, now: float) -> float | None:
         """Returns after how long a prompt's caller may retry.
@@ -106,6 +136,7 @@
         for row in self._ordered(now):
             refused = cannot_meet_deadline(row.waiting, now, ahead, per_s)
             if row.ticket == ticket:
+                row.too_late = refused
                 return self._bounded_retry_after_s(per_s) if refused else None
             if not refused:
                 ahead += 1 / row.lists
@@ -121,19 +152,56 @@
         for row in self._ordered(now):
             if fits(row):
                 self._rate.record_grant(now)
-                self.drop(row.ticket)
+                del self._rows[row.ticket]
+                self._record_wait(row, now)
                 return row
             if row.first:
                 return None
         return None
 
+    def lead(self, ticket: Hashable) -> AdmissionLead:
+        """Returns a waiting prompt's lead when the queue was last ordered."""
+        row = self._rows.get(ticket)
+        return NO_LEAD if row is None else row.lead
+
     def _ordered(self, now: float) -> list[QueuedPrompt]:
         rows = {row.waiting.number: row for row in self._rows.values()}
         waiting = [row.waiting for row in rows.values()]
-        ordered = admission_order(waiting, now)
+        self._update_leads(now)
+        leads_s = {number: row.lead.lead_s for number, row in rows.items()}
+        ordered = admission_order(waiting, now, leads_s)
         return [rows[place.number] for place in ordered]
 
+    def _update_leads(self, now: float) -> None:
+        if now - self._leads_at < _LEADS_INTERVAL_S:
+            return
+        self._leads_at = now
+        rows = [row for row in self._rows.values() if row.claimant is not None]
+        if not rows:
+            return
+        sizes = [self._waits.standing(_flow(one), now) for one in SizeClass]
+        standings = QueueStandings([row.claimant for row in rows], sizes)
+        for row in rows:
+            size = _flow(self._size_classes.of(row.tokens))
+            is_late = row.waiting.is_late(now)
+            row.lead = standings.lead(row.claimant, size, is_late)
+
+    def _record_wait(self, row: QueuedPrompt, ended_at: float) -> None:
+        """Counts a wait that has ended by the size of its prompt.
+
+        One without an admission counts until its deadline: a size that is
+        refused early would appear not to wait.
+        """
+        until = row.waiting.ends_at if row.too_late else ended_at
+        waited_ms = round(max(0.0, until - row.joined_at) * 1000)
+        size = _flow(self._size_classes.of(row.tokens))
+        self._waits.record(WaitReport(size, 1, waited_ms), ended_at)
+
     def _bounded_retry_after_s(self, per_s: float) -> float:
         waiting = sum(1 / row.lists for row in self._rows.values())
         least_s, most_s = _RETRY_AFTER_BOUNDS_S
         return min(most_s, max(least_s, waiting / per_s))
+
+
+def _flow(size: SizeClass) -> FlowId:
+    return FlowId(size.value)
