Fair admission: waits are exchanged between entries

Cause: a team with few prompts meets another owner each time, and none knows that its prompts have waited before. Change: the ring selects a keeper for each team, dossier and refused request. LoadQuery carries reports of waits and LoadReply the standings, Enqueue a prompt's standings and AdmissionReply its lead: fields at the end with defaults, no new type. Conclusion: whose turn it is no longer depends on the owner that is met.

--- /dev/null
+++ b/magnolialug/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Waits for engine memory, counted over all entries."""
--- a/magnolialug/owners/admissionclient.py
+++ b/magnolialug/owners/admissionclient.py
@@ -8,6 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
+from magnolialug.fairness.standings import PromptFlows, WaitStandings
 from magnolialug.ids import EndpointId
 from magnolialug.owners.messages import (
     AdmissionReply,
@@ -16,7 +17,9 @@
     Enqueue,
 )
 from magnolialug.owners.ownerring import OwnerRing
+from magnolialug.policy.admissionlead import AdmissionLead
 from magnolialug.policy.admissionorder import WaitingPrompt
+from magnolialug.policy.waitledger import FlowId, WaitReport
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["AdmissionClient", "AdmissionRequest"]
@@ -65,6 +68,9 @@
     places: dict[EndpointId, _Place]
     granted: Deferred
     refusal: Callable[[], Failure | None]
+    begun_at: float
+    flows: PromptFlows | None
+    on_lead: Callable[[AdmissionLead], None]
 
 
 class AdmissionClient:
@@ -77,6 +83,7 @@
     Args:
       entry: identifies this start of this process.
       send: sends a message to an entry.
+      standings: who has waited before, over all entries.
     """
 
     def __init__(
@@ -85,11 +92,13 @@
         ring: OwnerRing,
         send: Callable[[Enqueue | Dequeue, Address], None],
         clock: IReactorTime,
+        standings: WaitStandings,
     ):
         self._entry = entry
         self._ring = ring
         self._send = send
         self._clock = clock
+        self._standings = standings
         self._rows: dict[int, _PendingPrompt] = {}
         self._numbers = itertools.count(1)
         self._timer = None
@@ -105,6 +114,8 @@
         requests: Iterable[AdmissionRequest],
         ahead_s: float,
         refusal: Callable[[], Failure | None] = lambda: None,
+        flows: PromptFlows | None = None,
+        on_lead: Callable[[AdmissionLead], None] = lambda lead: None,
     ) -> Deferred[EndpointId | Failure | None]:
         """Returns the engine that admits a prompt.
 
@@ -118,6 +129,9 @@
             prefill ahead of it.
           refusal: returns why the prompt may not be sent any more, None while
             it may.
+          flows: whose prompt it is, None where nobody else's is weighed
+            against it.
+          on_lead: receives the prompt's lead whenever an owner tells it.
         """
         now = self._clock.seconds()
         number = next(self._numbers)
@@ -131,9 +145,11 @@
             lambda _: self._end(number)
         )
         self._rows[number] = _PendingPrompt(
-            waiting, ahead_s, places, granted, refusal
+            waiting, ahead_s, places, granted, refusal, now, flows, on_lead
         )
         self._renew(number)
+        if flows is not None:
+            self._standings.query(flows)
         if self._timer is None and number in self._rows:
             self._timer = self._clock.callLater(
                 _RENEW_INTERVAL_S, self._renew_all
@@ -151,6 +167,7 @@
         if place is None:
             return
         place.last_reply_at = self._clock.seconds()
+        row.on_lead(AdmissionLead(reply.lead_ms / 1000, reply.lead_reason))
         if reply.state is AdmissionState.GRANTED:
             self._finish(reply.number, reply.endpoint)
         elif reply.state is AdmissionState.GONE:
@@ -162,6 +179,12 @@
             place.retry_after_s = reply.after_ms / 1000 if too_late else None
             self._refuse_if_too_late(reply.number, row)
 
+    def renew_flows(self, flows: set[FlowId]) -> None:
+        """Renews the places of prompts whose flows have new standings."""
+        for number, row in list(self._rows.items()):
+            if row.flows is not None and flows & row.flows.ids:
+                self._renew(number)
+
     def stop(self) -> None:
         """Stops renewing places."""
         if self._timer is not None and self._timer.active():
@@ -206,6 +229,9 @@
         """Renews a prompt's places in all its queues."""
         row = self._rows[number]
         now = self._clock.seconds()
+        claimant = None
+        if row.flows is not None:
+            claimant = self._standings.claimant(row.flows)
         for place in list(row.places.values()):
             message = Enqueue(
                 entry=self._entry,
@@ -219,6 +245,7 @@
                 ahead_ms=int(row.ahead_s * 1000),
                 queue_count=len(row.places),
                 is_first_choice=place.is_first_choice,
+                claimant=claimant,
             )
             self._send(message, place.owner)
 
@@ -226,6 +253,7 @@
         """Removes a prompt from all queues."""
         row = self._rows.pop(number, None)
         if row is not None:
+            self._record_wait(row, None)
             self._leave_all(number, row)
 
     def _leave_all(self, number: int, row: _PendingPrompt) -> None:
@@ -242,9 +270,42 @@
         the next prompt before the owner receives the report of the request.
         """
         row = self._rows.pop(number)
+        if result is not None:
+            self._record_wait(row, result)
         row.granted.callback(result)
         self._leave_all(number, row)
 
+    def _record_wait(
+        self, row: _PendingPrompt, result: EndpointId | Failure | None
+    ) -> None:
+        """Reports a wait that has ended.
+
+        A refused one counts in full, because refusing someone early would
+        appear to make him wait less. What its caller loses is the time until
+        it may return.
+
+        Args:
+          result: as in `_finish`; None if the caller has left.
+        """
+        if row.flows is None:
+            return
+        waited_s = self._clock.seconds() - row.begun_at
+        lost_s, tokens = waited_s, 0
+        if isinstance(result, Failure):
+            if result.code is not Code.NO_ROOM:
+                return
+            lost_s += result.retry_after_s or 0.0
+            waited_s = max(waited_s, row.waiting.ends_at - row.begun_at)
+        elif result is not None:
+            tokens = row.places[result].request.tokens
+        for flow in (row.flows.team, row.flows.dossier):
+            if flow is not None:
+                waited_ms = round(waited_s * 1000)
+                self._standings.record(WaitReport(flow, 1, waited_ms, tokens))
+        if not tokens:
+            lost_ms = round(lost_s * 1000)
+            self._standings.record(WaitReport(row.flows.request, 1, lost_ms))
+
 
 def _no_room(after_s: float) -> Failure:
     reason = "no engine has memory for the prompt in time"
--- a/magnolialug/owners/admissionqueues.py
+++ b/magnolialug/owners/admissionqueues.py
@@ -13,6 +13,7 @@
     Dequeue,
     Enqueue,
 )
+from magnolialug.policy.admissionlead import NO_LEAD, AdmissionLead
 from magnolialug.policy.admissionorder import WaitingPrompt
 from magnolialug.policy.admissionqueue import QueuedPrompt
 from magnolialug.policy.endpointledger import EndpointLedger
@@ -99,12 +100,14 @@
             lists=message.queue_count,
             first=message.is_first_choice,
             renewed_at=now,
+            claimant=message.claimant,
         )
         ledger.queue.put(row)
         after_s = ledger.queue.retry_after_s(ticket, now)
         too_late = after_s is not None
         state = AdmissionState.TOO_LATE if too_late else AdmissionState.QUEUED
-        self._reply(ticket, message.endpoint, state, after_s or 0.0)
+        lead = ledger.queue.lead(ticket)
+        self._reply(ticket, message.endpoint, state, after_s or 0.0, lead)
         self._schedule_grants()
 
     def _rate(self, message: Enqueue) -> float:
@@ -146,7 +149,9 @@
         if not facts.sound or ledger.is_silent(now):
             return
         while row := ledger.grant_next(now, facts.rate):
-            self._reply(row.ticket, endpoint, AdmissionState.GRANTED)
+            self._reply(
+                row.ticket, endpoint, AdmissionState.GRANTED, lead=row.lead
+            )
 
     def _reply(
         self,
@@ -154,9 +159,17 @@
         endpoint: EndpointId,
         state: AdmissionState,
         after_s: float = 0.0,
+        lead: AdmissionLead = NO_LEAD,
     ) -> None:
         entry, number = ticket
         address = self._clients.get(entry)
         if address is not None:
-            reply = AdmissionReply(number, endpoint, state, int(after_s * 1000))
+            reply = AdmissionReply(
+                number,
+                endpoint,
+                state,
+                int(after_s * 1000),
+                round(lead.lead_s * 1000),
+                lead.reason,
+            )
             self._send(reply, address)
--- a/magnolialug/owners/messages.py
+++ b/magnolialug/owners/messages.py
@@ -13,12 +13,14 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.policy.admissionlead import Claimant, LeadReason
 from magnolialug.policy.endpointnotice import LeavingEndpoint
 from magnolialug.policy.evacuation import EvacuatedZones
 from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.sharedload import EndpointState, Placement, WorkShare
+from magnolialug.policy.waitledger import FlowStanding, WaitReport
 
 __all__ = [
     "KnownVersions",
@@ -102,6 +104,7 @@
       rollout: the number of the newest rollout that the sender knows.
       evacuated: the revision of the evacuated zones that the sender knows.
       priority: of the request to be placed, 0 is the most urgent.
+      waits: reports to the receiver as the keeper of their flows.
     """
 
     entry: str
@@ -111,6 +114,7 @@
     rollout: int = 0
     evacuated: int = 0
     priority: int = 0
+    waits: tuple[WaitReport, ...] = ()
 
 
 class LoadReply(msgspec.Struct, frozen=True, array_like=True, tag="told"):
@@ -122,6 +126,7 @@
       evacuated: the evacuated zones, if their revision is later than the one in
         the query.
       delay_ms: the delay of the sender's event loop.
+      standings: of the flows that the query reports waits of.
     """
 
     number: int
@@ -129,6 +134,7 @@
     rollout: Rollout | None = None
     evacuated: EvacuatedZones | None = None
     delay_ms: int = 0
+    standings: tuple[FlowStanding, ...] = ()
 
 
 class Enqueue(msgspec.Struct, frozen=True, array_like=True, tag="wait"):
@@ -144,6 +150,7 @@
         prefill ahead of it.
       queue_count: the number of queues in which it waits.
       is_first_choice: whether no other prompt overtakes it in this queue.
+      claimant: whose prompt it is, None where the configuration has no teams.
     """
 
     entry: str
@@ -157,6 +164,7 @@
     ahead_ms: int
     queue_count: int
     is_first_choice: bool
+    claimant: Claimant | None = None
 
 
 class AdmissionState(enum.Enum):
@@ -180,12 +188,16 @@
 
     Attributes:
       after_ms: with TOO_LATE, the time after which the caller may retry.
+      lead_ms: how much earlier than by its due time the prompt is admitted.
+      lead_reason: the largest part of that.
     """
 
     number: int
     endpoint: EndpointId
     state: AdmissionState
     after_ms: int = 0
+    lead_ms: int = 0
+    lead_reason: LeadReason = LeadReason.NONE
 
 
 class Dequeue(msgspec.Struct, frozen=True, array_like=True, tag="unwait"):
--- a/magnolialug/owners/wiring.py
+++ b/magnolialug/owners/wiring.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
+from magnolialug.fairness.standings import WaitStandings
 from magnolialug.ids import EndpointId
 from magnolialug.owners.admissionclient import AdmissionClient
 from magnolialug.owners.admissionqueues import AdmissionQueues
@@ -35,6 +36,7 @@
 from magnolialug.policy.endpointnotice import LeavingEndpoint
 from magnolialug.policy.saturation import Saturation
 from magnolialug.policy.sharedload import WorkShare
+from magnolialug.policy.waitledger import WaitReport
 
 __all__ = ["LocalState", "Ownership", "Messenger"]
 
@@ -126,8 +128,11 @@
             messenger.send,
             clock,
         )
+        self.wait_standings = WaitStandings(
+            self.ring, self._report_waits, clock.seconds
+        )
         self.admission_client = AdmissionClient(
-            entry, self.ring, messenger.send, clock
+            entry, self.ring, messenger.send, clock, self.wait_standings
         )
         local_state.on_leaving = self.load_reporter.announce_leaving
         self._cleanup_at = 0.0
@@ -155,6 +160,7 @@
     def tick(self, now: float) -> None:
         """Repeats reports, probes owners, and drops expired ledgers."""
         self.load_reporter.tick(now)
+        self.wait_standings.tick(now)
         probed = self.ring.due_probes()
         if self.saturation.is_saturated:
             probed += self._next_others()
@@ -184,6 +190,9 @@
         reply = self.ledger_service.answer(query)
         if delay_ms:
             reply = msgspec.structs.replace(reply, delay_ms=delay_ms)
+        if query.waits:
+            standings = self.wait_standings.answer(query.waits)
+            reply = msgspec.structs.replace(reply, standings=standings)
         self._messenger.send(reply, client)
 
     def _on_reply(self, reply: LoadReply, owner: Address) -> None:
@@ -192,3 +201,12 @@
                 owner, reply.delay_ms / 1000, self._clock.seconds()
             )
         self.pending_queries.on_reply(reply, owner)
+        news = self.wait_standings.on_reply(reply.standings, owner)
+        if news:
+            self.admission_client.renew_flows(news)
+
+    def _report_waits(
+        self, waits: tuple[WaitReport, ...], keeper: Address
+    ) -> None:
+        query = LoadQuery("", _PROBE_NUMBER, (), waits=waits)
+        self._messenger.send(query, keeper)
--- /dev/null
+++ b/tests/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of magnolialug.fairness."""
