Fair admission: why a prompt goes ahead is logged and counted

Cause: an operator cannot see who waited for memory, or went ahead, and why. Change: calls with a team say whose prompt it is when they wait; PLACED and NOT_PLACED have lead_s and lead_reason if there was a lead; metrics admission_wait_seconds by route and admissions_led by reason. Before/after: tests/entry/test_admission.py, a refused caller that returns while the engine is full goes ahead as returned.

--- a/magnolialug/entry/admissionrules.py
+++ b/magnolialug/entry/admissionrules.py
@@ -1,9 +1,10 @@
 """Rules for queueing large prompts until an engine has free memory."""
 
 from magnolialug.entry.forwardcall import ForwardCall
+from magnolialug.fairness.standings import PromptFlows, prompt_flows
 from magnolialug.policy.admissionorder import WaitingPrompt, caller_timeout_s
 
-__all__ = ["queued_work_limit_s", "is_large", "waiting_prompt"]
+__all__ = ["flows_of", "queued_work_limit_s", "is_large", "waiting_prompt"]
 
 # Prompts that need less of an engine's memory are sent without queueing.
 _LARGE_SHARE = 0.04
@@ -33,6 +34,14 @@
     return _QUEUED_WORK_SHARE * call.route.target_s
 
 
+def flows_of(call: ForwardCall) -> PromptFlows | None:
+    """Returns whose prompt a large call has, None if it has no team."""
+    if not call.team:
+        return None
+    root = call.prompt.root
+    return prompt_flows(call.team, root, f"{call.digest} {root}")
+
+
 def waiting_prompt(call: ForwardCall) -> WaitingPrompt:
     """Returns a large call as an entry of the admission queue."""
     route = call.route
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -29,6 +29,12 @@
             "s",
             explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
         )
+        self.admission_wait = meter.create_histogram(
+            "admission_wait_seconds",
+            "s",
+            explicit_bucket_boundaries_advisory=LATENCY_BUCKETS_S,
+        )
+        self.admissions_led = meter.create_counter("admissions_led")
         self.requests = meter.create_counter("requests")
         self.refusals = meter.create_counter("refusals")
         self.limited = meter.create_counter("requests_limited")
@@ -47,6 +53,18 @@
         self.orders = meter.create_counter("orders")
         self.lines_dropped = meter.create_counter("log_lines_dropped")
 
+    def record_admission(
+        self, route: str, waited_s: float, reason: str
+    ) -> None:
+        """Records a prompt's wait for memory.
+
+        Args:
+          reason: the largest part of its lead, "" if it had none.
+        """
+        self.admission_wait.record(waited_s, {"route": route})
+        if reason:
+            self.admissions_led.add(1, {"reason": reason})
+
     def observe(
         self, name: str, rows: Callable[[], Iterable[tuple[float, dict]]]
     ) -> None:
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -6,7 +6,11 @@
 
 from magnolialug.carrier.reader import Framing
 from magnolialug.carrier.responsereceiver import End
-from magnolialug.entry.admissionrules import queued_work_limit_s, waiting_prompt
+from magnolialug.entry.admissionrules import (
+    flows_of,
+    queued_work_limit_s,
+    waiting_prompt,
+)
 from magnolialug.entry.attemptrace import AttemptRace
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.candidateprober import CandidateProber
@@ -27,6 +31,7 @@
 from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId, EngineBuild, SoftwareVersion
 from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
+from magnolialug.policy.admissionlead import NO_LEAD, AdmissionLead
 from magnolialug.policy.choice import must_wait
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.retry import Budget, Ending
@@ -99,13 +104,16 @@
         self._hedges: set[HttpAttempt] = set()
         self._searches = 0
         self._waited_s = 0.0
+        self._lead = NO_LEAD
         self._framing: Framing | None = None
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
         placed = await self._place(progress)
         if isinstance(placed, Failure):
-            self._log.emit(Event.NOT_PLACED, **explain(placed))
+            self._log.emit(
+                Event.NOT_PLACED, **self._lead_fields(), **explain(placed)
+            )
             return self._withheld_answer() or placed
         self._log_placed(placed)
         ended = await self._run(placed, progress)
@@ -157,14 +165,31 @@
         if self._attempts or not must_wait(results.candidates):
             return None
         begun = self._clock()
-        admitted_by = await self._admission.enqueue(
-            waiting_prompt(self._call),
-            self._admission_requests(results),
-            queued_work_limit_s(self._call),
-            partial(self._quarantine.refusal, self._call.identity),
-        )
-        self._waited_s = self._clock() - begun
-        return admitted_by
+        try:
+            return await self._admission.enqueue(
+                waiting_prompt(self._call),
+                self._admission_requests(results),
+                queued_work_limit_s(self._call),
+                partial(self._quarantine.refusal, self._call.identity),
+                flows_of(self._call),
+                self._record_lead,
+            )
+        finally:
+            self._waited_s = self._clock() - begun
+            self._metrics.record_admission(
+                self._call.route.name, self._waited_s, self._lead.reason.value
+            )
+
+    def _lead_fields(self) -> dict[str, object]:
+        if self._lead == NO_LEAD:
+            return {}
+        return {
+            "lead_s": self._lead.lead_s,
+            "lead_reason": self._lead.reason.value,
+        }
+
+    def _record_lead(self, lead: AdmissionLead) -> None:
+        self._lead = lead
 
     def _admission_requests(
         self, results: ProbeResults
@@ -225,6 +250,7 @@
             priority=to.priority,
             unread=placed.unread_tokens,
             waited_s=round(self._waited_s, 3),
+            **self._lead_fields(),
             room=placed.room,
             fetched=sum(map(bool, to.fetch)),
             saved=sum(map(bool, to.save)),
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from tests.gatewaycluster import GatewayCluster, config
+from tests.loglines import collect_lines
 
 # Two of these fill an engine of 140,000 tokens.
 LONG = "aa:20000,{}:40000"
@@ -115,6 +116,35 @@
         self.assertIn("retry-after", last.headers)
         self.assertEqual(2, len(engine.ran))
 
+    def metrics(self, cluster, name):
+        """Returns the rows of a metric, by their labels."""
+        return {
+            tuple(row["attributes"].values()): row
+            for row in cluster.gateway.metrics.snapshot()
+            if row["name"] == name
+        }
+
+    def test_why_a_prompt_goes_ahead_is_logged_and_counted(self):
+        """A refused caller returns while the engine is still full."""
+        lines = collect_lines(self)
+        cluster, _ = self.started(gap_s=1.2)
+        callers = [self.send(cluster, n) for n in range(3)]
+        cluster.pass_time(2.2)
+        self.assertEqual(503, callers[2].last.status)
+        again = self.send(cluster, 2)
+        cluster.pass_time(4)
+        self.assertEqual(200, again.last.status)
+        (placed,) = [
+            line
+            for line in lines
+            if '"PLACED"' in line and f'"{again.request_id}"' in line
+        ]
+        self.assertIn('"lead_reason":"returned"', placed)
+        waits = self.metrics(cluster, "admission_wait_seconds")
+        self.assertEqual(2, waits["draft",]["count"])
+        led = self.metrics(cluster, "admissions_led")
+        self.assertEqual(1, led["returned",]["value"])
+
     def test_cancelled_prompt_leaves_the_queue(self):
         cluster, engine = self.started(gap_s=0.2)
         callers = [self.send(cluster, n) for n in range(4)]
