--- a/magnolialug/preview/previewrunner.py
+++ b/magnolialug/preview/previewrunner.py
@@ -10,8 +10,10 @@
 from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import Progress
 from magnolialug.events import Event
+from magnolialug.fairness.standings import PromptFlows
 from magnolialug.ids import EndpointId
 from magnolialug.owners.admissionclient import AdmissionRequest
+from magnolialug.policy.admissionlead import AdmissionLead
 from magnolialug.policy.admissionorder import WaitingPrompt
 from magnolialug.result import Code, Failure, failed
 
@@ -51,6 +53,8 @@
         requests: Iterable[AdmissionRequest],
         ahead_s: float,
         refusal: Callable[[], Failure | None],
+        flows: PromptFlows | None,
+        on_lead: Callable[[AdmissionLead], None],
     ) -> EndpointId | Failure:
         """Ends the placement in place of the wait."""
         self.requests = tuple(requests)
--- a/tests/owners/test_preview_queries.py
+++ b/tests/owners/test_preview_queries.py
@@ -57,5 +57,6 @@
         self.assertEqual((2, False), (read.priority, read.is_preview))
         new = msgspec.msgpack.encode(LoadQuery("e", 1, (), is_preview=True))
         self.assertEqual(
-            ["ask", "e", 1, [], [], 0, 0, 0, True], msgspec.msgpack.decode(new)
+            ["ask", "e", 1, [], [], 0, 0, 0, True, []],
+            msgspec.msgpack.decode(new),
         )
