Restarts: a start time learned meanwhile does not leave a start probed for good

Cause: the confirmation of a refused connection was ended under the start's name, which changes when its start time becomes known. Change: it is ended under the name under which it began. Before/after: tests/restarts/test_notices.py, a new case.

--- a/magnolialug/restarts/wiring.py
+++ b/magnolialug/restarts/wiring.py
@@ -93,10 +93,12 @@
         if self._quiet.is_quiet(start, Evidence.REFUSED, now):
             return
         self._probing.add(start)
-        peer.pool.probe(partial(self._on_probed, peer))
+        peer.pool.probe(partial(self._on_probed, peer, start))
 
-    def _on_probed(self, peer: Peer, has_ended: bool) -> None:
-        self._probing.discard(peer.start_id)
+    def _on_probed(
+        self, peer: Peer, start: EndpointId, has_ended: bool
+    ) -> None:
+        self._probing.discard(start)
         if has_ended and not peer.leaving:
             self._count("refusal")
             self._announce(peer, Evidence.REFUSED, EndpointId(""))
--- a/tests/restarts/test_notices.py
+++ b/tests/restarts/test_notices.py
@@ -204,6 +204,17 @@
         self.assertEqual(2, len(probes))
         self.assertEqual(["refusal"], self.counted)
 
+    def test_a_start_time_learned_meanwhile_ends_no_telling(self):
+        """Guards against a start that is taken for being probed for good."""
+        probes = []
+        self.directory.listed(entry(born_ms=0, endpoint="i-5"))
+        peer = self.directory.peers["i-5"]
+        peer.pool.probe = probes.append
+        self.directory.on_unreachable(peer)
+        self.directory.listed(entry(endpoint="i-5", slots=7))
+        probes[0](False)
+        self.assertEqual(set(), self.restarts._probing)
+
     def test_a_refusal_is_not_repeated_once_the_endpoint_answers(self):
         self.peer.pool.probe = lambda done: done(True)
         self.directory.on_unreachable(self.peer)
