Engines: the measured pace admits prompts and does not compare engines

Change: engines are compared by the rate that an entry's own prompts tell, as before. The merged pace is `measured_rate`, for admission, lines and gauges. Conclusion: a pace that is late by a moment is worse than none for choosing.

--- a/magnolialug/entry/gauges.py
+++ b/magnolialug/entry/gauges.py
@@ -52,7 +52,7 @@
         rates = defaultdict(list)
         for peer in directory.peers.values():
             if peer.load is not None and peer.load.pace is not None:
-                rates[peer.listed.service].append(peer.load.rate)
+                rates[peer.listed.service].append(peer.load.measured_rate)
         return [
             (choose(rows), {"service": service, "which": which})
             for service, rows in rates.items()
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -252,7 +252,9 @@
             waited_s=round(self._waited_s, 3),
             **self._lead_fields(),
             room=placed.room,
-            pace=round(placed.peer.load.rate) if placed.peer.load else 0,
+            pace=round(placed.peer.load.measured_rate)
+            if placed.peer.load
+            else 0,
             fetched=sum(map(bool, to.fetch)),
             saved=sum(map(bool, to.save)),
             salt=to.cache_namespace,
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -100,7 +100,16 @@
 
     @property
     def rate(self) -> float:
-        """Estimated prefill rate in prompt tokens per second."""
+        """Prefill rate in tokens per second, as this entry's prompts tell.
+
+        Engines are compared by it. The measured rate follows moments in which
+        an engine is slow, and these are over before the next prompt is read.
+        """
+        return self._own_rate
+
+    @property
+    def measured_rate(self) -> float:
+        """Prefill rate that all entries measure, else this entry's own."""
         measured = self.pace.tokens_per_s if self.pace else 0
         return measured or self._own_rate
 
