Engines: long prompts are read one after another beside streams

Cause: callers of long prompts got a quarter of their answers late by a pause between events or a late first one, and short prompts beside 12,000 unread tokens were late ten times as often as without. Engines that wrote streams were given several long prompts at once. Change: an engine that writes a stream whose route names a pause gets the next long prompt when the last is nearly read, or when both make a pause that is allowed. Others go elsewhere, or wait in the admission queues while they have time to spare; no prompt becomes late by that wait.

--- a/magnolialug/entry/costestimator.py
+++ b/magnolialug/entry/costestimator.py
@@ -70,7 +70,7 @@
             sound=peer.sound(now) and not (state and state.silent),
             room=self._has_room(call, peer, results),
             reported=state is not None,
-            starts_soon=self._is_soon(call, peer),
+            starts_soon=self._is_soon(call, peer, results),
         )
 
     def is_nearly_idle(self, call: ForwardCall, peer: Peer) -> bool:
@@ -154,11 +154,19 @@
             return True
         return load.room(call.prompt.memory_tokens) >= HEADROOM
 
-    def _is_soon(self, call: ForwardCall, peer: Peer) -> bool:
-        """Whether an engine would start a large call soon."""
+    def _is_soon(
+        self, call: ForwardCall, peer: Peer, results: ProbeResults
+    ) -> bool:
+        """Whether an engine would start a large call soon.
+
+        It does not while its streams would pause for too long.
+        """
         load = peer.load
         if load is None or not is_large(call, load.memory):
             return True
         if load.room(0) >= 1.0:
             return True
-        return load.ahead_s(call.priority) <= queued_work_limit_s(call)
+        if load.ahead_s(call.priority) > queued_work_limit_s(call):
+            return False
+        unread = self.unread_tokens(call, peer, results)
+        return load.admits_prefill(unread)
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -9,6 +9,10 @@
 from magnolialug.policy.enginepace import EnginePace
 from magnolialug.policy.paceledger import PaceLedger
 from magnolialug.policy.partcache import PartCache
+from magnolialug.policy.prefilladmission import (
+    WrittenStreams,
+    admits_prefill,
+)
 from magnolialug.policy.prefillwait import PRIORITY_LEVELS, prefill_wait_s
 from magnolialug.policy.prompt import Part
 from magnolialug.policy.sendbucket import SendBucket
@@ -33,6 +37,10 @@
 # in a load report after two network transits.
 _RESERVATION_S = 0.06
 
+# A prompt with less time to spare than this no longer waits for the streams at
+# its engine: two rounds of grants, and the way to the engine.
+_LEAST_SLACK_S = 0.1
+
 # Shares are reported twice a second. Three lost in a row mean that their entry
 # is gone or cut off.
 SHARE_TIMEOUT_S = 1.8
@@ -242,10 +250,26 @@
         )
         if ahead_s > row.ahead_s:
             return False
+        if not self._keeps_pauses(row, state, now, rate):
+            return False
         headroom = _LATE_HEADROOM if row.waiting.is_late(now) else HEADROOM
         room = 1.0 - (state.held + row.tokens) / max(1, self.memory)
         return room >= headroom
 
+    def _keeps_pauses(
+        self, row: QueuedPrompt, state: EndpointState, now: float, rate: float
+    ) -> bool:
+        """Whether the streams there allow a prompt to be read now.
+
+        One that would be late if it waited any longer is read all the same.
+        """
+        waiting = row.waiting
+        slack_s = waiting.target_at - waiting.first_event_s - now
+        streams = WrittenStreams(state.writing, state.gap_ms / 1000)
+        return slack_s < _LEAST_SLACK_S or admits_prefill(
+            streams, sum(state.pending_prefill), row.unread, rate
+        )
+
 
 def _update_newest(
     versions: dict[str, int], versions_reported: Mapping[str, int]
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -11,6 +11,10 @@
 )
 from magnolialug.policy.paceestimator import PaceEstimator
 from magnolialug.policy.partcache import PartCache
+from magnolialug.policy.prefilladmission import (
+    WrittenStreams,
+    admits_prefill,
+)
 from magnolialug.policy.prefillwait import PRIORITY_LEVELS, prefill_wait_s
 from magnolialug.policy.prompt import Prompt
 from magnolialug.policy.sharedload import (
@@ -151,6 +155,22 @@
             running += self._others.running
         return prefill_wait_s(pending_prefill, running, priority, self.rate)
 
+    def admits_prefill(self, unread: int) -> bool:
+        """Whether a long prompt keeps the pauses of the engine's streams."""
+        pending = sum(self._all_pending_prefill())
+        return admits_prefill(
+            self._streams(), pending, unread, self.measured_rate
+        )
+
+    def _streams(self) -> WrittenStreams:
+        rows = self._running.values()
+        written = sum(not placed.in_prefill for placed in rows)
+        gaps_ms = [_ms(placed.gap_s) for placed in rows]
+        if self._others is not None:
+            written += self._others.writing
+            gaps_ms.append(self._others.gap_ms)
+        return WrittenStreams(written, shortest_gap_ms(gaps_ms) / 1000)
+
     def room(self, tokens: int) -> float:
         """Returns the share of memory left free by a request of that size."""
         held = sum(placed.held for placed in self._running.values())
