Admission: a prompt that waits for streams holds up nobody and is in time

Change: such prompts are passed over in the queue; slack counts what is ahead; only streams whose route names a pause count. The load of an engine is added up once a round of grants and not once a prompt. Before/after: tests/policy/test_prefill_admission.py, the two new cases failed before; test_streams_in_progress.py expects 0 where no route names a pause. Conclusion: the wait takes only time that the prompt has to spare.

--- a/magnolialug/policy/admissionqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -143,13 +143,22 @@
         return None
 
     def take_next(
-        self, now: float, fits: Callable[[QueuedPrompt], bool]
+        self,
+        now: float,
+        fits: Callable[[QueuedPrompt], bool],
+        is_held_back: Callable[[QueuedPrompt], bool] = lambda row: False,
     ) -> QueuedPrompt | None:
         """Removes and returns the next prompt that fits, None if there is none.
 
         No prompt overtakes one that has `first` set and does not fit.
+
+        Args:
+          is_held_back: whether a prompt waits for something other than room;
+            others may overtake it meanwhile.
         """
         for row in self._ordered(now):
+            if is_held_back(row):
+                continue
             if fits(row):
                 self._rate.record_grant(now)
                 del self._rows[row.ticket]
--- a/magnolialug/policy/endpointledger.py
+++ b/magnolialug/policy/endpointledger.py
@@ -67,6 +67,22 @@
     until: float
 
 
+class _EngineLoad(msgspec.Struct, frozen=True):
+    """An engine's load from all entries, and how fast it reads."""
+
+    state: EndpointState
+    rate: float
+
+    def ahead_s(self, row: QueuedPrompt) -> float:
+        """Returns the expected wait before a prompt's prefill starts."""
+        return prefill_wait_s(
+            self.state.pending_prefill,
+            self.state.running,
+            row.waiting.priority,
+            self.rate,
+        )
+
+
 class EndpointLedger:
     """Adds up the work of all entries at one endpoint.
 
@@ -162,7 +178,12 @@
         Args:
           rate: prompt tokens that the engine reads in a second.
         """
-        row = self.queue.take_next(now, lambda row: self._fits(row, now, rate))
+        load = _EngineLoad(self.state("", now), rate)
+        row = self.queue.take_next(
+            now,
+            lambda row: self._fits(row, load, now),
+            lambda row: _is_held_back(row, load, now),
+        )
         if row is not None:
             self._reservations[row.ticket] = _Reservation(
                 row, now + _RESERVATION_S
@@ -239,36 +260,30 @@
         )
         return now - max(sent_at, self._last_contact_at) >= _SILENT_S
 
-    def _fits(self, row: QueuedPrompt, now: float, rate: float) -> bool:
+    def _fits(self, row: QueuedPrompt, load: _EngineLoad, now: float) -> bool:
         """Whether a prompt has room, and its prefill can start soon enough."""
-        state = self.state("", now)
-        if not state.held:
+        held = load.state.held
+        if not held:
             return True
-        priority = row.waiting.priority
-        ahead_s = prefill_wait_s(
-            state.pending_prefill, state.running, priority, rate
-        )
-        if ahead_s > row.ahead_s:
-            return False
-        if not self._keeps_pauses(row, state, now, rate):
+        if load.ahead_s(row) > row.ahead_s:
             return False
         headroom = _LATE_HEADROOM if row.waiting.is_late(now) else HEADROOM
-        room = 1.0 - (state.held + row.tokens) / max(1, self.memory)
+        room = 1.0 - (held + row.tokens) / max(1, self.memory)
         return room >= headroom
 
-    def _keeps_pauses(
-        self, row: QueuedPrompt, state: EndpointState, now: float, rate: float
-    ) -> bool:
-        """Whether the streams there allow a prompt to be read now.
 
-        One that would be late if it waited any longer is read all the same.
-        """
-        waiting = row.waiting
-        slack_s = waiting.target_at - waiting.first_event_s - now
-        streams = WrittenStreams(state.writing, state.gap_ms / 1000)
-        return slack_s < _LEAST_SLACK_S or admits_prefill(
-            streams, sum(state.pending_prefill), row.unread, rate
-        )
+def _is_held_back(row: QueuedPrompt, load: _EngineLoad, now: float) -> bool:
+    """Whether a prompt waits for the streams at its engine.
+
+    One that would be late if it waited any longer does not.
+    """
+    state, waiting = load.state, row.waiting
+    first_event_s = load.ahead_s(row) + waiting.first_event_s
+    if waiting.target_at - first_event_s - now < _LEAST_SLACK_S:
+        return False
+    streams = WrittenStreams(state.writing, state.gap_ms / 1000)
+    pending = sum(state.pending_prefill)
+    return not admits_prefill(streams, pending, row.unread, load.rate)
 
 
 def _update_newest(
--- a/magnolialug/policy/engineload.py
+++ b/magnolialug/policy/engineload.py
@@ -1,5 +1,7 @@
 """One entry's estimate of the load and the cache of a model engine."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from magnolialug.ids import EndpointId
@@ -164,7 +166,7 @@
 
     def _streams(self) -> WrittenStreams:
         rows = self._running.values()
-        written = sum(not placed.in_prefill for placed in rows)
+        written = _written(rows)
         gaps_ms = [_ms(placed.gap_s) for placed in rows]
         if self._others is not None:
             written += self._others.writing
@@ -214,7 +216,7 @@
             weights=weights,
             min_weights=min_weights,
             cold_ms=cold_ms,
-            writing=sum(not placed.in_prefill for placed in rows),
+            writing=_written(rows),
             gap_ms=shortest_gap_ms(_ms(placed.gap_s) for placed in rows),
             pace=self._estimator.pace(now),
         )
@@ -333,6 +335,11 @@
         self._total_pending_prefill = None
 
 
+def _written(rows: Iterable[Placed]) -> int:
+    """Returns how many streams that may not pause for long are written."""
+    return sum(not row.in_prefill and row.gap_s > 0 for row in rows)
+
+
 _MAX_AGE_MS = 60_000
 
 
--- a/magnolialug/policy/prefilladmission.py
+++ b/magnolialug/policy/prefilladmission.py
@@ -18,7 +18,8 @@
     """The streams that an engine writes.
 
     Attributes:
-      count: streams whose first event has arrived.
+      count: streams whose first event has arrived and whose route names the
+        longest pause.
       gap_s: the shortest pause that any running stream allows, 0 if none names
         one.
     """
--- a/magnolialug/policy/sharedload.py
+++ b/magnolialug/policy/sharedload.py
@@ -39,7 +39,8 @@
       sent: all requests that this entry has sent.
       recently_sent: those of the last second.
       connections: that this entry has to it, idle ones included.
-      writing: its running streams whose first event has arrived.
+      writing: its running streams whose first event has arrived and whose
+        route names the longest pause.
       gap_ms: the shortest pause between events that any of its running
         streams allows, 0 if none names one.
       pace: what this entry has measured lately of this start, None if nothing.
@@ -101,7 +102,8 @@
         a request; 0 is a permit.
       connections: that the entries have to it, idle ones included.
       leaving: whether an answer to any entry has said that it leaves.
-      writing: running streams whose first event has arrived.
+      writing: running streams whose first event has arrived and whose route
+        names the longest pause.
       gap_ms: the shortest pause between events that any running stream allows,
         0 if none names one.
       pace: what all entries have measured of this start, None if too little.
--- a/tests/policy/test_prefill_admission.py
+++ b/tests/policy/test_prefill_admission.py
@@ -83,12 +83,28 @@
         self.assertIsNotNone(ledger.grant_next(NOW, RATE))
         self.assertIsNone(ledger.grant_next(NOW, RATE))
 
-    def test_a_prompt_that_would_be_late_waits_no_longer(self):
-        """Guards against a wait that cannot end in time."""
+    def test_a_prompt_is_admitted_while_it_can_be_in_time(self):
+        """Guards against a wait that makes a prompt late.
+
+        Once admitted, it is read behind 0.24 s of others, and its own first
+        event takes 0.4 s.
+        """
         ledger = self.ledger(pending=LONG)
-        self.put(ledger, "a", NOW + 0.6)
-        self.assertIsNone(ledger.grant_next(NOW, RATE))
-        self.assertIsNotNone(ledger.grant_next(NOW + 0.11, RATE))
+        self.put(ledger, "a", NOW + 1.0)
+        granted_at = NOW
+        while ledger.grant_next(granted_at, RATE) is None:
+            granted_at += 0.02
+        self.assertTrue(NOW + 0.2 < granted_at < NOW + 1.0 - 0.64)
+
+    def test_one_that_waits_for_the_streams_holds_up_no_other(self):
+        """Guards against late prompts behind one that has time to spare.
+
+        Memory is free, and the one in front is first in this queue.
+        """
+        ledger = self.ledger(pending=LONG)
+        self.put(ledger, "has time", NOW + 2)
+        self.put(ledger, "late", NOW - 1)
+        self.assertEqual("late", ledger.grant_next(NOW, RATE).ticket)
 
     def test_no_prompt_waits_for_its_target_to_pass(self):
         ledger = self.ledger(pending=LONG)
--- a/tests/policy/test_streams_in_progress.py
+++ b/tests/policy/test_streams_in_progress.py
@@ -52,4 +52,4 @@
         ledger = EndpointLedger(ENGINE, MEMORY, 0)
         report(ledger, "front-1", load_with((0.0, 0.0), written=2))
         state = ledger.state("front-2", 0.5)
-        self.assertEqual((2, 0), (state.writing, state.gap_ms))
+        self.assertEqual((0, 0), (state.writing, state.gap_ms))
--- a/tests/prefixcache/test_cache_parts.py
+++ b/tests/prefixcache/test_cache_parts.py
@@ -114,7 +114,7 @@
         cluster.ask("/draft/x", seconds=0.2)
         until_ms = int(headers(cluster, "x-kv-until")[-1])
         allowed_ms = until_ms - 5000 - sent_ms
-        self.assertTrue(0 < allowed_ms < 800, allowed_ms)
+        self.assertTrue(0 < allowed_ms < 640, allowed_ms)
 
     def test_an_owner_of_the_last_release_bounds_a_fetch_as_before(self):
         """Guards against a deadline on a clock that no reply has told."""
@@ -125,7 +125,7 @@
         bound_ms = poller.index.fetch_until_ms()
         cluster.ask("/draft/x", seconds=0.2)
         until_ms = int(headers(cluster, "x-kv-until")[-1])
-        self.assertGreaterEqual(until_ms, bound_ms)
+        self.assertTrue(bound_ms <= until_ms <= bound_ms + 1300)
 
     def test_only_earlier_parts_of_replaced_weights_are_fetched(self):
         """Weights are being replaced while prompts return.
