Preview: copies share running requests, and 24 are compared at most

Change: copies share both, as a preview only reads them; at most 24 endpoints are compared. The time was not measured. Conclusion: a copy no longer grows with the requests in progress.

--- a/magnolialug/preview/scratchdirectory.py
+++ b/magnolialug/preview/scratchdirectory.py
@@ -15,7 +15,7 @@
 __all__ = ["MAX_COMPARED", "ScratchDirectory", "ScratchPeer"]
 
 # A search for a sound endpoint ends here, and with it the cost of a preview.
-MAX_COMPARED = 96
+MAX_COMPARED = 24
 
 
 class ScratchPool(Pool):
@@ -45,6 +45,8 @@
         shared = [peer.listed, *_shared(vars(peer))]
         if peer.load is not None:
             shared += _shared(vars(peer.load))
+            # Only read by a preview, and long under load.
+            shared += [peer.load._running, peer.load._estimator]
         memo = {id(value): value for value in shared}
         memo[id(peer.pool)] = ScratchPool(peer.pool)
         scratch = cls.__new__(cls)
--- a/tests/preview/test_scratch_directory.py
+++ b/tests/preview/test_scratch_directory.py
@@ -15,9 +15,11 @@
 from magnolialug.policy.evacuation import EvacuatedZones
 from magnolialug.policy.limitnotice import ReportedNotice
 from magnolialug.policy.sharedload import EndpointState
+from magnolialug.preview.explanation import Outcome
 from magnolialug.preview.scratchdirectory import ScratchDirectory
 from tests.gatewaycluster import GatewayCluster, config
 from tests.loglines import collect_lines
+from tests.preview.asking import PROMPT, preview
 
 ME = ("10.0.0.1", 7000)
 
@@ -105,6 +107,23 @@
         self.assertEqual([name], list(scratch.copies))
         self.assertIsNone(scratch.peers.get(EndpointId("i-none")))
 
+    def test_running_requests_are_shared_and_stay_as_they_are(self):
+        """Guards against copies that take long, and against lost requests."""
+        for engine in self.cluster.engines.values():
+            engine.work_s = 5.0
+        for _ in range(3):
+            self.cluster.send("/draft/x")
+        self.cluster.pass_time(0.2)
+        (name,) = self.cluster.engines
+        load = self.directory.peers[name].load
+        copied = ScratchDirectory(self.directory).peers[name].load
+        self.assertIs(load._running, copied._running)
+        self.assertIs(load._estimator, copied._estimator)
+        before = dumped([load._running, load._estimator])
+        self.assertEqual(3, load.running)
+        self.assertEqual(Outcome.SENT, preview(self.cluster, **PROMPT).outcome)
+        self.assertEqual(before, dumped([load._running, load._estimator]))
+
     def test_what_the_copies_know_tells_why_nothing_is_sent(self):
         """Guards against a refusal by a limit that the owner has ended."""
         scratch = ScratchDirectory(self.directory)
