Owners: a preview's reply has the limit that its query named

Cause: the notice of a preview's query was recorded in a copy of the permits, and the reply read the notice of the ledger itself, so an owner that knew of no limit replied without it. Change: the reply to a preview has the notice of the copy. Before/after: test_an_owner_that_knows_nothing_replies_with_the_limit_named failed before; tests/owners and tests/preview pass. Conclusion: a preview is told what a request would be, and nothing is kept.

--- a/magnolialug/owners/ledgerservice.py
+++ b/magnolialug/owners/ledgerservice.py
@@ -83,6 +83,10 @@
             if asked.notice is not None:
                 sends.known.record(asked.notice.to_notice(now))
             state = ledger.state(query.entry, now, asked.salt, query.parts)
+            if query.is_preview:
+                state = msgspec.structs.replace(
+                    state, notice=sends.known.report(now)
+                )
             sends.share = self._reached()
             wait_s = sends.ask(query.entry, query.priority, now)
             if wait_s is not None:
--- a/tests/owners/test_preview_queries.py
+++ b/tests/owners/test_preview_queries.py
@@ -46,6 +46,17 @@
             said = self.preview()
             self.assertEqual(said, self.ask())
 
+    def test_an_owner_that_knows_nothing_replies_with_the_limit_named(self):
+        """Guards against a preview that shows a limited endpoint without it."""
+        previewed = self.preview(notice=NOTICE)
+        self.assertEqual(self.ask(NOTICE), previewed)
+        self.assertEqual(2.0, previewed.notice.rate)
+
+    def test_a_preview_s_older_limit_does_not_replace_the_known_one(self):
+        self.ask(NOTICE)
+        older = ReportedNotice("a", 9.0, 20, 5000)
+        self.assertEqual(2.0, self.preview(notice=older).notice.rate)
+
     def test_the_limit_that_a_preview_names_is_not_kept(self):
         self.preview(notice=NOTICE)
         self.assertIsNone(self.ask().notice)
