Event gaps: an answer of one event has no pause

Cause: event_gap_seconds and the pause percentiles of ctl account counted answers with no event or one as a pause of 0, which draws percentiles of routes with short answers down. Change: both count answers with two events or more. Before/after: test_an_answer_of_one_event_has_no_pause failed before in tests/eventgaps and in tests/ctl; both directories pass. Conclusion: the percentiles are of pauses only.

--- a/magnolialug/ctl/answertimes.py
+++ b/magnolialug/ctl/answertimes.py
@@ -22,7 +22,7 @@
       unmeasured: answers whose lines tell no pause: of routes without streams,
         and of earlier releases. Only their first event counts.
       first_s: times to the first event.
-      gaps_s: longest pauses.
+      gaps_s: longest pauses, of answers with two events or more.
     """
 
     late: Counter[Lateness] = msgspec.field(default_factory=Counter)
@@ -44,10 +44,10 @@
         times = routes[record.get("route", "")]
         times.late[_lateness(record)] += 1
         times.first_s.append(record.get("first_s", 0.0))
-        if "longest_gap_s" in record:
-            times.gaps_s.append(record["longest_gap_s"])
-        else:
+        if "longest_gap_s" not in record:
             times.unmeasured += 1
+        elif record.get("events", 0) > 1:
+            times.gaps_s.append(record["longest_gap_s"])
     return dict(routes)
 
 
--- a/magnolialug/eventgaps/answer.py
+++ b/magnolialug/eventgaps/answer.py
@@ -56,7 +56,8 @@
             self._metrics.answers_late.add(1, labels)
         if meter is None:
             return {}
-        self._metrics.event_gap.record(longest_s, {"route": route.name})
+        if meter.events > 1:
+            self._metrics.event_gap.record(longest_s, {"route": route.name})
         return {
             "events": meter.events,
             **self._gap_fields(meter),
--- a/tests/ctl/test_answer_times.py
+++ b/tests/ctl/test_answer_times.py
@@ -61,6 +61,14 @@
     def test_answers_of_failed_endpoints_do_not_count(self):
         self.assertEqual({}, account([streamed(1, "a", status=500)]).times)
 
+    def test_an_answer_of_one_event_has_no_pause(self):
+        """Guards against percentiles that short answers draw to 0."""
+        one = streamed(1, "a", gap_s=0.0).replace('"events": 8', '"events": 1')
+        times = account([one, streamed(2, "b")]).times["r"]
+        self.assertEqual([0.1], times.gaps_s)
+        self.assertEqual(0, times.unmeasured)
+        self.assertEqual({Lateness.ON_TIME: 2}, dict(times.late))
+
     def test_percentiles(self):
         rows = [
             streamed(n, str(n), gap_s=n / 100, first_s=n / 1000)
--- a/tests/eventgaps/test_answers.py
+++ b/tests/eventgaps/test_answers.py
@@ -87,6 +87,17 @@
         (gap,) = self.points("event_gap_seconds")
         self.assertEqual({"route": "check"}, gap["attributes"])
 
+    def test_an_answer_of_one_event_has_no_pause(self):
+        """Guards against percentiles that short answers draw to 0."""
+        set_streams(self.cluster, 1, 0.2)
+        caller = self.cluster.ask("/check/x", 9.0, deadline_ms=15000)
+        line = self.line(caller, Event.REQUEST_DONE)
+        self.assertEqual((1, True), (line["events"], line["gaps_in_time"]))
+        self.assertEqual([], self.points("event_gap_seconds"))
+        self.ask("/check/x", 0.2)
+        (gap,) = self.points("event_gap_seconds")
+        self.assertEqual(1, gap["count"])
+
     def test_a_route_that_names_no_pause_is_measured_only(self):
         line = self.line(self.ask("/draft/x", 0.3), Event.REQUEST_DONE)
         self.assertAlmostEqual(0.3, line["longest_gap_s"], delta=0.02)
