Soak: an engine gets no second series of spells between two spells

Cause: between two spells an engine looked like any other, so that a second series could choose it, and its ends cut spells of the first short. Change: an engine is chosen again only after the last spell of its series. Before/after: test_nobody_is_slowed_again_between_two_spells failed before; tests/soak/test_slow_engines.py passes. No soak was run.

--- a/magnolialug/soak/slowengines.py
+++ b/magnolialug/soak/slowengines.py
@@ -31,13 +31,19 @@
     engines: Sequence[ModelServerStandin],
     later: Callable[..., None],
 ) -> None:
-    """Makes one engine much slower for several moments."""
-    usual = [engine for engine in engines if engine.spell == 1.0]
+    """Makes one engine much slower for several moments.
+
+    An engine that has spells to come is not chosen again.
+    """
+    usual = [engine for engine in engines if not engine.in_spells]
     if not usual:
         return
     engine = random.choice(usual)
-    at = 0.0
+    engine.in_spells = True
+    at = end = 0.0
     for _ in range(random.randint(*_SPELLS)):
         later(at, setattr, engine, "spell", _SPELL)
-        later(at + _SPELL_S, setattr, engine, "spell", 1.0)
-        at += _SPELL_S + random.uniform(*_BETWEEN_S)
+        end = at + _SPELL_S
+        later(end, setattr, engine, "spell", 1.0)
+        at = end + random.uniform(*_BETWEEN_S)
+    later(end, setattr, engine, "in_spells", False)
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -46,6 +46,7 @@
       gap_s: pause between events.
       pace: how many times as long as usual everything takes, for good.
       spell: the same, for a moment.
+      in_spells: whether such moments have begun and more may come.
       prefill: reads prompts before they are answered, and slows the streams
         under way; None if each prompt takes `work_s`.
       version: of the weights it has.
@@ -82,6 +83,7 @@
         self.gap_s = 0.01
         self.pace = 1.0
         self.spell = 1.0
+        self.in_spells = False
         self.prefill: Prefill | None = None
         self._known_parts: set[PartKey] = set()
         self.accepted = 0
--- a/tests/soak/test_slow_engines.py
+++ b/tests/soak/test_slow_engines.py
@@ -54,6 +54,21 @@
         slow_in_spells(Random(2), self.engines[:1], self.clock.callLater)
         self.assertEqual(before, len(self.clock.getDelayedCalls()))
 
+    def test_nobody_is_slowed_again_between_two_spells(self):
+        """Guards against series that overlap and cut each other short."""
+        slow_in_spells(Random(1), self.engines[:1], self.clock.callLater)
+        (engine, *_) = self.engines
+        self.clock.advance(0.01)
+        self.clock.advance(0.65)
+        self.assertEqual(1.0, engine.spell)
+        before = len(self.clock.getDelayedCalls())
+        self.assertGreater(before, 0)
+        slow_in_spells(Random(2), self.engines[:1], self.clock.callLater)
+        self.assertEqual(before, len(self.clock.getDelayedCalls()))
+        self.clock.advance(12)
+        slow_in_spells(Random(2), self.engines[:1], self.clock.callLater)
+        self.assertNotEqual([], self.clock.getDelayedCalls())
+
 
 class RestartsTest(TestCase):
     """Three plain endpoints and three engines."""
