Soak: the test of waves demands prompts on both sides

Cause: test_short_prompts_are_in_time_beside_waves_of_long_ones counted prompts beside waves only; with fewer than 100 without, nothing is compared and it passes. Change: it also demands 100 without long prompts beside them. It was not seen to fail: the old test could pass without a comparison, no run is known in which it did. Conclusion: a pass means that shares were compared.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -258,7 +258,8 @@
         self.assertEqual(0, code)
         self.assertGreater(report["outcomes"]["long 200"], 20)
         # With fewer prompts nothing would be compared.
-        self.assertGreaterEqual(report["outcomes"]["short beside long"], 100)
+        for side in ("short beside long", "short without long"):
+            self.assertGreaterEqual(report["outcomes"][side], 100)
 
     def test_long_prompts_that_hold_up_short_ones_are_found(self):
         found = self.sabotaged("pile-up", "wave_of_long_prompts", minutes=0.8)
