Account: pauses of hedged requests are put down to no endpoint

Cause: a pause counted at the endpoint that its request was placed at last; a hedged request may be answered by the one before. Change: answers of requests with a HEDGED line are left out of the longest pauses; their prompts still count beside others. Before/after: test_a_hedged_request_does_not_count failed before; tests/ctl passes. Conclusion: each class holds only pauses of the endpoint that made them.

--- a/magnolialug/ctl/readbeside.py
+++ b/magnolialug/ctl/readbeside.py
@@ -60,13 +60,17 @@
     """Returns pauses by route and by class of what was read beside them.
 
     An answer counts at the endpoint that its request was placed at last.
+    Answers of hedged requests do not count, as they need not come from there.
 
     Args:
       records: in the order of their times.
     """
     requests: dict[str, list[_Placed]] = defaultdict(list)
     endpoints: dict[str, list[_Placed]] = defaultdict(list)
+    hedged: set[str] = set()
     for record in records:
+        if record.get("name") == "HEDGED":
+            hedged.add(record.get("request", ""))
         if record.get("name") == "PLACED":
             row = _placed(record)
             requests[record.get("request", "")].append(row)
@@ -74,8 +78,9 @@
     readings = {name: _Reading(rows) for name, rows in endpoints.items()}
     found: dict[tuple[str, str], BesidePauses] = defaultdict(BesidePauses)
     for record in filter(_has_pause, records):
-        own = requests.get(record.get("request", ""))
-        if own:
+        request = record.get("request", "")
+        own = requests.get(request)
+        if own and request not in hedged:
             rate = _rate_beside(record, own, readings[own[-1].endpoint])
             pauses = found[record.get("route", ""), _class_of(rate)]
             pauses.gaps_s.append(record["longest_gap_s"])
--- a/tests/ctl/test_answer_times.py
+++ b/tests/ctl/test_answer_times.py
@@ -130,6 +130,19 @@
         )
         self.assertEqual({"under 5,000/s": 1}, found)
 
+    def test_a_hedged_request_does_not_count(self):
+        """Guards against a pause that the wrong endpoint is named for."""
+        found = self.classes(
+            self.placed(10.0, "a", 0, endpoint="f"),
+            line(10.8, "HEDGED", "a", endpoint="f", silent_s=0.8),
+            self.placed(10.8, "a", 0),
+            self.placed(11.0, "b", 90_000),
+            streamed(12.5, "a", took_s=2.5, first_s=0.5),
+            self.placed(12.6, "c", 0),
+            streamed(15.0, "c", took_s=2.4, first_s=0.5),
+        )
+        self.assertEqual({"under 5,000/s": 1}, found)
+
     def test_a_short_answer_counts_the_second_before_its_end(self):
         """Guards against rates over hundredths of a second."""
         found = self.classes(
