Preview: says why an engine does not start a long prompt soon

Cause: a preview showed that an engine does not start a prompt soon, but neither the rate nor the streams by which that is decided. Change: a compared engine has tokens_per_s (the measured rate) and keeps_pauses (whether the pauses of its streams hold beside the prompt); both are printed. Before/after: test_why_an_engine_does_not_start_a_prompt_soon_is_shown failed before; tests/preview and tests/ctl pass. Conclusion: a wait for streams can be told from one for load.

--- a/magnolialug/preview/explanation.py
+++ b/magnolialug/preview/explanation.py
@@ -74,6 +74,9 @@
       ahead_s: expected wait before its prefill of this prompt.
       first_event_s: expected time to the first event.
       unread: prompt tokens that it would read.
+      tokens_per_s: its measured prefill rate.
+      keeps_pauses: whether the pauses of its streams would hold beside this
+        prompt; a long prompt for which they would not does not start soon.
       cached_parts: leading parts that it has itself.
       sources: each shared part and where it would come from, or why not.
       reply_age_ms: age of its owner's reply, None if none has come.
@@ -92,6 +95,8 @@
     ahead_s: float | None = None
     first_event_s: float | None = None
     unread: int = 0
+    tokens_per_s: int | None = None
+    keeps_pauses: bool | None = None
     cached_parts: int = 0
     sources: tuple[tuple[str, str], ...] = ()
     reply_age_ms: int | None = None
--- a/magnolialug/preview/previewer.py
+++ b/magnolialug/preview/previewer.py
@@ -286,6 +286,8 @@
             ahead_s=round(load.ahead_s(self._call.priority), 4),
             first_event_s=round(first_event_s, 4),
             unread=unread,
+            tokens_per_s=round(load.measured_rate),
+            keeps_pauses=load.admits_prefill(unread),
             cached_parts=self._costs.held_parts(self._call, peer, results),
             sources=tuple(zip(names, dispatch.sources, strict=True)),
         )
--- a/magnolialug/preview/rendering.py
+++ b/magnolialug/preview/rendering.py
@@ -89,6 +89,10 @@
         f" {row.first_event_s:.3f} s, {row.unread} unread, weights"
         f" {row.weights or 'not known'}, {row.cached_parts} parts cached"
     )
+    pauses = "hold" if row.keeps_pauses else "would not hold"
+    lines.append(
+        f"    reads {row.tokens_per_s} tokens/s, pauses of its streams {pauses}"
+    )
     if row.sources:
         parts = ", ".join(f"{name} {source}" for name, source in row.sources)
         lines.append(f"    parts: {parts}")
--- a/tests/preview/test_previewer.py
+++ b/tests/preview/test_previewer.py
@@ -12,6 +12,7 @@
 from magnolialug.preview.rendering import as_lines
 from magnolialug.quarantine.messages import Quarantined
 from magnolialug.result import Code, Failure
+from tests.eventgaps.test_answers import routes
 from tests.gatewaycluster import GatewayCluster, config
 from tests.loglines import collect_lines
 from tests.preview.asking import PROMPT, begin, preview
@@ -116,6 +117,27 @@
         self.assertEqual(1000, row.unread)
         self.assertEqual(("aa", "engine"), row.sources[0])
 
+    def test_why_an_engine_does_not_start_a_prompt_soon_is_shown(self):
+        """Guards against a wait for streams that nobody can tell from load."""
+        self.start(desks=0, engines=1, operator=config(routes=routes()))
+        (engine,) = self.cluster.engines.values()
+        engine.gap_s = 3.0
+        request = {**LONG, "route": "check"}
+        (row,) = self.ask(**request).compared
+        self.assertTrue(row.keeps_pauses)
+        self.assertIn("pauses of its streams hold", self.text)
+        self.cluster.send("/check/x", parts="aa:100,o1:100", tokens="200,9")
+        self.cluster.pass_time(0.5)
+        engine.work_s = 5.0
+        self.cluster.send("/check/x", parts="aa:100,o2:19900", tokens="20000,9")
+        self.cluster.pass_time(0.1)
+        (peer,) = self.cluster.gateway.directory.peers.values()
+        (row,) = self.ask(**request).compared
+        self.assertFalse(row.keeps_pauses)
+        self.assertEqual(round(peer.load.measured_rate), row.tokens_per_s)
+        self.assertIn(f"reads {row.tokens_per_s} tokens/s", self.text)
+        self.assertIn("pauses of its streams would not hold", self.text)
+
     def test_an_endpoint_to_avoid_is_passed_over(self):
         self.start(desks=2)
         first = self.ask(**READ).endpoint
