Fairness: a malformed standing ends no renewals and no deadlines

Cause: the numbers of a received FlowStanding were used unchecked. NaN or infinity made `round` raise in WaitStandings.claimant or at the owner, and AdmissionClient._renew_all, which had cleared its timer, did not set it again. A standing was accepted from any sender.

Change: bounded_standing clamps waits, mean_ms and tokens, and drops numbers that are not finite; WaitStandings.on_reply and AdmissionQueues._put use it. on_reply accepts a standing only from a candidate keeper of its flow. The renewal timer is set again also after an exception.

Before/after: test_a_failed_renewal_does_not_end_the_others failed without the change (no result after the deadline). With bounded_standing taken out, test_malformed_standings_are_bounded and test_a_malformed_claimant_costs_others_no_lead fail; with the keeper check taken out, test_only_a_keeper_of_a_flow_tells_its_standing fails. Decoding already refuses floats in mean_ms and tokens, so on the wire only waits can be NaN, infinite or 1e308, and the integers huge.

Conclusion: one false number changes a lead within its bounds at most. An exception in one row still delays the rows behind it by a renewal interval.

--- a/magnolialug/fairness/standings.py
+++ b/magnolialug/fairness/standings.py
@@ -13,6 +13,7 @@
     FlowStanding,
     WaitLedger,
     WaitReport,
+    bounded_standing,
     flow_id,
 )
 
@@ -129,13 +130,17 @@
     def on_reply(
         self, standings: Iterable[FlowStanding], keeper: Address
     ) -> set[FlowId]:
-        """Stores standings; returns the flows that have waited lately."""
+        """Stores standings; returns the flows that have waited lately.
+
+        Those that the sender does not keep are ignored.
+        """
         self._awaited.pop(keeper, None)
         news = set()
         for standing in standings:
             row = self._exchanges.get(standing.flow)
-            if row is None:
+            if row is None or not self._is_keeper(keeper, standing.flow):
                 continue
+            standing = bounded_standing(standing)
             row.standing = standing
             row.received_at = self._clock()
             if standing.waits > 0:
@@ -188,6 +193,9 @@
             self._awaited.setdefault(keeper, now)
             self._send(tuple(reports), keeper)
 
+    def _is_keeper(self, entry: Address, flow: FlowId) -> bool:
+        return entry in self._ring.transient_candidates(flow)
+
     def _keeper(self, flow: FlowId) -> Address:
         candidates = self._ring.transient_candidates(flow)
         responsive = filter(self._ring.is_responsive, candidates)
--- a/magnolialug/owners/admissionclient.py
+++ b/magnolialug/owners/admissionclient.py
@@ -199,6 +199,16 @@
 
     def _renew_all(self) -> None:
         self._timer = None
+        try:
+            self._renew_rows()
+        finally:
+            # Otherwise one failure would end all renewals and deadlines.
+            if self._rows:
+                self._timer = self._clock.callLater(
+                    _RENEW_INTERVAL_S, self._renew_all
+                )
+
+    def _renew_rows(self) -> None:
         now = self._clock.seconds()
         for number, row in list(self._rows.items()):
             refusal = row.refusal()
@@ -210,10 +220,6 @@
             self._drop_unresponsive(number, row, now)
             if number in self._rows:
                 self._renew(number)
-        if self._rows:
-            self._timer = self._clock.callLater(
-                _RENEW_INTERVAL_S, self._renew_all
-            )
 
     def _drop_unresponsive(
         self, number: int, row: _PendingPrompt, now: float
--- a/magnolialug/owners/admissionqueues.py
+++ b/magnolialug/owners/admissionqueues.py
@@ -13,7 +13,11 @@
     Dequeue,
     Enqueue,
 )
-from magnolialug.policy.admissionlead import NO_LEAD, AdmissionLead
+from magnolialug.policy.admissionlead import (
+    NO_LEAD,
+    AdmissionLead,
+    bounded_claimant,
+)
 from magnolialug.policy.admissionorder import WaitingPrompt
 from magnolialug.policy.admissionqueue import QueuedPrompt
 from magnolialug.policy.endpointledger import EndpointLedger
@@ -82,6 +86,7 @@
         self, ledger: EndpointLedger, ticket: Ticket, message: Enqueue
     ) -> None:
         now = self._clock.seconds()
+        claimant = message.claimant
         waiting = WaitingPrompt(
             number=0,
             priority=message.priority,
@@ -100,7 +105,7 @@
             lists=message.queue_count,
             first=message.is_first_choice,
             renewed_at=now,
-            claimant=message.claimant,
+            claimant=None if claimant is None else bounded_claimant(claimant),
         )
         ledger.queue.put(row)
         after_s = ledger.queue.retry_after_s(ticket, now)
--- a/magnolialug/policy/admissionlead.py
+++ b/magnolialug/policy/admissionlead.py
@@ -5,7 +5,11 @@
 
 import msgspec
 
-from magnolialug.policy.waitledger import FlowId, FlowStanding
+from magnolialug.policy.waitledger import (
+    FlowId,
+    FlowStanding,
+    bounded_standing,
+)
 
 __all__ = [
     "NO_LEAD",
@@ -13,6 +17,7 @@
     "Claimant",
     "LeadReason",
     "QueueStandings",
+    "bounded_claimant",
 ]
 
 # Due times of prompts that can be in time lie within one latency target, about
@@ -71,6 +76,16 @@
     lost_ms: int = 0
 
 
+def bounded_claimant(claimant: Claimant) -> Claimant:
+    """Returns a received claimant with its standings within their bounds."""
+    dossier = claimant.dossier
+    return Claimant(
+        bounded_standing(claimant.team),
+        None if dossier is None else bounded_standing(dossier),
+        claimant.lost_ms,
+    )
+
+
 class QueueStandings:
     """Compares the flows of the prompts in one queue.
 
--- a/magnolialug/policy/waitledger.py
+++ b/magnolialug/policy/waitledger.py
@@ -7,7 +7,14 @@
 
 import msgspec
 
-__all__ = ["FlowId", "FlowStanding", "WaitLedger", "WaitReport", "flow_id"]
+__all__ = [
+    "FlowId",
+    "FlowStanding",
+    "WaitLedger",
+    "WaitReport",
+    "bounded_standing",
+    "flow_id",
+]
 
 FlowId = NewType("FlowId", str)
 
@@ -21,6 +28,9 @@
 _MAX_WAITS = 100
 _MAX_WAIT_MS = 15_000
 _MAX_TOKENS = 2_000_000
+# Bound of the waits in a received standing: far above what a flow adds up to,
+# and small enough that products with it stay finite.
+_MAX_STANDING_WAITS = 1_000_000
 # A flow is forgotten when its waits have faded to this count.
 _MIN_WAITS = 0.05
 
@@ -66,6 +76,26 @@
     tokens: int | None = None
 
 
+def bounded_standing(standing: FlowStanding) -> FlowStanding:
+    """Returns a received standing within its bounds.
+
+    One with a number that is not finite is returned without waits.
+    """
+    tokens = standing.tokens
+    numbers = (standing.waits, standing.mean_ms, tokens or 0)
+    if not all(map(math.isfinite, numbers)):
+        return FlowStanding(standing.flow)
+    if tokens is not None:
+        most_tokens = _MAX_STANDING_WAITS * _MAX_TOKENS
+        tokens = round(min(max(0, tokens), most_tokens))
+    return FlowStanding(
+        standing.flow,
+        min(max(0.0, standing.waits), _MAX_STANDING_WAITS),
+        round(min(max(0, standing.mean_ms), _MAX_WAIT_MS)),
+        tokens,
+    )
+
+
 class _Row(msgspec.Struct):
     at: float
     waits: float = 0.0
--- a/tests/fairness/test_standings.py
+++ b/tests/fairness/test_standings.py
@@ -22,7 +22,11 @@
     LoadReply,
 )
 from magnolialug.owners.ownerring import OwnerRing
-from magnolialug.policy.admissionlead import Claimant, LeadReason
+from magnolialug.policy.admissionlead import (
+    Claimant,
+    LeadReason,
+    bounded_claimant,
+)
 from magnolialug.policy.admissionorder import WaitingPrompt
 from magnolialug.policy.waitledger import FlowStanding, WaitReport
 from tests.owners.fleet import MEMORY, Fleet
@@ -172,6 +176,20 @@
         self.fleet.pass_time(0.3)
         self.assertEqual(["i-0"] * 2, [found for _, found in self.results])
 
+    def test_a_malformed_claimant_costs_others_no_lead(self):
+        """Guards against one entry that spoils the comparison at an owner."""
+        nan = float("nan")
+        team = FlowStanding("malformed", 5.0, nan, nan)
+        sender = self.others[3].owners.wait_standings
+        sender.claimant = lambda flows: Claimant(team, team)
+        self.record(LARGE, 20, 4.0, 240_000)
+        self.record(SMALL, 2, 1.0, 12_000)
+        other = prompt_flows("malformed", "d3", "r3")
+        self.enqueue_prompt("malformed", other, self.others[3])
+        self.put_both()
+        self.assertEqual(LeadReason.TEAM, self.leads["small"].reason)
+        self.assertGreater(self.leads["small"].lead_s, 0.2)
+
     def test_a_false_report_of_huge_waits_moves_a_lead_within_its_bounds(self):
         self.record(SMALL, 10**6, 10**6, 0)
         self.put_both()
@@ -268,6 +286,44 @@
         self.pass_time(standings, 0.6)
         self.assertEqual(1.0, self.ring.responsive_share)
 
+    def test_malformed_standings_are_bounded(self):
+        """Guards against numbers that make each use of a standing fail."""
+        for number in (float("nan"), float("inf"), float("-inf"), 1e308):
+            for values in (
+                (number, 500, 1_000),
+                (2.0, number, 1_000),
+                (2.0, 500, number),
+                (number, number, number),
+            ):
+                standings = self.standings_among(6)
+                for flow in SMALL.ids:
+                    standings.query(SMALL)
+                    keeper = self.ring.transient_candidates(flow)[0]
+                    standings.on_reply([FlowStanding(flow, *values)], keeper)
+                self.assert_bounded(standings.claimant(SMALL))
+                team = FlowStanding(SMALL.team, *values)
+                self.assert_bounded(bounded_claimant(Claimant(team, team)))
+
+    def assert_bounded(self, claimant):
+        """Asserts that all numbers of a claimant are usable."""
+        for row in (claimant.team, claimant.dossier):
+            self.assertTrue(0 <= row.waits <= 1_000_000)
+            self.assertTrue(0 <= row.mean_ms <= 15_000)
+            self.assertTrue(0 <= (row.tokens or 0) < 10**13)
+        self.assertTrue(0 <= claimant.lost_ms < 10**11)
+
+    def test_only_a_keeper_of_a_flow_tells_its_standing(self):
+        standings = self.standings_among(6)
+        standings.query(SMALL)
+        keepers = self.ring.transient_candidates(SMALL.team)
+        told = [FlowStanding(SMALL.team, 5.0, 900, 7)]
+        for entry in set(self.ring.others) - set(keepers):
+            self.assertEqual(set(), standings.on_reply(told, entry))
+        self.assertEqual(0.0, standings.claimant(SMALL).team.waits)
+        for keeper in keepers:
+            self.assertEqual({SMALL.team}, standings.on_reply(told, keeper))
+        self.assertEqual(5.0, standings.claimant(SMALL).team.waits)
+
     def test_the_number_of_flows_is_bounded(self):
         standings = self.standings_among(6)
         for number in range(5_000):
--- a/tests/owners/test_admission_client.py
+++ b/tests/owners/test_admission_client.py
@@ -1,6 +1,6 @@
 """Prompts that wait in the queues of several engines."""
 
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 from twisted.internet.task import Clock
 
 from magnolialug.owners.admissionclient import AdmissionRequest
@@ -79,6 +79,21 @@
         self.assertEqual(refusals, self.results)
         self.assertEqual(0, self.place_count())
 
+    def test_a_failed_renewal_does_not_end_the_others(self):
+        """Guards against deadlines that pass unseen after one exception."""
+        self.fill("i-0", "i-1")
+        fails = [True]
+
+        def refusal():
+            if fails.pop():
+                raise ValueError("renewal failed")
+
+        self.enqueue_prompt(refusal=lambda: refusal() if fails else None)
+        with ExpectedException(ValueError, "renewal failed"):
+            self.fleet.pass_time(0.3)
+        self.fleet.pass_time(2.0)
+        self.assertEqual(Code.NO_ROOM, self.results[0].code)
+
     def test_memory_for_one_prompt_admits_one_prompt(self):
         """Several entries have prompts for the same free memory.
 
