Entry: one request cannot spend its service's retry budget on 421s

Cause: a 421 counts as sent to no endpoint, so it never reached `attempts_left`, and the fallback of Placer.place offered an idempotent request the endpoints that had just answered it 421.

Change: RetryLoop bounds the uncounted 421s of one request to 3 beyond the route's attempts (_MAX_MISDIRECTED). The fallback skips endpoints whose last answer to this request was 421.

Conclusion: hedges that answer 421 beside another attempt of the same round are counted once for the round only.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -98,6 +98,7 @@
         self._call = call
         self._sink = sink
         self._avoid: set[EndpointId] = set()
+        self._misdirected: set[EndpointId] = set()
         self._withheld: Outcome | None = None
         self._attempts: list[HttpAttempt] = []
         self._unsent = 0
@@ -141,7 +142,12 @@
         if refusal:
             return refusal
         placed = self._placer.place(
-            self._call, progress, self._avoid, results, admitted_by
+            self._call,
+            progress,
+            self._avoid,
+            results,
+            admitted_by,
+            frozenset(self._misdirected),
         )
         if results.limited:
             self._count_limited(placed)
@@ -415,6 +421,10 @@
         if outcome.ended.ending in (Ending.UNSENT, Ending.NOT_RUN):
             self._placer.record_not_run(self._call, dispatch)
         self._avoid.add(dispatch.endpoint)
+        if outcome.answer is not None and outcome.answer.misdirected:
+            self._misdirected.add(dispatch.endpoint)
+        else:
+            self._misdirected.discard(dispatch.endpoint)
         if outcome.withheld or outcome.ended.ending is Ending.FAILED:
             self._withheld = outcome
 
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -104,6 +104,7 @@
         avoid: set[EndpointId],
         results: ProbeResults,
         admitted_by: EndpointId | None = None,
+        misdirected: frozenset[EndpointId] = frozenset(),
     ) -> Placed | Failure:
         """Returns an endpoint and the parameters to send to it.
 
@@ -113,13 +114,14 @@
         Args:
           results: the probe results for this choice.
           admitted_by: the engine that has reserved memory, None for none.
+          misdirected: endpoints whose last answer to this call was 421.
         """
         candidates = [row for row in results.candidates if self._is_open(row)]
         best = self._reserved(candidates, admitted_by) or choose(candidates)
         if best is None:
             # Includes unprobed endpoints, since the probed ones may have begun
             # to leave, and those of earlier attempts if the call may run twice.
-            tried = set() if call.kind.idempotent else avoid
+            tried = set(misdirected) if call.kind.idempotent else avoid
             candidates = [
                 row
                 for row in self._all_candidates(call, tried, results.count)
--- a/magnolialug/entry/retryloop.py
+++ b/magnolialug/entry/retryloop.py
@@ -22,6 +22,10 @@
 # retry, ten of a busy service. A call rarely meets three bad endpoints by
 # chance.
 _MAX_RUNS_WITHOUT_PROGRESS = 3
+# Bound of the sends beyond a route's attempts, for endpoints at whose address
+# another start has answered. A few starts unknown here are met by chance; more
+# would let one request spend the retry budget of its whole service.
+_MAX_MISDIRECTED = 3
 
 
 class AttemptRunner(Protocol):
@@ -72,6 +76,7 @@
         self._runner = runner
         self._progress = Progress()
         self._sent = 0
+        self._misdirected = 0
         self._runs_without_progress = 0
         self._seq = 0
         self._may_have_run = False
@@ -110,6 +115,8 @@
             self._count_runs(end.sent)
         if end.ending is not Ending.UNSENT:
             self._sent += end.sent
+        if end.ending is Ending.NOT_RUN and not end.sent:
+            self._misdirected += 1
         return may_retry(
             end.ending,
             self._call.kind.idempotent,
@@ -119,6 +126,10 @@
             self._call.service,
             min(
                 self._call.attempts - self._sent,
+                self._call.attempts
+                + _MAX_MISDIRECTED
+                - self._sent
+                - self._misdirected,
                 _MAX_RUNS_WITHOUT_PROGRESS - self._runs_without_progress,
             ),
         )
--- a/tests/entry/test_restarted_endpoints.py
+++ b/tests/entry/test_restarted_endpoints.py
@@ -4,6 +4,8 @@
 heartbeat later. Until then gateways send to starts that have ended.
 """
 
+from collections import Counter
+
 from testtools import TestCase
 
 from magnolialug.standin.endpoint import EndpointStandin, Fault
@@ -14,6 +16,8 @@
 VMS = ("front-1", "front-2", "front-3")
 # A gateway whose last contact is younger finds out by itself.
 CONTACT_S = 0.2
+# The most endpoints that may run a request, as standin/operatorconfig.py says.
+ROUTE_ATTEMPTS = 2
 
 
 class Fleet:
@@ -163,6 +167,32 @@
         budget = fleet.cluster.gateway._new_budget()
         allowed = len(callers) * (1 + budget.ratio) + budget.limit
         self.assertLessEqual(arrivals, allowed)
+        self.assert_arrivals_of_each(fleet)
+
+    def test_one_request_does_not_spend_the_retry_budget(self):
+        """Guards against a request that is sent on while the budget lasts."""
+        for path in ("/read/x", "/book/x"):
+            fleet = Fleet(desks=12, vms=VMS[:1])
+            for start in fleet.starts:
+                start.faults = [Fault.MISDIRECTED] * 400
+            fleet.ask(path, seconds=5)
+            self.assert_arrivals_of_each(fleet)
+
+    def assert_arrivals_of_each(self, fleet):
+        """Asserts that no request came too often, or twice to one endpoint.
+
+        All endpoints answer 421, and three such answers do not count as an
+        attempt.
+        """
+        most = ROUTE_ATTEMPTS + 3
+        arrivals = Counter()
+        for start in fleet.starts:
+            of_start = Counter(
+                seen.request_id for seen in start.seen if seen.request_id
+            )
+            self.assertEqual({1}, {1, *of_start.values()})
+            arrivals += of_start
+        self.assertLessEqual(max(arrivals.values()), most)
 
     def test_a_spent_budget_refuses_truly_and_briefly(self):
         """Guards against callers told to wait while others are open."""
