Admission: the first judgement of a prompt counts its lead

Cause: leads are cached for 20 ms. A new prompt, or one whose claimant had just changed, was judged with the old lead, and its client refuses it at once.

Change: AdmissionQueue.put expires the cached leads when the row is new or its claimant differs.

Before/after: two late prompts wait, the leads were computed 5 ms earlier, a late prompt with a lead of 1 s arrives, or gets its claimant 5 ms later: it was refused, now it is kept; without a lead it is refused in both. Two of the three tests of FirstJudgementTest failed before; test_fair_admission and test_admission_queue pass (28).

Conclusion: leads are computed more often, which costs more while many prompts with claimants arrive; not measured.

--- a/magnolialug/policy/admissionqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -102,6 +102,9 @@
         else:
             row.joined_at = before.joined_at
             row.too_late, row.lead = before.too_late, before.lead
+        if before is None or before.claimant != row.claimant:
+            # Its first judgement has to count its lead.
+            self._leads_at = float("-inf")
         row.waiting = msgspec.structs.replace(row.waiting, number=number)
         self._rows[row.ticket] = row
 
--- a/tests/policy/test_fair_admission.py
+++ b/tests/policy/test_fair_admission.py
@@ -183,6 +183,45 @@
         self.assertEqual(0.0, lead(unknown, known).lead_s)
 
 
+class FirstJudgementTest(TestCase):
+    """A prompt with a lead arrives behind two that will be late."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = AdmissionQueue()
+        for number in range(4):
+            self.put(f"gone{number}", 20.0, 9.9)
+            self.queue.take_next(9.9, lambda _: True)
+        self.put("first", 11.1, 9.99)
+        self.put("second", 11.2, 9.99)
+        self.queue.take_next(9.995, lambda _: False)
+
+    def put(self, name, ends_at, at, lost_ms=0):
+        """Adds or renews a prompt that will be late."""
+        waiting = WaitingPrompt(0, 1, 9.0, ends_at)
+        claimant = Claimant(standing(name), None, lost_ms)
+        self.queue.put(
+            QueuedPrompt(name, waiting, 1, 1, 0, 1, True, at, claimant)
+        )
+
+    def test_the_first_judgement_of_a_prompt_counts_its_lead(self):
+        """Guards against a refusal before the lead is computed."""
+        self.put("returned", 11.3, 10.0, lost_ms=3_000)
+        self.assertIsNone(self.queue.retry_after_s("returned", 10.0))
+        self.assertEqual(1.0, self.queue.lead("returned").lead_s)
+
+    def test_the_first_judgement_after_news_of_a_claimant_counts_them(self):
+        """Guards against a refusal by the lead of an earlier claimant."""
+        self.put("returned", 11.3, 10.0)
+        self.assertIsNotNone(self.queue.retry_after_s("returned", 10.0))
+        self.put("returned", 11.3, 10.005, lost_ms=3_000)
+        self.assertIsNone(self.queue.retry_after_s("returned", 10.005))
+
+    def test_a_prompt_without_a_lead_is_refused_there(self):
+        self.put("other", 11.3, 10.0)
+        self.assertIsNotNone(self.queue.retry_after_s("other", 10.0))
+
+
 class SizeWaitsTest(TestCase):
     """A queue counts the waits of its prompts by their size."""
 
