Fairness: a clipped report of waits keeps its means

Cause: WaitLedger.record clipped the waits of one report to 100, but not waited_ms and tokens by the same factor.

Change: both are scaled by the share of the waits that is kept, then bounded.

Before/after: 360 waits of 2 s in one report gave a mean of 7,200 ms at a keeper, now 2,000; test_a_clipped_report_keeps_its_means and test_an_added_up_report_keeps_the_mean_at_a_keeper failed before. test_a_false_report_is_capped expected 200,000,000 tokens of a report with 1,000,000 for each wait, which was the uneven clipping; it now expects 100,000,000, and a further report above the bound reaches 200,000,000. tests/fairness and test_wait_ledger pass (30).

Conclusion: the bounds of one report hold as before.

--- a/magnolialug/policy/waitledger.py
+++ b/magnolialug/policy/waitledger.py
@@ -117,11 +117,15 @@
         waits = min(max(0, report.waits), _MAX_WAITS)
         if not waits:
             return
+        # What is clipped keeps its mean.
+        kept = waits / report.waits
+        waited_ms = kept * max(0, report.waited_ms)
+        tokens = kept * max(0, report.tokens)
         row = self._rows.setdefault(report.flow, _Row(now))
         _fade(row, now)
         row.waits += waits
-        row.waited_ms += min(max(0, report.waited_ms), waits * _MAX_WAIT_MS)
-        row.tokens += min(max(0, report.tokens), waits * _MAX_TOKENS)
+        row.waited_ms += min(waited_ms, waits * _MAX_WAIT_MS)
+        row.tokens += min(tokens, waits * _MAX_TOKENS)
         self._rows.move_to_end(report.flow)
         if len(self._rows) > _MAX_FLOWS:
             self._rows.popitem(last=False)
--- a/tests/fairness/test_standings.py
+++ b/tests/fairness/test_standings.py
@@ -286,6 +286,13 @@
         self.pass_time(standings, 0.6)
         self.assertEqual(1.0, self.ring.responsive_share)
 
+    def test_an_added_up_report_keeps_the_mean_at_a_keeper(self):
+        """Guards against a busy team that appears to wait 7 s for 2 s."""
+        standings = self.standings_among(6)
+        report = WaitReport(LARGE.team, 360, 360 * 2_000, 360 * 900)
+        (found,) = standings.answer([report])
+        self.assertEqual(2_000, found.mean_ms)
+
     def test_malformed_standings_are_bounded(self):
         """Guards against numbers that make each use of a standing fail."""
         for number in (float("nan"), float("inf"), float("-inf"), 1e308):
--- a/tests/policy/test_wait_ledger.py
+++ b/tests/policy/test_wait_ledger.py
@@ -49,8 +49,19 @@
         ledger.record(WaitReport("b", -5, -5, -5), 0.0)
         found = ledger.standing("a", 0.0)
         self.assertEqual((100.0, 15_000), (found.waits, found.mean_ms))
-        self.assertEqual(200_000_000, found.tokens)
+        self.assertEqual(100_000_000, found.tokens)
         self.assertEqual(1, len(ledger))
+        ledger.record(WaitReport("c", 10**9, 10**15, 10**16), 0.0)
+        found = ledger.standing("c", 0.0)
+        self.assertEqual((100.0, 15_000), (found.waits, found.mean_ms))
+        self.assertEqual(200_000_000, found.tokens)
+
+    def test_a_clipped_report_keeps_its_means(self):
+        """Guards against waits that look longer in an added-up report."""
+        ledger = WaitLedger()
+        ledger.record(WaitReport("a", 360, 360 * 2_000, 360 * 900), 0.0)
+        found = ledger.standing("a", 0.0)
+        self.assertEqual(FlowStanding("a", 100.0, 2_000, 90_000), found)
 
     def test_the_number_of_flows_is_bounded(self):
         """Guards against memory that grows with the names of dossiers."""
