Owners: an entry that left the ring is not marked unresponsive

Cause: WaitStandings.tick marks a keeper that does not reply, also when it has left the ring meanwhile; OwnerRing kept it, probed it and counted it.

Change: OwnerRing.mark_unresponsive ignores addresses outside the ring.

Before/after: test_a_keeper_that_has_left_the_ring_is_not_unresponsive failed before; tests/fairness and tests/owners pass (68).

Conclusion: the share of responsive entries counts registered ones only.

--- a/magnolialug/owners/ownerring.py
+++ b/magnolialug/owners/ownerring.py
@@ -117,7 +117,9 @@
         return address not in self._unresponsive
 
     def mark_unresponsive(self, address: Address) -> None:
-        """Records that an entry has not answered."""
+        """Records that an entry of the ring has not answered."""
+        if _name(address) not in self._addresses:
+            return
         probe_at = self._clock() + _FIRST_PROBE_DELAY_S
         self._unresponsive.setdefault(address, _Unresponsive(probe_at))
 
--- a/tests/fairness/test_standings.py
+++ b/tests/fairness/test_standings.py
@@ -277,6 +277,21 @@
         self.assertTrue(self.sent)
         self.assertEqual(set(), first & {keeper for _, keeper in self.sent})
 
+    def test_a_keeper_that_has_left_the_ring_is_not_unresponsive(self):
+        """Guards against entries that left and are probed without end."""
+        standings = self.standings_among(6)
+        standings.query(SMALL)
+        left = self.sent[0][1]
+        stay = {entry: 1.0 for entry in self.ring.others if entry != left}
+        self.ring.entries(stay)
+        for _, keeper in self.sent:
+            if keeper != left:
+                standings.on_reply((), keeper)
+        self.pass_time(standings, 0.6)
+        self.assertEqual(1.0, self.ring.responsive_share)
+        self.pass_time(standings, 0.6)
+        self.assertEqual([], self.ring.due_probes())
+
     def test_a_reply_without_standings_shows_that_a_keeper_lives(self):
         """Guards against keepers of an older release taken for dead."""
         standings = self.standings_among(6)
