Admission: a wait that ends in an admission counts until then

Cause: a row that was once judged too late kept `too_late`, so take_next recorded its wait until ends_at, as if it had been refused.

Change: take_next clears too_late and records the actual end.

Before/after: test_a_wait_that_ends_in_an_admission_counts_until_then failed before (a wait of 0.1 s counted until the deadline after 0.4 s); test_fair_admission and test_admission_queue pass (29).

Conclusion: sizes that are admitted after all no longer appear to wait longer.

--- a/magnolialug/policy/admissionqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -165,6 +165,8 @@
             if fits(row):
                 self._rate.record_grant(now)
                 del self._rows[row.ticket]
+                # It may have been found too late before.
+                row.too_late = False
                 self._record_wait(row, now)
                 return row
             if row.first:
--- a/tests/policy/test_fair_admission.py
+++ b/tests/policy/test_fair_admission.py
@@ -9,6 +9,7 @@
 
 import functools
 from collections import defaultdict
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -225,6 +226,21 @@
 class SizeWaitsTest(TestCase):
     """A queue counts the waits of its prompts by their size."""
 
+    def test_a_wait_that_ends_in_an_admission_counts_until_then(self):
+        """Guards against admitted prompts that count as refused."""
+        queue = AdmissionQueue()
+        for number in range(4):
+            waiting = WaitingPrompt(0, 1, 9.0, 20.0)
+            queue.put(QueuedPrompt(number, waiting, 1, 1, 0, 1, True, 9.9))
+            queue.take_next(9.9, lambda _: True)
+        waiting = WaitingPrompt(0, 1, 9.0, 10.4)
+        queue.put(QueuedPrompt("late", waiting, 1, 1, 0, 1, True, 10.0))
+        self.assertIsNotNone(queue.retry_after_s("late", 10.0))
+        with mock.patch.object(queue._waits, "record") as record:
+            queue.take_next(10.1, lambda _: True)
+        ((report, _),) = [call.args for call in record.call_args_list]
+        self.assertEqual(100, report.waited_ms)
+
     def test_a_size_that_is_refused_early_counts_as_waiting(self):
         """Guards against refusals that make a size appear not to wait."""
         queue = AdmissionQueue()
