Restarts: a notice that does not apply silences no true one

Cause: Restarts._on_notice recorded a notice as received before its address and age were judged, so this entry then told nobody of a start that had ended.

Change: a notice is recorded only if id, start and address match, and as of the time at which its end was seen (now - age_s).

Before/after: test_a_notice_that_does_not_apply_silences_nobody failed before, and with only the address judged it fails for an age of 60 s; tests/restarts pass (13).

Conclusion: whether the start is in use here is still judged afterwards.

--- a/magnolialug/restarts/wiring.py
+++ b/magnolialug/restarts/wiring.py
@@ -128,8 +128,10 @@
         peer = self._directory.peers.get(report.endpoint)
         if peer is None or peer.is_other_start(report.born_ms):
             return
-        self._quiet.record_received(peer.start_id, report.evidence, now)
+        if peer.listed.address != report.address:
+            return
         age_s = max(0, notice.age_ms) / 1000
+        self._quiet.record_received(peer.start_id, report.evidence, now - age_s)
         if self._directory.record_reported_end(report, now - age_s):
             self._count("entry")
             _log(report, "entry", age_s)
--- a/tests/restarts/test_notices.py
+++ b/tests/restarts/test_notices.py
@@ -116,6 +116,20 @@
         self.assertEqual([], self.messenger.sent)
         self.assertTrue(self.peer.gone)
 
+    def test_a_notice_that_does_not_apply_silences_nobody(self):
+        """Guards against a false or old notice in place of a true one."""
+        for changes in ({"address": ("10.1.0.2", 8080)}, {"age_ms": 60_000}):
+            self.messenger.sent.clear()
+            self.receive(**changes)
+            start = self.peer.start_id
+            now = self.clock.seconds()
+            self.assertFalse(
+                self.restarts._quiet.is_quiet(start, Evidence.REPLACED, now),
+                changes,
+            )
+        self.directory.handle_address_taken(self.peer, "i-2")
+        self.assertEqual(ENTRIES - 1, len(self.messenger.sent))
+
     def test_a_notice_closes_its_start_for_a_while(self):
         self.receive()
         self.assertFalse(self.is_sound)
