--- a/magnolialug/policy/admissionqueue.py
+++ b/magnolialug/policy/admissionqueue.py
@@ -102,6 +102,9 @@
         else:
             row.joined_at = before.joined_at
             row.too_late, row.lead = before.too_late, before.lead
+        if before is None or before.claimant != row.claimant:
+            # Its first judgement has to count its lead.
+            self._leads_at = float("-inf")
         row.waiting = msgspec.structs.replace(row.waiting, number=number)
         self._rows[row.ticket] = row
 
@@ -162,6 +165,8 @@
             if fits(row):
                 self._rate.record_grant(now)
                 del self._rows[row.ticket]
+                # It may have been found too late before.
+                row.too_late = False
                 self._record_wait(row, now)
                 return row
             if row.first:
