--- a/review/standin.py
+++ b/review/standin.py
@@ -370,7 +370,7 @@
         self.work_s = 0.02
         self.runs: dict[str, int] = {}
         self._store = store
-        self._record = record
+        self.record = record
         self._zone = zone
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -427,7 +427,7 @@
             return response(200, b"", echo)
         self.runs[name] = self.runs.get(name, 0) + 1
         team = req.headers.get("x-tenant-id", "none")
-        self._record.add(
+        self.record.add(
             f"server {self.id} of {self.service} runs {name}, team {team}"
         )
         await asyncio.sleep(self.work_s)
@@ -547,7 +547,7 @@
 
     def __init__(self, gateway: Gateway, record: Record, key: str):
         self._gateway = gateway
-        self._record = record
+        self.record = record
         self._key = key
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -580,7 +580,7 @@
             f"Authorization: Token {self._key}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        self._record.add(
+        self.record.add(
             f"client sends {name} {target} with {len(body)} bytes"
             f" on a connection that has had {self.sent}"
         )
@@ -592,7 +592,7 @@
                 read_message(self._reader), wait_ms / 1000 + 1
             )
         told = found.status if found else "no answer"
-        self._record.add(f"client of {name} gets {told}")
+        self.record.add(f"client of {name} gets {told}")
         return name, found
 
 
