--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,7 @@
-"""A connection whose reading is paused goes back to its pool, unread."""
+"""A registry entry that cannot be read ends a gateway's view of the store."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,68 +9,44 @@
 
 import standin  # noqa: E402
 
-ANSWER_BYTES = 80_000
-CLIENTS = 12
-# The route's time-out, and the time budget of each client: past the grace.
-TIMEOUT_MS = 12_000
-GRACE_S = 8.0
+CONTACT_MS = 4000
+CONFIG_MS = 3000
+# The bound, and the time in which a machine must have been in touch before.
+SETTLE_S = (CONFIG_MS + CONTACT_MS) / 1000 + 0.5
+REQUESTS = 20
+# Some bytes that another writer left there: JSON that never ends.
+UNREADABLE = b'{"spec":' * 1500
 
 
-class Server(standin.Server):
-    """A sound server; `/report/` has longer answers than `/book/`."""
-
-    async def answer(self, req: standin.Message) -> bytes:
-        """Returns the response to a request; runs it."""
-        if not req.first.split()[1].startswith("/report/"):
-            return await super().answer(req)
-        name = req.headers.get("x-request-id", "")
-        headers = {
-            "X-Request-Id": name,
-            "X-Instance-Id": self.id,
-            "X-Response-Stamp": f"{self.service}.{name}",
-            "Keep-Alive": f"timeout={standin.KEEP_ALIVE_S}",
-        }
-        return standin.response(200, b"r" * ANSWER_BYTES, headers)
-
-
-def config() -> dict:
-    """Returns a configuration with a route of reads and one of bookings."""
-    common = {
+def config(version: int, service: str, keys: list[str]) -> dict:
+    """Returns a configuration with one route and one team."""
+    route = {
+        "name": "r-look",
         "host": "shop.example",
-        "timeoutMs": TIMEOUT_MS,
-        "targetLatencyMs": 400,
+        "pathPrefix": "/look/",
+        "routeType": "idempotent",
+        "timeoutMs": 1500,
+        "targetLatencyMs": 300,
         "priority": 1,
-        "service": "app",
+        "service": service,
+        "maxAttempts": 2,
         "public": False,
     }
+    services = [
+        {"name": name, "healthPath": "/healthz", "maxConnections": 100}
+        for name in ("old", "new")
+    ]
     return {
-        "version": 7,
-        "routes": [
-            {
-                **common,
-                "name": "r-report",
-                "pathPrefix": "/report/",
-                "routeType": "idempotent",
-                "maxAttempts": 2,
-            },
-            {
-                **common,
-                "name": "r-book",
-                "pathPrefix": "/book/",
-                "routeType": "non_idempotent",
-                "maxAttempts": 1,
-            },
-        ],
-        "services": [
-            {"name": "app", "healthPath": "/healthz", "maxConnections": 180}
-        ],
+        "version": version,
+        "routes": [route],
+        "services": services,
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "team-1", "apiKeys": ["key-1"], "priority": 1}],
+        "tenants": [{"name": "team-1", "apiKeys": keys, "priority": 1}],
     }
 
 
@@ -79,20 +54,26 @@
     """Plays the case; returns whether the rule held."""
     store = standin.Store()
     await store.start()
-    bounds = {"contact_ms": 3000, "config_ms": 2000, "memory_mb": 300}
-    gateways = [standin.Gateway(n, store, scratch, **bounds) for n in range(2)]
-    servers = [Server(store, record, "app", zone) for zone in ("z1", "z2")]
+    bounds = {
+        "contact_ms": CONTACT_MS,
+        "config_ms": CONFIG_MS,
+        "memory_mb": 200,
+    }
+    gateways = [standin.Gateway(n, store, scratch, **bounds) for n in range(3)]
+    servers = [
+        standin.Server(store, record, name, zone)
+        for name in ("old", "new")
+        for zone in ("z1", "z2")
+    ]
     try:
-        store.put("op/config", config())
+        store.put("op/config", config(7, "old", ["key-kept", "key-dropped"]))
         for server in servers:
             await server.start()
         for gateway in gateways:
             gateway.start()
         for gateway in gateways:
             await gateway.wait_until_ready()
-        # contactMs after the start, the machines are in touch.
-        await asyncio.sleep(3.5)
-        return await _judge(record, trouble, gateways[0], servers)
+        return await _judge(record, trouble, store, gateways)
     finally:
         for gateway in gateways:
             gateway.kill()
@@ -104,50 +85,50 @@
 async def _judge(
     record: standin.Record,
     trouble: bool,
-    gateway: standin.Gateway,
-    servers: list[Server],
+    store: standin.Store,
+    gateways: list[standin.Gateway],
 ) -> bool:
-    """Returns whether each request that a server ran got an answer."""
-    read = await asyncio.gather(
-        *(
-            standin.call(gateway, record, f"/report/{n}", "key-1")
-            for n in range(CLIENTS)
+    """Returns whether the newer version is in force after the bound."""
+    await asyncio.sleep(1.0)
+    for gateway in gateways:
+        _, found = await standin.call(gateway, record, "/look/1", "key-dropped")
+        if found is None or found.status != 200:
+            raise standin.CannotRunError("the first request was not served")
+    if trouble:
+        revision = store.write("servers/i-other-writer", UNREADABLE)
+        record.add(
+            f"another writer's entry of {len(UNREADABLE)} bytes is in the"
+            f" store, revision {revision}"
         )
+    await asyncio.sleep(2.0)
+    revision = store.put("op/config", config(9, "new", ["key-kept"]))
+    record.add(
+        f"the store acknowledges version 9, revision {revision}:"
+        " the route goes to service new, key-dropped is gone"
     )
-    served = sum(found is not None and found.status == 200 for _, found in read)
-    record.add(f"{served} of {CLIENTS} reads were served")
-    if not served:
-        raise standin.CannotRunError("no read was served")
-    bookings = [
-        asyncio.create_task(
-            standin.call(
-                gateway,
-                record,
-                f"/book/{n}",
-                "key-1",
-                method="POST",
-                wait_ms=TIMEOUT_MS,
-            )
-        )
-        for n in range(CLIENTS)
-    ]
-    await asyncio.sleep(0.3)
-    sent_at = record.now
-    if trouble:
-        record.add(f"SIGTERM to {gateway.name}")
-        gateway.signal(signal.SIGTERM)
-    lost = 0
-    for name, found in await asyncio.gather(*bookings):
-        ran = sum(server.runs.get(name, 0) for server in servers)
-        if ran and found is None:
-            lost += 1
-            record.add(f"{name} ran {ran} times, its client got no answer")
-    took_s = record.now - sent_at
+    await asyncio.sleep(SETTLE_S)
+    old = 0
+    for number in range(REQUESTS):
+        for gateway in gateways:
+            for key in ("key-kept", "key-dropped"):
+                old += await _is_old(gateway, record, f"/look/{number}", key)
     record.add(
-        f"{lost} of {CLIENTS} bookings ran and were not answered;"
-        f" the last ended {took_s:.1f} s after the signal was due"
+        f"{old} of {2 * REQUESTS * len(gateways)} requests were handled"
+        " as only the older version allows"
     )
-    return lost == 0
+    ready = [await gateway.is_ready() for gateway in gateways]
+    record.add(f"{sum(ready)} of {len(ready)} gateways say that they are ready")
+    return old == 0
+
+
+async def _is_old(
+    gateway: standin.Gateway, record: standin.Record, target: str, key: str
+) -> bool:
+    """Whether a request is handled as only the older version allows."""
+    _, found = await standin.call(gateway, record, target, key)
+    if found is None or found.status != 200:
+        return False
+    return key == "key-dropped" or found.body.startswith(b"old ")
 
 
 if __name__ == "__main__":
--- a/review/standin.py
+++ b/review/standin.py
@@ -369,7 +369,7 @@
         self.service = service
         self.work_s = 0.02
         self.runs: dict[str, int] = {}
-        self._store = store
+        self.store = store
         self.record = record
         self._zone = zone
         self._sequence = 0
@@ -385,25 +385,36 @@
 
     def close(self) -> None:
         """Stops listening and registering."""
+        self.close_port()
+        self.stop_beats()
+
+    def close_port(self) -> None:
+        """Stops listening."""
         if self._server is not None:
             self._server.close()
+
+    def stop_beats(self) -> None:
+        """Stops registering."""
         if self._task is not None:
             self._task.cancel()
 
+    def entry(self) -> dict:
+        """Returns what it registers."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": self._sequence,
+        }
+
     async def _beat(self) -> None:
         while True:
             self._sequence += 1
-            entry = {
-                "service": self.service,
-                "address": self.address,
-                "zone": self._zone,
-                "version": "v1",
-                "slots": 6,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": self._sequence,
-            }
-            self._store.put(f"servers/{self.id}", entry)
+            self.store.put(f"servers/{self.id}", self.entry())
             await asyncio.sleep(BEAT_S)
 
     async def serve(
@@ -608,6 +619,7 @@
     host: str = "shop.example",
     method: str = "GET",
     wait_ms: int = 3000,
+    more: dict[str, str] | None = None,
 ) -> tuple[str, Message | None]:
     """Sends a client's request on a connection of its own.
 
@@ -625,7 +637,9 @@
                 f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
                 f"X-Request-Id: {name}\r\n"
                 f"X-Request-Deadline-Ms: {wait_ms}\r\n"
-                f"Authorization: Token {key}\r\n\r\n"
+                f"Authorization: Token {key}\r\n"
+                + "".join(f"{k}: {v}\r\n" for k, v in (more or {}).items())
+                + "\r\n"
             ).encode()
         )
         found = await asyncio.wait_for(read_message(reader), wait_ms / 1000 + 1)
