--- a/review/standin.py
+++ b/review/standin.py
@@ -662,12 +662,22 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.add(f"begins, TROUBLE={int(trouble)}")
+
+    async def bounded(scratch: str) -> bool:
+        """Plays the case; a SIGTERM ends it, and what it has started."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(play(record, trouble, scratch), 110)
+
     with tempfile.TemporaryDirectory() as scratch:
         try:
-            held = asyncio.run(
-                asyncio.wait_for(play(record, trouble, scratch), 110)
-            )
-        except (CannotRunError, TimeoutError, OSError) as exc:
+            held = asyncio.run(bounded(scratch))
+        except (
+            CannotRunError,
+            TimeoutError,
+            OSError,
+            asyncio.CancelledError,
+        ) as exc:
             record.add(f"could not run: {type(exc).__name__} {exc}")
             record.close()
             sys.exit(2)
