Readers: an entry that cannot be read is refused, and the others hold

For bytes nested over 1,000 deep msgspec raises RecursionError, for a port of over 4,300 digits int() raises ValueError, and read_listed caught neither. By the traceback the exception goes through Registry.changed and WatchClient._apply into WatchClient._run, the only watch of the store, which has no handler. Its log line (9000) was never written: WatchClient._task holds the failed Deferred, which is logged only once it is collected. Ruled out: a lost watch (KV_LOST and WATCH_STALE were not logged, the calls ended) and a store that stops telling (other clients of it got the change).

Change: all readers of JSON go through decode_json, which returns a typed failure for whatever decoding raises. Numbers and names of entries, reports of engines and answers of stores are bounded where they are read: a number above 2^53 or a text of 70,000 characters is valid JSON, and raises later, in a datagram or a division. Ids of endpoints must fit into a header, addresses of endpoints, entries and stores must be addresses. A malformed row of a store's answer is left out and logged (4215); it made the whole answer fail, or raised.

--- a/magnolialug/entry/entrycount.py
+++ b/magnolialug/entry/entrycount.py
@@ -8,8 +8,9 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.events import Event, emit, explain
+from magnolialug.jsoninput import decode_json
 from magnolialug.platform.kv import Kv, KvEntry
-from magnolialug.result import Code, Failure, failed
+from magnolialug.result import Code, Failure
 from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["COUNT_KEY", "EntryCount", "EntryCountValue"]
@@ -20,12 +21,14 @@
 _SETTLE_S = 5.0
 # A number that keeps changing is written after this time.
 _MAX_DELAY_S = 15.0
+# Limits are divided by the number, so a wrong one must not be huge.
+_MAX_ENTRIES = 100_000
 
 
 class EntryCountValue(msgspec.Struct, frozen=True):
     """The value of the key."""
 
-    entries: Annotated[int, msgspec.Meta(ge=1)]
+    entries: Annotated[int, msgspec.Meta(ge=1, le=_MAX_ENTRIES)]
 
 
 class EntryCount(WatchSubscriber):
@@ -93,9 +96,8 @@
 
 def _read(entry: KvEntry) -> int:
     """Returns the number of an entry, 0 if it is malformed."""
-    try:
-        return msgspec.json.decode(entry.value, type=EntryCountValue).entries
-    except msgspec.MsgspecError as exc:
-        bad = failed(Code.BAD_ENTRY, str(exc), entry.key)
-        emit(Event.ENTRY_REFUSED, key=entry.key, **explain(bad))
+    found = decode_json(entry.value, EntryCountValue, Code.BAD_ENTRY, entry.key)
+    if isinstance(found, Failure):
+        emit(Event.ENTRY_REFUSED, key=entry.key, **explain(found))
         return 0
+    return found.entries
--- a/magnolialug/entry/entrymembership.py
+++ b/magnolialug/entry/entrymembership.py
@@ -2,14 +2,17 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Annotated
 
 import msgspec
+from twisted.internet.abstract import isIPAddress, isIPv6Address
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from magnolialug.carrier.pool import Address
 from magnolialug.entry.entrycount import EntryCount
 from magnolialug.events import Event, emit, explain
+from magnolialug.jsoninput import Name, decode_json
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.registrations import SHARE_GRACE_S, Registrations
 from magnolialug.policy.retry import Backoff
@@ -27,6 +30,8 @@
 _RENEWAL_SPREAD_S = 0.5
 _RETRY_S = 0.3
 _RETRY_LIMIT_S = 2.0
+# More cores than any machine has.
+_MAX_CORES = 4096
 
 
 class EntryRegistration(msgspec.Struct, frozen=True):
@@ -37,10 +42,10 @@
         tasks.
     """
 
-    host: str
-    port: int
-    zone: str
-    cores: float = 1.0
+    host: Name
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    zone: Name
+    cores: Annotated[float, msgspec.Meta(gt=0, le=_MAX_CORES)] = 1.0
 
 
 class EntryMembership(WatchSubscriber):
@@ -179,12 +184,11 @@
     def _read(self, entry: KvEntry) -> EntryRegistration | None:
         if not entry.key.startswith(ENTRIES_PREFIX):
             return None
-        try:
-            return msgspec.json.decode(entry.value, type=EntryRegistration)
-        except msgspec.MsgspecError as exc:
-            bad = failed(Code.BAD_ENTRY, str(exc), entry.key)
-            emit(Event.ENTRY_REFUSED, key=entry.key, **explain(bad))
+        found = _read_registration(entry)
+        if isinstance(found, Failure):
+            emit(Event.ENTRY_REFUSED, key=entry.key, **explain(found))
             return None
+        return found
 
     async def _run(self) -> None:
         backoff = Backoff(_RETRY_S, _RETRY_LIMIT_S)
@@ -237,3 +241,14 @@
         finally:
             if self._pause.active():
                 self._pause.cancel()
+
+
+def _read_registration(entry: KvEntry) -> EntryRegistration | Failure:
+    row = decode_json(entry.value, EntryRegistration, Code.BAD_ENTRY, entry.key)
+    if isinstance(row, Failure):
+        return row
+    if not (isIPAddress(row.host) or isIPv6Address(row.host)):
+        # A datagram to any other host raises.
+        reason = "host: expected an IP address"
+        return failed(Code.BAD_ENTRY, reason, entry.key, row.host)
+    return row
--- a/magnolialug/entry/rolloutlease.py
+++ b/magnolialug/entry/rolloutlease.py
@@ -10,6 +10,7 @@
 
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId
+from magnolialug.jsoninput import decode_json
 from magnolialug.owners.ownerring import OWNER_CANDIDATES
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.retry import Backoff
@@ -383,7 +384,8 @@
 
 
 def _leader_of(entry: KvEntry) -> Leader | None:
-    try:
-        return msgspec.json.decode(entry.value or b"", type=Leader)
-    except msgspec.MsgspecError:
+    found = decode_json(entry.value or b"", Leader, Code.BAD_ENTRY, entry.key)
+    if isinstance(found, Failure):
+        emit(Event.ENTRY_REFUSED, key=entry.key, **explain(found))
         return None
+    return found
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -105,6 +105,7 @@
     STORE_LISTED = 4212
     PARTS_FREED = 4213
     FREE_FAILED = 4214
+    STORE_ROWS_REFUSED = 4215
     REPORT_REFUSED = 4220
     REGISTRATION_FAILED = 4221
     ENTRIES_COUNTED = 4222
@@ -195,6 +196,7 @@
     Event.STORE_LISTED: "A store told all the parts that it holds.",
     Event.PARTS_FREED: "Parts of replaced weights were freed.",
     Event.FREE_FAILED: "Replaced parts could not be freed; tried again later.",
+    Event.STORE_ROWS_REFUSED: "Rows of a store's answer are malformed.",
     Event.REPORT_REFUSED: "Another entry's message is malformed.",
     Event.REGISTRATION_FAILED: "This entry could not register itself.",
     Event.ENTRIES_COUNTED: "Other entries than before share the work; why.",
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -1,12 +1,14 @@
 """Calls to a store of cache parts: what it holds and what has changed."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
+from magnolialug.events import Event, emit, explain
+from magnolialug.jsoninput import Count, Name, decode_json
 from magnolialug.platform.notices import read_notices
 from magnolialug.policy.storeindex import PartKey
 from magnolialug.result import Code, Failure, failed
@@ -26,9 +28,12 @@
     """
 
     whole: bool
-    salt: str
-    part: str
-    tokens: int
+    salt: Name
+    part: Name
+    tokens: Count
+
+
+_CHANGE_FIELDS = CacheChange.__struct_fields__
 
 
 class CacheEvents(msgspec.Struct, frozen=True):
@@ -73,12 +78,12 @@
       clock_ms: the servers' clock.
     """
 
-    epoch: int
-    next: int
+    epoch: Count
+    next: Count
     lost: bool = False
-    events: list[list[Any]] = []
+    events: list[Any] = []
     clock_ms: float = 0.0
-    born: int = 0
+    born: Count = 0
 
 
 class _WireList(msgspec.Struct):
@@ -89,11 +94,11 @@
       partial: rows of [salt, part, tokens written, tokens reserved].
     """
 
-    epoch: int
-    next: int
-    held: list[list[Any]] = []
-    partial: list[list[Any]] = []
-    born: int = 0
+    epoch: Count
+    next: Count
+    held: list[Any] = []
+    partial: list[Any] = []
+    born: Count = 0
 
 
 class CacheCalls:
@@ -116,13 +121,7 @@
         row = _typed(reply, _WireEvents)
         if isinstance(row, Failure):
             return row
-        try:
-            changes = tuple(
-                CacheChange(sign == "+", salt, part, tokens)
-                for _, sign, salt, part, tokens, *_ in row.events
-            )
-        except ValueError as exc:
-            return failed(Code.BAD_ENTRY, str(exc), "kv-events")
+        changes = _changes("kv-events", row.events, _event)
         return CacheEvents(
             row.epoch, row.next, row.lost, changes, row.clock_ms, row.born
         )
@@ -134,14 +133,8 @@
         row = _typed(reply, _WireList)
         if isinstance(row, Failure):
             return row
-        parts = tuple(
-            CacheChange(True, salt, part, tokens)
-            for salt, part, tokens, *_ in row.held
-        )
-        unfinished = tuple(
-            CacheChange(False, salt, part, reserved)
-            for salt, part, _, reserved, *_ in row.partial
-        )
+        parts = _changes("held", row.held, _held)
+        unfinished = _changes("partial", row.partial, _unfinished)
         return CacheList(row.epoch, row.next, parts, row.born, unfinished)
 
     async def free(
@@ -170,15 +163,51 @@
         return None
 
 
+def _event(row: list[Any]) -> tuple[bool, Any, Any, Any]:
+    _, sign, salt, part, tokens, *_ = row
+    return sign == "+", salt, part, tokens
+
+
+def _held(row: list[Any]) -> tuple[bool, Any, Any, Any]:
+    salt, part, tokens, *_ = row
+    return True, salt, part, tokens
+
+
+def _unfinished(row: list[Any]) -> tuple[bool, Any, Any, Any]:
+    salt, part, _, reserved, *_ = row
+    return False, salt, part, reserved
+
+
+def _changes(
+    field: str,
+    rows: list[Any],
+    read: Callable[[list[Any]], tuple[bool, Any, Any, Any]],
+) -> tuple[CacheChange, ...]:
+    """Returns the changes in a store's rows, but for malformed ones."""
+    changes = []
+    refused: list[Failure] = []
+    for row in rows:
+        try:
+            values = dict(zip(_CHANGE_FIELDS, read(row), strict=True))
+            changes.append(msgspec.convert(values, CacheChange))
+        except (TypeError, ValueError) as exc:
+            refused.append(failed(Code.BAD_ENTRY, str(exc), field))
+    if refused:
+        emit(
+            Event.STORE_ROWS_REFUSED,
+            field=field,
+            rows=len(refused),
+            **explain(refused[0]),
+        )
+    return tuple(changes)
+
+
 def _typed(reply: Reply | NoReply, form: type):
     if isinstance(reply, NoReply):
         return failed(Code.STORE_UNAVAILABLE, reply.end.value)
     if reply.status != 200:
         return _refused(reply)
-    try:
-        return msgspec.json.decode(reply.body, type=form)
-    except msgspec.MsgspecError as exc:
-        return failed(Code.BAD_ENTRY, str(exc), "store", reply.body[:80])
+    return decode_json(reply.body, form, Code.BAD_ENTRY, "store")
 
 
 def _refused(reply: Reply) -> Failure:
--- a/magnolialug/platform/enginecalls.py
+++ b/magnolialug/platform/enginecalls.py
@@ -7,6 +7,7 @@
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.ids import EndpointId
+from magnolialug.jsoninput import Count, Name, decode_json
 from magnolialug.platform.notices import read_notices
 from magnolialug.policy.endpointnotice import ReceivedNotices
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
@@ -66,19 +67,19 @@
 
 
 class _WireModel(msgspec.Struct):
-    name: str
-    version: int = 0
+    name: Name
+    version: Count = 0
 
 
 class _WireReport(msgspec.Struct):
     """The body of `GET /report`; `sequence` counts accepted orders here."""
 
-    sequence: int
+    sequence: Count
     busy: bool = False
     models: list[_WireModel] = []
-    waiting: int = 0
-    running: int = 0
-    born: int = 0
+    waiting: Count = 0
+    running: Count = 0
+    born: Count = 0
 
 
 def _expecting(endpoint: EndpointId) -> dict[str, str]:
@@ -88,7 +89,7 @@
 class _WireStart(msgspec.Struct):
     """What the body of any answer may say of the engine's start."""
 
-    born: int = 0
+    born: Count = 0
 
 
 class EngineCalls:
@@ -116,12 +117,11 @@
             return failed(Code.CONNECTION_CLOSED, reply.end.value)
         if reply.status != 200:
             return failed(Code.ENDPOINT_FAILED, f"status {reply.status}")
-        try:
-            row = msgspec.json.decode(reply.body, type=_WireReport)
-        except msgspec.MsgspecError as exc:
-            return failed(
-                Code.BAD_ENTRY, str(exc), engine.endpoint, reply.body[:80]
-            )
+        row = decode_json(
+            reply.body, _WireReport, Code.BAD_ENTRY, engine.endpoint
+        )
+        if isinstance(row, Failure):
+            return row
         return Report(
             orders=row.sequence,
             busy=row.busy,
@@ -193,7 +193,5 @@
 
 def _born_ms(body: bytes) -> int:
     """Returns the start that an answer's body names, 0 if it names none."""
-    try:
-        return msgspec.json.decode(body, type=_WireStart).born
-    except msgspec.MsgspecError:
-        return 0
+    row = decode_json(body, _WireStart, Code.BAD_ENTRY, "born")
+    return 0 if isinstance(row, Failure) else row.born
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -16,6 +16,7 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.responsereceiver import End
+from magnolialug.jsoninput import decode_json
 from magnolialug.kvpages import Pages, read_pages
 from magnolialug.platform.kv import (
     VALUE_LIMIT,
@@ -348,10 +349,7 @@
         return self._read(reply, form, call)
 
     def _read(self, reply: Reply, form: type, call: str):
-        try:
-            return msgspec.json.decode(reply.body, type=form)
-        except msgspec.DecodeError as exc:
-            return failed(Code.KV_NONSENSE, str(exc), call, reply.body[:80])
+        return decode_json(reply.body, form, Code.KV_NONSENSE, call)
 
     async def _call(
         self,
--- a/magnolialug/platform/operator.py
+++ b/magnolialug/platform/operator.py
@@ -1,5 +1,6 @@
 """The operator's configuration and orders, as they lie in the store."""
 
+import re
 from collections.abc import Collection
 from typing import Any
 
@@ -17,6 +18,7 @@
     Share,
 )
 from magnolialug.ids import ServiceName, TeamId, ZoneId
+from magnolialug.jsoninput import UNREADABLE, Count, Name, decode_json
 from magnolialug.result import Code, Failure, failed
 
 __all__ = [
@@ -41,6 +43,8 @@
     "streaming": RouteType.STREAMING,
 }
 _MS = 0.001
+_PORT = re.compile(r"[0-9]{1,5}")
+_PORTS = range(1, 65536)
 
 
 class _Split(msgspec.Struct):
@@ -111,8 +115,8 @@
 class NamedWeights(msgspec.Struct, frozen=True):
     """The weights that the operator wants a model to have everywhere."""
 
-    model: str
-    version: int
+    model: Name
+    version: Count
 
 
 def _route(row: _WireRoute) -> Route:
@@ -121,6 +125,8 @@
     ]
     if not shares:
         shares = [Share(ServiceName(row.service), 1.0)]
+    if not any(share.weight > 0 for share in shares):
+        raise ValueError("trafficSplit: expected a weight above 0")
     return Route(
         name=row.name,
         host=row.host.lower(),
@@ -138,6 +144,13 @@
     )
 
 
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not _PORT.fullmatch(port) or int(port) not in _PORTS:
+        raise ValueError("kvStoreAddr: expected host:port")
+    return host, int(port)
+
+
 def _service(row: _WireService) -> RoutedService:
     engine = store = None
     if row.engine is not None:
@@ -150,9 +163,8 @@
             managed=row.engine.managed,
         )
     if row.kv_store_addr:
-        host, _, port = row.kv_store_addr.rpartition(":")
         store = CacheStore(
-            address=(host, int(port)),
+            address=_address(row.kv_store_addr),
             zone=ZoneId(row.zone),
             capacity_tokens=row.kv_capacity_tokens,
             link_mbps=row.link_mbps,
@@ -191,10 +203,17 @@
 ) -> list:
     """Returns the good rows of a list; a bad one becomes a problem."""
     made = []
-    for number, row in enumerate(table.get(field) or ()):
+    rows = table.get(field) or []
+    if not isinstance(rows, list):
+        where = f"{CONFIG_KEY}: {field}"
+        problems.append(
+            failed(Code.BAD_CONFIG_VALUE, "must be a list", where, rows)
+        )
+        return made
+    for number, row in enumerate(rows):
         try:
             made.append(make(msgspec.convert(row, form)))
-        except (msgspec.ValidationError, KeyError, ValueError) as exc:
+        except (KeyError, OverflowError, *UNREADABLE) as exc:
             name = row.get("name", number) if isinstance(row, dict) else number
             where = f"{CONFIG_KEY}: {field}[{name}]"
             problems.append(failed(Code.BAD_CONFIG_VALUE, str(exc), where, row))
@@ -207,11 +226,15 @@
     Fields that are not known are passed over. A malformed row is left out
     and reported, so that the others stay in force.
     """
+    table = decode_json(
+        value, dict[str, Any], Code.BAD_CONFIG_VALUE, CONFIG_KEY
+    )
+    if isinstance(table, Failure):
+        return table
     try:
-        table = msgspec.json.decode(value)
-        version = msgspec.convert(table["version"], int)
-    except (msgspec.MsgspecError, KeyError, TypeError) as exc:
-        return failed(Code.BAD_CONFIG_VALUE, str(exc), CONFIG_KEY, value[:80])
+        version = msgspec.convert(table.get("version"), Count)
+    except msgspec.ValidationError as exc:
+        return failed(Code.BAD_CONFIG_VALUE, str(exc), f"{CONFIG_KEY}: version")
     problems: list[Failure] = []
     routes = _rows(table, "routes", _WireRoute, _route, problems)
     services = _rows(table, "services", _WireService, _service, problems)
@@ -235,10 +258,7 @@
 
 def read_weights(key: str, value: bytes) -> NamedWeights | Failure:
     """Returns the named weights in a store value."""
-    try:
-        return msgspec.json.decode(value, type=NamedWeights)
-    except msgspec.MsgspecError as exc:
-        return failed(Code.BAD_CONFIG_VALUE, str(exc), key, value[:80])
+    return decode_json(value, NamedWeights, Code.BAD_CONFIG_VALUE, key)
 
 
 def read_evacuation(
@@ -255,8 +275,5 @@
         known = ", ".join(sorted(zones))
         reason = f"must be one of the availability zones {known}"
         return failed(Code.BAD_EVACUATION, reason, key, zone)
-    try:
-        msgspec.json.decode(value, type=dict[str, Any])
-    except msgspec.MsgspecError as exc:
-        return failed(Code.BAD_EVACUATION, str(exc), key, value[:80])
-    return ZoneId(zone)
+    found = decode_json(value, dict[str, Any], Code.BAD_EVACUATION, key)
+    return found if isinstance(found, Failure) else ZoneId(zone)
--- a/magnolialug/platform/registry.py
+++ b/magnolialug/platform/registry.py
@@ -1,10 +1,12 @@
 """Endpoints as they register themselves in the platform's store."""
 
 import ipaddress
+import re
 
 import msgspec
 
 from magnolialug.ids import EndpointId, ServiceName, SoftwareVersion, ZoneId
+from magnolialug.jsoninput import Count, Name, decode_json
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
 from magnolialug.result import Code, Failure, failed
 
@@ -14,11 +16,14 @@
 _MS = 0.001
 _IS_LEAVING = {"ready": False, "draining": True}
 _PORTS = range(1, 65536)
+_PORT = re.compile(r"[0-9]{1,5}")
+# What a header can carry as one word: ids of endpoints go into requests.
+_WORD = re.compile(r"[\x21-\x7e\xa1-\xff]{1,200}")
 
 
 class _WireModel(msgspec.Struct):
-    name: str
-    version: int = 0
+    name: Name
+    version: Count = 0
 
 
 class _WireEntry(msgspec.Struct, rename="camel"):
@@ -29,16 +34,16 @@
       sequence: counts the heartbeats.
     """
 
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
+    service: Name
+    address: Name
+    zone: Name
+    version: Name
+    slots: Count
     state: str
     cold_remaining_ms: float
-    sequence: int
+    sequence: Count
     models: list[_WireModel] = []
-    born: int = 0
+    born: Count = 0
 
 
 def endpoint_id_of(key: str) -> EndpointId:
@@ -52,12 +57,13 @@
     Others than endpoints can write there too. What lacks a field, or has one
     of another type or with a value that means nothing, names no endpoint.
     """
-    try:
-        row = msgspec.json.decode(value, type=_WireEntry)
-    except msgspec.MsgspecError as exc:
-        return failed(Code.BAD_ENTRY, str(exc), key, value[:80])
+    row = decode_json(value, _WireEntry, Code.BAD_ENTRY, key)
+    if isinstance(row, Failure):
+        return row
+    if not _WORD.fullmatch(endpoint_id_of(key)):
+        return failed(Code.BAD_ENTRY, "the id must be one word", key)
     host, _, port = row.address.rpartition(":")
-    if not _is_ip(host) or not port.isdecimal() or int(port) not in _PORTS:
+    if not _is_ip(host) or not _is_port(port):
         return failed(Code.BAD_ENTRY, "must be host:port", key, row.address)
     if row.state not in _IS_LEAVING:
         return failed(Code.BAD_ENTRY, "unknown state", key, row.state)
@@ -83,4 +89,9 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return True
+    # The scope of an IPv6 address names an interface of the writer's machine.
+    return "%" not in host
+
+
+def _is_port(text: str) -> bool:
+    return _PORT.fullmatch(text) is not None and int(text) in _PORTS
--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from magnolialug.ids import EndpointId
+from magnolialug.jsoninput import Count
 
 __all__ = ["Engine", "Rollout", "next_numbered", "max_concurrent_loads", "plan"]
 
@@ -47,10 +48,10 @@
     """
 
     model: str
-    version: int
+    version: Count
     closed: tuple[str, ...] = ()
     taken: tuple[str, ...] = ()
-    number: int = 0
+    number: Count = 0
 
 
 def max_concurrent_loads(engines: int) -> int:
--- a/magnolialug/quarantine/quarantinelist.py
+++ b/magnolialug/quarantine/quarantinelist.py
@@ -8,6 +8,7 @@
 
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId, RequestDigest, ServiceName
+from magnolialug.jsoninput import decode_json
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.partpattern import PartPattern
 from magnolialug.policy.requestidentity import RequestIdentity
@@ -151,11 +152,11 @@
         if entry.value is None:
             self._release(digest)
             return
-        try:
-            value = msgspec.json.decode(entry.value, type=QuarantineValue)
-        except msgspec.MsgspecError as exc:
-            failure = failed(Code.BAD_ENTRY, str(exc), entry.key)
-            emit(Event.ENTRY_REFUSED, key=entry.key, **explain(failure))
+        value = decode_json(
+            entry.value, QuarantineValue, Code.BAD_ENTRY, entry.key
+        )
+        if isinstance(value, Failure):
+            emit(Event.ENTRY_REFUSED, key=entry.key, **explain(value))
             return
         row = self._rows.get(digest)
         if row is not None and row.is_permanent:
