Directory: an endpoint whose entry names another service is another start

Cause: where an entry changes its service under one id, Directory.listed kept the peer in the list of its old service and took over the new listing. Its removal then looks in the list of the new service: ValueError or KeyError, which ended the watch of the store (told by the review, from reading).

Change: a changed service is handled as a changed address is, as another start. The peer leaves the service that it is in, and a new one joins the other.

Before/after: tests/entry/test_changed_service.py failed before (no endpoint that came later was listed), passes now.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -214,7 +214,8 @@
         if peer is None:
             self._add(entry)
             return
-        moved = entry.address != peer.listed.address
+        known = peer.listed
+        moved = (entry.service, entry.address) != (known.service, known.address)
         if moved or peer.is_other_start(entry.born_ms):
             self._restart(peer, entry)
             return
