Watch: an entry that raises in a subscriber keeps no others back

Cause: what any subscriber raised ended WatchClient._run, and with it the view of all keys: routes, endpoints, evacuations, gateways, quarantine, the leader. Every reader that is written or changed later can bring that back.

Change: WatchClient calls each subscriber for itself. The check of a waiting watch that fails ends the watch as stale, which asks anew; its error was raised into a Deferred that nobody reads. The same errback printed "cannot reuse already awaited coroutine" after long test runs.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -1,7 +1,7 @@
 """The endpoints that the registry lists, and the connections to them."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container
 from functools import partial
 
 import msgspec
@@ -340,14 +340,11 @@
         peer = self.peers.get(endpoint)
         return peer.share(self._reactor.seconds()) if peer else None
 
-    def replace(self, entries: Iterable[RegisteredEndpoint]) -> None:
-        """Replaces all endpoints by the current registry entries."""
-        named = set()
-        for entry in entries:
-            named.add(entry.endpoint)
-            self.listed(entry)
-        for endpoint in set(self.peers) - named:
-            self.unlisted(endpoint)
+    def retain(self, endpoints: Container[EndpointId]) -> None:
+        """Removes all endpoints but some."""
+        for endpoint in list(self.peers):
+            if endpoint not in endpoints:
+                self.unlisted(endpoint)
 
     @property
     def services(self) -> list[ServiceName]:
--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -1,15 +1,20 @@
 """Reads the registry of endpoints from the key-value service."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.config.routing import Routing
 from magnolialug.entry.directory import Directory
 from magnolialug.events import Event, emit, explain
+from magnolialug.guard import Guard
 from magnolialug.ids import EndpointId, ServiceName
 from magnolialug.platform.kv import KvEntry
-from magnolialug.platform.registry import endpoint_id_of, read_listed
+from magnolialug.platform.registry import (
+    REGISTRY_PREFIX,
+    endpoint_id_of,
+    read_listed,
+)
 from magnolialug.policy.lapse import may_have_lapsed
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
 from magnolialug.result import Code, Failure, failed
@@ -33,6 +38,10 @@
     was too short for entries to expire, because an endpoint that has left
     would then get work for longer than it serves.
 
+    Attributes:
+      known: whether a snapshot has been read.
+      guard: lists the endpoints of a snapshot.
+
     Args:
       heartbeat_s: how often an endpoint renews its entry.
     """
@@ -41,6 +50,7 @@
         self, directory: Directory, clock: IReactorTime, heartbeat_s: float
     ):
         self.known = False
+        self.guard = Guard(clock.seconds)
         self._directory = directory
         self._clock = clock
         self._heartbeat_s = heartbeat_s
@@ -83,11 +93,11 @@
             self._missing -= named
             for endpoint in set(self._directory.peers) - named:
                 self._hold_missing(endpoint)
-            for entry in listed:
-                self._directory.listed(entry)
+            self._list_each(listed)
         else:
             self._missing.clear()
-            self._directory.replace(listed)
+            self._list_each(listed)
+            self._directory.retain({entry.endpoint for entry in listed})
         self.known = True
         if self._directory.software.known_since is None:
             self._directory.software.known_since = self._clock.seconds()
@@ -129,6 +139,16 @@
         for endpoint in missing:
             self._directory.unlisted(endpoint)
 
+    def _list_each(self, entries: Iterable[RegisteredEndpoint]) -> None:
+        """Lists endpoints; an entry that raises keeps no others back."""
+        for entry in entries:
+            exc = self.guard.call("listing", self._directory.listed, entry)
+            if exc is not None:
+                key = REGISTRY_PREFIX + entry.endpoint
+                reason = f"{type(exc).__name__}: {exc}"
+                bad = failed(Code.BAD_ENTRY, reason, key)
+                emit(Event.ENTRY_REFUSED, key=key, **explain(bad))
+
     def _hold_missing(self, endpoint: EndpointId) -> None:
         """Retains an endpoint whose entry may have expired in an outage."""
         if endpoint in self._missing or endpoint not in self._directory.peers:
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -5,14 +5,16 @@
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure as TwistedFailure
 
 from magnolialug.carrier.progress import Progress
 from magnolialug.entry.urgentwatch import UrgentWatch
 from magnolialug.events import Event, emit, explain
+from magnolialug.guard import Guard
 from magnolialug.kvpages import Pages, read_pages
 from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
 from magnolialug.policy.retry import Backoff
-from magnolialug.result import Code, Failure
+from magnolialug.result import Code, Failure, failed
 from magnolialug.timing import sleep
 from magnolialug.watchsubscriber import WatchSubscriber
 
@@ -81,6 +83,7 @@
     Attributes:
       is_connected: whether the service answered the last call.
       revision: the revision up to which all changes have been reported.
+      guard: calls the subscribers, and counts the calls that failed.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
     ):
         self.is_connected = False
         self.revision = 0
+        self.guard = Guard(clock.seconds)
         self._kv = kv
         self._subscribers = subscribers
         self._clock = clock
@@ -276,7 +280,7 @@
           None if the watch is stale.
         """
         watch = ensureDeferred(self._ask_changes(self._wait_s))
-        stale = False
+        stale = ended = False
 
         def end_watch(reason: str) -> None:
             nonlocal stale
@@ -290,10 +294,17 @@
             )
             watch.cancel()
 
+        def end_unchecked(reason: TwistedFailure) -> None:
+            if not ended:
+                emit(
+                    Event.TASK_FAILED,
+                    task="watch check",
+                    traceback=reason.getTraceback(),
+                )
+                end_watch("the check failed")
+
         check = ensureDeferred(self._until_stale())
-        check.addCallbacks(
-            end_watch, lambda reason: reason.trap(CancelledError)
-        )
+        check.addCallbacks(end_watch, end_unchecked)
         try:
             return await watch
         except CancelledError:
@@ -301,6 +312,7 @@
                 raise
             return None
         finally:
+            ended = True
             check.cancel()
 
     async def _until_stale(self) -> str:
@@ -355,8 +367,8 @@
                 extended_s=round(self._longest_extension_s, 3),
             )
             self._longest_call_s = self._longest_extension_s = 0.0
-            for subscriber in self._subscribers.values():
-                subscriber.back(away_s)
+            for prefix, subscriber in self._subscribers.items():
+                self.guard.call(f"back {prefix}", subscriber.back, away_s)
 
     def _apply(self, found: Snapshot | Changes) -> None:
         self._record_contact(found.revision)
@@ -370,7 +382,7 @@
             self._urgent_revisions = dict.fromkeys(self._urgent_revisions, 0)
             for prefix, subscriber in self._subscribers.items():
                 rows = [e for e in found.entries if e.key.startswith(prefix)]
-                subscriber.snapshot(rows)
+                self._report_snapshot(prefix, subscriber, rows)
             return
         self._report([e for e in found.entries if not self._was_reported(e)])
 
@@ -393,21 +405,39 @@
             for prefix, revision in self._urgent_revisions.items()
         )
 
+    def _report_snapshot(
+        self, prefix: str, subscriber: WatchSubscriber, rows: list[KvEntry]
+    ) -> None:
+        """Reports a snapshot; if that fails, each of its entries by itself."""
+        if self.guard.call(f"snapshot {prefix}", subscriber.snapshot, rows):
+            for row in rows:
+                self._report_entry(subscriber, row)
+
+    def _report_entry(
+        self, subscriber: WatchSubscriber, entry: KvEntry
+    ) -> None:
+        """Reports an entry; one that raises keeps no others back."""
+        exc = self.guard.call("entry", subscriber.changed, entry)
+        if exc is not None:
+            reason = f"{type(exc).__name__}: {exc}"
+            bad = failed(Code.BAD_ENTRY, reason, entry.key)
+            emit(Event.ENTRY_REFUSED, key=entry.key, **explain(bad))
+
     def _report(self, entries: Sequence[KvEntry]) -> None:
         for entry in entries:
             for prefix, subscriber in self._subscribers.items():
                 if entry.key.startswith(prefix):
-                    subscriber.changed(entry)
-        for subscriber in self._subscribers.values():
-            subscriber.settled()
+                    self._report_entry(subscriber, entry)
+        for prefix, subscriber in self._subscribers.items():
+            self.guard.call(f"settled {prefix}", subscriber.settled)
 
     def _record_failure(self, failure: Failure) -> None:
         self._log_outage(failure)
         if not self.is_connected:
             return
         self.is_connected = False
-        for subscriber in self._subscribers.values():
-            subscriber.lost()
+        for prefix, subscriber in self._subscribers.items():
+            self.guard.call(f"lost {prefix}", subscriber.lost)
 
     def _log_outage(self, failure: Failure) -> None:
         """Logs an outage when it begins and at intervals while it lasts.
--- a/tests/entry/test_watch_client.py
+++ b/tests/entry/test_watch_client.py
@@ -282,3 +282,74 @@
         self.pass_time(1)
         self.assertIn("", self.asked)
         self.assertIn("a/9", self.seen.at)
+
+
+class FailingSubscriber(RecordingSubscriber):
+    """Raises for some keys, as a fault in a reader does."""
+
+    def snapshot(self, entries):
+        """Applies nothing if one entry raises."""
+        for entry in entries:
+            self.changed(entry)
+
+    def changed(self, entry):
+        """Raises for keys with "bad"."""
+        if "bad" in entry.key:
+            raise LookupError(entry.key)
+        super().changed(entry)
+
+    def settled(self):
+        """Always raises."""
+        raise ZeroDivisionError
+
+
+class FailingSubscriberTest(WatchClientTest):
+    """A subscriber that raises."""
+
+    def setUp(self):
+        super().setUp()
+        self.watch_client.stop()
+        self.lines = collect_lines(self)
+        self.failing = FailingSubscriber(self.clock)
+        subscribers = {"a/": self.failing, "b/": self.other}
+        self.watch_client = WatchClient(
+            self.kv, subscribers, self.clock, Random(1), 25.0, (0.25, 1.0)
+        )
+        self.seen = self.failing
+        self.addCleanup(self.watch_client.stop)
+        self.watch_client.start()
+        self.pass_time(5)
+
+    def test_an_entry_that_raises_keeps_no_others_back(self):
+        """Guards against one entry that ends the watch of all keys."""
+        for key in ("a/bad", "a/1", "b/1"):
+            self.write(key)
+        self.pass_time(2)
+        self.assertIn("a/1", self.failing.at)
+        self.assertIn("b/1", self.other.at)
+        refused = [line for line in self.lines if "ENTRY_REFUSED" in line]
+        self.assertEqual(1, len(refused))
+        self.assertIn("a/bad", refused[0])
+        self.assertIn("LookupError", refused[0])
+        self.assertEqual(1, self.watch_client.guard.failures["entry"])
+
+    def test_a_snapshot_that_raises_is_reported_entry_by_entry(self):
+        """Guards against a start that one entry keeps from all others."""
+        for key in ("a/bad", "a/1", "b/1"):
+            self.write(key)
+        started = WatchClient(
+            self.kv,
+            {"a/": self.failing, "b/": self.other},
+            self.clock,
+            Random(2),
+            25.0,
+        )
+        self.watch_client.stop()
+        self.failing.at.clear()
+        self.other.at.clear()
+        started.start()
+        self.addCleanup(started.stop)
+        self.pass_time(1)
+        self.assertIn("a/1", self.failing.at)
+        self.assertIn("b/1", self.other.at)
+        self.assertIn("snapshot a/", started.guard.failing)
