Tasks: a long-lived task that ends is logged, counted and begun again

Cause: the watch, the rollout lease, the registration and the polls of stores were coroutines whose failure stayed in a Deferred that their owner holds. Such an error is logged when the Deferred is collected, so never. Gateways stayed ready and served by an old configuration; no rollout was commanded, no store indexed. A step of a rollout, a write of the leader's key or of the number of gateways that raised left its flag set, and was never made again.

Gauges task_failures and task_down name the tasks; the readiness answer lists those that are down, and is 503 while the watch is. Short tasks that nobody waits for go through background(), which logs at once, and their flags are cleared however they end. A write of the leader's key that ends after the lease was given up no longer makes the process a leader.

Four tests ended a task by its Deferred; they call stop of the task now.

Only the watch makes a gateway not ready: what the others do can be missed for a second without harm to callers.

--- a/magnolialug/cmd/gatewayprogram.py
+++ b/magnolialug/cmd/gatewayprogram.py
@@ -103,7 +103,11 @@
         ports = [
             reactor.listenUDP(port, gateway.messenger, interface=host),
             _listen(reactor, settings.callers, gateway.factory),
-            _listen(reactor, settings.ready, ready_factory(gateway.ready)),
+            _listen(
+                reactor,
+                settings.ready,
+                ready_factory(gateway.ready, gateway.failing),
+            ),
         ]
         if metrics_port:
             factory = text_factory(
--- a/magnolialug/entry/entrycount.py
+++ b/magnolialug/entry/entrycount.py
@@ -4,9 +4,9 @@
 from typing import Annotated
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.background import background
 from magnolialug.events import Event, emit, explain
 from magnolialug.jsoninput import decode_json
 from magnolialug.platform.kv import Kv, KvEntry
@@ -83,13 +83,15 @@
         if is_writer and is_due and entries != self.stored:
             self._since = self._differs_since = now
             if not self._is_writing:
-                ensureDeferred(self._write(entries))
+                background("entry count", self._write(entries))
 
     async def _write(self, entries: int) -> None:
         self._is_writing = True
         value = msgspec.json.encode(EntryCountValue(entries))
-        swap = await self._kv.put_if(COUNT_KEY, value, self._revision)
-        self._is_writing = False
+        try:
+            swap = await self._kv.put_if(COUNT_KEY, value, self._revision)
+        finally:
+            self._is_writing = False
         if isinstance(swap, Failure):
             emit(Event.COUNT_UNWRITTEN, entries=entries, **explain(swap))
 
--- a/magnolialug/entry/entrymembership.py
+++ b/magnolialug/entry/entrymembership.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from twisted.internet.abstract import isIPAddress, isIPv6Address
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from magnolialug.carrier.pool import Address
@@ -17,6 +17,7 @@
 from magnolialug.policy.registrations import SHARE_GRACE_S, Registrations
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
+from magnolialug.supervisedtask import SupervisedTask
 from magnolialug.watchsubscriber import WatchSubscriber
 
 __all__ = ["ENTRIES_PREFIX", "EntryMembership", "EntryRegistration"]
@@ -51,6 +52,9 @@
 class EntryMembership(WatchSubscriber):
     """Registers this entry under a lease and tracks the other entries.
 
+    Attributes:
+      task: registers this entry.
+
     Args:
       vm: the name of this machine.
       count: the number of entries that was last stored.
@@ -81,7 +85,7 @@
             tuple[dict[Address, float], set[Address], int] | None
         ) = None
         self._stored_until: float | None = None
-        self._task: Deferred | None = None
+        self.task = SupervisedTask("registration", self._run, clock)
         self._pause: IDelayedCall | None = None
         self._lease = 0
         self._has_changes = False
@@ -89,14 +93,11 @@
 
     def start(self) -> None:
         """Starts to register this entry."""
-        self._task = ensureDeferred(self._run())
-        self._task.addErrback(lambda reason: reason.trap(CancelledError))
+        self.task.start()
 
     async def stop(self) -> None:
         """Removes this entry's registration."""
-        task, self._task = self._task, None
-        if task is not None:
-            task.cancel()
+        self.task.stop()
         lease, self._lease = self._lease, 0
         if lease:
             await self._kv.revoke(lease)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -5,8 +5,8 @@
 from random import Random
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
 
+from magnolialug.background import background
 from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, Routing
 from magnolialug.entry.candidatelist import CandidateList
@@ -28,7 +28,11 @@
 from magnolialug.entry.gatewayintake import read_call
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.gatewaysink import GatewaySink
-from magnolialug.entry.gauges import observe_endpoints, observe_states
+from magnolialug.entry.gauges import (
+    observe_endpoints,
+    observe_states,
+    observe_tasks,
+)
 from magnolialug.entry.graceperiod import READINESS_NOTICE_S, GracePeriod
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.keepalive import KeepAlive
@@ -42,6 +46,7 @@
 from magnolialug.entry.routeconfig import RouteConfig
 from magnolialug.entry.watchclient import WatchClient
 from magnolialug.events import Event, emit, explain
+from magnolialug.guard import Guard
 from magnolialug.ids import RequestDigest
 from magnolialug.owners.wiring import Ownership
 from magnolialug.platform.cachecalls import CacheCalls
@@ -60,6 +65,7 @@
 from magnolialug.restarts.wiring import Restarts
 from magnolialug.result import Code, Failure, failed
 from magnolialug.streamorigins.wiring import StreamOrigins
+from magnolialug.supervisedtask import SupervisedTask
 from magnolialug.timing import sleep
 
 __all__ = ["Gateway"]
@@ -303,13 +309,31 @@
         emit(Event.RELOADED, vm=settings.vm)
 
     def ready(self) -> bool:
-        """Returns whether the load balancer may send callers."""
+        """Returns whether the load balancer may send callers.
+
+        Without its watch a gateway serves by what was in force when the watch
+        failed, so callers are better off at others until it has begun again.
+        """
         return (
             not self._grace.begun
             and self.routes.table is not None
             and self.registry.known
+            and not self._watch_client.task.is_down
         )
 
+    def failing(self) -> list[str]:
+        """Returns the tasks that are down, for the readiness answer."""
+        return [task.name for task in self._tasks() if task.is_down]
+
+    def _tasks(self) -> list[SupervisedTask]:
+        """Returns the long-lived tasks."""
+        return [
+            self._watch_client.task,
+            self._entries.task,
+            self._lease.task,
+            *self.prefix_cache.store_pollers.tasks.values(),
+        ]
+
     async def stop(self) -> int:
         """Finishes the accepted calls within the platform's grace period.
 
@@ -320,8 +344,8 @@
         """
         self._grace.begin()
         emit(Event.DRAINING, vm=self.settings.vm, running=self.in_progress)
-        ensureDeferred(self._lease.stop())
-        ensureDeferred(self._entries.stop())
+        background("rollout lease stop", self._lease.stop())
+        background("registration stop", self._entries.stop())
         await sleep(self._reactor, READINESS_NOTICE_S)
         while self.clock() < self._grace.end:
             if not self.in_progress and not self.factory.channels:
@@ -450,6 +474,7 @@
                 "kv_in_touch": lambda: int(self._watch_client.is_connected),
             },
         )
+        observe_tasks(self.metrics, self._tasks, self._guards)
         observe_endpoints(
             self.metrics,
             self.directory,
@@ -459,6 +484,9 @@
             self.clock,
         )
 
+    def _guards(self) -> list[Guard]:
+        return [self._watch_client.guard, self.registry.guard]
+
     def _cancel_attempts(self, _: RequestDigest) -> None:
         """Aborts the attempts of requests that are now quarantined."""
         for attempt in list(self._in_flight):
--- a/magnolialug/entry/gauges.py
+++ b/magnolialug/entry/gauges.py
@@ -1,15 +1,17 @@
 """Gauges of the gateway, evaluated whenever metrics are read."""
 
-from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator
 from statistics import median
 
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
+from magnolialug.guard import Guard
 from magnolialug.owners.wiring import Ownership
 from magnolialug.prefixcache.wiring import PrefixCache
+from magnolialug.supervisedtask import SupervisedTask
 
-__all__ = ["observe_endpoints", "observe_states"]
+__all__ = ["observe_endpoints", "observe_states", "observe_tasks"]
 
 Rows = list[tuple[float, dict]]
 
@@ -22,6 +24,33 @@
         metrics.observe(name, lambda value=value: [(value(), {})])
 
 
+def observe_tasks(
+    metrics: GatewayMetrics,
+    tasks: Callable[[], Iterable[SupervisedTask]],
+    guards: Callable[[], Iterable[Guard]],
+) -> None:
+    """Registers the gauges of failed tasks and of failed calls.
+
+    Args:
+      tasks: returns the long-lived tasks.
+      guards: returns what calls others in their stead.
+    """
+
+    def failures() -> Rows:
+        count: Counter[str] = Counter()
+        for task in tasks():
+            count[task.name] += task.failures
+        for guard in guards():
+            count.update(guard.failures)
+        return [(number, {"task": name}) for name, number in count.items()]
+
+    def down() -> Rows:
+        return [(int(task.is_down), {"task": task.name}) for task in tasks()]
+
+    metrics.observe("task_failures", failures)
+    metrics.observe("task_down", down)
+
+
 def observe_endpoints(
     metrics: GatewayMetrics,
     directory: Directory,
--- a/magnolialug/entry/livenessmonitor.py
+++ b/magnolialug/entry/livenessmonitor.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from twisted.internet.defer import ensureDeferred
-
+from magnolialug.background import background
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.peer import Peer
@@ -76,7 +75,7 @@
             if peer.load is None:
                 peer.record_contact(now)
             else:
-                ensureDeferred(self._request_report(peer))
+                background("liveness report", self._request_report(peer))
 
     async def _request_report(self, peer: Peer) -> None:
         report = await self._calls.report(
--- a/magnolialug/entry/readiness.py
+++ b/magnolialug/entry/readiness.py
@@ -1,6 +1,12 @@
 """HTTP listeners for the readiness check and for operators."""
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.protocol import Factory
@@ -21,9 +27,22 @@
 Page = Callable[[Mapping[bytes, Sequence[bytes]]], Awaitable[tuple[int, bytes]]]
 
 
-def ready_factory(ready: Callable[[], bool]) -> Factory:
-    """Returns a factory that answers the load balancer's readiness checks."""
-    return _factory(lambda: (200 if ready() else 503, b""))
+def ready_factory(
+    ready: Callable[[], bool],
+    failing: Callable[[], Iterable[str]] = lambda: (),
+) -> Factory:
+    """Returns a factory that answers the load balancer's readiness checks.
+
+    Args:
+      ready: returns whether the load balancer may send callers.
+      failing: returns the names of what fails, which the answer lists.
+    """
+
+    def answer() -> tuple[int, bytes]:
+        lines = "".join(f"failing: {name}\n" for name in failing())
+        return 200 if ready() else 503, lines.encode()
+
+    return _factory(answer)
 
 
 def text_factory(
--- a/magnolialug/entry/rolloutcommands.py
+++ b/magnolialug/entry/rolloutcommands.py
@@ -4,8 +4,8 @@
 from functools import partial
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
 
+from magnolialug.background import background
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.rolloutlease import RolloutLease
@@ -167,7 +167,8 @@
             state.closed_at = now
         if now - state.closed_at >= _CLOSE_DELAY_S:
             state.calling = True
-            ensureDeferred(self._step(peer, model, version))
+            step = background("rollout step", self._step(peer, model, version))
+            step.addBoth(self._on_step_ended, state)
 
     def _row(self, peer: Peer, model: str, version: int, now: float) -> Engine:
         state = self._state(peer)
@@ -210,6 +211,7 @@
         slots of engines that may load at a time.
         """
         state = self._state(peer)
+        state.next_call_at = self._clock() + _POLL_INTERVAL_S
         report = await self._poll(peer)
         pause_s = _POLL_INTERVAL_S
         if report is not None and self._may_command(
@@ -218,9 +220,12 @@
             reply = await self._command(peer, model, version, report.orders)
             if reply is OrderReply.ACCEPTED:
                 pause_s = _POLL_DELAY_AFTER_ACCEPT_S
-        state.calling = False
         state.next_call_at = self._clock() + pause_s
 
+    def _on_step_ended(self, _: object, state: _Engine) -> None:
+        """Lets the next step begin, also after one that raised."""
+        state.calling = False
+
     def _may_command(
         self, peer: Peer, model: str, version: int, report: Report
     ) -> bool:
--- a/magnolialug/entry/rolloutlease.py
+++ b/magnolialug/entry/rolloutlease.py
@@ -5,9 +5,10 @@
 from random import Random
 
 import msgspec
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.background import background
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId
 from magnolialug.jsoninput import decode_json
@@ -16,6 +17,7 @@
 from magnolialug.policy.retry import Backoff
 from magnolialug.policy.rollout import Rollout
 from magnolialug.result import Code, Failure, failed
+from magnolialug.supervisedtask import SupervisedTask
 from magnolialug.timing import sleep
 from magnolialug.watchsubscriber import WatchSubscriber
 
@@ -83,6 +85,7 @@
       fence: the fencing token, 0 while this process is not the leader.
       name: identifies this start of this process.
       announced: the rollout that this leader has last written, None for none.
+      task: waits for the lease and renews it.
 
     Args:
       vm: the name of this machine.
@@ -125,7 +128,8 @@
         self._closed_at: dict[str, float] = {}
         self._valid_until = 0.0
         self._commanded_at = 0.0
-        self._task: Deferred | None = None
+        self._is_stopped = False
+        self.task = SupervisedTask("rollout lease", self._run, clock)
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
         """Applies the key's state; the previous leader is then unknown."""
@@ -156,8 +160,7 @@
 
     def start(self) -> None:
         """Starts to wait for the lease."""
-        self._task = ensureDeferred(self._run())
-        self._task.addErrback(lambda reason: reason.trap(CancelledError))
+        self.task.start()
 
     async def stop(self) -> None:
         """Revokes the lease, so that another entry can become leader.
@@ -165,10 +168,9 @@
         No command is sent after this. The next leader sends no command within
         the bound to an engine that may still receive one from this leader.
         """
-        task, self._task = self._task, None
-        if task is not None:
-            task.cancel()
+        self._is_stopped = True
         held, self.fence = self.fence, 0
+        self.task.stop()
         if held:
             await self._kv.revoke(self._lease)
 
@@ -203,8 +205,7 @@
     def announce(self, rollout: Rollout) -> None:
         """Writes a rollout; its commands may be sent once it is written."""
         if self.held and rollout != self.announced:
-            self._writing = True
-            ensureDeferred(self._write(rollout))
+            self._start_write(rollout)
 
     def announce_end(self) -> None:
         """Writes that no commands are sent, if none was sent for the bound."""
@@ -214,8 +215,7 @@
             self.announced is not None or self._written_commanded != ()
         )
         if self.held and needs_write and is_idle:
-            self._writing = True
-            ensureDeferred(self._write(None))
+            self._start_write(None)
 
     def step_down(self) -> None:
         """Stops acting as leader, after a lost lease or a higher fence."""
@@ -223,6 +223,14 @@
         self.fence = 0
         self.announced = None
 
+    def _start_write(self, rollout: Rollout | None) -> None:
+        self._writing = True
+        write = background("rollout write", self._write(rollout))
+        write.addBoth(self._on_written)
+
+    def _on_written(self, _: object) -> None:
+        self._writing = False
+
     async def _write(self, rollout: Rollout | None) -> None:
         commanded = self._find_possibly_commanded(rollout)
         value = msgspec.structs.replace(
@@ -231,6 +239,9 @@
         swap = await self._kv.put_if(
             LEADER_KEY, msgspec.json.encode(value), self.fence, self._lease
         )
+        if self._is_stopped:
+            # The lease has been given up; its next holder may be commanding.
+            return
         if isinstance(swap, Failure):
             await self._read_back()
         elif swap.won:
@@ -241,12 +252,12 @@
             self.step_down()
         else:
             self._record_written(swap.current)
-        self._writing = False
 
     async def _read_back(self) -> None:
         """Reads the key to learn the result of a write without an answer."""
         found = await self._kv.get(LEADER_KEY)
-        if isinstance(found, KvEntry) and self._is_mine(found):
+        is_held = not self._is_stopped and isinstance(found, KvEntry)
+        if is_held and self._is_mine(found):
             self._record_written(found)
 
     def _record_written(self, entry: KvEntry) -> None:
@@ -259,6 +270,8 @@
             self._on_rollout(rollout, True)
 
     async def _run(self) -> None:
+        # A task that failed as leader no longer renews the lease.
+        self.step_down()
         backoff = Backoff(base_s=0.2, limit_s=1.0)
         await sleep(
             self._clock, self._random.uniform(0.5, 1.0) * _STARTUP_DELAY_S
--- a/magnolialug/entry/urgentwatch.py
+++ b/magnolialug/entry/urgentwatch.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable, Sequence
 
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.background import background
 from magnolialug.platform.kv import Changes, Kv
 from magnolialug.result import Failure
 from magnolialug.timing import sleep
@@ -48,8 +49,7 @@
         """Starts to watch all prefixes for changes after a revision."""
         self.stop()
         for prefix in self._prefixes:
-            task = ensureDeferred(self._follow(prefix, after))
-            task.addErrback(lambda reason: reason.trap(CancelledError))
+            task = background("urgent watch", self._follow(prefix, after))
             self._tasks.append(task)
 
     def stop(self) -> None:
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from random import Random
 
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -15,6 +15,7 @@
 from magnolialug.platform.kv import Changes, Kv, KvEntry, Snapshot
 from magnolialug.policy.retry import Backoff
 from magnolialug.result import Code, Failure, failed
+from magnolialug.supervisedtask import SupervisedTask
 from magnolialug.timing import sleep
 from magnolialug.watchsubscriber import WatchSubscriber
 
@@ -84,6 +85,7 @@
       is_connected: whether the service answered the last call.
       revision: the revision up to which all changes have been reported.
       guard: calls the subscribers, and counts the calls that failed.
+      task: the watch; it begins with a snapshot.
     """
 
     def __init__(
@@ -119,18 +121,15 @@
             kv, urgent, clock, wait_s, pace_s[0], self._apply_urgent
         )
         self._urgent_revisions = dict.fromkeys(urgent, 0)
-        self._task: Deferred | None = None
+        self.task = SupervisedTask("watch", self._run, clock)
 
     def start(self) -> None:
         """Starts the watch."""
-        self._task = ensureDeferred(self._run())
-        self._task.addErrback(lambda reason: reason.trap(CancelledError))
+        self.task.start()
 
     def stop(self) -> None:
         """Stops the watch."""
-        task, self._task = self._task, None
-        if task is not None:
-            task.cancel()
+        self.task.stop()
 
     def revision_of(self, prefix: str) -> int:
         """Returns the revision up to which a prefix has been reported."""
--- a/magnolialug/prefixcache/garbagecollector.py
+++ b/magnolialug/prefixcache/garbagecollector.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-from twisted.internet.defer import ensureDeferred
-
+from magnolialug.background import background
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import ServiceName
@@ -70,7 +69,10 @@
                 for cache_namespace, _ in poller.index.parts
             ):
                 self._next_clean_at[name] = now + _CLEAN_INTERVAL_S
-                ensureDeferred(self._clean(name, poller.address, poller.index))
+                background(
+                    "store cleanup",
+                    self._clean(name, poller.address, poller.index),
+                )
 
     def _is_unused(self, cache_namespace: str, now: float) -> bool:
         model, version = model_and_version(cache_namespace)
--- a/magnolialug/prefixcache/storepollers.py
+++ b/magnolialug/prefixcache/storepollers.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator
 from random import Random
 
-from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.config.routing import CacheStore, Routing
@@ -12,6 +11,7 @@
 from magnolialug.policy.storeindex import StoreIndex
 from magnolialug.policy.storemap import StoreMap, StoreTraits
 from magnolialug.prefixcache.storepoller import StorePoller
+from magnolialug.supervisedtask import SupervisedTask
 
 __all__ = ["StorePollers"]
 
@@ -19,6 +19,10 @@
 class StorePollers:
     """The configured stores, with a polling task for each indexed one.
 
+    Attributes:
+      pollers: of all configured stores.
+      tasks: the polling tasks, by store.
+
     Args:
       stores: receives the stores of each configuration.
       newest_version: returns the newest known version of a model.
@@ -41,7 +45,7 @@
         self._random = random
         self._newest_version = newest_version
         self._is_owner = is_owner
-        self._tasks: dict[ServiceName, Deferred] = {}
+        self.tasks: dict[ServiceName, SupervisedTask] = {}
 
     def index(self, name: ServiceName) -> StoreIndex | None:
         """Returns a store's index for an entry that queries it."""
@@ -92,10 +96,10 @@
         for name, poller in self.pollers.items():
             if not poller.indexed:
                 self._stop_polling(name)
-            elif name not in self._tasks:
-                task = ensureDeferred(poller.run())
-                task.addErrback(lambda reason: reason.trap(CancelledError))
-                self._tasks[name] = task
+            elif name not in self.tasks:
+                task = SupervisedTask(f"store {name}", poller.run, self._clock)
+                self.tasks[name] = task
+                task.start()
             poller.index.tick(now)
 
     def stop(self) -> None:
@@ -116,9 +120,9 @@
         )
 
     def _stop_polling(self, name: ServiceName) -> None:
-        task = self._tasks.pop(name, None)
+        task = self.tasks.pop(name, None)
         if task is not None:
-            task.cancel()
+            task.stop()
 
     def _drop(self, name: ServiceName) -> None:
         self._stop_polling(name)
--- a/magnolialug/quarantine/quarantinelist.py
+++ b/magnolialug/quarantine/quarantinelist.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 import msgspec
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.background import background
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import EndpointId, RequestDigest, ServiceName
 from magnolialug.jsoninput import decode_json
@@ -127,7 +127,7 @@
         row = self._rows.get(digest)
         self._release(digest)
         if row is not None and row.revision and self._is_writer(digest):
-            ensureDeferred(self._delete(digest))
+            background("quarantine release", self._delete(digest))
 
     def release_explained(self, endpoints: Collection[EndpointId]) -> None:
         """Removes temporary rows that only these crashes speak against."""
@@ -173,7 +173,7 @@
             if now >= row.until:
                 self._release(digest)
         if not self._writing and now >= self._write_at:
-            ensureDeferred(self._write())
+            background("quarantine write", self._write())
 
     def _put(self, digest: RequestDigest, row: _Row) -> None:
         known = digest in self._rows
--- a/tests/entry/test_lapsed_registrations.py
+++ b/tests/entry/test_lapsed_registrations.py
@@ -141,7 +141,7 @@
         fleet = LapsedFleet()
         fleet.cluster.pass_time(_SETTLED_AFTER_S)
         for gateway in fleet.gateways:
-            gateway._entries._task.cancel()
+            gateway._entries.task.stop()
             gateway._watch_client.stop()
         fleet.cluster.pass_time(_DROPPED_AFTER_S)
         fleet.gateways = [fleet.cluster.start("front-4", 4)]
@@ -156,6 +156,6 @@
         """Guards against a rate share that shrinks with each dead gateway."""
         fleet = LapsedFleet()
         dead = fleet.gateways.pop()
-        dead._entries._task.cancel()
+        dead._entries.task.stop()
         fleet.cluster.pass_time(_DROPPED_AFTER_S)
         self.assertEqual([2, 2], fleet.min_counts(0.1))
--- a/tests/entry/test_rollout_commands.py
+++ b/tests/entry/test_rollout_commands.py
@@ -204,7 +204,7 @@
 
     def suspend(self, cluster, gateway):
         """Stops a gateway's renewals and ticks, as a suspension does."""
-        gateway._lease._task.cancel()
+        gateway._lease.task.stop()
         gateway._tick.cancel()
 
     def test_fencing_tokens_grow_from_leader_to_leader(self):
--- a/tests/prefixcache/test_owners_of_stores.py
+++ b/tests/prefixcache/test_owners_of_stores.py
@@ -171,7 +171,7 @@
         cluster.ask("/draft/x", seconds=2)
         dead = {g.settings.host for g in owners(cluster)}
         for gateway in owners(cluster):
-            gateway._entries._task.cancel()
+            gateway._entries.task.stop()
             gateway.prefix_cache.stop()
         cluster.net.loses_datagram = lambda sender, receiver: (
             receiver[0] in dead or sender[0] in dead
