Ticks: a step that raises keeps no others back

Change: each step of the tick is called for itself through Guard, logged (9000) and counted (task_failures), and named by the readiness answer while it fails. An attempt whose check raises, or whose request cannot be made, leaves the set and ends its call with 502. Names of teams are sent as Latin-1, or else as UTF-8; a cache namespace writes what is not plain as hexadecimal digits, so that no two teams get the same. A name with control characters would add headers to requests: its row is refused, as other malformed rows are.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -70,6 +70,8 @@
 
 __all__ = ["Gateway"]
 
+_Step = tuple[str, Callable[[float], None]]
+
 # Deadlines and time-outs are checked this often, so they take effect at most
 # this late.
 _TICK_INTERVAL_S = 0.05
@@ -234,6 +236,7 @@
         self._in_flight: set[HttpAttempt] = set()
         self._silence = LivenessMonitor(self.directory, calls, reactor.seconds)
         self._tick = None
+        self._tick_guard = Guard(reactor.seconds)
         self._clean_up_at = 0.0
         self._budget = self._new_budget()
         self._context = self._call_context(random)
@@ -279,6 +282,8 @@
     def start(self) -> None:
         """Starts reading routes and endpoints."""
         self._register_gauges()
+        self._tick_steps = self._new_tick_steps()
+        self._clean_up_steps = self._new_clean_up_steps()
         self._watch_client.start()
         self._lease.start()
         self._entries.start()
@@ -322,8 +327,9 @@
         )
 
     def failing(self) -> list[str]:
-        """Returns the tasks that are down, for the readiness answer."""
-        return [task.name for task in self._tasks() if task.is_down]
+        """Returns what fails now, for the readiness answer."""
+        down = [task.name for task in self._tasks() if task.is_down]
+        return down + sorted(self._tick_guard.failing)
 
     def _tasks(self) -> list[SupervisedTask]:
         """Returns the long-lived tasks."""
@@ -485,7 +491,11 @@
         )
 
     def _guards(self) -> list[Guard]:
-        return [self._watch_client.guard, self.registry.guard]
+        return [
+            self._tick_guard,
+            self._watch_client.guard,
+            self.registry.guard,
+        ]
 
     def _cancel_attempts(self, _: RequestDigest) -> None:
         """Aborts the attempts of requests that are now quarantined."""
@@ -547,25 +557,45 @@
         )
 
     def _on_tick(self) -> None:
+        """Makes the periodic steps; one that raises keeps no others back."""
         self._tick = self._reactor.callLater(_TICK_INTERVAL_S, self._on_tick)
         now = self.clock()
-        self._connection_gate.tick(now, _TICK_INTERVAL_S)
+        for name, step in self._tick_steps:
+            self._tick_guard.call(name, step, now)
         if now >= self._clean_up_at:
             self._clean_up_at = now + _CLEAN_UP_INTERVAL_S
-            self._clean_up(now)
+            for name, step in self._clean_up_steps:
+                self._tick_guard.call(name, step, now)
+
+    def _new_tick_steps(self) -> tuple[_Step, ...]:
+        return (
+            (
+                "connection gate",
+                lambda now: self._connection_gate.tick(now, _TICK_INTERVAL_S),
+            ),
+            ("attempts", self._sweep_attempts),
+            ("liveness", lambda _: self._silence.tick(self._in_flight)),
+            ("caller timeouts", self.factory.check_timeouts),
+            ("registry", lambda _: self.registry.tick()),
+            ("entries", lambda _: self._entries.tick()),
+            ("newest versions", self._record_newest_versions),
+            ("rollout", lambda _: self._rollout_commands.tick()),
+            ("owners", self.owners.tick),
+            ("quarantine", self.quarantine.tick),
+            ("stream origins", self._origins.tick),
+            ("restarts", self._restarts.tick),
+        )
+
+    def _new_clean_up_steps(self) -> tuple[_Step, ...]:
+        return (
+            ("prefix cache", self.prefix_cache.tick),
+            ("directory", lambda _: self.directory.trim()),
+        )
+
+    def _sweep_attempts(self, now: float) -> None:
+        """Checks all attempts; one that raises is ended."""
         for attempt in list(self._in_flight):
-            attempt.sweep(now)
-        self._silence.tick(self._in_flight)
-        self.factory.check_timeouts(now)
-        self.registry.tick()
-        self._entries.tick()
-        self._record_newest_versions(now)
-        self._rollout_commands.tick()
-        self.owners.tick(now)
-        self.quarantine.tick(now)
-        self._origins.tick(now)
-        self._restarts.tick(now)
-
-    def _clean_up(self, now: float) -> None:
-        self.prefix_cache.tick(now)
-        self.directory.trim()
+            exc = self._tick_guard.call("attempt", attempt.sweep, now)
+            if exc is not None:
+                self._in_flight.discard(attempt)
+                attempt.fail(exc)
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -260,6 +260,14 @@
         if self.done is not None:
             self.done.cancel()
 
+    def fail(self, exc: BaseException) -> None:
+        """Ends the attempt with an exception, which ends its call."""
+        done, self.done = self.done, None
+        self._release_sink()
+        self._drop_request()
+        if done is not None:
+            done.errback(exc)
+
     def abort_unless_started(self) -> None:
         """Drops the attempt of a crashing request if no data has arrived."""
         if not self.begun:
@@ -538,5 +546,10 @@
         """
         self.done = None
         self._release_sink()
-        if self._call.route.form is not RouteType.NON_IDEMPOTENT:
+        self._drop_request()
+
+    def _drop_request(self) -> None:
+        """Drops the exchange, unless it may leave half a booking."""
+        is_sent = self._pending_request is not None
+        if is_sent and self._call.route.form is not RouteType.NON_IDEMPOTENT:
             self._pending_request.drop()
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -393,7 +393,11 @@
         if race.running_count:
             self._hedges.add(attempt)
         race.add(attempt)
-        attempt.start(self._clock)
+        try:
+            attempt.start(self._clock)
+        except Exception as exc:
+            # The gateway sweeps it until it has ended.
+            attempt.fail(exc)
 
     def _on_attempt_end(
         self, attempt: HttpAttempt, outcome: Outcome | None
--- a/magnolialug/platform/operator.py
+++ b/magnolialug/platform/operator.py
@@ -184,6 +184,8 @@
 
 
 def _team(row: _WireTeam) -> RouteTeam:
+    if not row.name.isprintable():
+        raise ValueError("name: expected no control characters")
     return RouteTeam(
         TeamId(row.name), tuple(row.api_keys), row.priority, row.isolated
     )
--- a/magnolialug/platform/requests.py
+++ b/magnolialug/platform/requests.py
@@ -239,7 +239,7 @@
     lines.append(b"X-Request-Deadline-Ms: %d" % max(1, left_s * 1000))
     lines.append(b"X-Expect-Instance: " + to.endpoint.encode("latin-1"))
     if call.team:
-        lines.append(b"X-Tenant-Id: " + call.team.encode("latin-1"))
+        lines.append(b"X-Tenant-Id: " + _header_text(call.team))
     if call.prompt is not None:
         lines += _prompt_lines(call, to)
     if call.body or call.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -250,7 +250,7 @@
 def _prompt_lines(call: ForwardCall, to: Dispatch) -> list[bytes]:
     lines = [
         b"X-Request-Priority: %d" % to.priority,
-        b"X-Cache-Salt: " + to.cache_namespace.encode("latin-1"),
+        b"X-Cache-Salt: " + _header_text(to.cache_namespace),
     ]
     if to.weights:
         lines.append(b"X-Expect-Version: %d" % to.weights)
@@ -262,6 +262,14 @@
     return lines
 
 
+def _header_text(text: str) -> bytes:
+    """Returns a text as Latin-1, which HTTP uses, or else as UTF-8."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def _addresses(rows: tuple[str, ...]) -> bytes:
     return ",".join(row or "-" for row in rows).encode("latin-1")
 
--- a/magnolialug/policy/cachenamespace.py
+++ b/magnolialug/policy/cachenamespace.py
@@ -10,7 +10,18 @@
       team: the team, if it is isolated; "" for all others.
       version: of the model's weights, 0 if not known.
     """
-    return f"{team}/{model}/{version}" if version else ""
+    return f"{_team_part(team)}/{model}/{version}" if version else ""
+
+
+def _team_part(team: str) -> str:
+    """Returns a team's name as a header can carry it.
+
+    Two names never give the same text, since one team must not read another's
+    cache: what is not plain is written as hexadecimal digits behind "=".
+    """
+    if team.isascii() and "/" not in team and not team.startswith("="):
+        return team
+    return "=" + team.encode().hex()
 
 
 def model_and_version(namespace: str) -> tuple[str, int]:
