Rollout: a closed engine that does not answer keeps its place

Cause: found by a test of unreadable reports. A closed engine with more than two unanswered calls was counted neither among the loading nor among the waiting engines. So the plan left it out, and took it back at the next tick as one that waits: 18 announcements a second. Each is announced before any engine is asked, so no engine was asked any more, and those that could answer again, or had loaded in the meantime, were never commanded or known to be current. Weights of a model could stay old for good while the leader lived.

Change: such an engine waits behind all others and keeps its place while no other engine needs it, as the docstring says.

Before/after: tests/entry/test_silent_rollout.py failed on (number of announcements; the engine kept version 1), passes now.

--- a/magnolialug/policy/rollout.py
+++ b/magnolialug/policy/rollout.py
@@ -84,7 +84,11 @@
     loading += [
         e for e in outdated if e.closed and not e.failing and not e.loading
     ]
-    waiting = [e for e in outdated if not (e.closed or e.barred or e.loading)]
+    waiting = [
+        e
+        for e in outdated
+        if (e.failing or not e.closed) and not (e.barred or e.loading)
+    ]
     waiting.sort(key=lambda e: (e.failing, e.version, e.running, e.endpoint))
     free = max_concurrent_loads(len(engines)) - len(loading)
     closed = loading + waiting[: max(0, free)]
