Readers: callers', gateways', engines' and stores' bytes that raise are refused

A Last-Event-ID or a token count of 3,000 digits raised in int() or later in msgpack: the caller's connection closed without an answer, or it got 502 for what never ran. X-Weight-Versions or Keep-Alive of 5,000 digits dropped a sound answer. A row of a store with a list for a name, a version "2" in superscript or an answer nested deep ended the poll of that store. A datagram that a handler raised for was logged without its sender. The engine's and the store's clients of the programs before sidecars decoded without a handler.

Change: numbers in headers have 12 digits at most; a caller's longer one is refused with 400. What raises while a request is read gives 400 (110), is logged and is known not to have run. Each datagram's handler is called for itself (4220), one that cannot be encoded or sent is logged (4224) and lost, as datagrams may be. All JSON of engines and stores goes through decode_json.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -38,6 +38,7 @@
 _KEEP_ALIVE_MARGIN_S = 0.7
 # Idle time assumed for endpoints that announce no limit.
 _DEFAULT_KEEP_ALIVE_S = 4.0
+_MAX_DIGITS = 12
 
 
 class _State(enum.Enum):
@@ -88,7 +89,8 @@
     for part in (head.get(b"keep-alive") or b"").split(b","):
         name, _, value = part.strip().partition(b"=")
         if name.lower() == b"timeout" and value.isdigit():
-            return max(0.0, int(value) - _KEEP_ALIVE_MARGIN_S)
+            seconds = int(value[:_MAX_DIGITS])
+            return max(0.0, seconds - _KEEP_ALIVE_MARGIN_S)
     return _DEFAULT_KEEP_ALIVE_S
 
 
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -1,6 +1,7 @@
 """The gateway's application object: wires its parts and serves requests."""
 
 import secrets
+import traceback
 from collections.abc import Callable
 from random import Random
 
@@ -369,7 +370,7 @@
     def handle(self, req: GatewayRequest) -> None:
         """Serves one complete request."""
         sink = GatewaySink(req)
-        call = self._admit(req)
+        call = self._read_call(req)
         if isinstance(call, Failure):
             self._log_early_refusal(req, call)
             sink.refuse(call)
@@ -441,6 +442,18 @@
             )
         )
 
+    def _read_call(self, req: GatewayRequest) -> ForwardCall | Failure:
+        """Returns the call of a request, or why it is refused."""
+        try:
+            return self._admit(req)
+        except Exception as exc:
+            emit(
+                Event.TASK_FAILED,
+                task="request intake",
+                traceback=traceback.format_exc(),
+            )
+            return failed(Code.UNREADABLE_REQUEST, type(exc).__name__)
+
     def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
         if self.routes.table is None:
             return failed(Code.CONFIG_MISSING, retry_after_s=0.5)
@@ -495,6 +508,7 @@
             self._tick_guard,
             self._watch_client.guard,
             self.registry.guard,
+            self.messenger.guard,
         ]
 
     def _cancel_attempts(self, _: RequestDigest) -> None:
--- a/magnolialug/entry/peermessenger.py
+++ b/magnolialug/entry/peermessenger.py
@@ -9,6 +9,8 @@
 
 from magnolialug.carrier.pool import Address
 from magnolialug.events import Event, emit
+from magnolialug.guard import Guard
+from magnolialug.jsoninput import UNREADABLE
 from magnolialug.owners.messages import (
     AdmissionReply,
     Dequeue,
@@ -74,11 +76,15 @@
     Datagrams can be lost or reordered, and this class does not retransmit. The
     sender of a message must make up for its loss by a later one.
 
+    Attributes:
+      guard: calls the handlers.
+
     Args:
       me: this entry's own address; messages to it do not use the socket.
     """
 
     def __init__(self, me: Address, clock: IReactorTime):
+        self.guard = Guard(clock.seconds)
         self._me = me
         self._clock = clock
         self._handlers: dict[type, Callable[[Any, Address], None]] = {}
@@ -99,10 +105,9 @@
     def send(self, message: Message, to: Address) -> None:
         """Sends a message to one entry; drops it if the socket is not open."""
         if to == self._me:
-            handler = self._handlers[type(message)]
-            self._clock.callLater(0, handler, message, to)
+            self._clock.callLater(0, self._handle, message, to)
         elif self.open:
-            self.transport.write(self._encode(message), to)
+            self._send_datagram(message, to)
 
     def datagramReceived(self, data: bytes, addr: Address) -> None:
         """Passes a message to its handler; drops one too long or malformed."""
@@ -110,7 +115,31 @@
             return
         try:
             message = self._decode(data)
-        except msgspec.MsgspecError as exc:
+        except UNREADABLE as exc:
             emit(Event.REPORT_REFUSED, peer=addr[0], reason=str(exc))
             return
-        self._handlers[type(message)](message, addr)
+        self._handle(message, addr)
+
+    def _handle(self, message: Message, sender: Address) -> None:
+        """Calls a message's handler; what it raises ends this message only."""
+        kind = type(message)
+        handler = self._handlers[kind]
+        exc = self.guard.call(kind.__name__, handler, message, sender)
+        if exc is not None:
+            reason = f"{kind.__name__}: {type(exc).__name__}: {exc}"
+            emit(Event.REPORT_REFUSED, peer=sender[0], reason=reason)
+
+    def _send_datagram(self, message: Message, to: Address) -> None:
+        try:
+            data = self._encode(message)
+        except (OverflowError, *UNREADABLE) as exc:
+            self._log_unsent(message, str(exc))
+            return
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            self._log_unsent(message, f"{len(data)} bytes")
+            return
+        self.transport.write(data, to)
+
+    def _log_unsent(self, message: Message, reason: str) -> None:
+        kind = type(message).__name__
+        emit(Event.REPORT_UNSENT, message=kind, reason=reason)
--- a/magnolialug/entry/web.py
+++ b/magnolialug/entry/web.py
@@ -32,6 +32,7 @@
 __all__ = ["EntryResource"]
 
 _BEARER = "Bearer "
+_MAX_EVENT_ID_DIGITS = 12
 _MAX_IDEMPOTENCY_KEY_CHARS = 256
 _FORMATS = {"chat": CHAT, "completion": COMPLETION, "plain": PLAIN}
 
@@ -275,6 +276,6 @@
 def _last_event_id(req: Request) -> int | Failure:
     name = "Last-Event-ID"
     text = (req.requestHeaders.getRawHeaders(name) or ["0"])[0]
-    if not text.isdecimal():
+    if not text.isdecimal() or len(text) > _MAX_EVENT_ID_DIGITS:
         return failed(Code.WRONG_TYPE, "not a decimal number", name, text)
     return int(text)
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -110,6 +110,7 @@
     REGISTRATION_FAILED = 4221
     ENTRIES_COUNTED = 4222
     COUNT_UNWRITTEN = 4223
+    REPORT_UNSENT = 4224
     LEASE_WON = 4300
     LEASE_LOST = 4301
     LEASE_UNCERTAIN = 4302
@@ -201,6 +202,7 @@
     Event.REGISTRATION_FAILED: "This entry could not register itself.",
     Event.ENTRIES_COUNTED: "Other entries than before share the work; why.",
     Event.COUNT_UNWRITTEN: "The number of entries was not stored; retried.",
+    Event.REPORT_UNSENT: "A message to another entry cannot be sent.",
     Event.LEASE_WON: "This process gives the orders to engines from now on.",
     Event.LEASE_LOST: "This process gives no more orders.",
     Event.LEASE_UNCERTAIN: "A renewal had no answer; the lease runs on.",
--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from magnolialug.ids import BlockId
+from magnolialug.jsoninput import Count, decode_json
 from magnolialug.platform.http import HttpClient, StreamTaker
 from magnolialug.policy.blocks import token_count
 from magnolialug.result import Code, Failure, failed
@@ -18,6 +19,34 @@
 _LINE_LIMIT = 1024 * 1024
 
 
+class _Details(msgspec.Struct):
+    cached_tokens: Count = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: Count
+    completion_tokens: Count
+    prompt_tokens_details: _Details | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str | None = None
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    """An event of a streamed completion."""
+
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+
+
+class _Held(msgspec.Struct):
+    """How many of some blocks an engine holds."""
+
+    held: Count
+
+
 class _HttpRun:
     """One streamed completion."""
 
@@ -73,20 +102,24 @@
         if data == _END:
             self._end(self._usage or failed(Code.ENDPOINT_FAILED, "no usage"))
             return
-        event = msgspec.json.decode(data)
-        usage = event.get("usage")
-        if usage:
-            details = usage.get("prompt_tokens_details") or {}
+        event = decode_json(data, _Event, Code.ENDPOINT_FAILED, "event")
+        if isinstance(event, Failure):
+            self._end(event)
+            self._pending_request.drop()
+            return
+        usage = event.usage
+        if usage is not None:
+            details = usage.prompt_tokens_details or _Details()
             self._usage = Usage(
-                usage["prompt_tokens"],
-                details.get("cached_tokens", 0),
-                usage["completion_tokens"],
+                usage.prompt_tokens,
+                details.cached_tokens,
+                usage.completion_tokens,
                 self._finish,
             )
-        for choice in event.get("choices", ()):
-            self._finish = choice.get("finish_reason") or self._finish
-            if choice.get("text") and not self.done.called:
-                self._on_piece(choice["text"])
+        for choice in event.choices:
+            self._finish = choice.finish_reason or self._finish
+            if choice.text and not self.done.called:
+                self._on_piece(choice.text)
 
     def _closed(self, _: bool) -> None:
         self._end(failed(Code.ENDPOINT_FAILED, "the stream was cut"))
@@ -130,7 +163,8 @@
         reply = await self._ask("POST", "cache/lookup", {"ids": ids})
         if isinstance(reply, Failure):
             return reply
-        return msgspec.json.decode(reply.body)["held"]
+        found = decode_json(reply.body, _Held, Code.ENDPOINT_FAILED, self._base)
+        return found if isinstance(found, Failure) else found.held
 
     async def export_block(self, block: BlockId) -> bytes | Failure:
         """Returns a cached block's bytes.
--- a/magnolialug/platform/requests.py
+++ b/magnolialug/platform/requests.py
@@ -71,6 +71,7 @@
     )
 )
 _HINT_DIGITS = 9
+_MAX_DIGITS = 12
 _ONCE = (
     _REQUEST_ID,
     _DEADLINE,
@@ -134,11 +135,16 @@
 
 def _whole_number(name: bytes, value: bytes) -> int | Failure:
     text = value.strip()
-    if not text.isdigit() or len(text) > 12:
+    if not _is_number(text):
         return _bad(name, value, "must be a whole number")
     return int(text)
 
 
+def _is_number(text: bytes) -> bool:
+    """Whether a text is a whole number that all arithmetic can hold."""
+    return text.isdigit() and len(text) <= _MAX_DIGITS
+
+
 def _dropped(headers: HeaderList) -> frozenset[bytes]:
     """Returns the names that the sender's Connection header lists."""
     named = [value for name, value in headers if name == b"connection"]
@@ -152,14 +158,14 @@
     if _MODEL not in found or _TOKENS not in found:
         return None
     counts = found[_TOKENS].split(b",")
-    if len(counts) != 2 or not all(c.strip().isdigit() for c in counts):
+    if len(counts) != 2 or not all(_is_number(c.strip()) for c in counts):
         return _bad(_TOKENS, found[_TOKENS], "must be two whole numbers")
     parts = []
     for row in found.get(_PREFIX, b"").split(b","):
         name, _, tokens = row.strip().rpartition(b":")
         if not row.strip():
             continue
-        if not name or not tokens.isdigit():
+        if not name or not _is_number(tokens):
             return _bad(_PREFIX, found[_PREFIX], "must be ID:TOKENS entries")
         parts.append(Part(name.decode("latin-1"), int(tokens)))
     return Prompt(
@@ -181,6 +187,12 @@
     return int(text) if text.isdigit() and len(text) <= _HINT_DIGITS else 0
 
 
+def _resume_after(found: dict[bytes, bytes]) -> int | Failure:
+    """Returns the last event that a caller has, 0 for what is no number."""
+    text = found.get(_LAST_EVENT, b"")
+    return _whole_number(_LAST_EVENT, text) if text.isdigit() else 0
+
+
 def read_marks(headers: HeaderList) -> Marks | Failure:
     """Returns what a caller's headers say.
 
@@ -208,16 +220,15 @@
         if isinstance(wait_ms, Failure):
             return wait_ms
         marks.wait_s = wait_ms / 1000
-    resume = found.get(_LAST_EVENT, b"")
-    marks.resume_after = int(resume) if resume.isdigit() else 0
     marks.resumes = found.get(_RESUMES, b"").decode("latin-1")
     key = found.get(_AUTHORIZATION, b"")
     if key[: len(_SCHEME)].lower() == _SCHEME:
         marks.key = key[len(_SCHEME) :].strip().decode("latin-1")
-    prompt = _prompt(found)
-    if isinstance(prompt, Failure):
-        return prompt
-    marks.prompt = prompt
+    resume_after, prompt = _resume_after(found), _prompt(found)
+    for read in (resume_after, prompt):
+        if isinstance(read, Failure):
+            return read
+    marks.resume_after, marks.prompt = resume_after, prompt
     return marks
 
 
@@ -285,7 +296,7 @@
         not_run=not_run or head.status == _MISDIRECTED,
         misdirected=head.status == _MISDIRECTED,
         stamped=head.get(_STAMP) is not None,
-        weights=int(weights) if weights.isdigit() else 0,
+        weights=int(weights) if _is_number(weights) else 0,
         instance=(head.get(_INSTANCE) or b"").decode("latin-1"),
         passed=[
             (name, value)
--- a/magnolialug/platform/storehttp.py
+++ b/magnolialug/platform/storehttp.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from magnolialug.ids import BlockId
+from magnolialug.jsoninput import Count, decode_json
 from magnolialug.platform.http import HttpClient, Reply
 from magnolialug.policy.storedblock import BlockMeta, StoredBlock, Tier
 from magnolialug.result import Code, Failure, failed
@@ -16,6 +17,12 @@
 }
 
 
+class _Staged(msgspec.Struct):
+    """The answer to a staged block."""
+
+    generation: Count
+
+
 class StoreHttp:
     """Implements Store over HTTP."""
 
@@ -31,7 +38,9 @@
         reply = await self._ask("POST", "lookup", {"ids": ids})
         if isinstance(reply, Failure):
             return reply
-        found = msgspec.json.decode(reply.body, type=list[StoredBlock])
+        found = self._read(reply, list[StoredBlock])
+        if isinstance(found, Failure):
+            return found
         return {stored.block: stored for stored in found}
 
     async def read(self, stored: StoredBlock) -> bytes | Failure:
@@ -48,7 +57,8 @@
         reply = await self._ask("PUT", path, data)
         if isinstance(reply, Failure):
             return reply
-        return msgspec.json.decode(reply.body)["generation"]
+        staged = self._read(reply, _Staged)
+        return staged if isinstance(staged, Failure) else staged.generation
 
     async def seal(
         self,
@@ -77,7 +87,7 @@
         )
         if isinstance(reply, Failure):
             return reply
-        return msgspec.json.decode(reply.body, type=list[StoredBlock])
+        return self._read(reply, list[StoredBlock])
 
     async def move(self, stored: StoredBlock, tier: Tier) -> None | Failure:
         """Moves that very generation to another tier inside the store."""
@@ -91,6 +101,9 @@
         reply = await self._ask("DELETE", path)
         return reply if isinstance(reply, Failure) else None
 
+    def _read(self, reply: Reply, form: type):
+        return decode_json(reply.body, form, Code.STORE_UNAVAILABLE, self._base)
+
     async def _ask(self, method: str, path: str, body=b"") -> Reply | Failure:
         data = body if isinstance(body, bytes) else msgspec.json.encode(body)
         reply = await self._http.ask(
--- a/magnolialug/policy/cachenamespace.py
+++ b/magnolialug/policy/cachenamespace.py
@@ -28,4 +28,5 @@
     """Returns the model and the version in a cache namespace, 0 for none."""
     _, _, rest = namespace.partition("/")
     model, _, version = rest.rpartition("/")
-    return model, int(version) if version.isdigit() else 0
+    is_number = version.isascii() and version.isdigit()
+    return model, int(version) if is_number else 0
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -28,6 +28,7 @@
     MISSING_IDEMPOTENCY_KEY = 107
     KEY_REUSED = 108
     BAD_PREVIEW = 109
+    UNREADABLE_REQUEST = 110
     UNAUTHENTICATED = 200
     UNKNOWN_TEAM = 201
     UNKNOWN_SERVICE = 202
@@ -135,6 +136,7 @@
         ),
         (Code.KEY_REUSED, 422, "The idempotency key names another body."),
         (Code.BAD_PREVIEW, 400, "A parameter of a preview is wrong."),
+        (Code.UNREADABLE_REQUEST, 400, "The request cannot be read."),
         (Code.UNAUTHENTICATED, 401, "No bearer key was given."),
         (Code.UNKNOWN_TEAM, 401, "The bearer key belongs to no team."),
         (Code.UNKNOWN_SERVICE, 404, "No such service is configured."),
