Answers: bytes without end are refused, in any part of a head or body

Cause: nothing bounded what a response may carry beside its body. Header lines and trailers were kept for as long as they came (243 and 499 MB with one slow sender, by the users' table, where memoryMb is 200 and a process above it is killed); other parts kept an exchange open until its deadline, so that a caller got 504 beside a sound server. Trailers were also added to the answer's head.

Change: the reader refuses a response after 32 KB without any body, in its head or between two pieces of its body, and after 256 headers; trailers are dropped. The connection is closed and the attempt ends as malformed, so that another endpoint is tried where the route allows it. A chunked body is complete with its last chunk (RFC 9112, section 8), so an answer whose trailers have no end is passed on as whole, bookings included. Also bounded: the body of a refusal or failure (64 KB, 1 s), of a response to another request (64 KB), reports of engines (64 KB), answers of stores (4 MB), and the time of a call whose response trickles (10 s, longer at 8 KB/s or more).

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -15,6 +15,10 @@
 __all__ = ["Client", "NoReply", "Reply", "parse_address", "request_bytes"]
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bounds the time of a response that never ends: it must arrive at this average
+# rate after the first seconds.
+_ARRIVAL_S = 10.0
+_MIN_RECEIVE_BYTES_PER_S = 8 * 1024
 # Assumed lowest send rate of a request on a slow link that carries other
 # traffic. The time to send at this rate extends the time-out for the response,
 # which cannot begin before the request has been sent.
@@ -73,12 +77,14 @@
     Attributes:
       first_byte_timeout_s: the longest time until the response begins.
       piece_timeout_s: the longest time between two pieces of the response.
+      max_bytes: the largest body.
       peer_calls: all calls to the peer under way, this one included.
       progress: what has arrived of the response.
     """
 
     def __init__(self, reactor, progress: Progress):
         self.first_byte_timeout_s = self.piece_timeout_s = 0.0
+        self.max_bytes = _MAX_BODY_BYTES
         self.peer_calls: set[_Call] = {self}
         self._reactor = reactor
         self.progress = progress
@@ -115,12 +121,12 @@
         self._silence.check()
 
     def on_data(self, data: bytes) -> None:
-        """Adds a piece of the body; drops the call above _MAX_BODY_BYTES."""
+        """Adds a piece of the body; drops the call above `max_bytes`."""
         now = self._reactor.seconds()
         self._record_extension(now)
         self.progress.record(now, len(data))
         self._pieces.append(data)
-        if self.progress.received > _MAX_BODY_BYTES:
+        if self.progress.received > self.max_bytes:
             self._pending.drop()
 
     def on_end(self, end: End) -> None:
@@ -186,7 +192,16 @@
             if call.progress.is_arriving and self._may_be_behind(call.progress)
         ]
         delayed_at = max([self._delayed_at, *arriving])
-        return max(self._own_deadline(), delayed_at + self.piece_timeout_s)
+        silent_at = max(self._own_deadline(), delayed_at + self.piece_timeout_s)
+        return min(silent_at, self._arrival_deadline())
+
+    def _arrival_deadline(self) -> float:
+        """Returns when a response that arrives too slowly times out."""
+        progress = self.progress
+        if progress.first_byte_at is None:
+            return float("inf")
+        slowest_s = progress.received / _MIN_RECEIVE_BYTES_PER_S
+        return progress.first_byte_at + _ARRIVAL_S + slowest_s
 
 
 class Client:
@@ -214,6 +229,7 @@
         connect_s: float | None = None,
         silence_s: float | None = None,
         progress: Progress | None = None,
+        max_bytes: int = _MAX_BODY_BYTES,
     ) -> Deferred[Reply | NoReply]:
         """Returns the response, or a NoReply that says how the call ended.
 
@@ -239,11 +255,13 @@
           silence_s: the longest time between two pieces of the response, None
             for timeout_s.
           progress: records the bytes that arrive.
+          max_bytes: the largest body; a longer one ends as DROPPED.
         """
         call = _Call(self._reactor, progress or Progress())
         call.first_byte_timeout_s = (
             timeout_s + len(request) / _MIN_SEND_BYTES_PER_S
         )
+        call.max_bytes = max_bytes
         call.piece_timeout_s = timeout_s if silence_s is None else silence_s
         call.peer_calls = self._calls.setdefault(address, set())
         call.peer_calls.add(call)
--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -16,6 +16,7 @@
     ResponseReader,
 )
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
+from magnolialug.events import Event, emit
 
 __all__ = [
     "USER_TIMEOUT_MS",
@@ -39,6 +40,8 @@
 # Idle time assumed for endpoints that announce no limit.
 _DEFAULT_KEEP_ALIVE_S = 4.0
 _MAX_DIGITS = 12
+# Bounds what is read of responses to other requests.
+_MAX_DISCARDED_BYTES = 64 * 1024
 
 
 class _State(enum.Enum):
@@ -125,6 +128,7 @@
         self._accepts_head = None
         self._head: Head | None = None
         self._discarding = False
+        self._discarded = 0
         self._reusable = True
         self._reader = ResponseReader(
             self._on_head, self._on_data, self._on_complete
@@ -166,6 +170,7 @@
         self._accepts_head = accepts_head
         self._head = None
         self._discarding = False
+        self._discarded = 0
         self.exchange_count += 1
         self.transport.write(request)
 
@@ -198,11 +203,17 @@
             return
         try:
             self._reader.feed(data)
-        except BadResponseError:
-            self._reusable = False
-            self._finish(End.MALFORMED)
+        except BadResponseError as exc:
+            self._refuse(str(exc))
         self._release()
 
+    def _refuse(self, reason: str) -> None:
+        """Ends the exchange as MALFORMED; its connection is then closed."""
+        emit(Event.RESPONSE_REFUSED, reason=reason)
+        self._reusable = False
+        self._reader.stopped = True
+        self._finish(End.MALFORMED)
+
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Ends the current exchange, if any, and reports the close."""
         orderly = reason.check(ConnectionDone) is not None
@@ -227,8 +238,14 @@
         self._receiver.on_head(head)
 
     def _on_data(self, data: bytes) -> None:
-        if self._receiver is not None and not self._discarding:
+        if self._receiver is None:
+            return
+        if not self._discarding:
             self._receiver.on_data(data)
+            return
+        self._discarded += len(data)
+        if self._discarded > _MAX_DISCARDED_BYTES:
+            self._refuse("a response without end to another request")
 
     def _on_complete(self) -> None:
         if self._receiver is None:
--- a/magnolialug/carrier/reader.py
+++ b/magnolialug/carrier/reader.py
@@ -9,6 +9,11 @@
 __all__ = ["BadResponseError", "Framing", "Head", "ResponseReader"]
 
 _NO_BODY = frozenset((204, 304))
+# Bounds the bytes before a head is complete, interim responses included, and
+# those between two pieces of a body: chunk sizes, extensions, trailers.
+_MAX_OVERHEAD_BYTES = 32 * 1024
+# Bounds the memory of short header lines, each of which is an object.
+_MAX_HEADERS = 256
 
 
 class Framing(enum.Enum):
@@ -77,6 +82,10 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._head: Head | None = None
         self._interim = False
+        self._overhead = 0
+        self._has_body = False
+        self._chunk_begun = False
+        self._in_trailers = False
         self.mid_response = False
         self.stopped = False
 
@@ -88,13 +97,36 @@
         """
         if self.stopped:
             return
+        chunk_begun, self._has_body = self._chunk_begun, False
         try:
             self._parser.feed_data(data)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as exc:
-            raise BadResponseError(str(exc) or type(exc).__name__) from exc
+            cause = exc.__context__ or exc
+            reason = f"{type(cause).__name__}: {cause}"
+            raise BadResponseError(reason) from exc
+        if chunk_begun and self._chunk_begun and not self._has_body:
+            # Behind the size of any but the last chunk comes its data.
+            self._in_trailers = True
+        self._check_overhead(len(data))
+
+    def _check_overhead(self, size: int) -> None:
+        """Counts bytes that carried no part of a body.
+
+        Raises:
+          BadResponseError: if they are too many.
+        """
+        self._overhead = 0 if self._has_body else self._overhead + size
+        if self._overhead <= _MAX_OVERHEAD_BYTES:
+            return
+        if self._head is None or not self._in_trailers:
+            raise BadResponseError(f"{self._overhead} bytes without any body")
+        # A chunked body is complete with its last chunk, whatever follows.
+        self.stopped = True
+        self._head = None
+        self._on_end()
 
     def end_of_stream(self) -> bool:
         """Handles an orderly close; returns whether it completes a response.
@@ -121,8 +153,17 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser with each header."""
+        """Called by the parser with each header, and each trailer.
+
+        Raises:
+          BadResponseError: if there are too many.
+        """
+        if self._head is not None:
+            self._in_trailers = True
+            return
         self._headers.append((name.lower(), value))
+        if len(self._headers) > _MAX_HEADERS:
+            raise BadResponseError(f"more than {_MAX_HEADERS} headers")
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the empty line after the headers."""
@@ -136,13 +177,21 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser with each piece of a body."""
+        self._has_body = True
+        self._chunk_begun = False
         self._on_data(data)
 
+    def on_chunk_header(self) -> None:
+        """Called by the parser behind the size of each chunk."""
+        self._chunk_begun = True
+
     def on_message_complete(self) -> None:
         """Called by the parser when a response is complete."""
         self.mid_response = False
         if self._interim:
             return
+        self._chunk_begun = self._in_trailers = False
+        self._overhead = 0
         self._head = None
         self._on_end()
 
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -56,6 +56,9 @@
 _STREAM_SILENT_S = 1.0
 # Bound of an answer that is buffered while another endpoint can replace it.
 _MAX_BUFFERED_BYTES = 64 * 1024
+# Longest time for the body of a refusal or failure, which has a few bytes. The
+# call may go elsewhere in the time that is left.
+_FAILURE_BODY_S = 1.0
 
 
 class ForwardSink(Protocol):
@@ -185,6 +188,7 @@
         self.sent_at = now
         self.last_contact_at = now
         self.answered = False
+        self._answered_at = float("inf")
         self.begun = False
         self.identity = call.identity
         self._call = call
@@ -196,6 +200,7 @@
         self._framing: Framing | None = None
         self._boundary: EventBoundary | None = None
         self._buffer: list[bytes] = []
+        self._buffered = 0
         self._first_event_s = 0.0
         self._first_data_at = float("inf")
         self._splitter: EventSplitter | None = None
@@ -244,6 +249,8 @@
             self._give_up(GivenUp.DEADLINE)
         elif self._is_orphaned():
             self._give_up(GivenUp.RESTARTED)
+        elif self._is_failure_late(now):
+            self._pending_request.drop()
         elif self._is_overdue(now) and self._can_be_superseded:
             self._callbacks.on_overdue(self)
 
@@ -288,6 +295,11 @@
         """Whether it goes on with a stream of which the caller has a part."""
         return self._event_forwarded or self.dispatch.resume_after > 0
 
+    def _is_failure_late(self, now: float) -> bool:
+        """Whether the rest of a refusal or failure takes too long to wait."""
+        is_failure = self._stage in (_Stage.REFUSED, _Stage.WITHHELD)
+        return is_failure and now - self._answered_at > _FAILURE_BODY_S
+
     def _is_overdue(self, now: float) -> bool:
         """Whether to try another endpoint, if that is allowed.
 
@@ -313,6 +325,7 @@
         """Handles the endpoint's status line and headers."""
         self._record_contact()
         self.answered = True
+        self._answered_at = self.last_contact_at
         answer = self._answer = read_answer(head)
         self._record_notices(head)
         self._framing = head.framing
@@ -401,15 +414,21 @@
                 self._callbacks.on_events(events)
         elif self._stage is _Stage.BUFFERING:
             self._buffer_data(data)
-        elif self._stage is _Stage.WITHHELD:
-            self._buffer.append(data)
-            if sum(map(len, self._buffer)) > _MAX_BUFFERED_BYTES:
-                self._pending_request.drop()
+        else:
+            self._buffer_failure(data)
 
     def _record_contact(self) -> None:
         self.last_contact_at = self._clock()
         self.peer.record_contact(self.last_contact_at)
 
+    def _buffer_failure(self, data: bytes) -> None:
+        """Buffers the body of a refusal or failure, which must be short."""
+        self._buffered += len(data)
+        if self._buffered > _MAX_BUFFERED_BYTES:
+            self._pending_request.drop()
+        elif self._stage is _Stage.WITHHELD:
+            self._buffer.append(data)
+
     def _buffer_data(self, data: bytes) -> None:
         """Buffers an answer that is not a stream until it is complete.
 
@@ -419,7 +438,8 @@
         buffer is forwarded, and can then not be retried.
         """
         self._buffer.append(data)
-        if sum(map(len, self._buffer)) > _MAX_BUFFERED_BYTES:
+        self._buffered += len(data)
+        if self._buffered > _MAX_BUFFERED_BYTES:
             self._forward_buffered()
 
     def _forward_buffered(self) -> None:
--- a/magnolialug/platform/cachecalls.py
+++ b/magnolialug/platform/cachecalls.py
@@ -18,6 +18,8 @@
 _SLACK_S = 0.35
 _LIST_S = 2.0
 _FREE_S = 0.8
+# A list of 10,000 parts has a tenth of this.
+_MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
 class CacheChange(msgspec.Struct, frozen=True):
@@ -117,7 +119,9 @@
             f"/kv-events?since={since}",
             headers={"Wait-Ms": str(int(wait_s * 1000))},
         )
-        reply = await self._client.ask(address, request, wait_s + _SLACK_S)
+        reply = await self._client.ask(
+            address, request, wait_s + _SLACK_S, max_bytes=_MAX_ANSWER_BYTES
+        )
         row = _typed(reply, _WireEvents)
         if isinstance(row, Failure):
             return row
@@ -129,7 +133,9 @@
     async def list(self, address: Address) -> CacheList | Failure:
         """Returns all that a store holds."""
         request = request_bytes("GET", address[0], "/kv-list")
-        reply = await self._client.ask(address, request, _LIST_S)
+        reply = await self._client.ask(
+            address, request, _LIST_S, max_bytes=_MAX_ANSWER_BYTES
+        )
         row = _typed(reply, _WireList)
         if isinstance(row, Failure):
             return row
--- a/magnolialug/platform/enginecalls.py
+++ b/magnolialug/platform/enginecalls.py
@@ -21,6 +21,8 @@
 # milliseconds, or 0.2 s more when a packet is lost. One that has none may be
 # given again, so waiting for longer gains nothing.
 _ORDER_S = 0.3
+# Reports have some hundred bytes. Those of many engines arrive at once.
+_MAX_ANSWER_BYTES = 64 * 1024
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -182,7 +184,9 @@
         on_notices: Callable[[ReceivedNotices], None],
     ) -> Reply | NoReply:
         asked_at = self._client.seconds()
-        reply = await self._client.ask(engine.address, request, timeout_s)
+        reply = await self._client.ask(
+            engine.address, request, timeout_s, max_bytes=_MAX_ANSWER_BYTES
+        )
         if isinstance(reply, Reply):
             notices = read_notices(reply.status, reply.headers, engine.endpoint)
             seen_at = self._client.seconds()
