Connections: one that is paused is resumed before it is reused

An answer that grows past 64 KB fills the caller's transport, which pauses the connection to the endpoint. If the bytes of that read also end the answer, the attempt leaves the sink, so nobody resumes the connection, and it goes back to its pool paused.

Change: a connection remembers that it is paused, and resumes when its exchange has ended, before it can be reused. Whoever paused it has nothing left to read.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -130,6 +130,7 @@
         self._discarding = False
         self._discarded = 0
         self._reusable = True
+        self._is_paused = False
         self._reader = ResponseReader(
             self._on_head, self._on_data, self._on_complete
         )
@@ -188,11 +189,13 @@
     def pause(self) -> None:
         """Stops reading, which applies back pressure to the endpoint."""
         if self._state is not _State.CLOSED:
+            self._is_paused = True
             self.transport.pauseProducing()
 
     def resume(self) -> None:
         """Resumes reading."""
         if self._state is not _State.CLOSED:
+            self._is_paused = False
             self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:
@@ -276,6 +279,9 @@
         """
         if self._state is not _State.IDLE:
             return
+        if self._is_paused:
+            # The reader of the last answer is gone, or will not resume it.
+            self.resume()
         if self._reusable and not self._reader.mid_response:
             self._on_idle(self)
         else:
