Quarantine: a verdict waits for prompts that outlive the crashes

A part that all prompts share, as a system prompt is, is at every crash. Only an answer tells it from their cause, and no gateway remembers one after a restart. The first answers take longer than the verdict; once it is given, every prompt is refused, so that no answer can take it back.

Change: a finding is held while this entry has a prompt of its pattern at an engine that was sent before half of the crashes were reported: it has been there for longer than some that were lost, and may be answered. It waits 2.5 s at most, since 3 s after the third crash poison requests must be kept back. A part that crashes its engines leaves no such prompt, so nothing waits there. Tried first: to wait while no answer of the build is remembered.

Where prompts wait long in queues of engines, a true verdict may come up to 2.5 s later.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -175,7 +175,12 @@
             metrics,
         )
         self.quarantine = Quarantine(
-            self.owners.ring, self.messenger, kv, reactor, self._cancel_attempts
+            self.owners.ring,
+            self.messenger,
+            kv,
+            reactor,
+            self._cancel_attempts,
+            lambda: self._in_flight,
         )
         self._origins = StreamOrigins(
             self.owners.ring,
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -1,5 +1,8 @@
 """Finds parts of prompts that crash engines, together with other entries."""
 
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
@@ -12,6 +15,7 @@
     CrashEvidence,
     Finding,
 )
+from magnolialug.policy.partpattern import PartPattern
 from magnolialug.policy.recenttimes import RecentTimes
 from magnolialug.policy.requestidentity import RequestIdentity
 from magnolialug.quarantine.batches import batches
@@ -29,7 +33,7 @@
 )
 from magnolialug.quarantine.quarantinelist import QuarantineList
 
-__all__ = ["PartQuarantine"]
+__all__ = ["Attempt", "PartQuarantine"]
 
 # Time for the other entries to say which parts were answered.
 _REPLY_S = 0.1
@@ -38,6 +42,9 @@
 # Each finding is sent this often, as datagrams get lost.
 _ANNOUNCEMENTS = 3
 _ANNOUNCEMENT_INTERVAL_S = 0.2
+# Longest time that a verdict waits for prompts that may rule it out. Three
+# seconds after the third crash poison requests must be kept back.
+_MAX_HOLD_S = 2.5
 # Bounds memory use; services times the builds of an upgrade.
 _MAX_BUILDS = 64
 # Bounds memory use.
@@ -46,6 +53,18 @@
 _MAX_ASKED = 256
 
 
+class Attempt(Protocol):
+    """An attempt that has not ended.
+
+    Attributes:
+      sent_at: when it was sent, in seconds.
+      identity: of its request.
+    """
+
+    sent_at: float
+    identity: RequestIdentity
+
+
 class _Announcement(msgspec.Struct):
     message: Quarantined
     left: int
@@ -63,6 +82,7 @@
       owners: selects the entries that decide.
       quarantined: the quarantine list, which takes the patterns found.
       answered: the parts that were answered, here or at other entries.
+      in_progress: returns the attempts of this entry that have not ended.
     """
 
     def __init__(
@@ -72,12 +92,14 @@
         clock: IReactorTime,
         quarantined: QuarantineList,
         answered: AnsweredParts,
+        in_progress: Callable[[], Iterable[Attempt]],
     ):
         self._owners = owners
         self._messenger = messenger
         self._clock = clock
         self._quarantined = quarantined
         self._answered = answered
+        self._in_progress = in_progress
         self._evidence: dict[
             tuple[ServiceName, EngineBuild], CrashEvidence
         ] = {}
@@ -152,7 +174,14 @@
         if now - evidence.last_crash_at < _SETTLE_S:
             return
         findings = evidence.findings(now)
-        asked = [row for row in findings if self._is_asked(row, now)]
+        asked = [
+            row
+            for row in findings
+            if self._is_asked(row, now)
+            and not self._is_held(evidence, row, now)
+        ]
+        if not findings:
+            evidence.held_since = None
         for finding in asked:
             self._quarantine(evidence, finding, now)
         self._release(evidence, findings)
@@ -201,6 +230,29 @@
             for part in pattern.parts
         )
 
+    def _is_held(
+        self, evidence: CrashEvidence, finding: Finding, now: float
+    ) -> bool:
+        """Whether to wait for an answer that may rule a finding out.
+
+        A part that all prompts share is at every crash. Only an answer tells it
+        from their cause, and once it is quarantined, there is none. Prompts
+        with it that have not crashed their engines for long may be answered.
+        """
+        since = evidence.median_crash_at(finding)
+        if not self._has_survivor(finding.pattern, since):
+            return False
+        if evidence.held_since is None:
+            evidence.held_since = now
+        return now - evidence.held_since < _MAX_HOLD_S
+
+    def _has_survivor(self, pattern: PartPattern, since: float) -> bool:
+        """Whether a prompt of a pattern has been at an engine since a time."""
+        return any(
+            attempt.sent_at < since and pattern.matches(attempt.identity)
+            for attempt in self._in_progress()
+        )
+
     def _quarantine(
         self, evidence: CrashEvidence, finding: Finding, now: float
     ) -> None:
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -1,7 +1,7 @@
 """Connects crash detection, crash counts and the quarantine list."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -24,7 +24,7 @@
     Released,
     RequestCompleted,
 )
-from magnolialug.quarantine.partquarantine import PartQuarantine
+from magnolialug.quarantine.partquarantine import Attempt, PartQuarantine
 from magnolialug.quarantine.partreporter import PartReporter
 from magnolialug.quarantine.quarantinelist import QuarantineList
 from magnolialug.result import Failure
@@ -60,6 +60,7 @@
       owners: selects the entries that count, and the one that writes.
       on_quarantined: receives the digest of each newly quarantined request or
         pattern.
+      in_progress: returns the attempts of this entry that have not ended.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         kv: Kv,
         clock: IReactorTime,
         on_quarantined: Callable[[RequestDigest], None],
+        in_progress: Callable[[], Iterable[Attempt]] = lambda: (),
     ):
         self._owners = owners
         self._messenger = messenger
@@ -106,7 +108,7 @@
             self._answered_parts,
         )
         self._reporter = PartReporter(*shared)
-        self._parts = PartQuarantine(*shared)
+        self._parts = PartQuarantine(*shared, in_progress)
 
     def refusal(self, identity: RequestIdentity) -> Failure | None:
         """Returns the failure of a quarantined request, None for any other."""
