Answers: only an id makes a response the answer, but on a new connection

Bytes of a faulty server behind a whole answer, late and without an id, looked like a refusal, and answers() took any head without an id and with a status of 400 or more for the awaited one.

Change: without an id, a head is an answer only as the first response of its connection, where no earlier answer can have left it. Any other is discarded, and the connection is not reused; the true answer behind it is passed on. An endpoint that refuses without an id on a used connection would make its caller wait for the deadline; none of the platform does.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -280,7 +280,7 @@
             clock = self._reactor.seconds
             pool = Pool(self._reactor, address, self._limit, clock)
             self._pools[address] = pool
-        return pool.send(request, receiver, lambda head: True)
+        return pool.send(request, receiver, lambda head, is_first: True)
 
     def drop_idle(self, address: Address) -> None:
         """Closes the idle connections to a peer."""
--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "USER_TIMEOUT_MS",
+    "AcceptsHead",
     "Connection",
     "keep_alive_seconds",
     "enable_dead_peer_detection",
@@ -44,6 +45,9 @@
 _MAX_DISCARDED_BYTES = 64 * 1024
 
 
+AcceptsHead = Callable[[Head, bool], bool]
+
+
 class _State(enum.Enum):
     IDLE = "idle"
     BUSY = "busy"
@@ -155,16 +159,16 @@
         self,
         request: bytes,
         receiver: ResponseReceiver,
-        accepts_head: Callable[[Head], bool],
+        accepts_head: AcceptsHead,
     ) -> None:
         """Sends a request.
 
         Args:
           request: head and body as bytes.
           receiver: receives the response.
-          accepts_head: returns whether a head answers this request. A
-            response that does not belongs to an earlier request and is
-            discarded.
+          accepts_head: returns whether a head answers this request; it also
+            receives whether the connection has carried no other. A response
+            that does not belongs to an earlier request and is discarded.
         """
         self._state = _State.BUSY
         self._receiver = receiver
@@ -233,7 +237,9 @@
         if self._receiver is None:
             self._reusable = False
             return
-        self._discarding = not self._accepts_head(head)
+        self._discarding = not self._accepts_head(
+            head, self.exchange_count == 1
+        )
         if self._discarding:
             self._reusable = False
             return
--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -6,8 +6,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 from twisted.internet.protocol import ClientFactory
 
-from magnolialug.carrier.connection import Connection
-from magnolialug.carrier.reader import Head
+from magnolialug.carrier.connection import AcceptsHead, Connection
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
 
 __all__ = ["CONNECT_S", "Address", "PendingRequest", "Pool"]
@@ -38,7 +37,7 @@
         self,
         request: bytes,
         receiver: ResponseReceiver,
-        accepts_head: Callable[[Head], bool],
+        accepts_head: AcceptsHead,
     ):
         self.ended = False
         self.on_head = receiver.on_head
@@ -144,7 +143,7 @@
         self,
         request: bytes,
         receiver: ResponseReceiver,
-        accepts_head: Callable[[Head], bool],
+        accepts_head: AcceptsHead,
     ) -> PendingRequest:
         """Sends a request on an idle or a new connection.
 
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -215,7 +215,9 @@
         request = endpoint_request(self._call, self.dispatch, left)
         name = self._call.name
         self._pending_request = self.peer.pool.send(
-            request, self, lambda head: answers(name, head)
+            request,
+            self,
+            lambda head, is_first: answers(name, head, is_first),
         )
 
     def state(self, now: float) -> CallState:
--- a/magnolialug/platform/requests.py
+++ b/magnolialug/platform/requests.py
@@ -32,7 +32,7 @@
 _WEIGHTS = b"x-weight-versions"
 _SCHEME = b"token "
 _MISDIRECTED = 421
-_NEVER_RUN = (408, 421, 429, 503)
+_FIRST_ERROR = 400
 
 # What the system alone says to an endpoint: a caller that could say it would
 # read another team's cache or take another's reserved place.
@@ -306,14 +306,18 @@
     )
 
 
-def answers(request_id: str, head: Head) -> bool:
+def answers(request_id: str, head: Head, is_first: bool) -> bool:
     """Whether a response head belongs to a request.
 
     An endpoint's extra response can arrive where the next one is expected;
-    taken for the answer it would give one caller another's. The id tells. A
-    refusal may come without one.
+    taken for the answer it would give one caller another's, or refuse a request
+    that runs. The id tells. Without one, only a refusal on a connection that
+    has carried no request before cannot be extra.
+
+    Args:
+      is_first: whether the request is the first on its connection.
     """
     found = head.get(_REQUEST_ID)
     if found is None:
-        return head.status in _NEVER_RUN or head.status >= 400
+        return is_first and head.status >= _FIRST_ERROR
     return found == request_id.encode("latin-1")
