Soak: entries that no reader can use

Change: unreadable_entries, from seed 19000 on, writes deep or otherwise unreadable bytes under servers/, op/ and the gateways' own prefixes; three in ten stay to the end, so that starting gateways meet them.

Recorded seeds keep their kinds.

--- a/magnolialug/soak/faults.py
+++ b/magnolialug/soak/faults.py
@@ -24,6 +24,7 @@
 from magnolialug.soak.silences import silence_endpoints
 from magnolialug.soak.slot import Slot
 from magnolialug.soak.slowengines import slow_for_good, slow_in_spells
+from magnolialug.soak.unreadable import unreadable_entries
 from magnolialug.standin.endpoint import Fault
 from magnolialug.standin.modelserver import BreakOff
 
@@ -491,5 +492,6 @@
         slow_engine,
         slow_spells,
         restart_several,
+        unreadable_entries,
     )
 }
--- a/magnolialug/soak/plan.py
+++ b/magnolialug/soak/plan.py
@@ -32,6 +32,7 @@
         "slow_spells",
         "restart_several",
     ),
+    19_000: ("unreadable_entries",),
 }
 
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -122,7 +122,8 @@
     def test_recorded_seeds_keep_their_kinds(self):
         self.assertNotIn("restart_endpoint", kinds_of(104))
         waves = {"wave_of_long_prompts", "slow_engine", "slow_spells"}
-        waves |= {"restart_several"}
+        unreadable = {"unreadable_entries"}
+        waves |= {"restart_several", *unreadable}
         notices = {"announce_leaving", "ask_for_rest", *waves}
         silences = {"silence_endpoints", "change_idle_limit", *notices}
         parts = {"harmful_part", "flood_machine", *silences}
@@ -152,7 +153,9 @@
         self.assertEqual(set(FAULTS) - notices, set(kinds_of(15_999)))
         self.assertEqual(set(FAULTS) - waves, set(kinds_of(16_000)))
         self.assertEqual(set(FAULTS) - waves, set(kinds_of(17_999)))
-        self.assertEqual(set(FAULTS), set(kinds_of(18_000)))
+        self.assertEqual(set(FAULTS) - unreadable, set(kinds_of(18_000)))
+        self.assertEqual(set(FAULTS) - unreadable, set(kinds_of(18_999)))
+        self.assertEqual(set(FAULTS), set(kinds_of(19_000)))
 
     def test_some_kinds_only(self):
         rows = plan(Random(1), 60, ("crowd",))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -277,6 +277,18 @@
         self.assertEqual(0, code)
         self.assertGreater(report["faults"]["restart_several"], 1)
 
+    def test_unreadable_entries_keep_no_change_back(self):
+        """Guards against one entry that ends a gateway's view of the store."""
+        code, report = self.soak(
+            "--seed=19001",
+            "--minutes=0.25",
+            "--clients=20",
+            "--only=unreadable_entries,change_config,drain_endpoint",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["unreadable_entries"], 1)
+
     def test_a_lost_call_that_is_waited_for_is_found(self):
         found = self.sabotaged("wait", "store_loses_catch_ups")
         self.assertIn("CONFIG", found)
