Admission: a renewal or a queue that raises keeps no others back

Cause: found on reading the other ticks. AdmissionClient renewed all waiting prompts in one loop: one whose renewal always raises kept those behind it from renewals and deadlines. AdmissionQueues granted all queues in one loop that was not scheduled again after an exception, until the next prompt came. The flush of the log ran in a LoopingCall, which ends with its first exception.

Change: each goes through Guard, is logged and counted (task_failures). A prompt that cannot be renewed still ends at its deadline.

--- a/magnolialug/cmd/runner.py
+++ b/magnolialug/cmd/runner.py
@@ -10,6 +10,7 @@
 from magnolialug.cmd.flagset import EXIT_FAILED
 from magnolialug.cmd.hangup import HANGUPS
 from magnolialug.events import tell_dropped
+from magnolialug.guard import Guard
 from magnolialug.logwriter import LogWriter
 from magnolialug.result import Failure
 
@@ -99,8 +100,13 @@
     """
     program = _Program(start, on_hangup)
     if log is not None:
-        task.LoopingCall(log.flush).start(_FLUSH_S)
-        task.LoopingCall(lambda: dropped(tell_dropped(log))).start(_TELL_S)
+        guard = Guard(reactor.seconds)
+        for name, period_s, step in (
+            ("log flush", _FLUSH_S, log.flush),
+            ("dropped lines", _TELL_S, lambda: dropped(tell_dropped(log))),
+        ):
+            # A looping call ends with the first exception.
+            task.LoopingCall(guard.call, name, step).start(period_s)
     reactor.callWhenRunning(program.running)
     reactor.run(installSignalHandlers=False)
     return program.exit
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -514,6 +514,8 @@
             self._watch_client.guard,
             self.registry.guard,
             self.messenger.guard,
+            self.owners.admission_client.guard,
+            self.owners.admission_queues.guard,
         ]
 
     def _cancel_attempts(self, _: RequestDigest) -> None:
--- a/magnolialug/owners/admissionclient.py
+++ b/magnolialug/owners/admissionclient.py
@@ -9,6 +9,7 @@
 
 from magnolialug.carrier.pool import Address
 from magnolialug.fairness.standings import PromptFlows, WaitStandings
+from magnolialug.guard import Guard
 from magnolialug.ids import EndpointId
 from magnolialug.owners.messages import (
     AdmissionReply,
@@ -80,6 +81,9 @@
     see their requests too late. A queue for each engine moves only when that
     engine has free memory, so a prompt waits in a few of them.
 
+    Attributes:
+      guard: renews each prompt's places.
+
     Args:
       entry: identifies this start of this process.
       send: sends a message to an entry.
@@ -94,6 +98,7 @@
         clock: IReactorTime,
         standings: WaitStandings,
     ):
+        self.guard = Guard(clock.seconds)
         self._entry = entry
         self._ring = ring
         self._send = send
@@ -211,15 +216,24 @@
     def _renew_rows(self) -> None:
         now = self._clock.seconds()
         for number, row in list(self._rows.items()):
-            refusal = row.refusal()
-            if refusal is None and now >= row.waiting.ends_at:
-                refusal = _no_room(_RETRY_AFTER_S)
-            if refusal is not None:
-                self._finish(number, refusal)
-                continue
-            self._drop_unresponsive(number, row, now)
-            if number in self._rows:
-                self._renew(number)
+            exc = self.guard.call(
+                "admission renewal", self._renew_row, number, row, now
+            )
+            is_over = now >= row.waiting.ends_at and number in self._rows
+            if exc is not None and is_over:
+                self._finish(number, _no_room(_RETRY_AFTER_S))
+
+    def _renew_row(self, number: int, row: _PendingPrompt, now: float) -> None:
+        """Renews a prompt's places, or ends its wait."""
+        refusal = row.refusal()
+        if refusal is None and now >= row.waiting.ends_at:
+            refusal = _no_room(_RETRY_AFTER_S)
+        if refusal is not None:
+            self._finish(number, refusal)
+            return
+        self._drop_unresponsive(number, row, now)
+        if number in self._rows:
+            self._renew(number)
 
     def _drop_unresponsive(
         self, number: int, row: _PendingPrompt, now: float
--- a/magnolialug/owners/admissionqueues.py
+++ b/magnolialug/owners/admissionqueues.py
@@ -5,6 +5,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
+from magnolialug.guard import Guard
 from magnolialug.ids import EndpointId
 from magnolialug.owners.ledgers import Ledgers
 from magnolialug.owners.messages import (
@@ -38,6 +39,9 @@
 class AdmissionQueues:
     """The admission queues of the engines that this entry owns.
 
+    Attributes:
+      guard: grants the prompts of each queue.
+
     Args:
       send: sends a message to an entry.
     """
@@ -48,6 +52,7 @@
         send: Callable[[AdmissionReply, Address], None],
         clock: IReactorTime,
     ):
+        self.guard = Guard(clock.seconds)
         self._ledgers = ledgers
         self._send = send
         self._clock = clock
@@ -142,13 +147,13 @@
         now = self._clock.seconds()
         for ledger in self._ledgers:
             if len(ledger.queue):
-                ledger.drop_expired(now)
-                self._grant(ledger, now)
+                self.guard.call("admission grant", self._grant, ledger, now)
         if not self.waiting:
             self._clients.clear()
         self._schedule_grants()
 
     def _grant(self, ledger: EndpointLedger, now: float) -> None:
+        ledger.drop_expired(now)
         endpoint = ledger.endpoint
         if not self._is_open(endpoint):
             for ticket in ledger.queue.clear():
--- a/tests/entry/test_failing_ticks.py
+++ b/tests/entry/test_failing_ticks.py
@@ -119,3 +119,59 @@
         found = [cache_namespace(n, m, 1) for n in names for m in models]
         self.assertEqual(len(found), len(set(found)))
         self.assertTrue("".join(found).isascii())
+
+
+class FailingAdmissionTest(TestCase):
+    """Prompts that wait for memory, one of which cannot be renewed."""
+
+    def test_a_wait_that_raises_ends_alone(self):
+        """Guards against one prompt that keeps all others waiting."""
+        cluster = GatewayCluster(desks=1, engines=1)
+        cluster.pass_time(1)
+        (engine,) = cluster.engines.values()
+        engine.work_s, engine.gap_s = 0.01, 0.3
+        parts, tokens = "aa:20000,o{}:40000", "60000,100"
+        callers = []
+        for number in range(4):
+            row = parts.format(number)
+            callers.append(cluster.send("/draft/x", parts=row, tokens=tokens))
+            cluster.pass_time(0.1)
+        client = cluster.gateway.owners.admission_client
+        bad, *_ = client._rows.values()
+
+        def fail():
+            raise LookupError("a fault of ours")
+
+        bad.refusal = fail
+        cluster.pass_time(16)
+        statuses = [caller.last.status for caller in callers]
+        self.assertEqual(1, statuses.count(503), statuses)
+        self.assertEqual(3, statuses.count(200), statuses)
+        self.assertGreater(client.guard.failures["admission renewal"], 1)
+        self.assertEqual({}, client._rows)
+
+    def test_a_queue_that_raises_keeps_no_others_back(self):
+        """Guards against one engine's queue that stops all grants."""
+        cluster = GatewayCluster(desks=1, engines=2)
+        cluster.pass_time(1)
+        queues = cluster.gateway.owners.admission_queues
+        for engine in cluster.engines.values():
+            engine.work_s, engine.gap_s = 0.01, 0.1
+        grant = queues._grant
+        broken = next(iter(cluster.engines))
+
+        def fail(ledger, now):
+            if ledger.endpoint == broken:
+                raise LookupError("a fault of ours")
+            grant(ledger, now)
+
+        queues._grant = fail
+        for number in range(8):
+            row = f"aa:20000,o{number}:40000"
+            cluster.send("/draft/x", parts=row, tokens="60000,100")
+            cluster.pass_time(0.05)
+        self.assertGreater(queues.waiting, 0)
+        cluster.pass_time(6)
+        self.assertGreater(queues.guard.failures["admission grant"], 0)
+        healthy = [e for n, e in cluster.engines.items() if n != broken]
+        self.assertGreater(len(healthy[0].ran), 2)
