--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -3,7 +3,6 @@
 Values travel as standard base64 text with padding.
 """
 
-import binascii
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +15,7 @@
 from magnolialug.carrier.pool import Address
 from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.responsereceiver import End
+from magnolialug.events import Event, emit, explain
 from magnolialug.jsoninput import decode_json
 from magnolialug.kvpages import Pages, read_pages
 from magnolialug.platform.kv import (
@@ -100,24 +100,25 @@
     lease: int = 0
 
 
-def _entry(item: _Item | _One) -> KvEntry:
-    if isinstance(item, _Item) and (item.tombstone or item.revision == 0):
+def _entry(item: _Item) -> KvEntry:
+    """Returns a typed entry; a value that cannot be read is empty.
+
+    Another writer's value must not make the whole answer unreadable. No reader
+    takes an empty value, so its key alone is refused.
+    """
+    if item.tombstone or item.revision == 0:
         return KvEntry(item.key, None, item.revision)
-    value = b64decode(item.value, validate=True)
+    try:
+        value = b64decode(item.value, validate=True)
+    except ValueError as exc:
+        bad = failed(Code.KV_NONSENSE, str(exc), item.key)
+        emit(Event.ENTRY_REFUSED, key=item.key, **explain(bad))
+        value = b""
     return KvEntry(item.key, value, item.revision)
 
 
-def _entries(items: list[_Item]) -> tuple[KvEntry, ...] | Failure:
-    """Returns typed entries, or a failure that names the key."""
-    entries = []
-    for item in items:
-        try:
-            entries.append(_entry(item))
-        except (binascii.Error, ValueError) as exc:
-            return failed(
-                Code.KV_NONSENSE, str(exc), f"value of {item.key}", item.value
-            )
-    return tuple(entries)
+def _entries(items: list[_Item]) -> tuple[KvEntry, ...]:
+    return tuple(map(_entry, items))
 
 
 class KvHttp:
@@ -152,8 +153,7 @@
         one = self._read(reply, _One, "kv-key")
         if isinstance(one, Failure):
             return one
-        found = _entries([_Item(one.key, one.revision, one.value)])
-        return found if isinstance(found, Failure) else found[0]
+        return _entry(_Item(one.key, one.revision, one.value))
 
     async def scan(self, prefix: str) -> list[KvEntry] | Failure:
         """Returns the entries of all keys with a prefix."""
@@ -191,8 +191,6 @@
         if isinstance(page, Failure):
             return page
         found = _entries(page.items)
-        if isinstance(found, Failure):
-            return found
         return Page(found, page.as_of, page.more and bool(found))
 
     async def newest_revision(self) -> int | Failure:
@@ -229,8 +227,6 @@
         if isinstance(events, Failure):
             return events
         found = _entries(events.events)
-        if isinstance(found, Failure):
-            return found
         return Changes(found, max(after, events.as_of))
 
     async def put_if(
@@ -334,8 +330,6 @@
         if isinstance(lost, Failure):
             return lost
         found = _entries(lost.items)
-        if isinstance(found, Failure):
-            return found
         there = [entry for entry in found if entry.value is not None]
         return Swap(False, there[0] if there else None)
 
--- a/tests/entry/test_unreadable_entries.py
+++ b/tests/entry/test_unreadable_entries.py
@@ -3,6 +3,7 @@
 import msgspec
 from testtools import TestCase
 
+from magnolialug.standin import kvface
 from magnolialug.standin.operatorconfig import route
 from tests.gatewaycluster import GatewayCluster, config
 from tests.loglines import collect_lines
@@ -10,6 +11,8 @@
 _DEEP = b'{"spec":' * 1500
 _HUGE = b"9" * 5000
 _WIDE = b"9" * 40
+# A value that the service's stand-in sends as no base64.
+_SPOILT = b"spoilt"
 
 
 def _listed(**changes):
@@ -111,3 +114,26 @@
             cluster.configure(_with_route(3))
             cluster.pass_time(2)
             self.assertEqual(200, cluster.ask("/new/x").last.status, value[:40])
+
+    def test_a_value_that_is_no_base64_spoils_no_answer(self):
+        """Guards against one value that makes each answer unreadable."""
+        encode = kvface.b64encode
+
+        def spoil(value):
+            return b"?" if value == _SPOILT else encode(value)
+
+        self.patch(kvface, "b64encode", spoil)
+        lines = collect_lines(self)
+        cluster = GatewayCluster()
+        fresh = cluster.start_behind(("10.9.9.8", 1), "front-2", 2)
+        cluster.pass_time(1)
+        cluster.write("servers/i-other", _SPOILT)
+        cluster.pass_time(1)
+        cluster.configure(_with_route(2))
+        cluster.pass_time(2)
+        caller = cluster.send("/new/x", cluster.caller(("10.0.0.2", 80)))
+        cluster.pass_time(1)
+        self.assertEqual(200, caller.last.status)
+        self.assertTrue(fresh.ready())
+        refused = [row for row in lines if "KV_NONSENSE" in row]
+        self.assertIn("servers/i-other", refused[0])
