Intake: bytes that raise in the parser are refused

Cause: found by playing parts without end at callers' connections. Blank lines in front of a request line make Twisted's channel raise AttributeError; the reactor closes such a connection, and its caller gets no answer. All other parts were bounded and refused already.

Change: what the channel raises is logged (9000) and answered with 400 (110).

Before/after: of two new tests in tests/entry/test_unreadable_messages.py one failed before (blank lines), the other held (eight parts without end); both pass.

--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -1,5 +1,6 @@
 """Limits on requests, enforced before a request is processed."""
 
+import traceback
 from io import BytesIO
 
 import msgspec
@@ -7,6 +8,7 @@
 from twisted.web.server import Request, Site
 
 from magnolialug.entry.responseformats import error_body
+from magnolialug.events import Event, emit
 from magnolialug.result import CODES, Code, Failure, failed
 
 __all__ = ["BoundedBody", "IntakeChannel", "IntakeRequest", "make_site"]
@@ -72,9 +74,22 @@
         self._close_timer = self.callLater(_LINGER_S, self._close)
 
     def dataReceived(self, data: bytes) -> None:
-        """Handles bytes; after a refusal they are discarded."""
-        if not self.refused:
+        """Handles bytes; after a refusal they are discarded.
+
+        The reactor closes a connection whose protocol raises. Its caller gets
+        an answer instead.
+        """
+        if self.refused:
+            return
+        try:
             super().dataReceived(data)
+        except Exception as exc:
+            emit(
+                Event.TASK_FAILED,
+                task="request intake",
+                traceback=traceback.format_exc(),
+            )
+            self.refuse(failed(Code.UNREADABLE_REQUEST, type(exc).__name__))
 
     def connectionLost(self, reason) -> None:
         """Cancels the delayed close."""
--- a/tests/entry/test_unreadable_messages.py
+++ b/tests/entry/test_unreadable_messages.py
@@ -13,6 +13,22 @@
 _DEEP = b'{"a":' * 3000
 _DIGITS = "9" * 5000
 _PEER = ("10.0.0.9", 7000)
+_HEAD = (
+    b"POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\n"
+    b"Authorization: Token key-a\r\n"
+)
+_CHUNKS = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
+# What comes before a part that does not end, and what is repeated.
+_ENDLESS_REQUESTS = {
+    "a request line": (b"GET /", b"x" * 4096),
+    "a header's value": (_HEAD + b"X-Long: ", b"x" * 4096),
+    "header lines": (_HEAD, b"a:\r\n" * 1024),
+    "digits of a chunk's size": (_CHUNKS, b"0" * 4096),
+    "a chunk's extension": (_CHUNKS + b"5;", b"x" * 4096),
+    "trailer lines": (_CHUNKS + b"0\r\n", b"a:\r\n" * 1024),
+    "a trailer's value": (_CHUNKS + b"0\r\nX: ", b"x" * 4096),
+    "a body": (_CHUNKS, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+}
 
 
 class CallerTest(TestCase):
@@ -48,6 +64,33 @@
         self.assertEqual(200, cluster.ask("/read/x").last.status)
         self.assertEqual([], cluster.seen()[1:])
 
+    def test_bytes_that_raise_in_the_parser_are_refused(self):
+        """Guards against a connection that closes without an answer."""
+        lines = collect_lines(self)
+        cluster = GatewayCluster()
+        caller = cluster.caller()
+        caller.pipe.write(b"\r\n" * 2048)
+        cluster.pass_time(0.1)
+        self.assertEqual(400, caller.last.status)
+        self.assertEqual(1, sum("request intake" in row for row in lines))
+        cluster.pass_time(2)
+        self.assertEqual(0, len(cluster.gateway.factory.channels))
+        self.assertEqual(200, cluster.ask("/read/x").last.status)
+
+    def test_no_part_of_a_request_goes_on_without_end(self):
+        """Guards against memory that one caller fills."""
+        for name, (before, again) in _ENDLESS_REQUESTS.items():
+            cluster = GatewayCluster()
+            caller = cluster.caller()
+            caller.pipe.write(before)
+            for _ in range(40):
+                caller.pipe.write(again)
+                cluster.pass_time(0.002)
+            self.assertIn(caller.last.status, (400, 413), name)
+            cluster.pass_time(2)
+            self.assertEqual(0, len(cluster.gateway.factory.channels), name)
+            self.assertEqual([], cluster.seen(), name)
+
 
 class PeerTest(TestCase):
     """Datagrams of other gateways."""
