Soak, ctl: an unreadable value ends no check and no list

Change: one reader of a quarantine's value for gateways, ctl and soak; ctl's other readers take what decoding raises for malformed. Gateways are unchanged.

--- a/magnolialug/ctl/fleetstatus.py
+++ b/magnolialug/ctl/fleetstatus.py
@@ -3,8 +3,9 @@
 import msgspec
 
 from magnolialug.config.deployment import Deployment
+from magnolialug.jsoninput import Count, decode_json
 from magnolialug.platform.http import HttpClient
-from magnolialug.result import Failure
+from magnolialug.result import Code, Failure
 from magnolialug.wire.connect import connect_link
 from magnolialug.wire.queries import query_status
 
@@ -21,14 +22,23 @@
     note: str = ""
 
 
+class _Health(msgspec.Struct):
+    """The body of an entry's health page."""
+
+    ready: bool
+    config_version: Count
+
+
 async def ask_entry(http: HttpClient, url: str) -> ProcessStatus:
     """Asks an entry through its health page."""
     reply = await http.ask("GET", f"{url}/healthz", timeout_s=_TIMEOUT_S)
     if isinstance(reply, Failure):
         return ProcessStatus(url, note=reply.reason)
-    body = msgspec.json.decode(reply.body)
-    note = "" if body["ready"] else "not ready"
-    return ProcessStatus(url, body["config_version"], note)
+    body = decode_json(reply.body, _Health, Code.KV_NONSENSE, url)
+    if isinstance(body, Failure):
+        return ProcessStatus(url, note=body.reason)
+    note = "" if body.ready else "not ready"
+    return ProcessStatus(url, body.config_version, note)
 
 
 async def ask_sidecar(
--- a/magnolialug/ctl/preview.py
+++ b/magnolialug/ctl/preview.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from magnolialug.jsoninput import UNREADABLE
 from magnolialug.platform.http import HttpClient, Reply
 from magnolialug.preview.explanation import Explanation, Refusal
 from magnolialug.preview.page import PREVIEW_PATH
@@ -56,7 +57,7 @@
                 refusal.retry_after_s,
             )
         found = msgspec.json.decode(reply.body, type=Explanation)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except UNREADABLE as exc:
         reason = f"this listener answers no previews: {exc}"
         return failed(Code.CONNECTION_REFUSED, reason, gateway, reply.status)
     return [reply.body.decode()] if form == "json" else as_lines(found)
--- a/magnolialug/ctl/quarantine.py
+++ b/magnolialug/ctl/quarantine.py
@@ -5,7 +5,7 @@
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.quarantine.quarantinelist import (
     QUARANTINE_KEYS,
-    QuarantineValue,
+    read_quarantine,
 )
 from magnolialug.result import Code, Failure, failed
 
@@ -37,10 +37,9 @@
 
 def _line(entry: KvEntry) -> str:
     digest = entry.key.removeprefix(QUARANTINE_KEYS)
-    try:
-        value = msgspec.json.decode(entry.value, type=QuarantineValue)
-    except msgspec.MsgspecError as exc:
-        return f"{digest} malformed: {exc}"
+    value = read_quarantine(entry)
+    if isinstance(value, Failure):
+        return f"{digest} malformed: {value.reason}"
     line = f"{digest} {' '.join(value.ended)}"
     if value.pattern is None:
         return line
--- a/magnolialug/ctl/records.py
+++ b/magnolialug/ctl/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from magnolialug.jsoninput import UNREADABLE
+
 __all__ = ["read_records", "time_of"]
 
 
@@ -21,7 +23,7 @@
 def _record(text: str) -> dict:
     try:
         record = msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return {}
     return record if isinstance(record, dict) else {}
 
--- a/magnolialug/quarantine/quarantinelist.py
+++ b/magnolialug/quarantine/quarantinelist.py
@@ -16,7 +16,12 @@
 from magnolialug.result import Code, Failure, failed
 from magnolialug.watchsubscriber import WatchSubscriber
 
-__all__ = ["QUARANTINE_KEYS", "QuarantineList", "QuarantineValue"]
+__all__ = [
+    "QUARANTINE_KEYS",
+    "QuarantineList",
+    "QuarantineValue",
+    "read_quarantine",
+]
 
 # The name from an earlier release, so that entries of both releases read the
 # same keys during a rolling upgrade.
@@ -152,9 +157,7 @@
         if entry.value is None:
             self._release(digest)
             return
-        value = decode_json(
-            entry.value, QuarantineValue, Code.BAD_ENTRY, entry.key
-        )
+        value = read_quarantine(entry)
         if isinstance(value, Failure):
             emit(Event.ENTRY_REFUSED, key=entry.key, **explain(value))
             return
@@ -252,6 +255,11 @@
             emit(Event.QUARANTINE_UNWRITTEN, digest=digest, **explain(deleted))
 
 
+def read_quarantine(entry: KvEntry) -> QuarantineValue | Failure:
+    """Returns what a quarantined request's key holds."""
+    return decode_json(entry.value, QuarantineValue, Code.BAD_ENTRY, entry.key)
+
+
 def _failure(row: _Row, what: str) -> Failure:
     count = len(row.crashed_endpoints)
     return failed(Code.QUARANTINED, f"{count} endpoints crashed under {what}")
--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -11,8 +11,9 @@
 from magnolialug.carrier.client import Reply, request_bytes
 from magnolialug.quarantine.quarantinelist import (
     QUARANTINE_KEYS,
-    QuarantineValue,
+    read_quarantine,
 )
+from magnolialug.result import Failure
 from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.faults import FAULTS
@@ -448,7 +449,9 @@
     def _check_quarantine(self) -> None:
         """Checks that no part is quarantined but those that crash engines."""
         for entry in self.world.stored(QUARANTINE_KEYS):
-            value = msgspec.json.decode(entry.value, type=QuarantineValue)
+            value = read_quarantine(entry)
+            if isinstance(value, Failure):
+                continue
             parts = value.pattern.parts if value.pattern else ()
             if parts and not any(part.startswith(PART_MARK) for part in parts):
                 self.history.broken("SOUND", f"quarantined: {value}")
--- a/tests/ctl/test_quarantine.py
+++ b/tests/ctl/test_quarantine.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 
 from magnolialug.ctl.quarantine import quarantine_lines, release
+from magnolialug.ctl.records import read_records
 from magnolialug.quarantine.quarantinelist import QUARANTINE_KEYS
 from magnolialug.result import Code
 from magnolialug.standin.kv import KvStore
@@ -33,6 +34,15 @@
         self.assertEqual("aa i-1 i-2 i-3", one)
         self.assertTrue(other.startswith("bb malformed"))
 
+    def test_a_value_nested_deep_is_told_as_malformed(self):
+        """Guards against a list that one value keeps from operators."""
+        self.kv._write(QUARANTINE_KEYS + "cc", b'{"ended":' * 3000, 0)
+        lines = self.result(quarantine_lines(self.kv))
+        self.assertEqual(3, len(lines))
+        self.assertTrue(lines[-1].startswith("cc malformed"))
+        deep = '{"event":' * 3000
+        self.assertEqual([], list(read_records([deep, "none"])))
+
     def test_a_pattern_is_told_with_its_parts(self):
         row = {"ended": ["i-1"], "pattern": ["llm", "", ["dead", "s"]]}
         value = msgspec.json.encode(row)
