Quarantine: all entries tell which engines outlive a suspected part

Besides, the time that a verdict had waited was kept for all findings of a build, so that a second finding within two minutes was not held at all.

Change: entries answer the query for parts, which goes to all of them at the second crash, also with the engines that have had a prompt with these parts for longest. A verdict waits while one that has not crashed had it before the second crash, until 2.5 s after the third, without state of its own. A poison part that is still pending then crashes that engine, which ends the wait. Earlier releases neither send nor read the new field.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -18,6 +18,7 @@
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.progress import Ended, Progress
+from magnolialug.ids import EndpointId
 from magnolialug.platform.notices import read_notices
 from magnolialug.platform.requests import (
     Answer,
@@ -220,6 +221,11 @@
             lambda head, is_first: answers(name, head, is_first),
         )
 
+    @property
+    def start_id(self) -> EndpointId:
+        """The start of the endpoint that it was sent to."""
+        return self.peer.start_id
+
     def state(self, now: float) -> CallState:
         """Returns the progress of the attempt."""
         phase = Phase.WRITING if self._first_event_s else Phase.READING
--- a/magnolialug/policy/crashevidence.py
+++ b/magnolialug/policy/crashevidence.py
@@ -98,7 +98,6 @@
 
     Attributes:
       last_crash_at: when the newest crash was first reported.
-      held_since: since when a verdict waits for answers, None if none does.
     """
 
     def __init__(
@@ -109,7 +108,6 @@
         self._answered = answered
         self._crashes: OrderedDict[EndpointId, _Crash] = OrderedDict()
         self.last_crash_at = float("-inf")
-        self.held_since: float | None = None
 
     def record_crash(
         self,
@@ -166,10 +164,14 @@
             for endpoint in finding.endpoints:
                 del crashes[endpoint]
 
-    def median_crash_at(self, finding: Finding) -> float:
-        """Returns when half of the crashes of a finding had been reported."""
-        times = sorted(self._crashes[name].at for name in finding.endpoints)
-        return times[len(times) // 2]
+    @property
+    def crashed(self) -> set[EndpointId]:
+        """The engines whose crashes are known."""
+        return set(self._crashes)
+
+    def crash_times(self, finding: Finding) -> list[float]:
+        """Returns when each crash of a finding was reported, in order."""
+        return sorted(self._crashes[name].at for name in finding.endpoints)
 
     def all_parts_answered(self, finding: Finding) -> bool:
         """Whether all parts of a pattern have been answered since."""
--- a/magnolialug/quarantine/messages.py
+++ b/magnolialug/quarantine/messages.py
@@ -28,6 +28,7 @@
     "AnsweredPart",
     "AnsweredPartsQuery",
     "AnsweredPartsReport",
+    "PendingPart",
 ]
 
 
@@ -107,10 +108,29 @@
     age_ms: int
 
 
+class PendingPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that is in progress at an engine.
+
+    Attributes:
+      endpoint: the start of the engine.
+      age_ms: the time since the prompt was sent.
+    """
+
+    name: str
+    endpoint: EndpointId
+    age_ms: int
+
+
 class AnsweredPartsReport(
     msgspec.Struct, frozen=True, array_like=True, tag="answered"
 ):
-    """Parts of prompts that engines of a service have answered."""
+    """Parts of prompts that engines of a service have answered.
+
+    Attributes:
+      pending: parts of prompts in progress; earlier releases neither send nor
+        read them.
+    """
 
     service: ServiceName
     parts: tuple[AnsweredPart, ...]
+    pending: tuple[PendingPart, ...] = ()
--- a/magnolialug/quarantine/partquarantine.py
+++ b/magnolialug/quarantine/partquarantine.py
@@ -1,13 +1,15 @@
 """Finds parts of prompts that crash engines, together with other entries."""
 
-from collections.abc import Callable, Iterable
-from typing import Protocol
-
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.pool import Address
-from magnolialug.ids import EngineBuild, RequestDigest, ServiceName
+from magnolialug.ids import (
+    EndpointId,
+    EngineBuild,
+    RequestDigest,
+    ServiceName,
+)
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.wiring import Messenger
 from magnolialug.policy.answeredparts import AnsweredParts
@@ -16,6 +18,7 @@
     Finding,
 )
 from magnolialug.policy.partpattern import PartPattern
+from magnolialug.policy.pendingparts import PendingParts
 from magnolialug.policy.recenttimes import RecentTimes
 from magnolialug.policy.requestidentity import RequestIdentity
 from magnolialug.quarantine.batches import batches
@@ -33,7 +36,7 @@
 )
 from magnolialug.quarantine.quarantinelist import QuarantineList
 
-__all__ = ["Attempt", "PartQuarantine"]
+__all__ = ["PartQuarantine"]
 
 # Time for the other entries to say which parts were answered.
 _REPLY_S = 0.1
@@ -53,18 +56,6 @@
 _MAX_ASKED = 256
 
 
-class Attempt(Protocol):
-    """An attempt that has not ended.
-
-    Attributes:
-      sent_at: when it was sent, in seconds.
-      identity: of its request.
-    """
-
-    sent_at: float
-    identity: RequestIdentity
-
-
 class _Announcement(msgspec.Struct):
     message: Quarantined
     left: int
@@ -82,7 +73,6 @@
       owners: selects the entries that decide.
       quarantined: the quarantine list, which takes the patterns found.
       answered: the parts that were answered, here or at other entries.
-      in_progress: returns the attempts of this entry that have not ended.
     """
 
     def __init__(
@@ -92,14 +82,13 @@
         clock: IReactorTime,
         quarantined: QuarantineList,
         answered: AnsweredParts,
-        in_progress: Callable[[], Iterable[Attempt]],
     ):
         self._owners = owners
         self._messenger = messenger
         self._clock = clock
         self._quarantined = quarantined
         self._answered = answered
-        self._in_progress = in_progress
+        self._pending = PendingParts()
         self._evidence: dict[
             tuple[ServiceName, EngineBuild], CrashEvidence
         ] = {}
@@ -124,6 +113,7 @@
         if self._announcements:
             self._announce(now)
         self._asked.drop_expired(now)
+        self._pending.drop_expired(now)
 
     def _record_crash(self, report: PromptCrashReport, sender: Address) -> None:
         self._remind(report, sender)
@@ -155,6 +145,11 @@
 
     def _record_answered(self, report: AnsweredPartsReport) -> None:
         now = self._clock.seconds()
+        for row in report.pending:
+            sent_at = now - row.age_ms / 1000
+            self._pending.record(
+                report.service, row.name, row.endpoint, sent_at, now
+            )
         for row in report.parts:
             at = now - row.age_ms / 1000
             self._answered.record(report.service, [row.name], row.build, at)
@@ -180,8 +175,6 @@
             if self._is_asked(row, now)
             and not self._is_held(evidence, row, now)
         ]
-        if not findings:
-            evidence.held_since = None
         for finding in asked:
             self._quarantine(evidence, finding, now)
         self._release(evidence, findings)
@@ -239,18 +232,21 @@
         from their cause, and once it is quarantined, there is none. Prompts
         with it that have not crashed their engines for long may be answered.
         """
-        since = evidence.median_crash_at(finding)
-        if not self._has_survivor(finding.pattern, since):
+        second_at, third_at = evidence.crash_times(finding)[1:3]
+        if now - third_at >= _MAX_HOLD_S:
             return False
-        if evidence.held_since is None:
-            evidence.held_since = now
-        return now - evidence.held_since < _MAX_HOLD_S
+        survivors = self._engines_with(finding.pattern, second_at)
+        return bool(survivors - evidence.crashed)
 
-    def _has_survivor(self, pattern: PartPattern, since: float) -> bool:
-        """Whether a prompt of a pattern has been at an engine since a time."""
-        return any(
-            attempt.sent_at < since and pattern.matches(attempt.identity)
-            for attempt in self._in_progress()
+    def _engines_with(
+        self, pattern: PartPattern, before: float
+    ) -> set[EndpointId]:
+        """Returns the engines that had all of a pattern before a time."""
+        return set.intersection(
+            *(
+                self._pending.engines(pattern.service, part, before)
+                for part in pattern.parts
+            )
         )
 
     def _quarantine(
--- a/magnolialug/quarantine/partreporter.py
+++ b/magnolialug/quarantine/partreporter.py
@@ -1,6 +1,7 @@
 """Reports to the owners of a service what concerns crashes of its engines."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from typing import Protocol
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -19,11 +20,18 @@
     AnsweredPart,
     AnsweredPartsQuery,
     AnsweredPartsReport,
+    PendingPart,
     PromptCrashReport,
 )
 from magnolialug.quarantine.quarantinelist import QuarantineList
 
-__all__ = ["MAX_PARTS", "PARTS_PER_MESSAGE", "QUERY_LIFETIME_S", "PartReporter"]
+__all__ = [
+    "MAX_PARTS",
+    "PARTS_PER_MESSAGE",
+    "QUERY_LIFETIME_S",
+    "Attempt",
+    "PartReporter",
+]
 
 # After a query, entries report for this long when a part is answered. It is
 # asked for again only after that time.
@@ -37,6 +45,25 @@
 # prompt.
 _BEGINNING_S = 0.5
 _REPORT_INTERVAL_S = 1.0
+# Engines that are named for each part that a query names, those first that have
+# had it for longest.
+_PENDING_ENGINES = 3
+# Limits a message to 1,400 bytes, at 110 bytes a row at most.
+_PENDING_PER_MESSAGE = 12
+
+
+class Attempt(Protocol):
+    """An attempt that has not ended.
+
+    Attributes:
+      sent_at: when it was sent, in seconds.
+      start_id: the start of the engine that it was sent to.
+      identity: of its request.
+    """
+
+    sent_at: float
+    start_id: EndpointId
+    identity: RequestIdentity
 
 
 class PartReporter:
@@ -50,6 +77,7 @@
       owners: selects the entries that decide.
       quarantined: names the parts whose answers are reported in any case.
       answered: the parts that were answered, here or at other entries.
+      in_progress: returns the attempts of this entry that have not ended.
     """
 
     def __init__(
@@ -59,12 +87,14 @@
         clock: IReactorTime,
         quarantined: QuarantineList,
         answered: AnsweredParts,
+        in_progress: Callable[[], Iterable[Attempt]],
     ):
         self._owners = owners
         self._messenger = messenger
         self._clock = clock
         self._quarantined = quarantined
         self._answered = answered
+        self._in_progress = in_progress
         self._queried = RecentTimes(QUERY_LIFETIME_S, MAX_PARTS)
         self._reported = RecentTimes(QUERY_LIFETIME_S, MAX_PARTS)
         messenger.register_handler(AnsweredPartsQuery, self._answer_query)
@@ -157,6 +187,30 @@
             self._queried.record((query.service, part), now)
         for report in self._answered_reports(query.service, query.parts, now):
             self._messenger.send(report, sender)
+        pending = self._pending_parts(query, now)
+        for batch in batches(pending, _PENDING_PER_MESSAGE):
+            report = AnsweredPartsReport(query.service, (), batch)
+            self._messenger.send(report, sender)
+
+    def _pending_parts(
+        self, query: AnsweredPartsQuery, now: float
+    ) -> list[PendingPart]:
+        """Returns the engines that have prompts with the parts of a query."""
+        asked = set(query.parts)
+        since: dict[str, dict[EndpointId, float]] = {}
+        for attempt in self._in_progress():
+            identity = attempt.identity
+            if identity.service != query.service:
+                continue
+            for part in asked.intersection(identity.parts):
+                engines = since.setdefault(part, {})
+                sent_at = engines.get(attempt.start_id, now)
+                engines[attempt.start_id] = min(sent_at, attempt.sent_at)
+        return [
+            PendingPart(part, engine, round((now - engines[engine]) * 1000))
+            for part, engines in since.items()
+            for engine in sorted(engines, key=engines.get)[:_PENDING_ENGINES]
+        ]
 
     def _send_to_owners(self, service: ServiceName, message) -> None:
         for owner in self._service_owners(service):
--- a/magnolialug/quarantine/wiring.py
+++ b/magnolialug/quarantine/wiring.py
@@ -24,8 +24,8 @@
     Released,
     RequestCompleted,
 )
-from magnolialug.quarantine.partquarantine import Attempt, PartQuarantine
-from magnolialug.quarantine.partreporter import PartReporter
+from magnolialug.quarantine.partquarantine import PartQuarantine
+from magnolialug.quarantine.partreporter import Attempt, PartReporter
 from magnolialug.quarantine.quarantinelist import QuarantineList
 from magnolialug.result import Failure
 
@@ -107,8 +107,8 @@
             self.quarantined,
             self._answered_parts,
         )
-        self._reporter = PartReporter(*shared)
-        self._parts = PartQuarantine(*shared, in_progress)
+        self._reporter = PartReporter(*shared, in_progress)
+        self._parts = PartQuarantine(*shared)
 
     def refusal(self, identity: RequestIdentity) -> Failure | None:
         """Returns the failure of a quarantined request, None for any other."""
