Lease: a write that ends after a step down makes no leader

Where the process had stepped down for another reason, a lost lease, a higher fence or a task that failed, the answer set the fence again: a leader that renews nothing, may command nothing, and goes on announcing engines that get no new work.

Change: a write counts only while the fence is still the one that it was made with.

Before/after: test_a_write_that_ends_after_a_step_down_makes_no_leader failed before (held after a step down), passes now.

--- a/magnolialug/entry/rolloutlease.py
+++ b/magnolialug/entry/rolloutlease.py
@@ -128,7 +128,6 @@
         self._closed_at: dict[str, float] = {}
         self._valid_until = 0.0
         self._commanded_at = 0.0
-        self._is_stopped = False
         self.task = SupervisedTask("rollout lease", self._run, clock)
 
     def snapshot(self, entries: Sequence[KvEntry]) -> None:
@@ -168,7 +167,6 @@
         No command is sent after this. The next leader sends no command within
         the bound to an engine that may still receive one from this leader.
         """
-        self._is_stopped = True
         held, self.fence = self.fence, 0
         self.task.stop()
         if held:
@@ -232,18 +230,19 @@
         self._writing = False
 
     async def _write(self, rollout: Rollout | None) -> None:
+        fence = self.fence
         commanded = self._find_possibly_commanded(rollout)
         value = msgspec.structs.replace(
             self._me, rollout=rollout, possibly_commanded=commanded
         )
         swap = await self._kv.put_if(
-            LEADER_KEY, msgspec.json.encode(value), self.fence, self._lease
+            LEADER_KEY, msgspec.json.encode(value), fence, self._lease
         )
-        if self._is_stopped:
-            # The lease has been given up; its next holder may be commanding.
+        if self.fence != fence:
+            # The lease was given up meanwhile; its next holder may command.
             return
         if isinstance(swap, Failure):
-            await self._read_back()
+            await self._read_back(fence)
         elif swap.won:
             self.fence = swap.revision
             self._written_commanded = commanded
@@ -253,10 +252,10 @@
         else:
             self._record_written(swap.current)
 
-    async def _read_back(self) -> None:
+    async def _read_back(self, fence: int) -> None:
         """Reads the key to learn the result of a write without an answer."""
         found = await self._kv.get(LEADER_KEY)
-        is_held = not self._is_stopped and isinstance(found, KvEntry)
+        is_held = self.fence == fence and isinstance(found, KvEntry)
         if is_held and self._is_mine(found):
             self._record_written(found)
 
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -189,7 +189,7 @@
     Event.START_LOST: "A start of an endpoint has ended; how that is known.",
     Event.START_ANSWERS: "A start answers that others reported as ended.",
     Event.ENTRY_MISSING: "An entry is removed; its endpoint is kept for now.",
-    Event.ENTRY_REFUSED: "A registry entry is malformed and not used.",
+    Event.ENTRY_REFUSED: "An entry of the key-value service is not used.",
     Event.KV_LOST: "The key-value service does not answer.",
     Event.KV_BACK: "The key-value service answers.",
     Event.WATCH_STALE: "A watch has missed a change, or cannot be checked.",
--- a/tests/test_supervisedtask.py
+++ b/tests/test_supervisedtask.py
@@ -1,8 +1,10 @@
 """Long-lived tasks that fail, and the gateway's view of them."""
 
 from testtools import TestCase
+from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
 
+from magnolialug.entry.rolloutlease import LEADER_KEY
 from magnolialug.events import Event
 from magnolialug.prefixcache.storepoller import StorePoller
 from magnolialug.supervisedtask import SupervisedTask
@@ -179,3 +181,32 @@
         self.assertFalse(lease.held)
         cluster.pass_time(8)
         self.assertTrue(lease.held)
+
+    def test_a_write_that_ends_after_a_step_down_makes_no_leader(self):
+        """Guards against a leader that holds no lease, and closes engines."""
+        for is_stopped in (False, True):
+            cluster = GatewayCluster()
+            cluster.pass_time(5)
+            lease = cluster.gateway._lease
+            put_if = cluster.kv.put_if
+            answers = []
+
+            async def wait(key, *rest, put_if=put_if, answers=answers):
+                swap = await put_if(key, *rest)
+                if key == LEADER_KEY:
+                    answers.append(Deferred())
+                    await answers[-1]
+                return swap
+
+            cluster.kv.put_if = wait
+            cluster.write("op/version/m", {"model": "m", "version": 2})
+            cluster.pass_time(1)
+            cluster.kv.put_if = put_if
+            self.assertEqual(1, len(answers))
+            if is_stopped:
+                ensureDeferred(lease.stop())
+            else:
+                lease.step_down()
+            answers[0].callback(None)
+            self.assertFalse(lease.held)
+            self.assertEqual(0, lease.fence)
