Entries before sidecars: an unreadable head ends no watch

Change: head_of returns a typed failure, which is logged (1101); the watch of a key logs what it met (9000) and says that it has ended, so that it is begun again; steps of ConfigWatch go through background().

--- a/magnolialug/confstore.py
+++ b/magnolialug/confstore.py
@@ -11,6 +11,7 @@
 
 from magnolialug.config.current import make_doc
 from magnolialug.config.deployment import text_digest
+from magnolialug.jsoninput import decode_json
 from magnolialug.platform.kv import Kv, KvEntry, Swap
 from magnolialug.result import Code, Failure, failed
 from magnolialug.wire.messages import ConfigDoc
@@ -63,9 +64,13 @@
         return self.changes[0].version if self.changes else 0
 
 
-def head_of(entry: KvEntry) -> Head:
+def head_of(entry: KvEntry) -> Head | Failure:
     """Returns the head in a KV entry."""
-    head = msgspec.json.decode(entry.value, type=Head)
+    head = decode_json(
+        entry.value or b"", Head, Code.BAD_CONFIG_SYNTAX, entry.key
+    )
+    if isinstance(head, Failure):
+        return head
     return msgspec.structs.replace(head, revision=entry.revision)
 
 
@@ -86,7 +91,7 @@
             return entry
         if entry is None:
             return failed(Code.CONFIG_MISSING, "a chunk is gone", digest)
-        parts.append(entry.value.decode())
+        parts.append((entry.value or b"").decode(errors="replace"))
     text = "".join(parts)
     if text_digest(text) != change.digest:
         return failed(Code.BAD_CONFIG_SYNTAX, "digest differs", "(chunks)")
--- a/magnolialug/entry/configwatch.py
+++ b/magnolialug/entry/configwatch.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 from random import Random
 
-from twisted.internet.defer import ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
+from magnolialug.background import background
 from magnolialug.config.current import Current
 from magnolialug.confstore import HEAD_KEY, head_of, read_doc, read_head
+from magnolialug.events import Event, emit, explain
 from magnolialug.platform.kv import Kv, KvEntry
 from magnolialug.policy.watcherslots import (
     LEASE_S,
@@ -100,11 +101,10 @@
 
     def _spawn(self, work) -> None:
         self._busy = True
-        ensureDeferred(work).addBoth(self._clear_busy)
+        background("configuration watch", work).addBoth(self._clear_busy)
 
-    def _clear_busy(self, result):
+    def _clear_busy(self, _: object) -> None:
         self._busy = False
-        return result
 
     async def _try_slots(self) -> None:
         asked = self._clock.seconds()
@@ -164,7 +164,11 @@
 
     def _changed(self, entry: KvEntry) -> None:
         self._current.heard(self._wall())
-        ensureDeferred(self._apply_newer(head_of(entry)))
+        head = head_of(entry)
+        if isinstance(head, Failure):
+            emit(Event.CONFIG_REFUSED, key=entry.key, **explain(head))
+            return
+        background("configuration change", self._apply_newer(head))
 
     def _ended(self, failure: Failure) -> None:
         self._stop_watch = None
--- a/magnolialug/platform/kvhttp.py
+++ b/magnolialug/platform/kvhttp.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from twisted.internet.defer import ensureDeferred
+from twisted.python.failure import Failure as TwistedFailure
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.pool import Address
@@ -310,8 +311,18 @@
             stopped = True
             fut.cancel()
 
+        def on_error(reason: TwistedFailure) -> None:
+            if stopped:
+                return
+            emit(
+                Event.TASK_FAILED,
+                task=f"watch {key}",
+                traceback=reason.getTraceback(),
+            )
+            on_end(failed(Code.KV_ERROR, str(reason.value), key))
+
         fut = ensureDeferred(follow())
-        fut.addErrback(lambda reason: None if stopped else reason)
+        fut.addErrback(on_error)
         return stop
 
     async def _txn(self, body: dict[str, Any]) -> Swap | Failure:
