Gateway: the ticker is a part of its own

Cause: gateway.py had grown to 622 lines, a tenth of it timer, guard and lists of steps, which a newcomer has to read past.

Change: entry/ticker.py makes the steps; the gateway names them. Nothing that is observed changes. Tests that reached into the gateway's timer reach the ticker.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -45,6 +45,7 @@
 from magnolialug.entry.rolloutcommands import RolloutCommands
 from magnolialug.entry.rolloutlease import LEADER_KEY, RolloutLease
 from magnolialug.entry.routeconfig import RouteConfig
+from magnolialug.entry.ticker import TICK_INTERVAL_S, Step, Ticker
 from magnolialug.entry.watchclient import WatchClient
 from magnolialug.events import Event, emit, explain
 from magnolialug.guard import Guard
@@ -71,14 +72,6 @@
 
 __all__ = ["Gateway"]
 
-_Step = tuple[str, Callable[[float], None]]
-
-# Deadlines and time-outs are checked this often, so they take effect at most
-# this late.
-_TICK_INTERVAL_S = 0.05
-# Expired state is dropped this often: idle connections past their time, cache
-# state that is too old to use, stores that now have another entry as owner.
-_CLEAN_UP_INTERVAL_S = 0.25
 # Share of the settings' limit on accumulated retries that entries use. A
 # restarted entry starts with a full budget, and entries can disagree for a
 # while on how many they are; half leaves room for both.
@@ -241,9 +234,6 @@
         )
         self._in_flight: set[HttpAttempt] = set()
         self._silence = LivenessMonitor(self.directory, calls, reactor.seconds)
-        self._tick = None
-        self._tick_guard = Guard(reactor.seconds)
-        self._clean_up_at = 0.0
         self._budget = self._new_budget()
         self._context = self._call_context(random)
         self.previewer = self._new_previewer()
@@ -284,16 +274,15 @@
             _WATCH_PAUSES_S,
             _URGENT_PREFIXES,
         )
+        self._ticker = self._new_ticker()
 
     def start(self) -> None:
         """Starts reading routes and endpoints."""
         self._register_gauges()
-        self._tick_steps = self._new_tick_steps()
-        self._clean_up_steps = self._new_clean_up_steps()
         self._watch_client.start()
         self._lease.start()
         self._entries.start()
-        self._on_tick()
+        self._ticker.start()
         emit(Event.STARTED, vm=self.settings.vm, zone=self.settings.zone)
 
     def reload(self, settings: Settings | Failure) -> None:
@@ -335,7 +324,7 @@
     def failing(self) -> list[str]:
         """Returns what fails now, for the readiness answer."""
         down = [task.name for task in self._tasks() if task.is_down]
-        return down + sorted(self._tick_guard.failing)
+        return down + sorted(self._ticker.guard.failing)
 
     def _tasks(self) -> list[SupervisedTask]:
         """Returns the long-lived tasks."""
@@ -366,8 +355,7 @@
         self._watch_client.stop()
         self.prefix_cache.stop()
         self.owners.stop()
-        if self._tick is not None and self._tick.active():
-            self._tick.cancel()
+        self._ticker.stop()
         event = Event.STOP_FORCED if self.in_progress else Event.STOPPED
         emit(event, vm=self.settings.vm, left=self.in_progress)
         return self.in_progress
@@ -510,7 +498,7 @@
 
     def _guards(self) -> list[Guard]:
         return [
-            self._tick_guard,
+            self._ticker.guard,
             self._watch_client.guard,
             self.registry.guard,
             self.messenger.guard,
@@ -577,22 +565,11 @@
             / self.directory.entries,
         )
 
-    def _on_tick(self) -> None:
-        """Makes the periodic steps; one that raises keeps no others back."""
-        self._tick = self._reactor.callLater(_TICK_INTERVAL_S, self._on_tick)
-        now = self.clock()
-        for name, step in self._tick_steps:
-            self._tick_guard.call(name, step, now)
-        if now >= self._clean_up_at:
-            self._clean_up_at = now + _CLEAN_UP_INTERVAL_S
-            for name, step in self._clean_up_steps:
-                self._tick_guard.call(name, step, now)
-
-    def _new_tick_steps(self) -> tuple[_Step, ...]:
-        return (
+    def _new_ticker(self) -> Ticker:
+        steps: tuple[Step, ...] = (
             (
                 "connection gate",
-                lambda now: self._connection_gate.tick(now, _TICK_INTERVAL_S),
+                lambda now: self._connection_gate.tick(now, TICK_INTERVAL_S),
             ),
             ("attempts", self._sweep_attempts),
             ("liveness", lambda _: self._silence.tick(self._in_flight)),
@@ -606,17 +583,16 @@
             ("stream origins", self._origins.tick),
             ("restarts", self._restarts.tick),
         )
-
-    def _new_clean_up_steps(self) -> tuple[_Step, ...]:
-        return (
+        clean_ups: tuple[Step, ...] = (
             ("prefix cache", self.prefix_cache.tick),
             ("directory", lambda _: self.directory.trim()),
         )
+        return Ticker(self._reactor, steps, clean_ups)
 
     def _sweep_attempts(self, now: float) -> None:
         """Checks all attempts; one that raises is ended."""
         for attempt in list(self._in_flight):
-            exc = self._tick_guard.call("attempt", attempt.sweep, now)
+            exc = self._ticker.guard.call("attempt", attempt.sweep, now)
             if exc is not None:
                 self._in_flight.discard(attempt)
                 attempt.fail(exc)
--- a/tests/entry/test_failing_ticks.py
+++ b/tests/entry/test_failing_ticks.py
@@ -30,8 +30,8 @@
         def fail(now=None):
             raise LookupError("a fault of ours")
 
-        first, *others = gateway._tick_steps
-        gateway._tick_steps = ((first[0], fail), *others)
+        first, *others = gateway._ticker.steps
+        gateway._ticker.steps = ((first[0], fail), *others)
         (desk, *more) = cluster.desks.values()
         for one in (desk, *more):
             one.work_s = 60
@@ -99,7 +99,7 @@
         self.assertEqual(set(), cluster.gateway._in_flight)
         self.patch(HttpAttempt, "start", start)
         self.assertEqual(200, cluster.ask("/read/x").last.status)
-        self.assertEqual(0, cluster.gateway._tick_guard.failures.total())
+        self.assertEqual(0, cluster.gateway._ticker.guard.failures.total())
 
     def test_a_name_that_breaks_a_header_is_refused(self):
         """Guards against headers that a team's name adds to requests."""
--- a/tests/entry/test_rollout_commands.py
+++ b/tests/entry/test_rollout_commands.py
@@ -205,7 +205,7 @@
     def suspend(self, cluster, gateway):
         """Stops a gateway's renewals and ticks, as a suspension does."""
         gateway._lease.task.stop()
-        gateway._tick.cancel()
+        gateway._ticker.stop()
 
     def test_fencing_tokens_grow_from_leader_to_leader(self):
         cluster = GatewayCluster(desks=0, engines=2, vms=("front-1", "front-2"))
