Intake: the parser remembers short header names only

Cause: twenty callers whose heads each bear one name of 14 KB took a gateway to 267 MB, and it kept them after they had left: the HTTP parser caches the usual spelling of up to 10,000 names, of any length, for all connections. Bodies and answers were ruled out: the requests have neither.

--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -9,6 +9,7 @@
 from magnolialug.config.routing import CallerLimits
 from magnolialug.entry.forwardcall import HeaderList
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
+from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.intake import BoundedBody, IntakeChannel
 from magnolialug.entry.keepalive import IdleTerms, KeepAlive
 from magnolialug.result import Code, failed
@@ -232,6 +233,7 @@
         call_later,
         accepts,
     ):
+        bound_name_cache()
         self.handle = handle
         self.limits = limits
         self.keep_alive = keep_alive
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -7,6 +7,7 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
+from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.responseformats import error_body
 from magnolialug.events import Event, emit
 from magnolialug.result import CODES, Code, Failure, failed
@@ -175,6 +176,7 @@
       resource: serves the requests.
       limits: returns the current limits.
     """
+    bound_name_cache()
     site = Site(
         resource,
         requestFactory=IntakeRequest,
--- a/magnolialug/entry/readiness.py
+++ b/magnolialug/entry/readiness.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.http import HTTPChannel, Request
 
+from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.events import Event, emit
 
 __all__ = ["Page", "ready_factory", "text_factory"]
@@ -60,6 +61,7 @@
     answer: Callable[[], tuple[int, bytes]],
     pages: Mapping[bytes, Page] | None = None,
 ) -> Factory:
+    bound_name_cache()
     pages = pages or {}
 
     class AnswerRequest(Request):
