Gateway: what the head tells is refused before the body is read

Cause: sixty callers without a key, with an unknown one or on a path of no route took a gateway to 141 to 171 MB of 100 allowed: their bodies were read and kept up to the last byte before anybody looked at the head.

Change: route, headers and key are read when the head is complete. A refusal goes out at once and closes its connection, unless the whole body has come with its head; then the connection is kept, as before. What was read is used again when the body is complete, unless the routes have changed meanwhile. Refusals while a request is read are logged and counted (refusals), name their Retry-After, and nothing behind them is parsed.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -26,7 +26,7 @@
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaycall import CallContext, GatewayCall
 from magnolialug.entry.gatewaychannel import GatewayFactory, GatewayRequest
-from magnolialug.entry.gatewayintake import read_call
+from magnolialug.entry.gatewayintake import read_call, read_head
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.gatewaysink import GatewaySink
 from magnolialug.entry.gauges import (
@@ -136,6 +136,8 @@
         )
         self.factory = GatewayFactory(
             self.handle,
+            self.check_head,
+            self.record_refusal,
             self._limits,
             KeepAlive(lambda: self._limits().idle_s, self._grace),
             metrics,
@@ -366,7 +368,7 @@
         call = self._read_call(req)
         if isinstance(call, Failure):
             req.release()
-            self._log_early_refusal(req, call)
+            self.record_refusal(req, call)
             sink.refuse(call)
             return
         self.in_progress += 1
@@ -450,11 +452,32 @@
             )
             return failed(Code.UNREADABLE_REQUEST, type(exc).__name__)
 
-    def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
+    def check_head(self, req: GatewayRequest) -> Failure | None:
+        """Returns why a request is refused before its body is read, if it is.
+
+        What was read of the head is kept for when the body is complete.
+        """
+        failure = self._why_closed()
+        if failure is not None:
+            return failure
+        head = read_head(req, self.routes.table)
+        if isinstance(head, Failure):
+            return head
+        req.admitted = head
+        return None
+
+    def _why_closed(self) -> Failure | None:
+        """Returns why no request is accepted at all, None if some are."""
         if self.routes.table is None:
             return failed(Code.CONFIG_MISSING, retry_after_s=0.5)
         if not self._grace.accepts_calls:
             return failed(Code.DRAINING, retry_after_s=0.1)
+        return None
+
+    def _admit(self, req: GatewayRequest) -> ForwardCall | Failure:
+        closed = self._why_closed()
+        if closed is not None:
+            return closed
         call = read_call(req, self.routes.table, self.clock())
         return (
             call
@@ -462,12 +485,19 @@
             else self._grace.limit_deadline(call)
         )
 
-    def _log_early_refusal(self, req: GatewayRequest, failure: Failure) -> None:
+    def record_refusal(
+        self, req: GatewayRequest | None, failure: Failure
+    ) -> None:
+        """Counts and logs a request that is refused before it is a call.
+
+        Args:
+          req: None if not even its first line was read.
+        """
         self.metrics.refusals.add(1, {"code": failure.code.name})
         emit(
             Event.REQUEST_FAILED,
-            request=(req.getHeader("x-request-id") or "")[:64],
-            path=req.uri.decode("latin-1")[:80],
+            request=(req.getHeader("x-request-id") or "")[:64] if req else "",
+            path=req.uri.decode("latin-1")[:80] if req else "",
             field=failure.field,
             **explain(failure),
         )
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -13,10 +13,11 @@
 from magnolialug.entry.intake import BoundedBody, IntakeChannel
 from magnolialug.entry.keepalive import IdleTerms, KeepAlive
 from magnolialug.entry.requestbody import RequestBody
-from magnolialug.result import Code, failed
+from magnolialug.result import Code, Failure, failed
 
 __all__ = ["GatewayChannel", "GatewayFactory", "GatewayRequest"]
 
+_LAST_CHUNK = b"0\r\n\r\n"
 # The operator sets the time for the headers; the body may take this much more.
 _BODY_TIMEOUT_S = 30.0
 
@@ -29,6 +30,9 @@
     """
 
     defaultContentType = None
+    uri = b""
+    # What its head told when that was complete.
+    admitted = None
 
     def parseCookies(self) -> None:
         """Does not parse cookies."""
@@ -44,10 +48,6 @@
         """Returns the complete body."""
         return self.received
 
-    def release(self) -> None:
-        """Lets go of the body, once its call has ended."""
-        self.received.release()
-
 
 class GatewayChannel(IntakeChannel):
     """One caller's connection.
@@ -97,8 +97,16 @@
             self._begin_request(limits)
 
     def allHeadersReceived(self) -> None:
-        """Starts reading the body."""
+        """Starts reading the body, unless the head tells that it is in vain."""
         self.in_body = True
+        req = self.requests[-1]
+        req.uri = self._path
+        failure = None
+        if not self._has_whole_body:
+            failure = self.factory.check_head(req)
+        if failure is not None:
+            req.refuse(failure)
+            return
         super().allHeadersReceived()
 
     def allContentReceived(self) -> None:
@@ -106,6 +114,13 @@
         self.reading = self.in_body = False
         super().allContentReceived()
 
+    def refuse(self, failure: Failure) -> None:
+        """Refuses the request that is read; see IntakeChannel."""
+        if not self.refused:
+            req = self.requests[-1] if self.requests else None
+            self.factory.record_refusal(req, failure)
+        super().refuse(failure)
+
     def requestDone(self, request) -> None:
         """Prepares for the next request of the connection."""
         self.phase_started_at = self.factory.clock()
@@ -142,6 +157,16 @@
         self.factory.channels.discard(self)
         super().connectionLost(reason)
 
+    @property
+    def _has_whole_body(self) -> bool:
+        """Whether the bytes that have arrived seem to hold the whole body.
+
+        Then a refusal can wait for its end, and spares the connection.
+        """
+        if self.length is None:
+            return self._buffer.endswith(_LAST_CHUNK)
+        return len(self._buffer) >= self.length
+
     @property
     def busy(self) -> bool:
         """Whether a complete request is being answered."""
@@ -218,6 +243,9 @@
 
     Args:
       handle: receives each complete request.
+      check_head: returns why a request is refused before its body is read,
+        None if it is not.
+      record_refusal: is told of each request that a connection refuses.
       limits: returns the current limits.
       keep_alive: decides how long connections may be idle.
       clock: returns the time in seconds.
@@ -231,6 +259,8 @@
     def __init__(
         self,
         handle,
+        check_head,
+        record_refusal,
         limits,
         keep_alive: KeepAlive,
         metrics: GatewayMetrics,
@@ -240,6 +270,8 @@
     ):
         bound_name_cache()
         self.handle = handle
+        self.check_head = check_head
+        self.record_refusal = record_refusal
         self.limits = limits
         self.keep_alive = keep_alive
         self._metrics = metrics
--- a/magnolialug/entry/gatewayintake.py
+++ b/magnolialug/entry/gatewayintake.py
@@ -1,5 +1,7 @@
 """Parses a caller's request into a call, or returns why it is refused."""
 
+import msgspec
+
 from magnolialug.config.routing import Route, RouteTeam
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaychannel import GatewayRequest
@@ -10,15 +12,34 @@
 from magnolialug.policy.routes import RouteTable, service_for
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["read_call"]
+__all__ = ["RequestHead", "read_call", "read_head"]
 
 _ANONYMOUS = RouteTeam(TeamId(""), ())
 
 
+class RequestHead(msgspec.Struct, frozen=True):
+    """What the head of a request tells, under one version of the routes."""
+
+    table: RouteTable
+    route: Route
+    marks: Marks
+    team: RouteTeam
+
+
 def read_call(
     req: GatewayRequest, table: RouteTable, now: float
 ) -> ForwardCall | Failure:
     """Returns the call with its route, team and deadline, or a failure."""
+    head = req.admitted
+    if head is None or head.table is not table:
+        head = read_head(req, table)
+    if isinstance(head, Failure):
+        return head
+    return _call(req, head, now)
+
+
+def read_head(req: GatewayRequest, table: RouteTable) -> RequestHead | Failure:
+    """Returns what a request's head tells, or why it is refused."""
     headers = [
         (name.lower(), value)
         for name, values in req.requestHeaders.getAllRawHeaders()
@@ -33,7 +54,7 @@
     team = _team(table, route, marks)
     if isinstance(team, Failure):
         return team
-    return _call(req, route, marks, team, now)
+    return RequestHead(table, route, marks, team)
 
 
 def _route(req: GatewayRequest, table: RouteTable) -> Route | Failure:
@@ -62,13 +83,8 @@
     return failed(code, field="authorization")
 
 
-def _call(
-    req: GatewayRequest,
-    route: Route,
-    marks: Marks,
-    team: RouteTeam,
-    now: float,
-) -> ForwardCall:
+def _call(req: GatewayRequest, head: RequestHead, now: float) -> ForwardCall:
+    route, marks, team = head.route, head.marks, head.team
     wait_s = route.timeout_s
     if marks.wait_s is not None:
         wait_s = min(wait_s, marks.wait_s)
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -26,8 +26,10 @@
         f"HTTP/1.1 {CODES[failure.code].status} Refused\r\n"
         "Content-Type: application/json\r\n"
         f"Content-Length: {len(body)}\r\n"
-        "Connection: close\r\n\r\n"
     )
+    if failure.retry_after_s > 0:
+        head += f"Retry-After: {failure.retry_after_s:.2f}\r\n"
+    head += "Connection: close\r\n\r\n"
     return head.encode() + body
 
 
@@ -68,6 +70,10 @@
         if self.refused:
             return
         self.refused = True
+        # What has arrived behind it is not parsed any further.
+        self.paused = True
+        if self.requests:
+            self.requests[-1].release()
         self.setTimeout(None)
         self.transport.write(_raw_response(failure))
         half_close = getattr(self.transport, "loseWriteConnection", None)
@@ -92,6 +98,8 @@
                 traceback=traceback.format_exc(),
             )
             self.refuse(failed(Code.UNREADABLE_REQUEST, type(exc).__name__))
+        if self.refused:
+            self.clearLineBuffer()
 
     def connectionLost(self, reason) -> None:
         """Cancels the delayed close."""
@@ -107,10 +115,11 @@
     """Buffers a request's body in memory, up to the channel's `body_limit`.
 
     Attributes:
-      received: the body as far as it has arrived.
+      received: the body as far as it has arrived, None before its head.
     """
 
     refused = False
+    received: RequestBody | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Starts buffering a body."""
@@ -127,9 +136,13 @@
     def refuse(self, failure: Failure) -> None:
         """Refuses the request; its further input is discarded."""
         self.refused = True
-        self.received.release()
         self.channel.refuse(failure)
 
+    def release(self) -> None:
+        """Lets go of the body."""
+        if self.received is not None:
+            self.received.release()
+
     def _check_size(self, size: int) -> None:
         if not self.refused and size > self.channel.body_limit():
             self.refuse(failed(Code.BODY_TOO_LARGE, field="(body)", value=size))
--- a/magnolialug/preview/request.py
+++ b/magnolialug/preview/request.py
@@ -55,6 +55,7 @@
     method: bytes
     uri: bytes
     requestHeaders: Headers  # noqa: N815 - the name that the intake reads
+    admitted: None = None
 
     def body(self) -> RequestBody:
         """Returns its body, which a preview does not have."""
