Gateway: callers' memory has a limit, and the worst holder gives way

Cause: sixty callers with bodies of 2 MB, whole, short of their end or in chunks, took a gateway to 166 to 183 MB of 100 allowed, callers of bookings that leave to 1,781 MB, two thousand heads to 80 MB of 70, and servers that read slowly to 165 MB: memoryMb was read by no code, and nothing counted what is held.

Change: the settings' memoryMb gives a budget. Each connection has a charge for its buffers and unsent answers, each request one for its head, the room of its body, the parts of its prompt and an answer that is gathered; it stays until the call ends, also when its caller has left. A charge is set to what is held now, so that no way out counts twice. A body whose head tells its length has its room before it is read, or is refused with 503, 323 and the time after which lagging callers have given way; one in chunks gets room step by step. Without room, callers that lag (a second without 32 KB/s, sent or read) give way, those that hold most first; for a small request also uploads on pace. Large requests leave a quarter to small ones. The only large one is always let through.

Requests ahead, trailers and the other listeners are still open.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -26,6 +26,7 @@
     "keep_alive_seconds",
     "enable_dead_peer_detection",
     "set_reset_on_close",
+    "unsent_bytes",
 ]
 
 # How long sent bytes may stay unacknowledged before the kernel closes the
@@ -76,6 +77,12 @@
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT)
 
 
+def unsent_bytes(transport) -> int:
+    """Returns how many written bytes the kernel has not taken yet."""
+    buffered = len(getattr(transport, "dataBuffer", b""))
+    return buffered + getattr(transport, "_tempDataLen", 0)
+
+
 def set_reset_on_close(transport, on: bool) -> None:
     """Sets whether every close of a connection is a reset.
 
--- /dev/null
+++ b/magnolialug/config/gatewaylimits.py
@@ -0,0 +1,59 @@
+"""The limits of what a gateway holds for callers, for docs/CONFIG.md."""
+
+import msgspec
+
+__all__ = ["GATEWAY_LIMITS", "GatewayLimit"]
+
+
+class GatewayLimit(msgspec.Struct, frozen=True):
+    """One limit, which follows from the settings or is fixed.
+
+    Attributes:
+      default: its value, or how it follows from the settings.
+      meaning: what it bounds, and who gives way.
+      answer: what the caller gets who meets it.
+      metric: what shows it.
+      event: what is logged.
+    """
+
+    name: str
+    default: str
+    meaning: str
+    answer: str
+    metric: str
+    event: str
+
+
+GATEWAY_LIMITS = (
+    GatewayLimit(
+        "callers' memory",
+        "45 % of `limits.memoryMb` (150 if it is not set), at most all of it less"
+        " 75 MB, at least 8 MB",
+        "all heads, bodies, buffers and parts of prompts that are held for"
+        " callers; callers that lag give way first, those that hold most"
+        " before others",
+        "503, 323 NO_MEMORY, `Retry-After: 1`; an answer that is not read is"
+        " broken off",
+        "`caller_memory_bytes`, `caller_memory_limit_bytes`,"
+        " `callers_gave_way{reason=memory}`, `refusals{code=NO_MEMORY}`",
+        "1008, 1009",
+    ),
+    GatewayLimit(
+        "large requests",
+        "75 % of callers' memory; one of them may always have what"
+        " `maxBodyBytes` allows",
+        "requests of over 64 KB together, so that ordinary ones have room",
+        "503, 323 NO_MEMORY, `Retry-After: 1`, before the body is read",
+        "`refusals{code=NO_MEMORY}`",
+        "1008, 1009",
+    ),
+    GatewayLimit(
+        "lag",
+        "1 s without 32 KB/s",
+        "a caller that sends or reads more slowly gives way to others, if there"
+        " is no room for them otherwise",
+        "503, 323 NO_MEMORY, `Retry-After: 1`",
+        "`callers_gave_way{reason=memory}`",
+        "1008, 1009",
+    ),
+)
--- a/magnolialug/doctables.py
+++ b/magnolialug/doctables.py
@@ -3,6 +3,9 @@
 import pathlib
 import sys
 
+import msgspec
+
+from magnolialug.config.gatewaylimits import GATEWAY_LIMITS
 from magnolialug.config.option import REQUIRED, Option
 from magnolialug.config.schema import SECTIONS, Section
 from magnolialug.events import EVENTS
@@ -76,9 +79,28 @@
     for name, section in SECTIONS.items():
         title = f"{name}.NAME" if section.named else name
         parts.append(_section(title, section))
+    parts.append(_gateway_limits())
     return "\n".join(parts)
 
 
+def _gateway_limits() -> str:
+    lines = [
+        "## What a gateway holds for callers\n",
+        "On the division's platform, by the settings file that the platform",
+        "writes. No request within the operator's limits meets one in calm.\n",
+        "| limit | default | bounds | answer | metrics | events |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in GATEWAY_LIMITS:
+        cells = msgspec.structs.astuple(row)
+        lines.append("| " + " | ".join(_cell(text) for text in cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def _cell(text: str) -> str:
+    return text.replace("|", "\\|")
+
+
 def _section(title: str, section: Section) -> str:
     lines = [
         f"## `[{title}]`\n",
--- /dev/null
+++ b/magnolialug/entry/callermemory.py
@@ -0,0 +1,134 @@
+"""Keeps what a process holds for callers within its memory."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from magnolialug.events import Event, emit
+from magnolialug.policy.memorybudget import SMALL_BYTES, Charge, MemoryBudget
+from magnolialug.result import Code, Failure, failed
+
+__all__ = ["LAG_S", "MIN_RATE_BYTES_PER_S", "CallerMemory", "Holder"]
+
+# A caller lags when it has neither sent nor read at this rate for this long.
+# Only a caller that lags gives way to a large request.
+MIN_RATE_BYTES_PER_S = 32 * 1024
+LAG_S = 1.0
+# More than asked for is freed, so that the search is not made for each request.
+_SPARE_DIVISOR = 16
+# A search that has freed nothing is not made again for a large request before.
+_SEARCH_INTERVAL_S = 0.05
+# Pressure ends when nobody has been refused or has given way for this long.
+_CALM_S = 1.0
+
+
+class Holder(Protocol):
+    """A connection, for which something is held."""
+
+    @property
+    def held_bytes(self) -> int:
+        """What giving way frees."""
+
+    @property
+    def can_give_way(self) -> bool:
+        """Whether it waits for its caller, and not for an endpoint."""
+
+    def is_lagging(self, now: float) -> bool:
+        """Whether its caller neither sends nor reads at the least rate."""
+
+    def give_way(self, failure: Failure) -> None:
+        """Lets go of what it holds; the failure is for its caller."""
+
+
+class CallerMemory:
+    """Admits what is to be held; the worst holder gives way to ordinary ones.
+
+    Args:
+      holders: returns all connections.
+      clock: returns the time in seconds.
+      on_gave_way: called for each holder that has given way.
+    """
+
+    def __init__(
+        self,
+        budget: MemoryBudget,
+        holders: Callable[[], Iterable[Holder]],
+        clock: Callable[[], float],
+        on_gave_way: Callable[[], None] = lambda: None,
+    ):
+        self.budget = budget
+        self._holders = holders
+        self._clock = clock
+        self._on_gave_way = on_gave_way
+        self._searched_at = float("-inf")
+        self._pressed_at = float("-inf")
+        self._is_pressed = False
+        self._gave_way = 0
+
+    def admit(self, charge: Charge, size: int, asker: Holder) -> Failure | None:
+        """Sets what a charge holds, if there is room or others make some.
+
+        Returns:
+          why it is not set, None if it is.
+        """
+        missing = self.budget.excess(charge, size)
+        if missing:
+            self._pressed_at = self._clock()
+            self._make_room(missing, size, asker)
+            if self.budget.excess(charge, size):
+                return no_memory()
+        self.budget.set(charge, size)
+        return None
+
+    def tick(self, now: float) -> None:
+        """Logs when pressure has begun or ended."""
+        is_pressed = now - self._pressed_at < _CALM_S
+        if is_pressed == self._is_pressed:
+            return
+        self._is_pressed = is_pressed
+        gave_way, self._gave_way = self._gave_way, 0
+        emit(
+            Event.CALLER_MEMORY_FULL
+            if is_pressed
+            else Event.CALLER_MEMORY_FREE,
+            held=self.budget.held_bytes,
+            limit=self.budget.limit_bytes,
+            gave_way=gave_way,
+        )
+
+    def _make_room(self, missing: int, size: int, asker: Holder) -> None:
+        now = self._clock()
+        is_small = size <= SMALL_BYTES
+        if not is_small and now - self._searched_at < _SEARCH_INTERVAL_S:
+            return
+        rows = [
+            row
+            for row in self._holders()
+            if row is not asker and row.can_give_way
+        ]
+        wanted = missing + self.budget.limit_bytes // _SPARE_DIVISOR
+        lagging = [row for row in rows if row.is_lagging(now)]
+        freed = self._free(lagging, wanted)
+        if freed < missing and is_small:
+            larger = [row for row in rows if row.held_bytes > SMALL_BYTES]
+            freed += self._free(larger, missing - freed)
+        if not freed:
+            self._searched_at = now
+
+    def _free(self, rows: list[Holder], wanted: int) -> int:
+        """Lets the worst of some holders give way; returns what that freed."""
+        held_before = self.budget.held_bytes
+        for row in sorted(rows, key=lambda row: -row.held_bytes):
+            if held_before - self.budget.held_bytes >= wanted:
+                break
+            row.give_way(no_memory())
+            self._gave_way += 1
+            self._on_gave_way()
+        return held_before - self.budget.held_bytes
+
+
+def no_memory() -> Failure:
+    """Returns the refusal of a request for which there is no room.
+
+    By the time that it names, a holder whose caller lags has given way.
+    """
+    return failed(Code.NO_MEMORY, retry_after_s=LAG_S)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -9,7 +9,8 @@
 
 from magnolialug.background import background
 from magnolialug.carrier.pool import Address
-from magnolialug.config.routing import CallerLimits, Routing
+from magnolialug.config.routing import CallerLimits, RouteType, Routing
+from magnolialug.entry.callermemory import CallerMemory
 from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.connectiongate import ConnectionGate
@@ -57,6 +58,7 @@
 from magnolialug.platform.operator import EVACUATION_PREFIX, OPERATOR_PREFIX
 from magnolialug.platform.registry import REGISTRY_PREFIX
 from magnolialug.platform.settings import Settings
+from magnolialug.policy.memorybudget import MemoryBudget, budget_bytes
 from magnolialug.policy.retry import Backoff, Budget
 from magnolialug.policy.rollout import Rollout
 from magnolialug.policy.weightbounds import WeightBounds
@@ -86,6 +88,10 @@
 # one call returns several changes. A leaving endpoint and a new configuration
 # must both be known within two seconds.
 _WATCH_PAUSES_S = (0.25, 1.0)
+# What a part of a prompt costs besides its bytes in the head.
+_PART_BYTES = 400
+# As much of an answer that is not a stream is gathered before it is passed on.
+_GATHERED_BYTES = 64 * 1024
 # All keys that gateways write.
 _OWN_PREFIX = "magnolialug/"
 # Changes of these keys are also read while a long configuration arrives.
@@ -134,11 +140,18 @@
         self._grace = GracePeriod(
             reactor.seconds, lambda: self.settings.bounds.grace_s
         )
+        self._memory = CallerMemory(
+            MemoryBudget(budget_bytes(settings.memory_mb)),
+            lambda: self.factory.channels,
+            reactor.seconds,
+            lambda: metrics.callers_gave_way.add(1, {"reason": "memory"}),
+        )
         self.factory = GatewayFactory(
             self.handle,
             self.check_head,
             self.record_refusal,
             self._limits,
+            self._memory,
             KeepAlive(lambda: self._limits().idle_s, self._grace),
             metrics,
             reactor.seconds,
@@ -290,9 +303,9 @@
     def reload(self, settings: Settings | Failure) -> None:
         """Applies changed settings; an invalid file changes nothing.
 
-        Only the bounds are applied. Addresses and the zone stay as they were
-        at the start: a process cannot move, and the platform starts a new one
-        instead.
+        Only the bounds and the memory are applied. Addresses and the zone stay
+        as they were at the start: a process cannot move, and the platform
+        starts a new one instead.
         """
         if isinstance(settings, Failure):
             emit(
@@ -302,8 +315,11 @@
             )
             return
         self.settings = msgspec.structs.replace(
-            self.settings, bounds=settings.bounds
+            self.settings,
+            bounds=settings.bounds,
+            memory_mb=settings.memory_mb,
         )
+        self._memory.budget.limit_bytes = budget_bytes(settings.memory_mb)
         budget = self._new_budget()
         self._budget.ratio = budget.ratio
         self._budget.limit = budget.limit
@@ -366,6 +382,8 @@
         """Serves one complete request."""
         sink = GatewaySink(req)
         call = self._read_call(req)
+        if isinstance(call, ForwardCall):
+            call = _reserve(req, call) or call
         if isinstance(call, Failure):
             req.release()
             self.record_refusal(req, call)
@@ -508,6 +526,10 @@
             self.metrics,
             {
                 "in_progress": lambda: self.in_progress,
+                "caller_memory_bytes": lambda: self._memory.budget.held_bytes,
+                "caller_memory_limit_bytes": lambda: (
+                    self._memory.budget.limit_bytes
+                ),
                 "caller_connections": lambda: len(self.factory.channels),
                 "config_version": lambda: self.routes.version,
                 "ready": lambda: int(self.ready()),
@@ -607,6 +629,7 @@
             ("attempts", self._sweep_attempts),
             ("liveness", lambda _: self._silence.tick(self._in_flight)),
             ("caller timeouts", self.factory.check_timeouts),
+            ("caller memory", self._memory.tick),
             ("registry", lambda _: self.registry.tick()),
             ("entries", lambda _: self._entries.tick()),
             ("newest versions", self._record_newest_versions),
@@ -629,3 +652,10 @@
             if exc is not None:
                 self._in_flight.discard(attempt)
                 attempt.fail(exc)
+
+
+def _reserve(req: GatewayRequest, call: ForwardCall) -> Failure | None:
+    """Counts what a call holds; returns why there is no room for it."""
+    parts = len(call.prompt.parts) if call.prompt is not None else 0
+    is_stream = call.route.form is RouteType.STREAMING
+    return req.reserve(parts * _PART_BYTES, 0 if is_stream else _GATHERED_BYTES)
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -7,16 +7,20 @@
 
 from magnolialug.carrier.connection import enable_dead_peer_detection
 from magnolialug.config.routing import CallerLimits
+from magnolialug.entry.callermemory import CallerMemory
 from magnolialug.entry.forwardcall import HeaderList
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.intake import BoundedBody, IntakeChannel
 from magnolialug.entry.keepalive import IdleTerms, KeepAlive
 from magnolialug.entry.requestbody import RequestBody
+from magnolialug.policy.memorybudget import Charge
 from magnolialug.result import Code, Failure, failed
 
 __all__ = ["GatewayChannel", "GatewayFactory", "GatewayRequest"]
 
+# Shorter pieces of an answer are counted with the next tick.
+_COUNTED_BYTES = 4 * 1024
 _LAST_CHUNK = b"0\r\n\r\n"
 # The operator sets the time for the headers; the body may take this much more.
 _BODY_TIMEOUT_S = 30.0
@@ -37,12 +41,46 @@
     def parseCookies(self) -> None:
         """Does not parse cookies."""
 
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.answer_charge = Charge()
+
     def requestReceived(self, command, path, version) -> None:
         """Passes a complete request to the gateway."""
         if self.refused:
             return
         self.method, self.uri, self.clientproto = command, path, version
-        self.channel.factory.handle(self)
+        try:
+            self.channel.factory.handle(self)
+        except Exception:
+            self.release()
+            raise
+
+    def reserve(self, more: int, answer: int) -> Failure | None:
+        """Counts what a call holds besides its request.
+
+        Args:
+          more: bytes that were made of its head.
+          answer: bytes of its answer that may be gathered.
+
+        Returns:
+          why there is no room, None if there is.
+        """
+        channel = self.channel
+        charges = (
+            (self.charge, self.charge.size + more),
+            (self.answer_charge, answer),
+        )
+        for charge, size in charges:
+            failure = channel.memory.admit(charge, size, channel)
+            if failure is not None:
+                return failure
+        return None
+
+    def release(self) -> None:
+        """Lets go of all that is held for the request."""
+        super().release()
+        self._budget.release(self.answer_charge)
 
     def body(self) -> RequestBody:
         """Returns the complete body."""
@@ -67,7 +105,6 @@
     requestFactory = GatewayRequest
     timeOut = None
     reading = False
-    in_body = False
     _overdue = False
     # Those in force when bytes behind the request in progress began to arrive.
     _limits_ahead: CallerLimits | None = None
@@ -83,7 +120,6 @@
         self.idle_terms = self.factory.keep_alive.terms()
         super().connectionMade()
         enable_dead_peer_detection(self.transport)
-        self.factory.channels.add(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Handles bytes from the caller."""
@@ -98,7 +134,6 @@
 
     def allHeadersReceived(self) -> None:
         """Starts reading the body, unless the head tells that it is in vain."""
-        self.in_body = True
         req = self.requests[-1]
         req.uri = self._path
         failure = None
@@ -111,7 +146,7 @@
 
     def allContentReceived(self) -> None:
         """Ends the reading of a request."""
-        self.reading = self.in_body = False
+        self.reading = False
         super().allContentReceived()
 
     def refuse(self, failure: Failure) -> None:
@@ -121,6 +156,17 @@
             self.factory.record_refusal(req, failure)
         super().refuse(failure)
 
+    def writeSequence(self, iovec) -> None:
+        """Writes the head of an answer, or more of it."""
+        super().writeSequence(iovec)
+        self.count_memory()
+
+    def write(self, data) -> None:
+        """Writes a piece of an answer."""
+        super().write(data)
+        if len(data) >= _COUNTED_BYTES:
+            self.count_memory()
+
     def requestDone(self, request) -> None:
         """Prepares for the next request of the connection."""
         self.phase_started_at = self.factory.clock()
@@ -152,11 +198,6 @@
             (b"Keep-Alive", b"timeout=%d" % seconds),
         ]
 
-    def connectionLost(self, reason) -> None:
-        """Removes the connection from the factory's set."""
-        self.factory.channels.discard(self)
-        super().connectionLost(reason)
-
     @property
     def _has_whole_body(self) -> bool:
         """Whether the bytes that have arrived seem to hold the whole body.
@@ -198,6 +239,8 @@
         Args:
           allowed_s: returns the longest idle time under some terms.
         """
+        if self._handlingRequest or self._unsent_since is not None:
+            self.count_memory()
         if self._handlingRequest:
             self._overdue = False
             return
@@ -247,6 +290,7 @@
         None if it is not.
       record_refusal: is told of each request that a connection refuses.
       limits: returns the current limits.
+      memory: admits what is held for callers.
       keep_alive: decides how long connections may be idle.
       clock: returns the time in seconds.
       call_later: calls a function after a delay in seconds.
@@ -262,6 +306,7 @@
         check_head,
         record_refusal,
         limits,
+        memory: CallerMemory,
         keep_alive: KeepAlive,
         metrics: GatewayMetrics,
         clock,
@@ -273,6 +318,7 @@
         self.check_head = check_head
         self.record_refusal = record_refusal
         self.limits = limits
+        self.memory = memory
         self.keep_alive = keep_alive
         self._metrics = metrics
         self.clock = clock
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -53,6 +53,7 @@
         self.idle_connections_closed = meter.create_counter(
             "idle_connections_closed"
         )
+        self.callers_gave_way = meter.create_counter("callers_gave_way")
         self.connections_made = meter.create_counter("connections_made")
         self.tokens = meter.create_counter("prompt_tokens")
         self.parts = meter.create_counter("cache_parts")
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -7,17 +7,30 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
+from magnolialug.carrier.connection import unsent_bytes
+from magnolialug.entry.callermemory import (
+    LAG_S,
+    MIN_RATE_BYTES_PER_S,
+    CallerMemory,
+)
 from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.requestbody import RequestBody
 from magnolialug.entry.responseformats import error_body
 from magnolialug.events import Event, emit
+from magnolialug.policy.memorybudget import Charge, MemoryBudget, budget_bytes
 from magnolialug.result import CODES, Code, Failure, failed
 
 __all__ = ["BoundedBody", "IntakeChannel", "IntakeRequest", "make_site"]
 
 _MAX_HEADER_BYTES = 16 * 1024
 _IDLE_TIMEOUT_S = 75
+# A connection's objects, and those of a header line, besides their bytes.
+_CONNECTION_BYTES = 4 * 1024
+_HEADER_LINE_BYTES = 400
+# Bodies whose length nobody tells are counted in such steps.
+_RESERVE_STEP_BYTES = 64 * 1024
 _LINGER_S = 1.0
+_DEFAULT_MEMORY_MB = 232.0
 
 
 def _raw_response(failure: Failure) -> bytes:
@@ -34,23 +47,158 @@
 
 
 class IntakeChannel(HTTPChannel):
-    """Answers malformed requests with a numbered error.
+    """Answers malformed requests with a numbered error, and counts its memory.
 
     Two lengths, a length together with chunks, or an unknown transfer coding
     can be interpreted one way by the load balancer and another way here, so
     that one caller's bytes become another caller's request (request
     smuggling). Twisted refuses all of these; this class only adds the error
     number.
+
+    What it holds for its caller has two charges: the connection's, for its
+    buffers, and the request's, for its head and body. A request takes its
+    charge along when it is complete, and its connection may end before it.
     """
 
     totalHeadersSize = _MAX_HEADER_BYTES
     refused = False
+    in_body = False
+    # What a request costs for each byte of its body.
+    body_cost = 1
     _close_timer = None
+    _is_lost = False
+    # Until then its caller keeps up the least rate.
+    _lease_until = 0.0
+    _unsent_since: float | None = None
 
     def body_limit(self) -> int:
         """Returns the maximum size of a body in bytes."""
         return self.site.limits().body_bytes
 
+    @property
+    def memory(self) -> CallerMemory:
+        """Admits what is held for callers."""
+        return self.factory.memory
+
+    def now(self) -> float:
+        """Returns the time in seconds."""
+        return self.factory.clock()
+
+    def connectionMade(self) -> None:
+        """Counts the connection."""
+        self.charge = Charge()
+        self.factory.channels.add(self)
+        super().connectionMade()
+        self.count_memory()
+
+    def allHeadersReceived(self) -> None:
+        """Counts the head, and starts reading the body."""
+        self._count_head(self.requests[-1])
+        self.in_body = True
+        super().allHeadersReceived()
+
+    def allContentReceived(self) -> None:
+        """Ends the reading of a request."""
+        self.in_body = False
+        super().allContentReceived()
+
+    @property
+    def incoming(self) -> "BoundedBody | None":
+        """The request that is being read, None if there is none."""
+        if self._handlingRequest or not self.requests:
+            return None
+        return self.requests[-1]
+
+    @property
+    def held_bytes(self) -> int:
+        """What giving way frees."""
+        incoming = self.incoming
+        held = incoming.charge.size if incoming is not None else 0
+        return self.charge.size + held
+
+    @property
+    def can_give_way(self) -> bool:
+        """Whether it waits for its caller, and not for an endpoint."""
+        if self.refused or self._is_lost:
+            return False
+        return not self._handlingRequest or self._unsent_since is not None
+
+    def is_lagging(self, now: float) -> bool:
+        """Whether its caller neither sends nor reads at the least rate."""
+        if self._unsent_since is not None:
+            return now - self._unsent_since > LAG_S
+        return now > self._lease_until
+
+    def give_way(self, failure: Failure) -> None:
+        """Refuses the request that is read, or closes the connection."""
+        if self._unsent_since is None and self.incoming is not None:
+            self.refuse(failure)
+            return
+        self.transport.abortConnection()
+        self._release()
+
+    def count_memory(self) -> None:
+        """Counts what the connection holds now; gives way if it is too much."""
+        if self._is_lost:
+            return
+        unsent = unsent_bytes(self.transport)
+        if not unsent:
+            self._unsent_since = None
+        elif self._unsent_since is None:
+            self._unsent_since = self.now()
+        buffered = len(self._buffer) + sum(map(len, self._dataBuffer))
+        size = _CONNECTION_BYTES + 2 * buffered + unsent
+        failure = None
+        if size != self.charge.size:
+            failure = self.memory.admit(self.charge, size, self)
+        if failure is not None and not self.refused:
+            self.give_way(failure)
+            return
+        incoming = self.incoming
+        if incoming is not None and not self.refused:
+            self._charge_request(incoming)
+
+    def _count_head(self, req: "BoundedBody") -> None:
+        lines = self._receivedHeaderCount * _HEADER_LINE_BYTES
+        req.head_bytes = 2 * self._receivedHeaderSize + lines
+
+    def _charge_request(self, req: "BoundedBody") -> bool:
+        """Counts what a request holds; refuses it if there is no room."""
+        if not self.in_body:
+            self._count_head(req)
+        size = req.head_bytes + req.reserved * self.body_cost
+        if size == req.charge.size:
+            return True
+        failure = self.memory.admit(req.charge, size, self)
+        if failure is not None:
+            self.refuse(failure)
+        return failure is None
+
+    def reserve_body(self, size: int) -> bool:
+        """Counts a body before it arrives; refuses it if there is no room."""
+        req = self.requests[-1]
+        req.reserved = size
+        return self._charge_request(req)
+
+    def _extend_lease(self, received: int) -> None:
+        """Records that the caller has sent something."""
+        now = self.now()
+        paid_until = self._lease_until + received / MIN_RATE_BYTES_PER_S
+        if self.incoming is None and not self._buffer:
+            # A request begins.
+            paid_until = now + LAG_S
+        self._lease_until = min(paid_until, now + LAG_S)
+
+    def _release(self) -> None:
+        """Lets go of all that is held, but for requests that endpoints have."""
+        self._is_lost = True
+        incoming = self.incoming
+        if incoming is not None:
+            incoming.release()
+        self._buffer = b""
+        self._dataBuffer = []
+        self.memory.budget.release(self.charge)
+
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         too_large = self._receivedHeaderSize > self.totalHeadersSize
         code = Code.BODY_TOO_LARGE if too_large else Code.AMBIGUOUS_HEADER
@@ -72,8 +220,10 @@
         self.refused = True
         # What has arrived behind it is not parsed any further.
         self.paused = True
-        if self.requests:
-            self.requests[-1].release()
+        incoming = self.incoming
+        if incoming is not None:
+            incoming.refused = True
+            incoming.release()
         self.setTimeout(None)
         self.transport.write(_raw_response(failure))
         half_close = getattr(self.transport, "loseWriteConnection", None)
@@ -87,8 +237,9 @@
         The reactor closes a connection whose protocol raises. Its caller gets
         an answer instead.
         """
-        if self.refused:
+        if self.refused or self._is_lost:
             return
+        self._extend_lease(len(data))
         try:
             super().dataReceived(data)
         except Exception as exc:
@@ -100,11 +251,14 @@
             self.refuse(failed(Code.UNREADABLE_REQUEST, type(exc).__name__))
         if self.refused:
             self.clearLineBuffer()
+        self.count_memory()
 
     def connectionLost(self, reason) -> None:
-        """Cancels the delayed close."""
+        """Cancels the delayed close, and lets go of what is held."""
         if self._close_timer and self._close_timer.active():
             self._close_timer.cancel()
+        self.factory.channels.discard(self)
+        self._release()
         super().connectionLost(reason)
 
     def _close(self) -> None:
@@ -116,32 +270,47 @@
 
     Attributes:
       received: the body as far as it has arrived, None before its head.
+      charge: what is held for it.
+      head_bytes: what its head costs.
+      reserved: how long a body there is room for.
     """
 
     refused = False
     received: RequestBody | None = None
+    head_bytes = 0
+    reserved = 0
+
+    def __init__(self, channel: IntakeChannel, *args, **kwargs):
+        super().__init__(channel, *args, **kwargs)
+        self.charge = Charge()
+        self._budget = channel.memory.budget
 
     def gotLength(self, length: int | None) -> None:
         """Starts buffering a body."""
         self.received = RequestBody()
         if length:
             self._check_size(length)
+        if not self.refused:
+            self.channel.reserve_body(length or 0)
 
     def handleContentChunk(self, data: bytes) -> None:
         """Adds a part of the body."""
-        self._check_size(self.received.size + len(data))
+        size = self.received.size + len(data)
+        self._check_size(size)
+        if not self.refused and size > self.reserved:
+            self.channel.reserve_body(size + _RESERVE_STEP_BYTES)
         if not self.refused:
             self.received.append(data)
 
     def refuse(self, failure: Failure) -> None:
         """Refuses the request; its further input is discarded."""
-        self.refused = True
         self.channel.refuse(failure)
 
     def release(self) -> None:
-        """Lets go of the body."""
+        """Lets go of the body, once nobody needs it any longer."""
         if self.received is not None:
             self.received.release()
+        self._budget.release(self.charge)
 
     def _check_size(self, size: int) -> None:
         if not self.refused and size > self.channel.body_limit():
@@ -168,6 +337,7 @@
         """Processes a complete request."""
         self._stop_timer()
         if self.refused:
+            self.release()
             return
         self.content = BytesIO(self.received.join())
         self.received.release()
@@ -176,10 +346,16 @@
         super().requestReceived(command, path, version)
 
     def connectionLost(self, reason) -> None:
-        """Cancels the body's time limit."""
+        """Cancels the body's time limit, and lets go of the request."""
         self._stop_timer()
+        self.release()
         super().connectionLost(reason)
 
+    def finish(self) -> None:
+        """Ends the response, and lets go of the request."""
+        self.release()
+        super().finish()
+
     def refuse(self, failure: Failure) -> None:
         """Refuses the request; its further input is discarded."""
         self._stop_timer()
@@ -193,12 +369,21 @@
             self._timer.cancel()
 
 
-def make_site(resource, limits, reactor) -> Site:
+class _EntryChannel(IntakeChannel):
+    """A caller's connection to an entry, which decodes and encodes bodies."""
+
+    body_cost = 5
+
+
+def make_site(
+    resource, limits, reactor, memory_mb: float = _DEFAULT_MEMORY_MB
+) -> Site:
     """Returns a site that limits the size and duration of requests.
 
     Args:
       resource: serves the requests.
       limits: returns the current limits.
+      memory_mb: the memory of the process.
     """
     bound_name_cache()
     site = Site(
@@ -207,7 +392,14 @@
         reactor=reactor,
         timeout=_IDLE_TIMEOUT_S,
     )
-    site.protocol = IntakeChannel
+    site.protocol = _EntryChannel
+    site.clock = reactor.seconds
+    site.channels = set()
+    site.memory = CallerMemory(
+        MemoryBudget(budget_bytes(memory_mb)),
+        lambda: site.channels,
+        reactor.seconds,
+    )
     site.limits = limits
     site.displayTracebacks = False
     site.log = lambda request: None
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -38,6 +38,8 @@
     SETTINGS_REFUSED = 1005
     SATURATED = 1006
     UNSATURATED = 1007
+    CALLER_MEMORY_FULL = 1008
+    CALLER_MEMORY_FREE = 1009
     CONFIG_IN_FORCE = 1100
     CONFIG_REFUSED = 1101
     WEIGHTS_NAMED = 1102
@@ -131,6 +133,8 @@
     Event.SETTINGS_REFUSED: "The settings are wrong; the old ones stay.",
     Event.SATURATED: "New connections are closed; other entries have room.",
     Event.UNSATURATED: "New connections are accepted again.",
+    Event.CALLER_MEMORY_FULL: "Callers are refused or give way for memory.",
+    Event.CALLER_MEMORY_FREE: "There is memory for callers again.",
     Event.CONFIG_IN_FORCE: "A configuration version is in force here.",
     Event.CONFIG_REFUSED: "A configuration version was not applied.",
     Event.WEIGHTS_NAMED: "The operator wants a model to have a version.",
--- a/magnolialug/platform/settings.py
+++ b/magnolialug/platform/settings.py
@@ -13,6 +13,8 @@
 __all__ = ["Bounds", "Settings", "StoreRates", "read_settings"]
 
 _ENV = "MAGNOLIALUG_SETTINGS"
+# For settings that do not say it.
+_DEFAULT_MEMORY_MB = 150.0
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -62,6 +64,9 @@
         other, the first of the range.
       heartbeat_s: how often an endpoint renews its entry.
       cores: how much processor time this machine has.
+      memory_mb: a process that takes more is killed.
+      descriptors: how many a process may have, files among them; None for as
+        many as the kernel allows.
     """
 
     vm: str
@@ -77,6 +82,8 @@
     bounds: Bounds
     store: StoreRates
     cores: float = 1.0
+    memory_mb: float = _DEFAULT_MEMORY_MB
+    descriptors: int | None = None
 
 
 class _FieldError(Exception):
@@ -110,6 +117,16 @@
     return value * scale
 
 
+def _limit(table: dict[str, Any], name: str, default):
+    """Returns a limit of the process, above 0 if there is one."""
+    if name not in _get(table, "limits", dict):
+        return default
+    value = _number(table, f"limits.{name}")
+    if not value:
+        raise _FieldError(f"limits.{name}", "must be above 0", value)
+    return value
+
+
 def _address(table: dict[str, Any], path: str) -> Address:
     text = _get(table, path, str)
     host, _, port = text.rpartition(":")
@@ -159,6 +176,8 @@
         heartbeat_s=_number(table, "heartbeatMs", 0.001),
         cores=_number(table, "limits.cpuShare")
         * _number(table, "limits.cpuCores"),
+        memory_mb=_limit(table, "memoryMb", _DEFAULT_MEMORY_MB),
+        descriptors=_limit(table, "fileDescriptors", None),
         bounds=_bounds(table),
         store=StoreRates(
             address=_address(table, "platform.address"),
--- /dev/null
+++ b/magnolialug/policy/memorybudget.py
@@ -0,0 +1,84 @@
+"""Counts what a process holds for callers, and decides what there is room for.
+
+Whoever holds something has a charge, and sets it to what it holds now. A charge
+that is set again replaces its former size, so that no way out counts twice.
+"""
+
+import msgspec
+
+__all__ = ["SMALL_BYTES", "Charge", "MemoryBudget", "budget_bytes"]
+
+# Share of a process's memory for callers. The rest is for the program, for what
+# it knows of the platform, and for the gaps that an allocator leaves.
+_CALLERS_SHARE = 0.45
+# What the program and its knowledge of the platform take before any caller.
+_OWN_BYTES = 75 * 1024 * 1024
+_LEAST_BYTES = 8 * 1024 * 1024
+# Requests up to this size are ordinary. Larger ones leave them some room.
+SMALL_BYTES = 64 * 1024
+_LARGE_SHARE = 0.75
+
+
+def budget_bytes(memory_mb: float) -> int:
+    """Returns how much of a process's memory callers may take."""
+    memory = int(memory_mb * 1024 * 1024)
+    share = min(int(memory * _CALLERS_SHARE), memory - _OWN_BYTES)
+    return max(share, _LEAST_BYTES)
+
+
+class Charge(msgspec.Struct, eq=False):
+    """What one holder holds.
+
+    Attributes:
+      large: whether it counts among the large ones.
+    """
+
+    size: int = 0
+    large: bool = False
+
+
+class MemoryBudget:
+    """The sum of all charges, and its limit.
+
+    Attributes:
+      limit_bytes: the most that all charges should be.
+      held_bytes: what they are.
+      large_bytes: what the large ones among them are.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.large_bytes = 0
+
+    def set(self, charge: Charge, size: int) -> None:
+        """Records what a holder holds now."""
+        grown = size - charge.size
+        if charge.large:
+            self.large_bytes += grown
+        elif size > SMALL_BYTES:
+            charge.large = True
+            self.large_bytes += size
+        charge.size = size
+        self.held_bytes += grown
+
+    def release(self, charge: Charge) -> None:
+        """Records that a holder holds nothing any more."""
+        self.set(charge, 0)
+        charge.large = False
+
+    def excess(self, charge: Charge, size: int) -> int:
+        """Returns how many bytes are missing for a charge to have a size.
+
+        The only large charge is let through if it is within the limit by
+        itself, or no process could serve the largest request.
+        """
+        grown = size - charge.size
+        missing = self.held_bytes + grown - self.limit_bytes
+        if size <= SMALL_BYTES:
+            return max(0, missing)
+        others = self.large_bytes - (charge.size if charge.large else 0)
+        if others == 0:
+            return 0
+        large_limit = int(self.limit_bytes * _LARGE_SHARE)
+        return max(0, missing, others + size - large_limit)
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -59,6 +59,7 @@
     ORIGIN_UNKNOWN = 320
     RESTING = 321
     TOO_MANY_PREVIEWS = 322
+    NO_MEMORY = 323
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -196,6 +197,11 @@
             503,
             "The endpoints have asked for a time without requests.",
         ),
+        (
+            Code.NO_MEMORY,
+            503,
+            "The process has no memory for the request at the moment.",
+        ),
         (
             Code.TOO_MANY_PREVIEWS,
             429,
--- a/tests/network.py
+++ b/tests/network.py
@@ -123,8 +123,16 @@
         self.loseConnection()
 
     def registerProducer(self, producer, streaming):
-        """Takes whom to hold back."""
+        """Takes whom to hold back, or to ask for each piece."""
         self.producer = producer
+        if not streaming:
+            self._pull(producer)
+
+    def _pull(self, producer):
+        """Asks for the next piece, as long as there may be one."""
+        if self.producer is producer and not self.closed:
+            self.net.callLater(self.latency_s, self._pull, producer)
+            producer.resumeProducing()
 
     def unregisterProducer(self):
         """Forgets whom to hold back."""
