Callers' memory: idle connections stay, and nobody gives way for nothing

Change: only who holds part of a request, or an answer that is not read, can give way. For a large request somebody does only if that makes enough room, and only large ones where large ones are what leaves none.

--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -27,8 +27,8 @@
 GATEWAY_LIMITS = (
     GatewayLimit(
         "callers' memory",
-        "45 % of `limits.memoryMb` (150 if it is not set), at most all of it less"
-        " 75 MB, at least 8 MB",
+        "45 % of `limits.memoryMb` (150 if it is not set), at most all of it"
+        " less 75 MB, at least 8 MB",
         "all heads, bodies, buffers and parts of prompts that are held for"
         " callers; callers that lag give way first, those that hold most"
         " before others",
--- a/magnolialug/entry/callermemory.py
+++ b/magnolialug/entry/callermemory.py
@@ -15,7 +15,7 @@
 LAG_S = 1.0
 # More than asked for is freed, so that the search is not made for each request.
 _SPARE_DIVISOR = 16
-# A search that has freed nothing is not made again for a large request before.
+# A search for the room of a large request is not made again before.
 _SEARCH_INTERVAL_S = 0.05
 # Pressure ends when nobody has been refused or has given way for this long.
 _CALM_S = 1.0
@@ -30,7 +30,7 @@
 
     @property
     def can_give_way(self) -> bool:
-        """Whether it waits for its caller, and not for an endpoint."""
+        """Whether it holds something and waits for its caller alone."""
 
     def is_lagging(self, now: float) -> bool:
         """Whether its caller neither sends nor reads at the least rate."""
@@ -73,7 +73,7 @@
         missing = self.budget.excess(charge, size)
         if missing:
             self._pressed_at = self._clock()
-            self._make_room(missing, size, asker)
+            self._make_room(charge, size, asker)
             if self.budget.excess(charge, size):
                 return no_memory()
         self.budget.set(charge, size)
@@ -95,35 +95,54 @@
             gave_way=gave_way,
         )
 
-    def _make_room(self, missing: int, size: int, asker: Holder) -> None:
+    def _make_room(self, charge: Charge, size: int, asker: Holder) -> None:
         now = self._clock()
-        is_small = size <= SMALL_BYTES
-        if not is_small and now - self._searched_at < _SEARCH_INTERVAL_S:
-            return
-        rows = [
+        if size <= SMALL_BYTES:
+            self._make_small_room(charge, size, asker, now)
+        elif now - self._searched_at >= _SEARCH_INTERVAL_S:
+            self._searched_at = now
+            self._make_large_room(charge, size, asker, now)
+
+    def _make_small_room(
+        self, charge: Charge, size: int, asker: Holder, now: float
+    ) -> None:
+        """Lets those that lag give way, then large ones that do not."""
+        rows = self._rows(asker)
+        missing = self.budget.excess(charge, size)
+        wanted = missing + self.budget.limit_bytes // _SPARE_DIVISOR
+        self._free([row for row in rows if row.is_lagging(now)], wanted)
+        missing = self.budget.excess(charge, size)
+        if missing:
+            larger = [row for row in rows if row.held_bytes > SMALL_BYTES]
+            self._free(larger, missing)
+
+    def _make_large_room(
+        self, charge: Charge, size: int, asker: Holder, now: float
+    ) -> None:
+        """Lets those that lag give way, if that is enough."""
+        rows = [row for row in self._rows(asker) if row.is_lagging(now)]
+        if self.budget.lacks_large_room(charge, size):
+            rows = [row for row in rows if row.held_bytes > SMALL_BYTES]
+        missing = self.budget.excess(charge, size)
+        if sum(row.held_bytes for row in rows) >= missing:
+            self._free(rows, missing)
+
+    def _rows(self, asker: Holder) -> list[Holder]:
+        return [
             row
             for row in self._holders()
             if row is not asker and row.can_give_way
         ]
-        wanted = missing + self.budget.limit_bytes // _SPARE_DIVISOR
-        lagging = [row for row in rows if row.is_lagging(now)]
-        freed = self._free(lagging, wanted)
-        if freed < missing and is_small:
-            larger = [row for row in rows if row.held_bytes > SMALL_BYTES]
-            freed += self._free(larger, missing - freed)
-        if not freed:
-            self._searched_at = now
 
-    def _free(self, rows: list[Holder], wanted: int) -> int:
-        """Lets the worst of some holders give way; returns what that freed."""
+    def _free(self, rows: list[Holder], wanted: int) -> None:
+        """Lets the worst of some holders give way, as many as are needed."""
         held_before = self.budget.held_bytes
         for row in sorted(rows, key=lambda row: -row.held_bytes):
             if held_before - self.budget.held_bytes >= wanted:
-                break
+                return
             row.give_way(no_memory())
             self._gave_way += 1
             self._on_gave_way()
-        return held_before - self.budget.held_bytes
 
 
 def no_memory() -> Failure:
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -118,10 +118,13 @@
 
     @property
     def can_give_way(self) -> bool:
-        """Whether it waits for its caller, and not for an endpoint."""
+        """Whether it holds something and waits for its caller alone."""
         if self.refused or self._is_lost:
             return False
-        return not self._handlingRequest or self._unsent_since is not None
+        is_reading = self.incoming is not None or bool(self._buffer)
+        return self._unsent_since is not None or (
+            is_reading and not self._handlingRequest
+        )
 
     def is_lagging(self, now: float) -> bool:
         """Whether its caller neither sends nor reads at the least rate."""
--- a/magnolialug/policy/memorybudget.py
+++ b/magnolialug/policy/memorybudget.py
@@ -77,8 +77,17 @@
         missing = self.held_bytes + grown - self.limit_bytes
         if size <= SMALL_BYTES:
             return max(0, missing)
-        others = self.large_bytes - (charge.size if charge.large else 0)
-        if others == 0:
+        if not self._other_large_bytes(charge):
             return 0
+        return max(0, missing, self._large_excess(charge, size))
+
+    def lacks_large_room(self, charge: Charge, size: int) -> bool:
+        """Whether the large charges leave no room for one of a size."""
+        return self._large_excess(charge, size) > 0
+
+    def _other_large_bytes(self, charge: Charge) -> int:
+        return self.large_bytes - (charge.size if charge.large else 0)
+
+    def _large_excess(self, charge: Charge, size: int) -> int:
         large_limit = int(self.limit_bytes * _LARGE_SHARE)
-        return max(0, missing, others + size - large_limit)
+        return self._other_large_bytes(charge) + size - large_limit
--- a/tests/entry/test_caller_pressure.py
+++ b/tests/entry/test_caller_pressure.py
@@ -86,10 +86,43 @@
             caller.pipe.write(rest[:1])
             rest = rest[1:]
             self.cluster.pass_time(0.2)
-        self.begin(left=0)
-        self.cluster.pass_time(0.2)
+        for desk in self.cluster.desks.values():
+            desk.work_s = 3.0
+        for _ in range(2):
+            self.begin(left=0)
+            self.cluster.pass_time(0.1)
         self.assertEqual([NO_MEMORY], self.statuses(caller))
 
+    def test_idle_connections_stay(self):
+        """Guards against kept connections that are closed for no room."""
+        idle = [self.cluster.send("/read/x") for _ in range(5)]
+        self.cluster.pass_time(1.5)
+        for _ in range(6):
+            self.begin()
+        for caller in idle:
+            self.assertFalse(caller.closed)
+            self.cluster.send("/read/x", caller)
+        self.cluster.pass_time(0.3)
+        for caller in idle:
+            self.assertEqual([200, 200], self.statuses(caller))
+
+    def test_small_uploads_do_not_give_way_for_nothing(self):
+        """Guards against refusals that make no room for anybody."""
+        caller = self.cluster.caller()
+        data = request("/book/x", "s", body=b"x" * _KB)
+        caller.pipe.write(data[:-1])
+        for _ in range(3):
+            self.begin(left=0)
+        self.cluster.pass_time(0.001)
+        self.cluster.pass_time(1.5)
+        for desk in self.cluster.desks.values():
+            desk.work_s = 3.0
+        for _ in range(4):
+            self.begin(left=0)
+        caller.pipe.write(data[-1:])
+        self.cluster.pass_time(5)
+        self.assertEqual([200], self.statuses(caller))
+
     def test_nothing_is_refused_in_calm(self):
         for _ in range(20):
             caller = self.begin(left=0)
