Intake: what is sent ahead or in small chunks waits for its turn

Cause: 250 callers that send chunks of a byte, or refused requests behind one another, kept a gateway from answering anybody, its own readiness included, while its memory stayed small: one read of 64 KB holds 10,000 chunks or 2,000 requests, and all were served before any other event. Twenty callers that read nothing took it to 316 MB: answers to requests ahead were written although the buffer of the connection was full, and 60 callers with refusals to 159 MB.

Change: behind an answer, and behind 4 KB of chunks with more than 64 pieces, a connection stops parsing. One of those that wait continues in each pass of the event loop, so ordinary events wait for one bounded part, however many there are, and a single connection continues at once. None continues while its caller does not read. The time it waits does not count against the caller. What is ahead lies in one buffer, and a head has a bound of lines too.

On a virtual clock: order, chunks, turns, and callers that pause.

--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -47,6 +47,24 @@
         "`refusals{code=NO_MEMORY}`",
         "1008, 1009",
     ),
+    GatewayLimit(
+        "work of one connection",
+        "one request, or 4 KB of chunks with over 64 pieces, in each pass of"
+        " the event loop",
+        "what callers send ahead or in small chunks; one such connection goes"
+        " on in each pass, and none whose caller does not read",
+        "none: it waits",
+        "`connections_waiting_for_turn`",
+        "none",
+    ),
+    GatewayLimit(
+        "lines of a head",
+        "508",
+        "also those in which a header goes on",
+        "413, 101 BODY_TOO_LARGE",
+        "`refusals{code=BODY_TOO_LARGE}`",
+        "2004",
+    ),
     GatewayLimit(
         "lag",
         "1 s without 32 KB/s",
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -526,6 +526,9 @@
             self.metrics,
             {
                 "in_progress": lambda: self.in_progress,
+                "connections_waiting_for_turn": lambda: (
+                    self.factory.scheduler.waiting_count
+                ),
                 "caller_memory_bytes": lambda: self._memory.budget.held_bytes,
                 "caller_memory_limit_bytes": lambda: (
                     self._memory.budget.limit_bytes
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -13,6 +13,7 @@
 from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.intake import BoundedBody, IntakeChannel
 from magnolialug.entry.keepalive import IdleTerms, KeepAlive
+from magnolialug.entry.readscheduler import ReadScheduler
 from magnolialug.entry.requestbody import RequestBody
 from magnolialug.policy.memorybudget import Charge
 from magnolialug.result import Code, Failure, failed
@@ -176,9 +177,14 @@
             # Closing right behind its last byte leaves none of that time.
             self.persistent = False
         super().requestDone(request)
-        if not self._is_pipelined:
+        if not self._is_pipelined and not self._buffer:
             self._limits_ahead = None
 
+    def postpone(self, waited_s: float) -> None:
+        """Puts off the caller's times by what it was kept waiting here."""
+        super().postpone(waited_s)
+        self.phase_started_at += waited_s
+
     def reuse_headers(self) -> HeaderList:
         """Returns the headers that say how long the connection stays open.
 
@@ -216,7 +222,8 @@
     @property
     def _is_pipelined(self) -> bool:
         """Whether bytes have arrived behind the request in progress."""
-        return any(self._dataBuffer)
+        is_behind = self._handlingRequest and bool(self._buffer)
+        return is_behind or any(self._dataBuffer)
 
     @property
     def _has_partial_request(self) -> bool:
@@ -241,7 +248,7 @@
         """
         if self._handlingRequest or self._unsent_since is not None:
             self.count_memory()
-        if self._handlingRequest:
+        if self._handlingRequest or self.waits_for_turn:
             self._overdue = False
             return
         idle = not self.reading
@@ -324,6 +331,7 @@
         self.clock = clock
         self.channels: set[GatewayChannel] = set()
         self._call_later = call_later
+        self.scheduler = ReadScheduler(call_later)
         self._accepts = accepts
 
     def buildProtocol(self, addr) -> HTTPChannel | None:
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -14,6 +14,7 @@
     CallerMemory,
 )
 from magnolialug.entry.headernames import bound_name_cache
+from magnolialug.entry.readscheduler import ReadScheduler
 from magnolialug.entry.requestbody import RequestBody
 from magnolialug.entry.responseformats import error_body
 from magnolialug.events import Event, emit
@@ -27,6 +28,12 @@
 # A connection's objects, and those of a header line, besides their bytes.
 _CONNECTION_BYTES = 4 * 1024
 _HEADER_LINE_BYTES = 400
+# The request line, the empty one before it, the last one, and some to spare.
+_LINES_BESIDE_HEADERS = 8
+# Chunks are decoded in parts of this size. If one has more chunks than this,
+# other connections come first.
+_CHUNKS_BYTES = 4 * 1024
+_PIECES_PER_TURN = 64
 # Bodies whose length nobody tells are counted in such steps.
 _RESERVE_STEP_BYTES = 64 * 1024
 _LINGER_S = 1.0
@@ -69,6 +76,8 @@
     _is_lost = False
     # Until then its caller keeps up the least rate.
     _lease_until = 0.0
+    _paused_at = 0.0
+    _lines = 0
     _unsent_since: float | None = None
 
     def body_limit(self) -> int:
@@ -100,6 +109,7 @@
     def allContentReceived(self) -> None:
         """Ends the reading of a request."""
         self.in_body = False
+        self._lines = 0
         super().allContentReceived()
 
     @property
@@ -130,7 +140,7 @@
         """Whether its caller neither sends nor reads at the least rate."""
         if self._unsent_since is not None:
             return now - self._unsent_since > LAG_S
-        return now > self._lease_until
+        return now > self._lease_until and not self.waits_for_turn
 
     def give_way(self, failure: Failure) -> None:
         """Refuses the request that is read, or closes the connection."""
@@ -192,6 +202,91 @@
             paid_until = now + LAG_S
         self._lease_until = min(paid_until, now + LAG_S)
 
+    def requestDone(self, request) -> None:
+        """Ends a request; one that was sent ahead waits for its turn."""
+        # More may arrive as soon as reading goes on, behind all that is here.
+        self._buffer = b"".join((*self._dataBuffer, self._buffer))
+        self._dataBuffer = []
+        if self.persistent and self._buffer:
+            self.paused = True
+        super().requestDone(request)
+        if self.paused:
+            self._wait_for_turn()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Handles bytes of a body, or what is sent ahead of an answer."""
+        if self._handlingRequest:
+            self._keep_ahead(data)
+        elif self.length is None:
+            self._receive_chunks(data)
+        else:
+            super().rawDataReceived(data)
+
+    def resumeProducing(self) -> None:
+        """Continues when the caller has read what was written."""
+        super().resumeProducing()
+        if self.waits_for_turn:
+            self._networkProducer.pauseProducing()
+            self.factory.scheduler.add(self)
+
+    def continue_reading(self) -> None:
+        """Parses the next part of what has arrived.
+
+        Nothing is parsed while the caller does not read, since the answers to
+        what was sent ahead would gather.
+        """
+        if self.refused or self._is_lost or self._waitingForTransport:
+            return
+        self.paused = False
+        self.postpone(self.now() - self._paused_at)
+        self._networkProducer.resumeProducing()
+        self.dataReceived(b"")
+
+    @property
+    def waits_for_turn(self) -> bool:
+        """Whether its bytes wait for this process, and not for the caller."""
+        return self.paused and not self.refused
+
+    def postpone(self, waited_s: float) -> None:
+        """Puts off the caller's times by what it was kept waiting here."""
+        self._lease_until += waited_s
+
+    def _wait_for_turn(self) -> None:
+        """Parses and reads nothing more until others have been served."""
+        self.paused = True
+        self._paused_at = self.now()
+        self._networkProducer.pauseProducing()
+        if not self._waitingForTransport:
+            self.factory.scheduler.add(self)
+
+    def _keep_ahead(self, data: bytes) -> None:
+        """Keeps what is sent ahead of an answer, up to a size."""
+        if not self._dataBuffer:
+            self._dataBuffer.append(bytearray())
+        elif not isinstance(self._dataBuffer[0], bytearray):
+            self._dataBuffer = [bytearray(b"".join(self._dataBuffer))]
+        self._dataBuffer[0] += data
+        if len(self._dataBuffer[0]) > self._optimisticEagerReadSize:
+            self._networkProducer.pauseProducing()
+
+    def _receive_chunks(self, data: bytes) -> None:
+        """Decodes chunks, as many small ones as one turn allows."""
+        req, decoder = self.requests[-1], self._transferDecoder
+        for at in range(0, len(data), _CHUNKS_BYTES):
+            pieces = req.pieces
+            super().rawDataReceived(data[at : at + _CHUNKS_BYTES])
+            rest = data[at + _CHUNKS_BYTES :]
+            if self._transferDecoder is not decoder:
+                # The body has ended; the rest is sent ahead.
+                super(HTTPChannel, self).dataReceived(rest)
+                return
+            if self.refused or not rest:
+                return
+            if req.pieces - pieces > _PIECES_PER_TURN:
+                super(HTTPChannel, self).dataReceived(rest)
+                self._wait_for_turn()
+                return
+
     def _release(self) -> None:
         """Lets go of all that is held, but for requests that endpoints have."""
         self._is_lost = True
@@ -207,6 +302,17 @@
         code = Code.BODY_TOO_LARGE if too_large else Code.AMBIGUOUS_HEADER
         self.refuse(failed(code, field="(headers)"))
 
+    def lineReceived(self, line: bytes) -> None:
+        """Handles a line of a head; too many are refused like long ones.
+
+        The parser counts headers, but not the lines that one goes on in.
+        """
+        self._lines += 1
+        if self._lines > self.maxHeaders + _LINES_BESIDE_HEADERS:
+            self.refuse(failed(Code.BODY_TOO_LARGE, field="(headers)"))
+            return
+        super().lineReceived(line)
+
     def lineLengthExceeded(self, line: bytes):
         """Refuses a header line over the size limit."""
         self.refuse(failed(Code.BODY_TOO_LARGE, field="(headers)"))
@@ -261,6 +367,7 @@
         if self._close_timer and self._close_timer.active():
             self._close_timer.cancel()
         self.factory.channels.discard(self)
+        self.factory.scheduler.discard(self)
         self._release()
         super().connectionLost(reason)
 
@@ -276,12 +383,14 @@
       charge: what is held for it.
       head_bytes: what its head costs.
       reserved: how long a body there is room for.
+      pieces: in how many pieces it has come.
     """
 
     refused = False
     received: RequestBody | None = None
     head_bytes = 0
     reserved = 0
+    pieces = 0
 
     def __init__(self, channel: IntakeChannel, *args, **kwargs):
         super().__init__(channel, *args, **kwargs)
@@ -298,6 +407,7 @@
 
     def handleContentChunk(self, data: bytes) -> None:
         """Adds a part of the body."""
+        self.pieces += 1
         size = self.received.size + len(data)
         self._check_size(size)
         if not self.refused and size > self.reserved:
@@ -398,6 +508,7 @@
     site.protocol = _EntryChannel
     site.clock = reactor.seconds
     site.channels = set()
+    site.scheduler = ReadScheduler(reactor.callLater)
     site.memory = CallerMemory(
         MemoryBudget(budget_bytes(memory_mb)),
         lambda: site.channels,
