Intake: trailers are not kept, and a refusal keeps no head

Cause: 150 callers whose chunked bodies end in 12,000 short trailer lines took a gateway to 199 MB of 100 allowed: the parser keeps each line as an object, up to 64 KB of them for a body, and nothing reads them.

Change: the decoder drops each trailer line; all together may be as long as a head. A refusal lets go of the headers too.

--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -65,6 +65,14 @@
         "`refusals{code=BODY_TOO_LARGE}`",
         "2004",
     ),
+    GatewayLimit(
+        "trailers of a chunked body",
+        "`maxHeaderBytes`",
+        "lines behind the last chunk, which are read and left out",
+        "400, 105 AMBIGUOUS_HEADER",
+        "`refusals{code=AMBIGUOUS_HEADER}`",
+        "2004",
+    ),
     GatewayLimit(
         "lag",
         "1 s without 32 KB/s",
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from twisted.web.http import HTTPChannel
+from twisted.web.http_headers import Headers
 from twisted.web.server import Request, Site
 
 from magnolialug.carrier.connection import unsent_bytes
@@ -13,6 +14,7 @@
     MIN_RATE_BYTES_PER_S,
     CallerMemory,
 )
+from magnolialug.entry.chunkdecoder import ChunkDecoder
 from magnolialug.entry.headernames import bound_name_cache
 from magnolialug.entry.readscheduler import ReadScheduler
 from magnolialug.entry.requestbody import RequestBody
@@ -302,6 +304,19 @@
         code = Code.BODY_TOO_LARGE if too_large else Code.AMBIGUOUS_HEADER
         self.refuse(failed(code, field="(headers)"))
 
+    def _maybeChooseTransferDecoder(self, header: bytes, data: bytes) -> bool:
+        """Chooses a decoder that keeps no trailers for a chunked body."""
+        chosen_before = self._transferDecoder
+        can_proceed = super()._maybeChooseTransferDecoder(header, data)
+        is_new = self._transferDecoder is not chosen_before
+        if is_new and self.length is None:
+            self._transferDecoder = ChunkDecoder(
+                self.requests[-1].handleContentChunk,
+                self._finishRequestBody,
+                self.totalHeadersSize,
+            )
+        return can_proceed
+
     def lineReceived(self, line: bytes) -> None:
         """Handles a line of a head; too many are refused like long ones.
 
@@ -333,6 +348,9 @@
         if incoming is not None:
             incoming.refused = True
             incoming.release()
+            incoming.requestHeaders = Headers()
+        # The header line that may go on in the next one.
+        self._HTTPChannel__header = b""
         self.setTimeout(None)
         self.transport.write(_raw_response(failure))
         half_close = getattr(self.transport, "loseWriteConnection", None)
--- a/tests/entry/test_requests_ahead.py
+++ b/tests/entry/test_requests_ahead.py
@@ -73,15 +73,10 @@
 
     def test_small_chunks_make_up_the_body(self):
         """Guards against chunks that are lost between two turns."""
-        head = request("/book/x", "c", headers=("Transfer-Encoding: chunked",))
-        head = b"\r\n".join(
-            line
-            for line in head.split(b"\r\n")
-            if not line.lower().startswith(b"content-length")
-        )
         body = bytes(range(33, 120)) * 60
         chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
-        data = head + chunks + b"0\r\n\r\n" + request("/read/x", "d")
+        data = self.chunked("c", chunks + b"0\r\n\r\n")
+        data += request("/read/x", "d")
         self.caller.pipe.write(data)
         self.cluster.pass_time(1)
         self.assertEqual([200, 200], self.statuses())
@@ -93,6 +88,29 @@
         ]
         self.assertEqual([body], seen)
 
+    def chunked(self, name, data):
+        """Returns a request in chunks, with what comes behind its head."""
+        head = request("/book/x", name, headers=("Transfer-Encoding: chunked",))
+        lines = head.split(b"\r\n")
+        kept = [row for row in lines if not row.startswith(b"Content-Length")]
+        return b"\r\n".join(kept) + data
+
+    def test_trailers_are_left_out_and_bounded(self):
+        """Guards against trailer lines that are kept, or go on and on."""
+        lines = b"a: b\r\n" * 500
+        self.caller.pipe.write(self.chunked("1", b"1\r\nx\r\n0\r\n" + lines))
+        self.cluster.pass_time(0.1)
+        decoder = self.caller.pipe.peer.protocol._transferDecoder
+        self.assertEqual([], decoder._trailerHeaders)
+        self.caller.pipe.write(b"\r\n")
+        self.cluster.pass_time(0.1)
+        self.assertEqual([200], self.statuses())
+        data = self.chunked("2", b"1\r\nx\r\n0\r\n" + lines * 4)
+        self.caller.pipe.write(data)
+        self.cluster.pass_time(0.1)
+        self.assertEqual([200, 400], self.statuses())
+        self.assertEqual(0, self.cluster.ran("2"))
+
     def test_lines_that_a_header_goes_on_in_are_bounded(self):
         """Guards against a head of very many lines of a byte."""
         head = request("/read/x", "1")[:-2] + b"x: y\r\n"
