Connections: bounded by the settings, and idle ones give way

Cause: 600 callers that sent nothing, or part of a head, opened 608 sockets with 300 allowed: fileDescriptors was read by no code, and 60 % of what the kernel allows was the bound. At that bound a new connection was closed at once, so that idle ones kept ordinary callers out.

Change: callers' connections are 60 % of fileDescriptors less the 200 that are kept for files, or of what the kernel allows if that is less. At the bound those that never sent a whole request and were silent for a second give way to new ones, then those that have been idle for the longest; a twentieth at a time, so that the search is not made for each. Logged at both ends (1010, 1011), counted (callers_gave_way); memory and delayed reads are logged in the same way.

--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -47,6 +47,27 @@
         "`refusals{code=NO_MEMORY}`",
         "1008, 1009",
     ),
+    GatewayLimit(
+        "callers' connections",
+        "60 % of `limits.fileDescriptors` less 200 for files, or of what the"
+        " kernel allows if that is less",
+        "connections of callers; at the limit those give way that never sent a"
+        " whole request and have sent nothing for 1 s, then those that have"
+        " been idle for the longest",
+        "a closed connection, and nothing of it was read",
+        "`caller_connections`, `callers_gave_way{reason=descriptors}`,"
+        " `connections_refused{reason=descriptors}`",
+        "1010, 1011",
+    ),
+    GatewayLimit(
+        "connections for readiness and for metrics",
+        "64 each",
+        "connections to the two other listeners; the oldest gives way",
+        "a closed connection; 413 for a request with a body; requests ahead"
+        " are not served",
+        "`callers_gave_way{reason=ready}`, `callers_gave_way{reason=metrics}`",
+        "1014",
+    ),
     GatewayLimit(
         "work of one connection",
         "one request, or 4 KB of chunks with over 64 pieces, in each pass of"
@@ -55,7 +76,7 @@
         " on in each pass, and none whose caller does not read",
         "none: it waits",
         "`connections_waiting_for_turn`",
-        "none",
+        "1012, 1013",
     ),
     GatewayLimit(
         "lines of a head",
--- a/magnolialug/entry/callermemory.py
+++ b/magnolialug/entry/callermemory.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from magnolialug.events import Event, emit
+from magnolialug.entry.statelog import StateLog
+from magnolialug.events import Event
 from magnolialug.policy.memorybudget import SMALL_BYTES, Charge, MemoryBudget
 from magnolialug.result import Code, Failure, failed
 
@@ -17,8 +18,6 @@
 _SPARE_DIVISOR = 16
 # A search for the room of a large request is not made again before.
 _SEARCH_INTERVAL_S = 0.05
-# Pressure ends when nobody has been refused or has given way for this long.
-_CALM_S = 1.0
 
 
 class Holder(Protocol):
@@ -60,8 +59,7 @@
         self._clock = clock
         self._on_gave_way = on_gave_way
         self._searched_at = float("-inf")
-        self._pressed_at = float("-inf")
-        self._is_pressed = False
+        self._log = StateLog(Event.CALLER_MEMORY_FULL, Event.CALLER_MEMORY_FREE)
         self._gave_way = 0
 
     def admit(self, charge: Charge, size: int, asker: Holder) -> Failure | None:
@@ -72,7 +70,7 @@
         """
         missing = self.budget.excess(charge, size)
         if missing:
-            self._pressed_at = self._clock()
+            self._log.see(self._clock())
             self._make_room(charge, size, asker)
             if self.budget.excess(charge, size):
                 return no_memory()
@@ -81,18 +79,11 @@
 
     def tick(self, now: float) -> None:
         """Logs when pressure has begun or ended."""
-        is_pressed = now - self._pressed_at < _CALM_S
-        if is_pressed == self._is_pressed:
-            return
-        self._is_pressed = is_pressed
-        gave_way, self._gave_way = self._gave_way, 0
-        emit(
-            Event.CALLER_MEMORY_FULL
-            if is_pressed
-            else Event.CALLER_MEMORY_FREE,
+        self._log.tick(
+            now,
             held=self.budget.held_bytes,
             limit=self.budget.limit_bytes,
-            gave_way=gave_way,
+            gave_way=self._gave_way,
         )
 
     def _make_room(self, charge: Charge, size: int, asker: Holder) -> None:
--- a/magnolialug/entry/connectiongate.py
+++ b/magnolialug/entry/connectiongate.py
@@ -1,18 +1,15 @@
 """Decides whether a new connection of a caller is accepted."""
 
-import resource
 from collections.abc import Callable
 
+from magnolialug.entry.connectionlimit import ConnectionLimit
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
+from magnolialug.entry.statelog import StateLog
 from magnolialug.events import Event, emit
 from magnolialug.policy.saturation import Saturation
 
 __all__ = ["ConnectionGate"]
 
-# Share of this process's descriptors for callers' connections. The others are
-# for endpoints and the key-value service, without which no caller is served.
-_CALLERS_DESCRIPTORS = 0.6
-
 
 class ConnectionGate:
     """Turns new connections away while other entries serve them better.
@@ -20,28 +17,36 @@
     Args:
       saturation: the load of this entry, and of others.
       connections: returns the number of callers' connections.
+      limit: bounds them.
+      clock: returns the time in seconds.
     """
 
     def __init__(
         self,
         saturation: Saturation,
         connections: Callable[[], int],
+        limit: ConnectionLimit,
         metrics: GatewayMetrics,
+        clock: Callable[[], float],
     ):
         self._saturation = saturation
         self._connections = connections
         self._metrics = metrics
         self._due_at = float("inf")
         self._turns_away = False
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        self._max_connections = int(descriptors * _CALLERS_DESCRIPTORS)
+        self._limit = limit
+        self._clock = clock
+        self._full_log = StateLog(
+            Event.CONNECTIONS_FULL, Event.CONNECTIONS_FREE
+        )
 
     def accepts(self) -> bool:
         """Whether a new connection is accepted; one that is not is counted."""
-        if self._connections() >= self._max_connections:
-            reason = "descriptors"
-        elif self._turns_away:
+        if self._turns_away:
             reason = "saturated"
+        elif not self._limit.has_room():
+            reason = "descriptors"
+            self._full_log.see(self._clock())
         else:
             return True
         self._metrics.connections_refused.add(1, {"reason": reason})
@@ -53,6 +58,9 @@
         Args:
           interval_s: the time until the next call is due.
         """
+        self._full_log.tick(
+            now, connections=self._connections(), limit=self._limit.limit
+        )
         self._saturation.record(max(0.0, now - self._due_at))
         self._due_at = now + interval_s
         turns_away = self._saturation.turns_away(now)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -14,6 +14,7 @@
 from magnolialug.entry.candidatelist import CandidateList
 from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.connectiongate import ConnectionGate
+from magnolialug.entry.connectionlimit import ConnectionLimit, max_connections
 from magnolialug.entry.costestimator import CostEstimator
 from magnolialug.entry.directory import Directory
 from magnolialug.entry.dispatchbuilder import DispatchBuilder
@@ -180,7 +181,16 @@
         self._connection_gate = ConnectionGate(
             self.owners.saturation,
             lambda: len(self.factory.channels),
+            ConnectionLimit(
+                self.factory.channels,
+                max_connections(settings.descriptors),
+                reactor.seconds,
+                lambda: metrics.callers_gave_way.add(
+                    1, {"reason": "descriptors"}
+                ),
+            ),
             metrics,
+            reactor.seconds,
         )
         self.quarantine = Quarantine(
             self.owners.ring,
@@ -344,6 +354,11 @@
         down = [task.name for task in self._tasks() if task.is_down]
         return down + sorted(self._ticker.guard.failing)
 
+    def record_full_listener(self, listener: str) -> None:
+        """Counts and logs a connection that gave way at another listener."""
+        self.metrics.callers_gave_way.add(1, {"reason": listener})
+        emit(Event.LISTENER_FULL, listener=listener)
+
     def _tasks(self) -> list[SupervisedTask]:
         """Returns the long-lived tasks."""
         return [
@@ -633,6 +648,7 @@
             ("liveness", lambda _: self._silence.tick(self._in_flight)),
             ("caller timeouts", self.factory.check_timeouts),
             ("caller memory", self._memory.tick),
+            ("caller reads", self.factory.scheduler.tick),
             ("registry", lambda _: self.registry.tick()),
             ("entries", lambda _: self._entries.tick()),
             ("newest versions", self._record_newest_versions),
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -96,8 +96,6 @@
     in force when its first byte arrived: its caller cannot know later ones.
 
     Attributes:
-      phase_started_at: when the connection became idle, or when the first
-        bytes of the current request arrived, in seconds.
       reading: whether part of a request has arrived.
       in_body: whether its headers are complete.
       idle_terms: how long it may be idle, as of its last answer.
@@ -117,7 +115,6 @@
 
     def connectionMade(self) -> None:
         """Adds the connection to the factory's set."""
-        self.phase_started_at = self.factory.clock()
         self.idle_terms = self.factory.keep_alive.terms()
         super().connectionMade()
         enable_dead_peer_detection(self.transport)
--- a/magnolialug/entry/intake.py
+++ b/magnolialug/entry/intake.py
@@ -64,6 +64,11 @@
     smuggling). Twisted refuses all of these; this class only adds the error
     number.
 
+    Attributes:
+      phase_started_at: when the connection became idle, or when the first
+        bytes of the current request arrived, in seconds.
+      has_served: whether a request on it has been answered.
+
     What it holds for its caller has two charges: the connection's, for its
     buffers, and the request's, for its head and body. A request takes its
     charge along when it is complete, and its connection may end before it.
@@ -75,6 +80,7 @@
     # What a request costs for each byte of its body.
     body_cost = 1
     _close_timer = None
+    has_served = False
     _is_lost = False
     # Until then its caller keeps up the least rate.
     _lease_until = 0.0
@@ -98,6 +104,8 @@
     def connectionMade(self) -> None:
         """Counts the connection."""
         self.charge = Charge()
+        self.phase_started_at = self.now()
+        self._lease_until = self.phase_started_at + LAG_S
         self.factory.channels.add(self)
         super().connectionMade()
         self.count_memory()
@@ -144,13 +152,23 @@
             return now - self._unsent_since > LAG_S
         return now > self._lease_until and not self.waits_for_turn
 
+    def is_idling(self, now: float) -> bool:
+        """Whether its caller has neither sent nor been owed anything lately."""
+        if self.refused or self._is_lost or self._handlingRequest:
+            return False
+        return self.is_lagging(now)
+
+    def close_idle(self) -> None:
+        """Closes the connection; what was sent of a request is not read."""
+        self.transport.abortConnection()
+        self._release()
+
     def give_way(self, failure: Failure) -> None:
         """Refuses the request that is read, or closes the connection."""
         if self._unsent_since is None and self.incoming is not None:
             self.refuse(failure)
             return
-        self.transport.abortConnection()
-        self._release()
+        self.close_idle()
 
     def count_memory(self) -> None:
         """Counts what the connection holds now; gives way if it is too much."""
@@ -206,6 +224,7 @@
 
     def requestDone(self, request) -> None:
         """Ends a request; one that was sent ahead waits for its turn."""
+        self.has_served = True
         # More may arrive as soon as reading goes on, behind all that is here.
         self._buffer = b"".join((*self._dataBuffer, self._buffer))
         self._dataBuffer = []
--- a/magnolialug/entry/readscheduler.py
+++ b/magnolialug/entry/readscheduler.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from magnolialug.entry.statelog import StateLog
+from magnolialug.events import Event
+
 __all__ = ["ReadScheduler", "Reader"]
 
 
@@ -30,12 +33,19 @@
         self._call_later = call_later
         self._waiting: deque[Reader] = deque()
         self._known: set[Reader] = set()
+        self._log = StateLog(Event.READS_DELAYED, Event.READS_CURRENT)
 
     @property
     def waiting_count(self) -> int:
         """How many readers wait for their turn."""
         return len(self._known)
 
+    def tick(self, now: float) -> None:
+        """Logs whether more than one reader has to wait."""
+        if len(self._known) > 1:
+            self._log.see(now)
+        self._log.tick(now, waiting=len(self._known))
+
     def add(self, reader: Reader) -> None:
         """Lets a reader continue when it is its turn."""
         if reader in self._known:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -40,6 +40,11 @@
     UNSATURATED = 1007
     CALLER_MEMORY_FULL = 1008
     CALLER_MEMORY_FREE = 1009
+    CONNECTIONS_FULL = 1010
+    CONNECTIONS_FREE = 1011
+    READS_DELAYED = 1012
+    READS_CURRENT = 1013
+    LISTENER_FULL = 1014
     CONFIG_IN_FORCE = 1100
     CONFIG_REFUSED = 1101
     WEIGHTS_NAMED = 1102
@@ -135,6 +140,11 @@
     Event.UNSATURATED: "New connections are accepted again.",
     Event.CALLER_MEMORY_FULL: "Callers are refused or give way for memory.",
     Event.CALLER_MEMORY_FREE: "There is memory for callers again.",
+    Event.CONNECTIONS_FULL: "New connections find no room; none can give way.",
+    Event.CONNECTIONS_FREE: "New connections find room again.",
+    Event.READS_DELAYED: "What callers send ahead or in pieces has to wait.",
+    Event.READS_CURRENT: "What callers have sent is parsed at once again.",
+    Event.LISTENER_FULL: "Connections for readiness or metrics give way.",
     Event.CONFIG_IN_FORCE: "A configuration version is in force here.",
     Event.CONFIG_REFUSED: "A configuration version was not applied.",
     Event.WEIGHTS_NAMED: "The operator wants a model to have a version.",
