Readiness and metrics: 64 connections each, and no bodies

Cause: 600 connections to the readiness or the metrics listener opened 608 sockets with 300 allowed, and forty bodies there 206 MB of 100: the web server keeps bodies of any length, long ones in files that lie in memory. One connection could also send requests ahead without end.

--- a/magnolialug/cmd/gatewayprogram.py
+++ b/magnolialug/cmd/gatewayprogram.py
@@ -2,6 +2,7 @@
 
 import random
 import sys
+from collections.abc import Callable
 
 from magnolialug import bootclock
 from magnolialug.cmd.flagset import (
@@ -97,6 +98,9 @@
         CacheCalls(client),
     )
 
+    def gave_way(listener: str) -> Callable[[], None]:
+        return lambda: gateway.record_full_listener(listener)
+
     async def start():
         gateway.start()
         host, port = settings.host, settings.internal_port
@@ -106,13 +110,16 @@
             _listen(
                 reactor,
                 settings.ready,
-                ready_factory(gateway.ready, gateway.failing),
+                ready_factory(
+                    gateway.ready, gateway.failing, gave_way("ready")
+                ),
             ),
         ]
         if metrics_port:
             factory = text_factory(
                 lambda: as_text(metrics.snapshot()),
                 {PREVIEW_PATH: preview_page(gateway.previewer.explain)},
+                gave_way("metrics"),
             )
             address = (settings.host, metrics_port)
             ports.append(_listen(reactor, address, factory))
--- a/magnolialug/entry/readiness.py
+++ b/magnolialug/entry/readiness.py
@@ -7,6 +7,7 @@
     Mapping,
     Sequence,
 )
+from io import BytesIO
 
 from twisted.internet.defer import CancelledError, ensureDeferred
 from twisted.internet.protocol import Factory
@@ -20,6 +21,12 @@
 
 # The load balancer checks once a second, on one connection or on many.
 _IDLE_TIMEOUT_S = 10
+# Far more than the load balancer and operators use.
+_MAX_CONNECTIONS = 64
+_NO_BODY = (
+    b"HTTP/1.1 413 Content Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 _TEXT = b"text/plain; charset=utf-8"
 _JSON = b"application/json"
 
@@ -28,41 +35,96 @@
 Page = Callable[[Mapping[bytes, Sequence[bytes]]], Awaitable[tuple[int, bytes]]]
 
 
+class _AnswerChannel(HTTPChannel):
+    """One connection."""
+
+    timeOut = _IDLE_TIMEOUT_S
+
+    def requestDone(self, request) -> None:
+        """Ends a request; nothing that was sent ahead of it is served."""
+        if self._buffer or any(self._dataBuffer):
+            self.persistent = False
+        super().requestDone(request)
+
+    def connectionLost(self, reason) -> None:
+        """Forgets the connection."""
+        self.factory.channels.pop(self, None)
+        super().connectionLost(reason)
+
+
+class _AnswerFactory(Factory):
+    """Accepts connections; the oldest gives way to a new one.
+
+    Args:
+      request_class: answers the requests.
+      on_gave_way: called for each connection that has given way.
+    """
+
+    noisy = False
+    protocol = _AnswerChannel
+
+    def __init__(self, request_class: type, on_gave_way: Callable[[], None]):
+        self._request_class = request_class
+        self._on_gave_way = on_gave_way
+        # Ordered by age.
+        self.channels: dict[_AnswerChannel, None] = {}
+
+    def buildProtocol(self, addr) -> HTTPChannel:
+        """Returns the channel of a new connection."""
+        if len(self.channels) >= _MAX_CONNECTIONS:
+            oldest = next(iter(self.channels))
+            del self.channels[oldest]
+            oldest.transport.abortConnection()
+            self._on_gave_way()
+        channel = super().buildProtocol(addr)
+        channel.requestFactory = self._request_class
+        self.channels[channel] = None
+        return channel
+
+    def log(self, request) -> None:
+        """Writes no access log."""
+
+
 def ready_factory(
     ready: Callable[[], bool],
     failing: Callable[[], Iterable[str]] = lambda: (),
+    on_gave_way: Callable[[], None] = lambda: None,
 ) -> Factory:
     """Returns a factory that answers the load balancer's readiness checks.
 
     Args:
       ready: returns whether the load balancer may send callers.
       failing: returns the names of what fails, which the answer lists.
+      on_gave_way: called for each connection that is closed for a new one.
     """
 
     def answer() -> tuple[int, bytes]:
         lines = "".join(f"failing: {name}\n" for name in failing())
         return 200 if ready() else 503, lines.encode()
 
-    return _factory(answer)
+    return _factory(answer, {}, on_gave_way)
 
 
 def text_factory(
-    text: Callable[[], str], pages: Mapping[bytes, Page] | None = None
+    text: Callable[[], str],
+    pages: Mapping[bytes, Page] | None = None,
+    on_gave_way: Callable[[], None] = lambda: None,
 ) -> Factory:
     """Returns a factory that answers requests with a text.
 
     Args:
       pages: what GET requests of other paths get in its place.
+      on_gave_way: called for each connection that is closed for a new one.
     """
-    return _factory(lambda: (200, text().encode()), pages or {})
+    return _factory(lambda: (200, text().encode()), pages or {}, on_gave_way)
 
 
 def _factory(
     answer: Callable[[], tuple[int, bytes]],
-    pages: Mapping[bytes, Page] | None = None,
+    pages: Mapping[bytes, Page],
+    on_gave_way: Callable[[], None],
 ) -> Factory:
     bound_name_cache()
-    pages = pages or {}
 
     class AnswerRequest(Request):
         """Gives the same response to every request but those of pages."""
@@ -91,13 +153,11 @@
             emit(Event.TASK_FAILED, traceback=reason.getTraceback())
             self._respond(500, b"", _TEXT)
 
-    class AnswerChannel(HTTPChannel):
-        """One connection."""
-
-        requestFactory = AnswerRequest
-        timeOut = _IDLE_TIMEOUT_S
+        def gotLength(self, length: int | None) -> None:
+            """Refuses a body, since no answer depends on one."""
+            self.content = BytesIO()
+            if length != 0:
+                self.channel.transport.write(_NO_BODY)
+                self.channel.loseConnection()
 
-    factory = Factory.forProtocol(AnswerChannel)
-    factory.log = lambda request: None
-    factory.noisy = False
-    return factory
+    return _AnswerFactory(AnswerRequest, on_gave_way)
