Entries: the same bounds as gateways

Cause: sixty callers with prompts of 2 MB, whole or short of their end, with and without a valid key, took an entry to 139 to 155 MB of 120 allowed, and refused requests ahead kept it from answering anybody.

Change: an entry's connections are those of a gateway: charges, turns, heads that are refused before the body, idle ones that give way. The channel has a file of its own, and so has the body.

--- a/magnolialug/cmd/entry.py
+++ b/magnolialug/cmd/entry.py
@@ -5,11 +5,13 @@
 import time
 
 from twisted.internet import reactor
+from twisted.internet.task import LoopingCall
 
 from magnolialug.carrier.client import Client, parse_address
 from magnolialug.cmd.flagset import COMMON, STDOUT, Flag, Group, parse
 from magnolialug.cmd.runner import run_until_signal
 from magnolialug.cmd.serving import (
+    MEMORY,
     SOURCE,
     connector,
     load_current,
@@ -27,6 +29,8 @@
 
 __all__ = ["run"]
 
+_TICK_S = 1.0
+
 _GROUPS = (
     Group(
         "Entry",
@@ -34,6 +38,7 @@
             Flag("listen", "str", "127.0.0.1:8080", "host:port for callers"),
             Flag("entry_id", "str", "entry-1", "name of this process"),
             Flag("zone", "str", "", "availability zone of this VM"),
+            MEMORY,
         ),
     ),
     SOURCE,
@@ -72,8 +77,13 @@
         if flags.kv_url:
             watch.start()
         site = make_site(
-            EntryResource(app), lambda: current.deployment.limits, reactor
+            EntryResource(app),
+            lambda: current.deployment.limits,
+            reactor,
+            flags.memory_mb,
         )
+        app.metrics.observe_memory(site.memory.budget)
+        LoopingCall(site.tick).start(_TICK_S)
         listening = reactor.listenTCP(port, site, interface=host)
 
         async def stop() -> int:
--- a/magnolialug/cmd/serving.py
+++ b/magnolialug/cmd/serving.py
@@ -17,6 +17,7 @@
 from magnolialug.platform.http import HttpClient
 from magnolialug.platform.kvhttp import KvHttp
 from magnolialug.platform.storehttp import StoreHttp
+from magnolialug.policy.memorybudget import DEFAULT_MEMORY_MB
 from magnolialug.result import Code, Failure, failed
 from magnolialug.sidecar.engine import Engine
 from magnolialug.wire.connect import CONNECT_S, connect_link
@@ -24,6 +25,7 @@
 from magnolialug.wire.queries import query_config
 
 __all__ = [
+    "MEMORY",
     "SOURCE",
     "connector",
     "engine_for",
@@ -33,6 +35,13 @@
     "stores_for",
 ]
 
+MEMORY = Flag(
+    "memory_mb",
+    "float",
+    DEFAULT_MEMORY_MB,
+    "memory of the machine, for this process, in MB",
+)
+
 SOURCE = Group(
     "Configuration",
     (
--- a/magnolialug/entry/callermemory.py
+++ b/magnolialug/entry/callermemory.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from magnolialug.entry.statelog import StateLog
 from magnolialug.events import Event
 from magnolialug.policy.memorybudget import SMALL_BYTES, Charge, MemoryBudget
 from magnolialug.result import Code, Failure, failed
+from magnolialug.statelog import StateLog
 
 __all__ = ["LAG_S", "MIN_RATE_BYTES_PER_S", "CallerMemory", "Holder"]
 
--- a/magnolialug/entry/connectiongate.py
+++ b/magnolialug/entry/connectiongate.py
@@ -4,9 +4,9 @@
 
 from magnolialug.entry.connectionlimit import ConnectionLimit
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
-from magnolialug.entry.statelog import StateLog
 from magnolialug.events import Event, emit
 from magnolialug.policy.saturation import Saturation
+from magnolialug.statelog import StateLog
 
 __all__ = ["ConnectionGate"]
 
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -7,11 +7,12 @@
 
 from magnolialug.carrier.connection import enable_dead_peer_detection
 from magnolialug.config.routing import CallerLimits
+from magnolialug.entry.boundedbody import BoundedBody
 from magnolialug.entry.callermemory import CallerMemory
 from magnolialug.entry.forwardcall import HeaderList
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.headernames import bound_name_cache
-from magnolialug.entry.intake import BoundedBody, IntakeChannel
+from magnolialug.entry.intakechannel import IntakeChannel
 from magnolialug.entry.keepalive import IdleTerms, KeepAlive
 from magnolialug.entry.readscheduler import ReadScheduler
 from magnolialug.entry.requestbody import RequestBody
@@ -22,7 +23,6 @@
 
 # Shorter pieces of an answer are counted with the next tick.
 _COUNTED_BYTES = 4 * 1024
-_LAST_CHUNK = b"0\r\n\r\n"
 # The operator sets the time for the headers; the body may take this much more.
 _BODY_TIMEOUT_S = 30.0
 
@@ -130,30 +130,11 @@
         elif self.is_idle and self._has_partial_request:
             self._begin_request(limits)
 
-    def allHeadersReceived(self) -> None:
-        """Starts reading the body, unless the head tells that it is in vain."""
-        req = self.requests[-1]
-        req.uri = self._path
-        failure = None
-        if not self._has_whole_body:
-            failure = self.factory.check_head(req)
-        if failure is not None:
-            req.refuse(failure)
-            return
-        super().allHeadersReceived()
-
     def allContentReceived(self) -> None:
         """Ends the reading of a request."""
         self.reading = False
         super().allContentReceived()
 
-    def refuse(self, failure: Failure) -> None:
-        """Refuses the request that is read; see IntakeChannel."""
-        if not self.refused:
-            req = self.requests[-1] if self.requests else None
-            self.factory.record_refusal(req, failure)
-        super().refuse(failure)
-
     def writeSequence(self, iovec) -> None:
         """Writes the head of an answer, or more of it."""
         super().writeSequence(iovec)
@@ -201,16 +182,6 @@
             (b"Keep-Alive", b"timeout=%d" % seconds),
         ]
 
-    @property
-    def _has_whole_body(self) -> bool:
-        """Whether the bytes that have arrived seem to hold the whole body.
-
-        Then a refusal can wait for its end, and spares the connection.
-        """
-        if self.length is None:
-            return self._buffer.endswith(_LAST_CHUNK)
-        return len(self._buffer) >= self.length
-
     @property
     def busy(self) -> bool:
         """Whether a complete request is being answered."""
--- a/magnolialug/entry/readscheduler.py
+++ b/magnolialug/entry/readscheduler.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from magnolialug.entry.statelog import StateLog
 from magnolialug.events import Event
+from magnolialug.statelog import StateLog
 
 __all__ = ["ReadScheduler", "Reader"]
 
--- a/magnolialug/entry/web.py
+++ b/magnolialug/entry/web.py
@@ -18,6 +18,7 @@
     sampling_options,
 )
 from magnolialug.entry.call import PromptCall
+from magnolialug.entry.intake import IntakeRequest
 from magnolialug.entry.responseformats import (
     CHAT,
     COMPLETION,
@@ -25,6 +26,7 @@
     ResponseFormat,
 )
 from magnolialug.entry.sink import CallerSink, write_failure
+from magnolialug.events import Event, emit, explain
 from magnolialug.ids import KindName, RequestId, ServiceName, TeamId
 from magnolialug.policy.blocks import prompt_root
 from magnolialug.result import Code, Failure, failed
@@ -32,6 +34,7 @@
 __all__ = ["EntryResource"]
 
 _BEARER = "Bearer "
+_API_PREFIX = b"/v1/"
 _MAX_EVENT_ID_DIGITS = 12
 _MAX_IDEMPOTENCY_KEY_CHARS = 256
 _FORMATS = {"chat": CHAT, "completion": COMPLETION, "plain": PLAIN}
@@ -48,6 +51,32 @@
         self._teams: dict[str, TeamId] = {}
         self._teams_deployment = None
 
+    def check_head(self, req: IntakeRequest) -> Failure | None:
+        """Returns why a request is refused before its body is read, if it is.
+
+        No request without a body comes here.
+        """
+        if not req.uri.startswith(_API_PREFIX):
+            return failed(Code.UNKNOWN_PATH, field="path", value=req.uri)
+        team = self._team(req)
+        return team if isinstance(team, Failure) else None
+
+    def record_refusal(
+        self, req: IntakeRequest | None, failure: Failure
+    ) -> None:
+        """Counts and logs a request that its connection refuses."""
+        self._app.metrics.refusals.add(1, {"code": failure.code.value})
+        emit(
+            Event.REQUEST_FAILED,
+            path=req.uri.decode("latin-1")[:80] if req else "",
+            field=failure.field,
+            **explain(failure),
+        )
+
+    def record_gave_way(self, reason: str) -> None:
+        """Counts a caller that has given way to others."""
+        self._app.metrics.callers_gave_way.add(1, {"reason": reason})
+
     def render(self, req: Request):
         """Answers one request."""
         refusal = self._route(req)
@@ -158,7 +187,7 @@
             bool(body.stream),
             bool(options and options.include_usage),
         )
-        self._start(call, sink)
+        self._start(req, call, sink)
         return None
 
     def _serve_plain(
@@ -175,7 +204,7 @@
                 Code.UNKNOWN_SERVICE, "not a plain service", "service", service
             )
         sink = CallerSink(req, PLAIN, "", int(time.time()), False, False)
-        self._start(call, sink)
+        self._start(req, call, sink)
         return None
 
     def _call(
@@ -205,8 +234,11 @@
             arrived=now,
         )
 
-    def _start(self, call: PromptCall, sink: CallerSink) -> None:
+    def _start(
+        self, req: IntakeRequest, call: PromptCall, sink: CallerSink
+    ) -> None:
         fut = ensureDeferred(self._app.serve(call, sink))
+        req.hold_until(fut)
         if call.kind.idempotent:
             sink.on_gone = fut.cancel
         fut.addCallback(sink.end)
--- a/magnolialug/metrics.py
+++ b/magnolialug/metrics.py
@@ -1,11 +1,14 @@
 """OpenTelemetry instruments, kept in memory and read as JSON or text."""
 
 import msgspec
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
+from magnolialug.policy.memorybudget import MemoryBudget
+
 __all__ = ["Instruments", "Metrics", "MetricsResource", "as_text"]
 
 
@@ -27,6 +30,17 @@
                     rows.extend(_points(metric))
         return rows
 
+    def observe_memory(self, budget: MemoryBudget) -> None:
+        """Registers the gauges of what is held for callers, and its limit."""
+        gauges = {
+            "caller_memory_bytes": lambda: budget.held_bytes,
+            "caller_memory_limit_bytes": lambda: budget.limit_bytes,
+        }
+        for name, value in gauges.items():
+            self.meter.create_observable_gauge(
+                name, callbacks=[lambda _, value=value: [Observation(value())]]
+            )
+
     def as_json(self) -> bytes:
         """Returns the snapshot as JSON."""
         return msgspec.json.encode(self.snapshot())
@@ -49,6 +63,7 @@
         self.requests = meter.create_counter("requests")
         self.refusals = meter.create_counter("refusals")
         self.retries = meter.create_counter("retries")
+        self.callers_gave_way = meter.create_counter("callers_gave_way")
         self.queued = meter.create_up_down_counter("queued")
 
 
--- a/magnolialug/policy/memorybudget.py
+++ b/magnolialug/policy/memorybudget.py
@@ -6,7 +6,16 @@
 
 import msgspec
 
-__all__ = ["SMALL_BYTES", "Charge", "MemoryBudget", "budget_bytes"]
+__all__ = [
+    "DEFAULT_MEMORY_MB",
+    "SMALL_BYTES",
+    "Charge",
+    "MemoryBudget",
+    "budget_bytes",
+]
+
+# Of an endpoint's VM; entries and sidecars are told otherwise by a flag.
+DEFAULT_MEMORY_MB = 232.0
 
 # Share of a process's memory for callers. The rest is for the program, for what
 # it knows of the platform, and for the gaps that an allocator leaves.
--- a/tests/entry/test_state_log.py
+++ b/tests/test_state_log.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from magnolialug.entry.statelog import StateLog
 from magnolialug.events import Event
+from magnolialug.statelog import StateLog
 from tests.loglines import collect_lines
 
 
