Sidecar: dispatches are bounded in bytes, not in number alone

Cause: sixty bookings of 2 MB took a sidecar to 489 MB of 120 allowed: its queue takes 256 dispatches, whatever their size, and each is copied for its endpoint.

Change: a dispatch is counted three times from its arrival until it has been refused or has given its slot back; without room it is refused as not run, with the time of a run as Retry-After, and can be placed elsewhere.

--- a/magnolialug/cmd/sidecar.py
+++ b/magnolialug/cmd/sidecar.py
@@ -10,6 +10,7 @@
 from magnolialug.cmd.flagset import COMMON, STDOUT, Flag, Group, parse
 from magnolialug.cmd.runner import run_until_signal
 from magnolialug.cmd.serving import (
+    MEMORY,
     SOURCE,
     engine_for,
     link_factory,
@@ -39,6 +40,7 @@
                 "",
                 "host:port for entries; the endpoint's own if empty",
             ),
+            MEMORY,
             Flag("metrics_listen", "str", "", "host:port for /metrics"),
         ),
     ),
@@ -76,6 +78,7 @@
             stores_for(http, deployment),
             reactor,
             time.time,
+            memory_mb=flags.memory_mb,
         )
         host, port = spec.host, spec.port
         if flags.listen:
--- a/magnolialug/doctables.py
+++ b/magnolialug/doctables.py
@@ -96,7 +96,7 @@
         lines.append("| " + " | ".join(_cell(text) for text in cells) + " |")
     lines += [
         "",
-        "Entries and sidecars count in the same way, by `--memory_mb` (232): an",
+        "Entries and sidecars count likewise, by `--memory_mb` (232): an",
         "entry five times the size of a body, for its copies, a sidecar three",
         "times that of a dispatch from its arrival to its end. What finds no",
         "room is refused with 323 as not run.",
--- a/magnolialug/sidecar/app.py
+++ b/magnolialug/sidecar/app.py
@@ -15,6 +15,12 @@
 from magnolialug.policy.blocks import token_count
 from magnolialug.policy.gate import DispatchDecision, Gate
 from magnolialug.policy.load import merge_tokens
+from magnolialug.policy.memorybudget import (
+    DEFAULT_MEMORY_MB,
+    Charge,
+    MemoryBudget,
+    budget_bytes,
+)
 from magnolialug.policy.storedblock import Tier
 from magnolialug.result import Code, Failure, failed
 from magnolialug.sidecar import callers
@@ -26,6 +32,7 @@
 from magnolialug.sidecar.runner import Runner
 from magnolialug.sidecar.speed import Speed
 from magnolialug.sidecar.store import Store
+from magnolialug.statelog import StateLog
 from magnolialug.timing import sleep
 from magnolialug.wire import messages as msg
 from magnolialug.wire.link import Link
@@ -35,6 +42,9 @@
 _TIDY_S = 5.0
 _DRAIN_STEP_S = 0.05
 _ANSWERS_BYTES = 8 * 1024 * 1024
+# The text, its request to the endpoint, and the bytes that are being sent.
+_BODY_COPIES = 3
+_DISPATCH_BYTES = 4 * 1024
 
 
 class SidecarApp:
@@ -46,6 +56,7 @@
       endpoint_id: the endpoint beside which it runs.
       current: its configuration; must have one in force before `start`.
       wall: wall-clock seconds.
+      memory_mb: the memory of the process.
     """
 
     def __init__(
@@ -57,6 +68,7 @@
         clock: IReactorTime,
         wall: Callable[[], float],
         incarnation: str | None = None,
+        memory_mb: float = DEFAULT_MEMORY_MB,
     ):
         self.endpoint_id = endpoint_id
         self.current = current
@@ -68,6 +80,11 @@
         self.answers = Answers()
         self._timer = None
         self._removed = False
+        self._memory = MemoryBudget(budget_bytes(memory_mb))
+        self.metrics.observe_memory(self._memory)
+        self._memory_log = StateLog(
+            Event.CALLER_MEMORY_FULL, Event.CALLER_MEMORY_FREE
+        )
         self._spec = spec = self._deployment.endpoints[endpoint_id]
         self.lineup: AttemptQueue[Item] = AttemptQueue(
             self._deployment.limits.queue_items, spec.slots
@@ -197,6 +214,7 @@
 
     def ended(self, item: Item) -> None:
         """Takes back a slot."""
+        self._memory.release(item.charge)
         self.lineup.ended()
         self.pump()
         self._broadcast_to(item)
@@ -268,6 +286,7 @@
             return
         answer = Answer(attempt, dispatch.resume_after)
         item = Item(dispatch, kind, answer, now, tokens)
+        self._memory.set(item.charge, _cost(dispatch))
         self.answers.add(answer)
         answer.attach(link, dispatch.resume_after)
         share = self._deployment.teams[attempt.team].share
@@ -290,6 +309,9 @@
             return failed(Code.UNKNOWN_TEAM)
         if dispatch.weights != self.runner.weights_of(dispatch.model):
             return failed(Code.WRONG_WEIGHTS, value=dispatch.weights)
+        if self._memory.excess(Charge(), _cost(dispatch)):
+            self._memory_log.see(self.clock.seconds())
+            return failed(Code.NO_MEMORY, retry_after_s=self.speed.run_s)
         if self.lineup.full():
             return failed(Code.QUEUE_FULL, retry_after_s=self.speed.run_s)
         ahead = self.lineup.tokens_before(kind.priority)
@@ -311,6 +333,7 @@
         attempt = item.attempt
         if not self.gate.refuse(attempt, failure, self.clock.seconds()):
             return
+        self._memory.release(item.charge)
         if self.lineup.remove(item):
             self.metrics.queued.add(-1)
         answer = self.answers.pop(attempt)
@@ -374,12 +397,22 @@
     def _tidy(self) -> None:
         self._timer = self.clock.callLater(_TIDY_S, self._tidy)
         now = self.clock.seconds()
+        self._memory_log.tick(
+            now,
+            held=self._memory.held_bytes,
+            limit=self._memory.limit_bytes,
+        )
         self.answers.forget(self.gate.forget(now))
         self.answers.trim(_ANSWERS_BYTES)
         for attempt in self.answers.abandoned(now):
             self.abandon(attempt)
 
 
+def _cost(dispatch: msg.Dispatch) -> int:
+    """Returns what a dispatch takes here, its copies included."""
+    return _DISPATCH_BYTES + len(dispatch.body) * _BODY_COPIES
+
+
 _HANDLERS = {
     msg.Hello: SidecarApp._hello,
     msg.Ping: SidecarApp._ping,
--- a/magnolialug/sidecar/item.py
+++ b/magnolialug/sidecar/item.py
@@ -5,6 +5,7 @@
 from magnolialug.attempt import Attempt
 from magnolialug.config.deployment import Kind
 from magnolialug.ids import BlockId
+from magnolialug.policy.memorybudget import Charge
 from magnolialug.sidecar.answer import Answer
 from magnolialug.sidecar.mover import Moved
 from magnolialug.wire.messages import Dispatch
@@ -22,6 +23,7 @@
       chain: its cache blocks.
       held: how many of them the engine has, imported ones included.
       moved: what was imported for it.
+      charge: what is held for it.
     """
 
     dispatch: Dispatch
@@ -33,6 +35,7 @@
     chain: list[BlockId] = []
     held: int = 0
     moved: Moved = msgspec.field(default_factory=Moved)
+    charge: Charge = msgspec.field(default_factory=Charge)
 
     @property
     def attempt(self) -> Attempt:
