--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -75,7 +75,7 @@
         "what callers send ahead or in small chunks; one such connection goes"
         " on in each pass, and none whose caller does not read",
         "none: it waits",
-        "`connections_waiting_for_turn`",
+        "`connections_deferred`",
         "1012, 1013",
     ),
     GatewayLimit(
--- a/magnolialug/entry/chunkdecoder.py
+++ b/magnolialug/entry/chunkdecoder.py
@@ -28,6 +28,6 @@
         self._maxTrailerHeadersSize = trailer_bytes
 
     def _dataReceived_TRAILER(self) -> bool:
-        goes_on = super()._dataReceived_TRAILER()
+        continues = super()._dataReceived_TRAILER()
         self._trailerHeaders.clear()
-        return goes_on
+        return continues
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -541,7 +541,7 @@
             self.metrics,
             {
                 "in_progress": lambda: self.in_progress,
-                "connections_waiting_for_turn": lambda: (
+                "connections_deferred": lambda: (
                     self.factory.scheduler.waiting_count
                 ),
                 "caller_memory_bytes": lambda: self._memory.budget.held_bytes,
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -216,7 +216,7 @@
         """
         if self._handlingRequest or self._unsent_since is not None:
             self.count_memory()
-        if self._handlingRequest or self.waits_for_turn:
+        if self._handlingRequest or self.is_deferred:
             self._overdue = False
             return
         idle = not self.reading
--- a/magnolialug/entry/intakechannel.py
+++ b/magnolialug/entry/intakechannel.py
@@ -30,7 +30,7 @@
 # Chunks are decoded in parts of this size. If one has more chunks than this,
 # other connections come first.
 _CHUNKS_BYTES = 4 * 1024
-_PIECES_PER_TURN = 64
+_PIECES_PER_PASS = 64
 _LINGER_S = 1.0
 _LAST_CHUNK = b"0\r\n\r\n"
 
@@ -161,7 +161,7 @@
         """Whether its caller neither sends nor reads at the least rate."""
         if self._unsent_since is not None:
             return now - self._unsent_since > LAG_S
-        return now > self._lease_until and not self.waits_for_turn
+        return now > self._lease_until and not self.is_deferred
 
     def is_idling(self, now: float) -> bool:
         """Whether its caller has neither sent nor been owed anything lately."""
@@ -234,7 +234,7 @@
         self._lease_until = min(paid_until, now + LAG_S)
 
     def requestDone(self, request) -> None:
-        """Ends a request; one that was sent ahead waits for its turn."""
+        """Ends a request; one that was sent ahead is deferred."""
         self.has_served = True
         # More may arrive as soon as reading goes on, behind all that is here.
         self._buffer = b"".join((*self._dataBuffer, self._buffer))
@@ -243,7 +243,7 @@
             self.paused = True
         super().requestDone(request)
         if self.paused:
-            self._wait_for_turn()
+            self._defer()
 
     def rawDataReceived(self, data: bytes) -> None:
         """Handles bytes of a body, or what is sent ahead of an answer."""
@@ -257,7 +257,7 @@
     def resumeProducing(self) -> None:
         """Continues when the caller has read what was written."""
         super().resumeProducing()
-        if self.waits_for_turn:
+        if self.is_deferred:
             self._networkProducer.pauseProducing()
             self.factory.scheduler.add(self)
 
@@ -275,7 +275,7 @@
         self.dataReceived(b"")
 
     @property
-    def waits_for_turn(self) -> bool:
+    def is_deferred(self) -> bool:
         """Whether its bytes wait for this process, and not for the caller."""
         return self.paused and not self.refused
 
@@ -283,7 +283,7 @@
         """Puts off the caller's times by what it was kept waiting here."""
         self._lease_until += waited_s
 
-    def _wait_for_turn(self) -> None:
+    def _defer(self) -> None:
         """Parses and reads nothing more until others have been served."""
         self.paused = True
         self._paused_at = self.now()
@@ -302,7 +302,7 @@
             self._networkProducer.pauseProducing()
 
     def _receive_chunks(self, data: bytes) -> None:
-        """Decodes chunks, as many small ones as one turn allows."""
+        """Decodes chunks, as many small ones as one pass allows."""
         req, decoder = self.requests[-1], self._transferDecoder
         for at in range(0, len(data), _CHUNKS_BYTES):
             pieces = req.pieces
@@ -314,9 +314,9 @@
                 return
             if self.refused or not rest:
                 return
-            if req.pieces - pieces > _PIECES_PER_TURN:
+            if req.pieces - pieces > _PIECES_PER_PASS:
                 super(HTTPChannel, self).dataReceived(rest)
-                self._wait_for_turn()
+                self._defer()
                 return
 
     def _release(self) -> None:
--- a/magnolialug/entry/readscheduler.py
+++ b/magnolialug/entry/readscheduler.py
@@ -37,7 +37,7 @@
 
     @property
     def waiting_count(self) -> int:
-        """How many readers wait for their turn."""
+        """How many readers are deferred."""
         return len(self._known)
 
     def tick(self, now: float) -> None:
@@ -47,7 +47,7 @@
         self._log.tick(now, waiting=len(self._known))
 
     def add(self, reader: Reader) -> None:
-        """Lets a reader continue when it is its turn."""
+        """Lets a reader continue in a later pass, behind those before it."""
         if reader in self._known:
             return
         self._known.add(reader)
--- a/tests/entry/test_unreadable_messages.py
+++ b/tests/entry/test_unreadable_messages.py
@@ -7,6 +7,7 @@
 
 from magnolialug.policy.cachenamespace import model_and_version
 from magnolialug.quarantine.messages import Released
+from magnolialug.standin.caller import request
 from tests.gatewaycluster import GatewayCluster
 from tests.loglines import collect_lines
 
@@ -69,7 +70,12 @@
         lines = collect_lines(self)
         cluster = GatewayCluster()
         caller = cluster.caller()
-        caller.pipe.write(b"\r\n" * 2048)
+
+        def raises(*_):
+            raise AttributeError("no attribute")
+
+        caller.pipe.peer.protocol.headerReceived = raises
+        caller.pipe.write(request("/read/x", "1"))
         cluster.pass_time(0.1)
         self.assertEqual(400, caller.last.status)
         self.assertEqual(1, sum("request intake" in row for row in lines))
@@ -77,6 +83,21 @@
         self.assertEqual(0, len(cluster.gateway.factory.channels))
         self.assertEqual(200, cluster.ask("/read/x").last.status)
 
+    def test_empty_lines_are_refused_once(self):
+        """Guards against a connection that closes without an answer."""
+        lines = collect_lines(self)
+        cluster = GatewayCluster()
+        caller = cluster.caller()
+        caller.pipe.write(b"\r\n" * 2048)
+        cluster.pass_time(0.1)
+        self.assertEqual([400], [row.status for row in caller.answers])
+        refused = [row for row in lines if "REQUEST_FAILED" in row]
+        self.assertEqual(1, len(refused))
+        self.assertEqual([], [row for row in lines if "Traceback" in row])
+        cluster.pass_time(2)
+        self.assertEqual(0, len(cluster.gateway.factory.channels))
+        self.assertEqual(200, cluster.ask("/read/x").last.status)
+
     def test_no_part_of_a_request_goes_on_without_end(self):
         """Guards against memory that one caller fills."""
         for name, (before, again) in _ENDLESS_REQUESTS.items():
