--- a/magnolialug/entry/intakechannel.py
+++ b/magnolialug/entry/intakechannel.py
@@ -53,7 +53,7 @@
 
 
 class IntakeChannel(HTTPChannel):
-    """Answers malformed requests with a numbered error, and counts its memory.
+    """Reads requests within bounds of memory and work, and refuses others.
 
     Two lengths, a length together with chunks, or an unknown transfer coding
     can be interpreted one way by the load balancer and another way here, so
@@ -61,14 +61,18 @@
     smuggling). Twisted refuses all of these; this class only adds the error
     number.
 
+    What it holds for its caller has two charges: the connection's, for its
+    buffers, and the request's, for its head and body. A request takes its
+    charge along when it is complete, and its connection may end before it.
+
+    Bytes that take long to parse, and requests that are sent ahead of an
+    answer, are deferred: they stay in the line buffer until the scheduler lets
+    the connection continue.
+
     Attributes:
       phase_started_at: when the connection became idle, or when the first
         bytes of the current request arrived, in seconds.
       has_served: whether a request on it has been answered.
-
-    What it holds for its caller has two charges: the connection's, for its
-    buffers, and the request's, for its head and body. A request takes its
-    charge along when it is complete, and its connection may end before it.
     """
 
     totalHeadersSize = _MAX_HEADER_BYTES
--- a/tests/entry/test_caller_pressure.py
+++ b/tests/entry/test_caller_pressure.py
@@ -12,7 +12,7 @@
 NO_MEMORY = 503
 
 
-class PressureTest(TestCase):
+class _PressureCase(TestCase):
     """A gateway with room for two of the largest bodies."""
 
     def setUp(self):
@@ -36,6 +36,10 @@
     def statuses(self, caller):
         return [answer.status for answer in caller.answers]
 
+
+class PressureTest(_PressureCase):
+    """The worst gives way, and no ordinary caller."""
+
     def test_no_room_is_told_before_the_body(self):
         """Guards against bodies that are read for nothing."""
         for _ in range(2):
@@ -130,7 +134,7 @@
             self.assertEqual([200], self.statuses(caller))
 
 
-class ReleaseTest(PressureTest):
+class ReleaseTest(_PressureCase):
     """Nothing stays counted, whichever way a request ends."""
 
     def check_empty(self):
