--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -1,6 +1,7 @@
 """Makes a call's attempts directly at endpoints over HTTP."""
 
 from functools import partial
+from itertools import islice
 
 import msgspec
 
@@ -50,6 +51,9 @@
 # Endpoints of which one must be sound before their owners are asked for an
 # attempt beside another; twice as many with each search. Where all endpoints
 # are silent at once, every request in progress searches.
+# A log line names so many parts of a prompt, by so much of their names.
+_LOGGED_PARTS = 256
+_LOGGED_CHARS = 64
 _HEDGE_SHORTLIST_SIZE = 4
 _SUCCESS = range(200, 300)
 _FETCHED = {"moved": "fetched"}
@@ -544,4 +548,7 @@
     if prompt is None:
         return []
     rows = zip(prompt.shared, to.sources, strict=True)
-    return [(part.name, part.tokens, source) for part, source in rows]
+    return [
+        (part.name[:_LOGGED_CHARS], part.tokens, source)
+        for part, source in islice(rows, _LOGGED_PARTS)
+    ]
--- a/tests/entry/test_caller_memory.py
+++ b/tests/entry/test_caller_memory.py
@@ -211,6 +211,31 @@
         self.check()
 
 
+class PromptTest(CrowdTest):
+    """Prompts that are served, and what stays of them."""
+
+    def test_parts_of_served_prompts(self):
+        """Guards against parts that are remembered by the token."""
+        self.start(Limits(memory_mb=90))
+        names = iter(range(0x10000, 0xFFFFF))
+
+        def pieces(number: int):
+            for again in range(40):
+                parts = (f"{next(names):x}:1" for _ in range(1_700))
+                yield request(
+                    "POST",
+                    "/draft/x",
+                    f"w{number}.{again}",
+                    b"{}",
+                    X_Model_Name="m",
+                    X_Token_Counts="1800,20",
+                    X_Prompt_Prefix=",".join(parts),
+                )
+
+        self.crowd(8, pieces, reads=True)
+        self.check()
+
+
 class OtherListenerTest(CrowdTest):
     """Bodies at the listeners that are not for callers."""
 
