Callers' memory: no search for each small request that finds no room

Cause: by reading. While endpoints have all that is held, each small request that is refused looked through all connections for somebody to give way.

Change: after a search that made too little room there is none for 50 ms.

Conclusion: the tests of pressure pass; not measured.

--- a/magnolialug/entry/callermemory.py
+++ b/magnolialug/entry/callermemory.py
@@ -16,7 +16,8 @@
 LAG_S = 1.0
 # More than asked for is freed, so that the search is not made for each request.
 _SPARE_DIVISOR = 16
-# A search for the room of a large request is not made again before.
+# A search for the room of a large request, or one that has not made enough room
+# for a small one, is not made again before.
 _SEARCH_INTERVAL_S = 0.05
 
 
@@ -58,7 +59,7 @@
         self._holders = holders
         self._clock = clock
         self._on_gave_way = on_gave_way
-        self._searched_at = float("-inf")
+        self._searched_at = self._fruitless_at = float("-inf")
         self._log = StateLog(Event.CALLER_MEMORY_FULL, Event.CALLER_MEMORY_FREE)
         self._gave_way = 0
 
@@ -98,6 +99,8 @@
         self, charge: Charge, size: int, asker: Holder, now: float
     ) -> None:
         """Lets those that lag give way, then large ones that do not."""
+        if now - self._fruitless_at < _SEARCH_INTERVAL_S:
+            return
         rows = self._rows(asker)
         missing = self.budget.excess(charge, size)
         wanted = missing + self.budget.limit_bytes // _SPARE_DIVISOR
@@ -106,6 +109,8 @@
         if missing:
             larger = [row for row in rows if row.held_bytes > SMALL_BYTES]
             self._free(larger, missing)
+        if self.budget.excess(charge, size):
+            self._fruitless_at = now
 
     def _make_large_room(
         self, charge: Charge, size: int, asker: Holder, now: float
