Connections: a closed window ends none whose peer answers

TCP_USER_TIMEOUT of 1.5 s counts the time of a closed window too, though the peer answers each probe of it. Ruled out: memory (nothing gave way), the route's time-out (15 s), the stand-ins, loss of packets.

Change: PeerMonitor checks connections with unacknowledged bytes each 0.25 s. The user time-out is set while bytes are in flight; a closed window is judged by unanswered probes (TCP_INFO), whose pauses are bounded to 1 s. That tells the two apart, as who is alive resets the count with each answer. A process that closes its end leaves the rest to the kernel without a time-out.

--- a/magnolialug/carrier/bodysender.py
+++ b/magnolialug/carrier/bodysender.py
@@ -13,14 +13,20 @@
     """Writes the next block whenever the transport's buffer is empty.
 
     Args:
+      on_block: called for each block that is written.
       on_sent: called when the last block has been written.
     """
 
     def __init__(
-        self, transport, blocks: Sequence[bytes], on_sent: Callable[[], None]
+        self,
+        transport,
+        blocks: Sequence[bytes],
+        on_block: Callable[[], None],
+        on_sent: Callable[[], None],
     ):
         self._transport = transport
         self._blocks = iter(blocks)
+        self._on_block = on_block
         self._on_sent = on_sent
 
     def start(self) -> None:
@@ -37,6 +43,7 @@
         block = next(self._blocks, None)
         if block is not None:
             self._transport.write(block)
+            self._on_block()
             return
         self._transport.unregisterProducer()
         self._on_sent()
--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.pool import Address, PendingRequest, Pool
 from magnolialug.carrier.progress import Progress
 from magnolialug.carrier.reader import Head
@@ -218,6 +219,7 @@
     def __init__(self, reactor: IReactorTCP, limit: int = 64):
         self._reactor = reactor
         self._limit = limit
+        self._monitor = PeerMonitor(reactor.seconds, reactor.callLater)
         self._pools: dict[Address, Pool] = {}
         self._calls: dict[Address, set[_Call]] = {}
 
@@ -278,7 +280,13 @@
         pool = self._pools.get(address)
         if pool is None:
             clock = self._reactor.seconds
-            pool = Pool(self._reactor, address, self._limit, clock)
+            pool = Pool(
+                self._reactor,
+                address,
+                self._limit,
+                clock,
+                monitor=self._monitor,
+            )
             self._pools[address] = pool
         return pool.send(request, receiver, lambda head, is_first: True)
 
--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -10,6 +10,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from magnolialug.carrier.bodysender import BodySender
+from magnolialug.carrier.peermonitor import PeerMonitor, WatchedConnection
 from magnolialug.carrier.reader import (
     BadResponseError,
     Framing,
@@ -20,7 +21,6 @@
 from magnolialug.events import Event, emit
 
 __all__ = [
-    "USER_TIMEOUT_MS",
     "AcceptsHead",
     "Connection",
     "keep_alive_seconds",
@@ -29,13 +29,9 @@
     "unsent_bytes",
 ]
 
-# How long sent bytes may stay unacknowledged before the kernel closes the
-# connection. Network latency is a few milliseconds and a lost packet is sent
-# again after 0.2 s, then 0.4 s, so a connection survives two losses in a row.
-USER_TIMEOUT_MS = 1500
 _PROBE_IDLE_S = 1
 _PROBE_INTERVAL_S = 1
-_PROBE_COUNT = 2
+_PROBE_COUNT = 1
 # A connection is not reused within this time before its announced idle limit:
 # if the endpoint closes it while a request is in transit, it is unknown whether
 # the endpoint read the request.
@@ -61,14 +57,11 @@
 
     A firewall that loses a connection's state drops its packets, while both
     ends still see it as open. Requests on it would hang until their deadline
-    although new connections work. The user time-out on unacknowledged bytes
-    and the probes of an idle connection close it within a few seconds.
+    although new connections work. Probes close an idle connection within a few
+    seconds; a PeerMonitor sees to one with unacknowledged bytes.
     """
     handle = transport.getHandle()
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    handle.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
     handle.setsockopt(
@@ -122,6 +115,7 @@
       on_idle: called when an exchange has ended and the connection can be
         reused.
       on_closed: called when the connection is closed.
+      monitor: closes the connection if its endpoint is gone.
     """
 
     def __init__(
@@ -130,11 +124,14 @@
         on_open: Callable[["Connection"], None],
         on_idle: Callable[["Connection"], None],
         on_closed: Callable[["Connection"], None],
+        monitor: PeerMonitor,
     ):
         self._clock = clock
         self._on_open = on_open
         self._on_idle = on_idle
         self._on_closed = on_closed
+        self._monitor = monitor
+        self._watched: WatchedConnection | None = None
         self._state = _State.IDLE
         self._receiver: ResponseReceiver | None = None
         self._accepts_head = None
@@ -153,6 +150,7 @@
     def connectionMade(self) -> None:
         """Enables dead peer detection and reports the connection."""
         enable_dead_peer_detection(self.transport)
+        self._watched = self._monitor.watch(self.transport)
         self._on_open(self)
 
     @property
@@ -188,11 +186,17 @@
         self._discarding = False
         self._discarded = 0
         self.exchange_count += 1
+        self._watched.record_write()
         if len(body) <= 1:
             self.transport.write(b"".join((request, *body)))
             return
         self.transport.write(request)
-        self._sender = BodySender(self.transport, body, self._on_body_sent)
+        self._sender = BodySender(
+            self.transport,
+            body,
+            self._watched.record_write,
+            self._on_body_sent,
+        )
         self._sender.start()
 
     def _on_body_sent(self) -> None:
@@ -242,6 +246,7 @@
 
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Ends the current exchange, if any, and reports the close."""
+        self._watched.forget()
         orderly = reason.check(ConnectionDone) is not None
         self._reusable = False
         if self._receiver is not None and not (
--- /dev/null
+++ b/magnolialug/carrier/peermonitor.py
@@ -0,0 +1,186 @@
+"""Closes connections whose peers are gone, and keeps those of slow ones."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IDelayedCall
+
+from magnolialug.carrier.sendstate import SendState, read_send_state
+from magnolialug.events import Event, emit
+from magnolialug.guard import Guard
+
+__all__ = ["PeerMonitor", "WatchedConnection"]
+
+_CHECK_INTERVAL_S = 0.25
+# How long sent bytes may stay unacknowledged. Network latency is a few
+# milliseconds and a lost packet is sent again after 0.2 s, then 0.4 s, so a
+# connection survives two losses in a row.
+_SILENCE_S = 1.5
+# A peer answers at most two probes a second, so that one without an answer is
+# normal. The answer to the second may be on its way.
+_SUSPICIOUS_PROBES = 2
+_FATAL_PROBES = 3
+# The option that bounds the pause between two probes, since Linux 6.15.
+_TCP_RTO_MAX_MS = 44
+_PROBE_PAUSE_MS = 1000
+_NO_TIMEOUT_MS = 0
+
+
+class WatchedConnection:
+    """The outgoing side of one connection.
+
+    The kernel's user time-out ends a connection whose bytes nobody
+    acknowledges. It counts the time of a closed window too, although the peer
+    answers each probe of it. So it is set while bytes are in flight only, and
+    a connection whose window has been closed is judged here.
+    """
+
+    def __init__(self, monitor: "PeerMonitor", transport):
+        self._monitor = monitor
+        self._transport = transport
+        self._sock = transport.getHandle()
+        self._timeout_ms = _NO_TIMEOUT_MS
+        self._is_judged_here = False
+        self._was_in_flight = False
+        self._closed_since: float | None = None
+        self._is_suspicious = False
+
+    def record_write(self) -> None:
+        """Checks the connection until all has been acknowledged."""
+        self._monitor.add(self)
+
+    def leave_to_kernel(self) -> None:
+        """Lets a slow peer read on when the process has closed its end."""
+        self._is_judged_here = True
+        self._set_timeout(_NO_TIMEOUT_MS)
+
+    def forget(self) -> None:
+        """Ends the checks; the connection is closed."""
+        self._monitor.discard(self)
+
+    def check(self, now: float) -> None:
+        """Adjusts the time-out; closes the connection if its peer is gone."""
+        state = read_send_state(self._sock)
+        if state is None or state.is_delivered:
+            self._closed_since = None
+            self._was_in_flight = False
+            self._set_timeout(_NO_TIMEOUT_MS)
+            self.forget()
+            return
+        if state.is_window_closed:
+            self._keep_while_closed(now)
+        elif self._was_in_flight and not self._is_judged_here:
+            self._set_timeout(int(_SILENCE_S * 1000))
+        self._was_in_flight = bool(state.in_flight)
+        if self._is_judged_here and self._is_peer_gone(state):
+            self._close(state)
+
+    def _keep_while_closed(self, now: float) -> None:
+        """Keeps a closed window from ending the connection.
+
+        Where the kernel cannot bound the pauses between probes, they double up
+        to minutes. A time-out that is always a little ahead bounds them too.
+        """
+        if self._closed_since is None:
+            self._closed_since = now
+            self._is_judged_here = True
+        if self._monitor.bounds_probes(self._sock):
+            self._set_timeout(_NO_TIMEOUT_MS)
+        else:
+            ahead_s = now - self._closed_since + _SILENCE_S
+            self._set_timeout(int(ahead_s * 1000))
+
+    def _is_peer_gone(self, state: SendState) -> bool:
+        if state.silent_s < _SILENCE_S:
+            self._is_suspicious = False
+            return False
+        if state.unanswered >= _FATAL_PROBES:
+            return True
+        was_suspicious = self._is_suspicious
+        self._is_suspicious = (
+            state.is_window_closed and state.unanswered >= _SUSPICIOUS_PROBES
+        )
+        return was_suspicious and self._is_suspicious
+
+    def _close(self, state: SendState) -> None:
+        emit(
+            Event.PEER_GONE,
+            peer=str(self._transport.getPeer()),
+            silent_s=round(state.silent_s, 3),
+            unanswered=state.unanswered,
+            unsent=state.unsent,
+        )
+        self.forget()
+        self._transport.abortConnection()
+
+    def _set_timeout(self, timeout_ms: int) -> None:
+        if timeout_ms == self._timeout_ms:
+            return
+        self._timeout_ms = timeout_ms
+        # The connection may have been closed since the last event.
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+            )
+
+
+class PeerMonitor:
+    """Checks connections that have unacknowledged bytes.
+
+    Attributes:
+      guard: makes the checks, and counts those that failed.
+
+    Args:
+      clock: returns the time in seconds.
+      call_later: calls a function after a delay in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        call_later: Callable[..., IDelayedCall],
+    ):
+        self._clock = clock
+        self._call_later = call_later
+        self.guard = Guard(clock)
+        self._watched: set[WatchedConnection] = set()
+        self._timer: IDelayedCall | None = None
+
+    def watch(self, transport) -> WatchedConnection:
+        """Returns the handle of a connection, for its writes and its end."""
+        return WatchedConnection(self, transport)
+
+    def stop(self) -> None:
+        """Ends the checks; the kernel delivers what has been written."""
+        for conn in list(self._watched):
+            conn.leave_to_kernel()
+        self._watched.clear()
+
+    def add(self, conn: WatchedConnection) -> None:
+        """Checks a connection from now on."""
+        self._watched.add(conn)
+        if self._timer is None:
+            self._timer = self._call_later(_CHECK_INTERVAL_S, self._check_all)
+
+    def discard(self, conn: WatchedConnection) -> None:
+        """Checks a connection no longer."""
+        self._watched.discard(conn)
+
+    def bounds_probes(self, sock: socket.socket) -> bool:
+        """Bounds the pause between probes; whether the kernel can do that."""
+        try:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, _PROBE_PAUSE_MS
+            )
+        except OSError:
+            return False
+        return True
+
+    def _check_all(self) -> None:
+        self._timer = None
+        now = self._clock()
+        for conn in list(self._watched):
+            self.guard.call("peer check", conn.check, now)
+        if self._watched and self._timer is None:
+            self._timer = self._call_later(_CHECK_INTERVAL_S, self._check_all)
--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from magnolialug.carrier.connection import AcceptsHead, Connection
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
 
 __all__ = ["CONNECT_S", "Address", "PendingRequest", "Pool"]
@@ -114,6 +115,8 @@
       limit: the maximum number of connections at once.
       clock: returns the time in seconds.
       opened: called at each attempt to make a connection.
+      monitor: closes connections if the endpoint is gone; None for a monitor
+        of its own.
     """
 
     def __init__(
@@ -123,12 +126,14 @@
         limit: int,
         clock: Callable[[], float],
         opened: Callable[[], None] = lambda: None,
+        monitor: PeerMonitor | None = None,
     ):
         self.address = address
         self.limit = limit
         self._reactor = reactor
         self._clock = clock
         self._opened = opened
+        self._monitor = monitor or PeerMonitor(clock, reactor.callLater)
         self._idle: list[Connection] = []
         self._all: set[Connection] = set()
         self._connecting = 0
@@ -259,7 +264,9 @@
             self._connecting -= 1
             on_failed(refused)
 
-        conn = Connection(self._clock, opened, self._add_idle, on_closed)
+        conn = Connection(
+            self._clock, opened, self._add_idle, on_closed, self._monitor
+        )
         factory = _Factory(lambda _: conn, failed)
         host, port = self.address
         self._reactor.connectTCP(host, port, factory, timeout=CONNECT_S)
--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.pool import Address, Pool
 from magnolialug.config.routing import Routing
 from magnolialug.entry.peer import Peer
@@ -63,6 +64,7 @@
         self,
         reactor,
         on_connect: Callable[[], None] = lambda: None,
+        monitor: PeerMonitor | None = None,
     ):
         self.peers: dict[EndpointId, Peer] = {}
         self.entries = 1
@@ -84,6 +86,9 @@
         self._evacuated: frozenset[ZoneId] = frozenset()
         self._reactor = reactor
         self._on_connect = on_connect
+        self._monitor = monitor or PeerMonitor(
+            reactor.seconds, reactor.callLater
+        )
 
     def set_entry_count(self, entries: int, rank: int) -> None:
         """Sets how many entries share the endpoints.
@@ -467,6 +472,7 @@
             1,
             self._reactor.seconds,
             self._on_connect,
+            self._monitor,
         )
         cold = ColdStart()
         peer = Peer(entry, pool, self._load(entry), cold)
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from magnolialug.background import background
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.pool import Address
 from magnolialug.config.routing import CallerLimits, RouteType, Routing
 from magnolialug.entry.callermemory import CallerMemory
@@ -132,9 +133,11 @@
         self.settings = settings
         self.clock: Callable[[], float] = reactor.seconds
         self.metrics = metrics
+        self._monitor = PeerMonitor(reactor.seconds, reactor.callLater)
         self.directory = Directory(
             reactor,
             lambda: metrics.connections_made.add(1),
+            self._monitor,
         )
         self.routes = RouteConfig(self._apply_routing)
         self.registry = Registry(self.directory, reactor, settings.heartbeat_s)
@@ -153,6 +156,7 @@
             self.record_refusal,
             self._limits,
             self._memory,
+            self._monitor,
             KeepAlive(lambda: self._limits().idle_s, self._grace),
             metrics,
             reactor.seconds,
@@ -385,6 +389,7 @@
             if not self.in_progress and not self.factory.channels:
                 break
             await sleep(self._reactor, _DRAIN_POLL_INTERVAL_S)
+        self._monitor.stop()
         self._watch_client.stop()
         self.prefix_cache.stop()
         self.owners.stop()
@@ -572,6 +577,7 @@
     def _guards(self) -> list[Guard]:
         return [
             self._ticker.guard,
+            self._monitor.guard,
             self._watch_client.guard,
             self.registry.guard,
             self.messenger.guard,
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -6,6 +6,7 @@
 from twisted.web.http import HTTPChannel, Request
 
 from magnolialug.carrier.connection import enable_dead_peer_detection
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.config.routing import CallerLimits
 from magnolialug.entry.boundedbody import BoundedBody
 from magnolialug.entry.callermemory import CallerMemory
@@ -118,6 +119,7 @@
         self.idle_terms = self.factory.keep_alive.terms()
         super().connectionMade()
         enable_dead_peer_detection(self.transport)
+        self._watched = self.factory.monitor.watch(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
         """Handles bytes from the caller."""
@@ -138,11 +140,13 @@
     def writeSequence(self, iovec) -> None:
         """Writes the head of an answer, or more of it."""
         super().writeSequence(iovec)
+        self._watched.record_write()
         self.count_memory()
 
     def write(self, data) -> None:
         """Writes a piece of an answer."""
         super().write(data)
+        self._watched.record_write()
         if len(data) >= _COUNTED_BYTES:
             self.count_memory()
 
@@ -158,6 +162,21 @@
         if not self._is_pipelined and not self._buffer:
             self._limits_ahead = None
 
+    def refuse(self, failure: Failure) -> None:
+        """Sends the error, and closes after the caller had time to read it."""
+        super().refuse(failure)
+        self._watched.record_write()
+
+    def loseConnection(self) -> None:
+        """Closes the connection when its caller has read all."""
+        self._watched.leave_to_kernel()
+        super().loseConnection()
+
+    def connectionLost(self, reason) -> None:
+        """Ends the checks of the connection."""
+        self._watched.forget()
+        super().connectionLost(reason)
+
     def postpone(self, waited_s: float) -> None:
         """Puts off the caller's times by what it was kept waiting here."""
         super().postpone(waited_s)
@@ -266,6 +285,7 @@
       record_refusal: is told of each request that a connection refuses.
       limits: returns the current limits.
       memory: admits what is held for callers.
+      monitor: closes connections whose callers are gone.
       keep_alive: decides how long connections may be idle.
       clock: returns the time in seconds.
       call_later: calls a function after a delay in seconds.
@@ -282,6 +302,7 @@
         record_refusal,
         limits,
         memory: CallerMemory,
+        monitor: PeerMonitor,
         keep_alive: KeepAlive,
         metrics: GatewayMetrics,
         clock,
@@ -300,6 +321,7 @@
         self.channels: set[GatewayChannel] = set()
         self._call_later = call_later
         self.scheduler = ReadScheduler(call_later)
+        self.monitor = monitor
         self._accepts = accepts
 
     def buildProtocol(self, addr) -> HTTPChannel | None:
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -45,6 +45,7 @@
     READS_DELAYED = 1012
     READS_CURRENT = 1013
     LISTENER_FULL = 1014
+    PEER_GONE = 1015
     CONFIG_IN_FORCE = 1100
     CONFIG_REFUSED = 1101
     WEIGHTS_NAMED = 1102
@@ -145,6 +146,9 @@
     Event.READS_DELAYED: "What callers send ahead or in pieces has to wait.",
     Event.READS_CURRENT: "What callers have sent is parsed at once again.",
     Event.LISTENER_FULL: "Connections for readiness or metrics give way.",
+    Event.PEER_GONE: (
+        "A connection is closed whose peer acknowledges nothing any more."
+    ),
     Event.CONFIG_IN_FORCE: "A configuration version is in force here.",
     Event.CONFIG_REFUSED: "A configuration version was not applied.",
     Event.WEIGHTS_NAMED: "The operator wants a model to have a version.",
--- a/magnolialug/measure/gatewayslopes.py
+++ b/magnolialug/measure/gatewayslopes.py
@@ -86,6 +86,9 @@
         """Returns no time at all."""
         return 0.0
 
+    def callLater(self, delay_s: float, function, *args) -> None:
+        """Calls nothing, since no time passes."""
+
 
 def _routing(routes: int, teams: int) -> Routing:
     return Routing(
--- a/tests/carrier/test_body_sender.py
+++ b/tests/carrier/test_body_sender.py
@@ -5,6 +5,7 @@
 from twisted.internet.testing import StringTransport
 
 from magnolialug.carrier.connection import Connection
+from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.responsereceiver import End
 
 _BLOCKS = (b"a" * 10, b"b" * 10, b"c" * 10)
@@ -49,8 +50,13 @@
         self.idle = []
         self.transport = _Transport()
         self.receiver = _Receiver()
+        clock = Clock()
         self.conn = Connection(
-            Clock().seconds, lambda _: None, self.idle.append, lambda _: None
+            clock.seconds,
+            lambda _: None,
+            self.idle.append,
+            lambda _: None,
+            PeerMonitor(clock.seconds, clock.callLater),
         )
         self.conn.makeConnection(self.transport)
         self.conn.exchange(
--- a/tests/network.py
+++ b/tests/network.py
@@ -32,6 +32,10 @@
         """Remembers an option."""
         self.options[(level, name)] = value
 
+    def getsockopt(self, level, name, size):
+        """Returns the state of a connection whose peer acknowledges all."""
+        return bytes(size)
+
 
 @implementer(ITCPTransport, IPushProducer)
 class Pipe:
--- a/tests/platformprocess.py
+++ b/tests/platformprocess.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import socket
 import sys
 from collections import deque
 from urllib.parse import parse_qs, urlsplit
@@ -13,26 +14,61 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Site
 
+from magnolialug.carrier.connection import unsent_bytes
 from magnolialug.standin.endpoint import EndpointStandin, _Serving
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
 from magnolialug.standin.modelserver import ModelServerStandin
 from magnolialug.standin.operatorconfig import ENGINES, route
+from tests.silentsocket import drop_all
 
 __all__ = ["KEY"]
 
 KEY = "key-a"
 _SLOW_PAUSE_S = 0.1
+_LONG_PAUSE_S = 3.0
+_PATIENCE_S = 1.0
+_SEND_BYTES = 16384
 
 
 class _SlowServing(_Serving):
-    """Pauses behind each piece of a request whose target asks for it."""
+    """Reads a body as slowly as its target asks for."""
+
+    _is_hindered = False
 
     def dataReceived(self, data: bytes) -> None:
+        """Reads a piece, and stops for a while, or for good."""
         super().dataReceived(data)
         if b"slow" in self._target and self.current is None:
-            self.transport.pauseProducing()
-            reactor.callLater(_SLOW_PAUSE_S, self._read_on)
+            self._pause(_SLOW_PAUSE_S)
+        if self._is_hindered:
+            return
+        if b"pausing" in self._target:
+            self._is_hindered = True
+            self._pause(_LONG_PAUSE_S)
+        elif b"silent" in self._target:
+            self._is_hindered = True
+            drop_all(self.transport.getHandle())
+
+    def send(self, data: bytes) -> None:
+        """Sends an answer; cuts it off if it stays unread, where asked for."""
+        if b"impatient" in self._target:
+            self.transport.getHandle().setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BYTES
+            )
+            reactor.callLater(_PATIENCE_S, self._cut_unread, len(data))
+        super().send(data)
+
+    def _cut_unread(self, unsent_before: int) -> None:
+        unsent = unsent_bytes(self.transport) - self.transport.offset
+        if unsent and unsent == unsent_before:
+            self.transport.abortConnection()
+        elif unsent:
+            reactor.callLater(_PATIENCE_S, self._cut_unread, unsent)
+
+    def _pause(self, seconds: float) -> None:
+        self.transport.pauseProducing()
+        reactor.callLater(seconds, self._read_on)
 
     def _read_on(self) -> None:
         if self in self.endpoint.open:
@@ -40,13 +76,22 @@
 
 
 class Desk(EndpointStandin):
-    """Answers with as many bytes as the target's query `size` says."""
+    """Answers with as many bytes as the target's query `size` says.
+
+    The query `work` says after how many seconds.
+    """
 
     def __init__(self, clock, instance: str):
         super().__init__(clock, instance, work_s=0.001)
         self.seen = deque(maxlen=1)
         self.body_of = _body_of
 
+    def answer(self, conn, req) -> None:
+        """Answers a request in its time."""
+        query = parse_qs(urlsplit(req.target).query)
+        self.work_s = float(query.get("work", ["0.001"])[0])
+        super().answer(conn, req)
+
     def buildProtocol(self, addr) -> _SlowServing:
         self.connections += 1
         return _SlowServing(self)
