Planned stop: each request that was taken is answered before the end

Only calls taken since the signal have a deadline before the kill.

Streams that have begun end with the process, as before.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -163,7 +163,7 @@
             reactor.callLater,
             lambda: self._connection_gate.accepts(),
         )
-        self.in_progress = 0
+        self._calls: set[GatewayCall] = set()
         self._reactor = reactor
         self._entry_count = EntryCount(kv, reactor)
         self._entries = self._entry_membership(kv, reactor, random)
@@ -305,6 +305,11 @@
         )
         self._ticker = self._new_ticker()
 
+    @property
+    def in_progress(self) -> int:
+        """How many calls have not ended."""
+        return len(self._calls)
+
     def start(self) -> None:
         """Starts reading routes and endpoints."""
         self._register_gauges()
@@ -388,6 +393,11 @@
         while self.clock() < self._grace.end:
             if not self.in_progress and not self.factory.channels:
                 break
+            if self.clock() >= self._grace.calls_end:
+                self._answer_all()
+            await sleep(self._reactor, _DRAIN_POLL_INTERVAL_S)
+        if self.in_progress:
+            self._answer_all()
             await sleep(self._reactor, _DRAIN_POLL_INTERVAL_S)
         self._monitor.stop()
         self._watch_client.stop()
@@ -398,6 +408,14 @@
         emit(event, vm=self.settings.vm, left=self.in_progress)
         return self.in_progress
 
+    def _answer_all(self) -> None:
+        """Gives each request that waits its last answer before the end."""
+        for call in list(self._calls):
+            call.end_for_stop()
+        for channel in list(self.factory.channels):
+            if channel.reading:
+                channel.refuse(failed(Code.DRAINING, retry_after_s=0.1))
+
     def handle(self, req: GatewayRequest) -> None:
         """Serves one complete request."""
         sink = GatewaySink(req)
@@ -409,13 +427,14 @@
             self.record_refusal(req, call)
             sink.refuse(call)
             return
-        self.in_progress += 1
 
         def on_done() -> None:
-            self.in_progress -= 1
+            self._calls.discard(serving)
             req.release()
 
-        GatewayCall(self._context, call, sink, on_done).start(req)
+        serving = GatewayCall(self._context, call, sink, on_done)
+        self._calls.add(serving)
+        serving.start(req)
 
     def _entry_membership(
         self, kv: Kv, reactor, random: Random
--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -27,6 +27,9 @@
 
 __all__ = ["CallContext", "GatewayCall"]
 
+# Another process takes the request at once.
+_STOP_RETRY_AFTER_S = 0.1
+
 
 class CallContext(msgspec.Struct, frozen=True):
     """What all calls of a gateway share.
@@ -72,6 +75,8 @@
         self._sink = sink
         self._on_done = on_done
         self._log = RequestLog(call.name)
+        self._fut: Deferred | None = None
+        self._stop_failure: Failure | None = None
         self._gaps = AnswerGaps(call, sink, context.metrics, context.clock)
         self._carrier = HttpAttemptRunner(
             context.placer,
@@ -94,12 +99,25 @@
         serving = RetryLoop(
             self._context.serving, self._call, self._carrier, self._log
         )
-        fut = ensureDeferred(serving.run())
+        self._fut = fut = ensureDeferred(serving.run())
         req.notifyFinish().addErrback(lambda _: self._on_caller_left(fut))
         fut.addCallback(self._on_result)
         fut.addErrback(self._on_error)
         fut.addBoth(lambda _: self._on_done())
 
+    def end_for_stop(self) -> None:
+        """Answers the caller at the end of a planned stop.
+
+        An answer that has begun goes on for as long as the process lasts.
+        """
+        if self._sink.has_begun or self._sink.ended:
+            return
+        code = Code.OUTCOME_UNKNOWN if self._carrier.has_sent else Code.DRAINING
+        self._stop_failure = failed(
+            code, "the process stops", retry_after_s=_STOP_RETRY_AFTER_S
+        )
+        self._fut.cancel()
+
     def _on_result(self, result: Served | Failure) -> None:
         if isinstance(result, Served):
             self._count_served(result)
@@ -145,6 +163,9 @@
 
     def _on_error(self, reason: TwistedFailure) -> None:
         """Ends a response whose task was cancelled or raised an error."""
+        if self._stop_failure is not None:
+            self._on_result(self._stop_failure)
+            return
         if reason.check(CancelledError):
             self._count("cancelled")
             return
--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -116,9 +116,14 @@
         self._req.unregisterProducer()
         self._req.channel.loseConnection()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has a part of the response."""
+        return self.opened and bool(self._req.startedWriting)
+
     def refuse(self, failure: Failure) -> None:
         """Sends a numbered error, or aborts a response that has started."""
-        if self.opened and self._req.startedWriting:
+        if self.has_begun:
             self.abort()
             return
         if self.ended:
--- a/magnolialug/entry/graceperiod.py
+++ b/magnolialug/entry/graceperiod.py
@@ -48,9 +48,14 @@
 
     @property
     def end(self) -> float:
-        """When remaining calls are abandoned, on the given clock."""
+        """When the process ends, on the given clock."""
         return self._begun_at + self._grace_s() - _MARGIN_S
 
+    @property
+    def calls_end(self) -> float:
+        """When calls in progress get their last answer, on the given clock."""
+        return self.end - _MARGIN_S
+
     @property
     def left_s(self) -> float:
         """How long this process can serve on after a signal that comes now."""
@@ -66,5 +71,5 @@
         """Returns the call, during a stop with a deadline before the kill."""
         if self._begun_at is None:
             return call
-        deadline = min(call.deadline, self.end - _MARGIN_S)
+        deadline = min(call.deadline, self.calls_end)
         return msgspec.structs.replace(call, deadline=deadline)
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -221,6 +221,11 @@
         newest = (running or self._attempts)[-1]
         return newest.state(self._clock())
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether an attempt was made, so that the request may have run."""
+        return bool(self._attempts)
+
     async def mark_not_run(self) -> None:
         """Does nothing: attempts over HTTP have no claim."""
 
