Signals: a repeated SIGTERM ends no request

Cause: a second SIGTERM ended the process at once, with all requests in progress; supervisors repeat it.

Change: during a stop SIGTERM changes nothing; SIGINT still ends at once.

Before/after: a real gateway, 20 bookings of 4 s, a second SIGTERM 0.5 s after the first: none answered; 20 of 20 served. SIGHUP before, beside and behind SIGTERM: served before and after.

--- a/magnolialug/cmd/runner.py
+++ b/magnolialug/cmd/runner.py
@@ -55,12 +55,15 @@
         self._end(EXIT_FAILED if left else 0)
 
     def _signalled(self, number: int, frame: object) -> None:
-        reactor.callFromThread(self._told_to_stop)
+        reactor.callFromThread(self._told_to_stop, number)
 
     def _hung_up(self, number: int, frame: object) -> None:
         reactor.callFromThread(self._on_hangup)
 
-    def _told_to_stop(self) -> None:
+    def _told_to_stop(self, number: int) -> None:
+        if self._stopping and number == signal.SIGTERM:
+            # Supervisors repeat it; calls still have their grace period.
+            return
         if self._stopping or self._stop is None:
             self._end(EXIT_FAILED)
             return
@@ -85,8 +88,8 @@
 ) -> int:
     """Runs the reactor until the program is told to stop.
 
-    The first SIGTERM or SIGINT begins a graceful stop; a second one ends the
-    process at once.
+    The first SIGTERM or SIGINT begins a graceful stop. During it, another
+    SIGTERM changes nothing, and another SIGINT ends the process at once.
 
     Args:
       start: starts the program; returns its stop, whose result is falsy when
