Entries: calls that outlast the drain limit are answered

Change: such calls are answered as unknown, or as not run if none was sent. The links are closed first, so that no run is cancelled: its sidecar keeps the answer, which is had through another entry.

--- a/magnolialug/entry/app.py
+++ b/magnolialug/entry/app.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.attempt import Attempt
@@ -38,6 +38,8 @@
 __all__ = ["EntryApp"]
 
 _DRAIN_POLL_INTERVAL_S = 0.05
+# For the last answers to leave the process.
+_FLUSH_S = 0.2
 
 
 class EntryApp:
@@ -72,6 +74,8 @@
         )
         self.draining = False
         self.in_progress = 0
+        self._runs: set[Deferred] = set()
+        self._stopped = False
         self._claims = ClaimStore(kv, clock, random)
         self._context = ServingContext(
             budget=Budget(),
@@ -100,10 +104,24 @@
         limit += deployment.limits.drain_s if deployment else 0
         while self.in_progress and self.clock.seconds() < limit:
             await sleep(self.clock, _DRAIN_POLL_INTERVAL_S)
+        left = self.in_progress
         self.fleet.stop()
-        event = Event.STOP_FORCED if self.in_progress else Event.STOPPED
-        emit(event, entry=self.entry, left=self.in_progress)
-        return self.in_progress
+        await self._answer_all()
+        event = Event.STOP_FORCED if left else Event.STOPPED
+        emit(event, entry=self.entry, left=left)
+        return left
+
+    async def _answer_all(self) -> None:
+        """Gives each caller that waits its last answer.
+
+        The runs go on at their sidecars, which keep the answers.
+        """
+        self._stopped = True
+        if not self._runs:
+            return
+        for run in list(self._runs):
+            run.cancel()
+        await sleep(self.clock, _FLUSH_S)
 
     def drain(self) -> None:
         """Starts draining: `ready` is false and new calls are refused."""
@@ -136,18 +154,29 @@
         self.in_progress += 1
         self._context.budget.deposit(call.service)
         try:
-            result = await RetryLoop(
-                self._context,
-                call,
-                self._carrier(call, sink),
-                RequestLog(call.name),
-            ).run()
+            result = await self._run(call, sink)
         finally:
             self.in_progress -= 1
             self.admission.release(call.team)
         self._record_result(call, result)
         return result
 
+    async def _run(self, call: PromptCall, sink: Sink) -> Served | Failure:
+        """Runs a call to its answer, or to the end of the process."""
+        carrier = self._carrier(call, sink)
+        log = RequestLog(call.name)
+        run = ensureDeferred(RetryLoop(self._context, call, carrier, log).run())
+        self._runs.add(run)
+        try:
+            return await run
+        except CancelledError:
+            if not self._stopped:
+                raise
+            code = Code.OUTCOME_UNKNOWN if carrier.has_sent else Code.DRAINING
+            return failed(code, "the process stops")
+        finally:
+            self._runs.discard(run)
+
     async def replay(
         self, team: TeamId, request_id: RequestId, after_seq: int, sink: Sink
     ) -> Served | Failure:
--- a/magnolialug/entry/sidecarattemptrunner.py
+++ b/magnolialug/entry/sidecarattemptrunner.py
@@ -62,6 +62,11 @@
             self._use_current_weights(end)
         return end
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether an attempt was made, so that the call may have run."""
+        return bool(self._attempts_made)
+
     async def mark_not_run(self) -> None:
         """Marks the claim of a call as not run."""
         if self._claim_result:
--- a/magnolialug/entry/upstream.py
+++ b/magnolialug/entry/upstream.py
@@ -98,8 +98,9 @@
             self._timer.cancel()
 
     def stop(self) -> None:
-        """Closes the connection for good."""
+        """Closes the connection for good, and sends nothing more on it."""
         self.retire()
+        self._ready = False
         if self._link:
             self._link.close()
 
