Answers: read ahead of callers that lag, while there is room

Cause: servers cut off a response that stays unread for some seconds. A caller's full buffer (64 KB) paused its endpoint at once, so that the caller lost the answer though 135 MB were free: 3 of 3, an answer of 12 MB, an endpoint that cuts off after 1 s, a pause of 5 s.

Change: more is read while callers' memory is less than half full, up to an eighth of it for one answer. It is counted as before and gives way first, so requests lose no room.

--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -47,6 +47,16 @@
         "`refusals{code=NO_MEMORY}`",
         "1008, 1009",
     ),
+    GatewayLimit(
+        "answers read ahead",
+        "an eighth of callers' memory for each, while less than half of it is"
+        " held by all",
+        "what an endpoint has sent and its caller has not read; beyond it the"
+        " endpoint's connection is not read",
+        "none: it waits",
+        "`caller_memory_bytes`",
+        "none",
+    ),
     GatewayLimit(
         "callers' connections",
         "60 % of `limits.fileDescriptors` less 200 for files, or of what the"
--- a/magnolialug/entry/gatewaychannel.py
+++ b/magnolialug/entry/gatewaychannel.py
@@ -79,6 +79,12 @@
                 return failure
         return None
 
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether there is room for more of an answer that nobody reads."""
+        channel = self.channel
+        return channel.memory.budget.has_room_ahead(channel.charge)
+
     def release(self) -> None:
         """Lets go of all that is held for the request."""
         super().release()
--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -46,7 +46,9 @@
 class GatewaySink:
     """One response; the push producer of the caller's connection.
 
-    While the caller does not read, it pauses the endpoint's response.
+    While the caller does not read, the response is read ahead if there is
+    memory to spare, since endpoints may cut off what stays unread. If there is
+    none, the endpoint's response is paused.
 
     Attributes:
       opened: whether the status line and headers have been sent.
@@ -63,7 +65,8 @@
         self.meter: GapMeter | None = None
         self._req = req
         self._source: Source | None = None
-        self._paused = False
+        self._is_unread = False
+        self._is_source_paused = False
 
     def caller_left(self) -> None:
         """Records that the caller has closed its connection."""
@@ -93,6 +96,7 @@
         self._req.write(data)
         if self.meter is not None:
             self.meter.record(data)
+        self._pause_if_full()
 
     def complete(self) -> None:
         """Ends the response as complete."""
@@ -145,25 +149,33 @@
     def set_source(self, source: Source | None) -> None:
         """Sets the attempt to pause while the caller does not read."""
         self._source = source
-        if source is not None and self._paused:
-            source.pause()
+        self._is_source_paused = False
+        self._pause_if_full()
 
     def pauseProducing(self) -> None:
-        """Pauses the endpoint's response; the socket buffer is full."""
-        self._paused = True
+        """Reads ahead as far as there is room; the socket buffer is full."""
+        self._is_unread = True
         if self.meter is not None:
             self.meter.pause()
-        if self._source is not None:
-            self._source.pause()
+        self._pause_if_full()
 
     def resumeProducing(self) -> None:
         """Resumes the endpoint's response; the socket buffer has room again."""
-        self._paused = False
+        self._is_unread = False
         if self.meter is not None:
             self.meter.resume()
         if self._source is not None:
+            self._is_source_paused = False
             self._source.resume()
 
+    def _pause_if_full(self) -> None:
+        """Pauses the endpoint's response if no more of it can be held."""
+        if not self._is_unread or self._is_source_paused:
+            return
+        if self._source is not None and not self._req.may_read_ahead:
+            self._is_source_paused = True
+            self._source.pause()
+
     def stopProducing(self) -> None:
         """Does nothing when the connection is lost."""
 
--- a/magnolialug/policy/memorybudget.py
+++ b/magnolialug/policy/memorybudget.py
@@ -26,6 +26,10 @@
 # Requests up to this size are ordinary. Larger ones leave them some room.
 SMALL_BYTES = 64 * 1024
 _LARGE_SHARE = 0.75
+# Share for answers that are read ahead of their callers, of all and of one. The
+# rest is for requests.
+_AHEAD_SHARE = 0.5
+_LONE_AHEAD_SHARE = 0.125
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -90,6 +94,13 @@
             return 0
         return max(0, missing, self._large_excess(charge, size))
 
+    def has_room_ahead(self, charge: Charge) -> bool:
+        """Whether more may be held of what its holder is not ready for."""
+        return (
+            self.held_bytes < self.limit_bytes * _AHEAD_SHARE
+            and charge.size < self.limit_bytes * _LONE_AHEAD_SHARE
+        )
+
     def lacks_large_room(self, charge: Charge, size: int) -> bool:
         """Whether the large charges leave no room for one of a size."""
         return self._large_excess(charge, size) > 0
--- a/tests/entry/test_caller_memory.py
+++ b/tests/entry/test_caller_memory.py
@@ -148,6 +148,17 @@
         self.crowd(20, pieces)
         self.check()
 
+    def test_long_answers_unread(self):
+        """Guards against answers that are read ahead without a bound."""
+        self.start()
+        self.crowd(
+            30,
+            lambda number: iter(
+                [request("GET", "/read/x?size=12000000", f"w{number}")]
+            ),
+        )
+        self.check()
+
     def test_refusals_of_requests_ahead_unread(self):
         """Guards against refusals that gather while none is read."""
         self.start()
--- a/tests/entry/test_slow_peers.py
+++ b/tests/entry/test_slow_peers.py
@@ -163,6 +163,12 @@
                 self.assertNotEqual(b"", piece, read)
                 read += len(piece)
 
+    def test_answers_outlast_endpoints_that_cut_off_what_is_unread(self):
+        """Guards against back pressure while there is memory to spare."""
+        self.check_whole(
+            self.read("impatient", (5.0,), _BUFFERS_BYTES, count=3)
+        )
+
     def test_answers_outlast_a_suspension_of_the_gateway(self):
         """Guards against callers that are lost to a process that stands."""
         callers = self.read(pauses_s=(6.0,))
