Sidecars' messages: figures have bounds

Cause: one sidecar whose load report names a rate of 0 fails every call at every entry (ZeroDivisionError in queue_seconds); NaN and infinity are believed. Ruled out for gateways: 145 odd figures in the datagrams of another one end no task and no request (tests/entry/test_odd_peers.py).

Change: figures are bounded where messages are decoded; one out of bounds drops its link, as a wrong type does, and other endpoints serve.

--- a/magnolialug/attempt.py
+++ b/magnolialug/attempt.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from magnolialug.jsoninput import Count, Finite
+
 __all__ = ["Attempt", "AttemptState"]
 
 
@@ -32,9 +34,9 @@
 
     team: str
     request_id: str
-    number: int
+    number: Count
     incarnation: str
-    born: float
+    born: Finite
 
     @property
     def key(self) -> tuple[str, str, int]:
--- a/magnolialug/jsoninput.py
+++ b/magnolialug/jsoninput.py
@@ -1,4 +1,4 @@
-"""Decodes JSON that other programs have written."""
+"""Types and decoding of what other programs have written."""
 
 from typing import Annotated, TypeVar
 
@@ -6,7 +6,15 @@
 
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["UNREADABLE", "Count", "Name", "decode_json"]
+__all__ = [
+    "UNREADABLE",
+    "Count",
+    "Finite",
+    "Name",
+    "Rate",
+    "Seconds",
+    "decode_json",
+]
 
 T = TypeVar("T")
 
@@ -17,6 +25,12 @@
 _MAX_NAME_CHARS = 200
 _VALUE_SHOWN = 80
 
+# More than any clock, time or rate of a sound process.
+_MAX_NUMBER = 1e15
+# A number that is neither infinite nor NaN, which comparisons cannot order.
+Finite = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+Rate = Annotated[float, msgspec.Meta(gt=0, le=_MAX_NUMBER)]
 # A number that msgpack and floats can hold.
 Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 # A text that fits into a header and, with others, into a datagram.
--- a/magnolialug/wire/messages.py
+++ b/magnolialug/wire/messages.py
@@ -5,9 +5,12 @@
 can decode each other's messages.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from magnolialug.attempt import Attempt, AttemptState
+from magnolialug.jsoninput import Count, Finite, Rate, Seconds
 
 __all__ = [
     "Ack",
@@ -31,6 +34,9 @@
 ]
 
 
+_MAX_PRIORITIES = 1000
+
+
 class _Tagged(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all messages."""
 
@@ -39,7 +45,7 @@
     """First message of an entry: its id and its configuration version."""
 
     entry: str
-    config_version: int
+    config_version: Count
 
 
 class Welcome(_Tagged, frozen=True, array_like=True, tag="welcome"):
@@ -47,7 +53,7 @@
 
     endpoint: str
     incarnation: str
-    now: float
+    now: Finite
 
 
 class Status(_Tagged, frozen=True, array_like=True, tag="status"):
@@ -70,19 +76,21 @@
       beat: the latest `beat` that any entry sent in a Ping.
     """
 
-    now: float
+    now: Finite
     draining: bool
-    running: int
-    queued: int
-    queued_by_priority: tuple[int, ...]
-    prefill_rate: float
-    run_s: float
-    filled: int
-    epoch: int
+    running: Count
+    queued: Count
+    queued_by_priority: Annotated[
+        tuple[Count, ...], msgspec.Meta(max_length=_MAX_PRIORITIES)
+    ]
+    prefill_rate: Rate
+    run_s: Seconds
+    filled: Count
+    epoch: Count
     weights: str
-    config_version: int
-    entries: int
-    beat: float = 0.0
+    config_version: Count
+    entries: Count
+    beat: Finite = 0.0
 
 
 class Dispatch(_Tagged, frozen=True, array_like=True, tag="dispatch"):
@@ -105,10 +113,10 @@
     weights: str
     root: str
     body: str
-    max_tokens: int
-    wait_s: float
+    max_tokens: Count
+    wait_s: Seconds
     idempotent: bool
-    resume_after: int = 0
+    resume_after: Count = 0
     resume_text: str = ""
     params: str = "{}"
 
@@ -117,7 +125,7 @@
     """A piece of the answer; seq counts from 1 within the request."""
 
     attempt: Attempt
-    seq: int
+    seq: Count
     text: str
 
 
@@ -131,12 +139,12 @@
     """
 
     attempt: Attempt
-    last_seq: int
-    prompt_tokens: int
-    recomputed_tokens: int
-    imported_tokens: int
-    stored_tokens: int
-    ttft_s: float
+    last_seq: Count
+    prompt_tokens: Count
+    recomputed_tokens: Count
+    imported_tokens: Count
+    stored_tokens: Count
+    ttft_s: Finite
     finish: str
 
 
@@ -146,7 +154,7 @@
     attempt: Attempt
     code: int
     reason: str
-    retry_after_s: float
+    retry_after_s: Seconds
 
 
 class Outcome(_Tagged, frozen=True, array_like=True, tag="outcome"):
@@ -208,8 +216,8 @@
         that one contact is known to the whole fleet.
     """
 
-    config_version: int
-    beat: float = 0.0
+    config_version: Count
+    beat: Finite = 0.0
 
 
 class ConfigWant(_Tagged, frozen=True, array_like=True, tag="config-want"):
