Answers without end: bounds at sidecars and entries

Cause: a plain service's body had no bound at its sidecar, and one that is no UTF-8 left its run without an end. An entry kept all pieces that a sidecar sent, also those beyond its window.

Change: a plain answer ends at answer_bytes, 2 MB at most, any answer at an entry at answer_bytes; a sidecar far beyond its window loses its link: 505 WINDOW_EXCEEDED. So none holds more than a bound for one call.

--- a/magnolialug/entry/app.py
+++ b/magnolialug/entry/app.py
@@ -194,7 +194,15 @@
         attempt = Attempt(team, request_id, 0, upstream.incarnation, 0.0)
         call = _empty_call(team, kind, now)
         progress = Progress(seq=after_seq)
-        exchange = Exchange(call, attempt, upstream, progress, sink, self.clock)
+        exchange = Exchange(
+            call,
+            attempt,
+            upstream,
+            progress,
+            sink,
+            self.clock,
+            self.current.deployment.limits.answer_bytes,
+        )
         self.in_progress += 1
         try:
             end = await exchange.replay(msg.Find(team, request_id, after_seq))
--- a/magnolialug/entry/exchange.py
+++ b/magnolialug/entry/exchange.py
@@ -40,6 +40,9 @@
     It asks the same start of the sidecar on a new connection, which seals the
     attempt if the dispatch never arrived. So only the sidecar ever reports an
     attempt as "not run".
+
+    Args:
+      max_chars: the longest answer; sidecars keep to it too.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         progress: Progress,
         sink: Sink,
         clock: IReactorTime,
+        max_chars: int,
     ):
         self._call = call
         self._attempt = attempt
@@ -57,6 +61,7 @@
         self._progress = progress
         self._sink = sink
         self._clock = clock
+        self._max_chars = max_chars
         self._acked = progress.seq
         self._seals = True
 
@@ -158,6 +163,9 @@
             return None
         if token.seq > self._progress.seq + 1:
             return await self._resume()
+        self._progress.chars += len(token.text)
+        if self._progress.chars > self._max_chars:
+            return self._too_large()
         if self._progress.first_at is None:
             self._progress.first_at = self._clock.seconds()
         self._progress.seq = token.seq
@@ -170,6 +178,12 @@
             self._ack()
         return None
 
+    def _too_large(self) -> Ended:
+        if self._call.kind.idempotent:
+            self._upstream.send(msg.Cancel(self._attempt))
+        failure = failed(Code.ANSWER_TOO_LARGE, value=self._progress.chars)
+        return self._ended(Ending.FAILED, failure)
+
     async def _done(self, done: msg.Done) -> msg.Done | Ended | None:
         if self._progress.seq < done.last_seq:
             return await self._resume()
--- a/magnolialug/entry/mailbox.py
+++ b/magnolialug/entry/mailbox.py
@@ -12,22 +12,34 @@
 
 T = TypeVar("T")
 
+# Several windows: after a link was lost, the sidecar sends what it sent before.
+_MAX_ITEMS = 512
+
 
 class Mailbox(Generic[T]):
     """A FIFO queue of messages with one reader.
 
-    Its length is not limited here but by the sender's window: a sidecar sends
-    at most one window of pieces beyond the last ack.
+    A sidecar sends at most one window of pieces beyond the last ack. The link
+    of one that sends far more is dropped.
+
+    Args:
+      max_items: how many messages may wait.
     """
 
-    def __init__(self, clock: IReactorTime):
+    def __init__(self, clock: IReactorTime, max_items: int = _MAX_ITEMS):
         self._clock = clock
+        self._max_items = max_items
         self._items: deque[T] = deque()
         self._waiting: Deferred[T] | None = None
 
     def __len__(self) -> int:
         return len(self._items)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether as many messages wait as may."""
+        return len(self._items) >= self._max_items
+
     def put(self, item: T) -> None:
         """Adds a message and wakes the reader."""
         if self._waiting is None:
--- a/magnolialug/entry/progress.py
+++ b/magnolialug/entry/progress.py
@@ -16,11 +16,13 @@
     Attributes:
       seq: the number of the last delivered piece or event.
       text: the delivered pieces, kept where an attempt may need them to resume.
+      chars: their length.
       first_at: when the first piece was delivered, None before that.
     """
 
     seq: int = 0
     text: list[str] = msgspec.field(default_factory=list)
+    chars: int = 0
     first_at: float | None = None
 
 
--- a/magnolialug/entry/sidecarattemptrunner.py
+++ b/magnolialug/entry/sidecarattemptrunner.py
@@ -133,6 +133,7 @@
             self._progress,
             self._sink,
             self._context.clock,
+            self._current.deployment.limits.answer_bytes,
         )
         end = await exchange.run(start)
         if isinstance(end, Done):
--- a/magnolialug/entry/upstream.py
+++ b/magnolialug/entry/upstream.py
@@ -207,7 +207,11 @@
         Late messages of a request that has no mailbox any more are dropped.
         """
         for mailbox in list(self.mailboxes.get(attempt.request_id, ())):
-            mailbox.put(message)
+            if not mailbox.is_full:
+                mailbox.put(message)
+            elif self._link is not None:
+                name = type(message).__name__
+                self._link.drop(failed(Code.WINDOW_EXCEEDED, field=name))
 
 
 _REQUEST_MESSAGES = (msg.Token, msg.Done, msg.Refused, msg.Outcome)
--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -17,6 +17,8 @@
 _DATA = b"data: "
 _END = b"[DONE]"
 _LINE_LIMIT = 1024 * 1024
+# A plain answer is one piece, which has to fit into a frame.
+_PLAIN_LIMIT = 2 * 1024 * 1024
 
 
 class _Details(msgspec.Struct):
@@ -210,14 +212,17 @@
         http: HttpClient,
         url: str,
         body: str,
+        max_bytes: int,
         on_piece: Callable[[str], None],
     ):
         self.done: Deferred = Deferred()
         self._on_piece = on_piece
         self._body = body
+        self._max_bytes = min(max_bytes, _PLAIN_LIMIT)
         self._status = 0
         self._pieces: list[bytes] = []
-        taker = StreamTaker(self._answered, self._pieces.append, self._ended)
+        self._received = 0
+        taker = StreamTaker(self._answered, self._data, self._ended)
         self._pending_request = http.stream("POST", url, body.encode(), taker)
 
     def pause(self) -> None:
@@ -233,14 +238,32 @@
     def _answered(self, status: int) -> None:
         self._status = status
 
+    def _data(self, data: bytes) -> None:
+        self._received += len(data)
+        if self._received > self._max_bytes:
+            self._pieces.clear()
+            self._end(failed(Code.ANSWER_TOO_LARGE, value=self._received))
+            self._pending_request.drop()
+        else:
+            self._pieces.append(data)
+
     def _ended(self, whole: bool) -> None:
+        if self.done.called:
+            return
         if not whole:
             self._end(failed(Code.ENDPOINT_FAILED, "no whole answer"))
         elif self._status >= 500:
             self._end(failed(Code.ENDPOINT_FAILED, f"status {self._status}"))
         else:
-            self._on_piece(b"".join(self._pieces).decode())
-            self._end(Usage(token_count(self._body), 0, 1))
+            self._end(self._deliver())
+
+    def _deliver(self) -> Usage | Failure:
+        try:
+            text = b"".join(self._pieces).decode()
+        except UnicodeDecodeError as exc:
+            return failed(Code.ENDPOINT_FAILED, f"expected UTF-8: {exc.reason}")
+        self._on_piece(text)
+        return Usage(token_count(self._body), 0, 1)
 
     def _end(self, result: Usage | Failure) -> None:
         if not self.done.called:
@@ -257,7 +280,7 @@
     def start(self, job: EngineJob, on_piece: Callable[[str], None]):
         """Calls the kind once."""
         url = f"{self._base}/{job.kind}"
-        return _PlainRun(self._http, url, job.body, on_piece)
+        return _PlainRun(self._http, url, job.body, job.max_bytes, on_piece)
 
     async def held(self, ids: list[BlockId]) -> int | Failure:
         """Returns 0."""
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -71,6 +71,7 @@
     CONNECTION_SILENT = 502
     CONNECTION_CLOSED = 503
     CONNECTION_REFUSED = 504
+    WINDOW_EXCEEDED = 505
     BAD_CONFIG_SYNTAX = 600
     BAD_CONFIG_FIELD = 601
     BAD_CONFIG_TYPE = 602
@@ -253,6 +254,7 @@
         (Code.FRAME_ILL_TYPED, 502, "A frame does not decode to a message."),
         (Code.CONNECTION_SILENT, 502, "The peer's heartbeats stopped."),
         (Code.CONNECTION_CLOSED, 502, "The connection was closed."),
+        (Code.WINDOW_EXCEEDED, 502, "The peer sent more than its window."),
     ),
     **_rows(
         Executed.YES,
--- a/magnolialug/sidecar/engine.py
+++ b/magnolialug/sidecar/engine.py
@@ -12,6 +12,9 @@
 __all__ = ["Engine", "EngineJob", "Order", "Run", "Usage"]
 
 
+_MAX_ANSWER_BYTES = 1_000_000
+
+
 class EngineJob(msgspec.Struct, frozen=True):
     """One run at an endpoint.
 
@@ -22,6 +25,7 @@
       resume_after: pieces of the answer that were delivered before.
       resume_text: those pieces.
       params: sampling options as JSON.
+      max_bytes: the longest answer.
     """
 
     kind: str
@@ -34,6 +38,7 @@
     resume_after: int = 0
     resume_text: str = ""
     params: str = "{}"
+    max_bytes: int = _MAX_ANSWER_BYTES
 
 
 class Usage(msgspec.Struct, frozen=True):
--- a/magnolialug/sidecar/runner.py
+++ b/magnolialug/sidecar/runner.py
@@ -188,6 +188,7 @@
             resume_after=dispatch.resume_after,
             resume_text=dispatch.resume_text,
             params=dispatch.params,
+            max_bytes=limit,
         )
         run = self._engine.start(job, piece)
         self._runs[item.attempt.key] = (run, dispatch.idempotent)
--- a/tests/platform/test_enginehttp.py
+++ b/tests/platform/test_enginehttp.py
@@ -5,12 +5,15 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from magnolialug.ids import BlockId
-from magnolialug.platform.enginehttp import EngineHttp
+from magnolialug.platform.enginehttp import EngineHttp, PlainHttp
 from magnolialug.platform.http import HttpClient
 from magnolialug.result import Code, Failure
+from magnolialug.sidecar.engine import EngineJob
 from tests.network import Network
 
 ADDRESS = ("10.1.0.1", 8080)
+_LIMIT_BYTES = 200_000
+_PIECE = b"x" * 4096
 
 
 class ClosingServer(Protocol):
@@ -22,6 +25,57 @@
         self.transport.loseConnection()
 
 
+class EndlessServer(Protocol):
+    """Answers with a body that ends when the connection closes."""
+
+    def dataReceived(self, data):
+        """Begins an answer."""
+        self.factory.sent = 0
+        self.transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        self._go_on()
+
+    def _go_on(self):
+        if self.transport.closed or self.factory.sent > 10 * _LIMIT_BYTES:
+            return
+        self.factory.sent += len(_PIECE)
+        self.transport.write(_PIECE)
+        self.transport.net.callLater(0.001, self._go_on)
+
+
+class PlainAnswerTest(TestCase):
+    """Answers of a plain service."""
+
+    def run_job(self, server):
+        """Returns the pieces and the end of a run."""
+        net = Network()
+        net.servers[ADDRESS] = server
+        plain = PlainHttp(HttpClient(net), "http://10.1.0.1:8080")
+        job = EngineJob("k", "", "", "{}", "", 1, 0, max_bytes=_LIMIT_BYTES)
+        pieces, ends = [], []
+        plain.start(job, pieces.append).done.addCallback(ends.append)
+        net.advance_by(5)
+        (end,) = ends
+        return pieces, end
+
+    def test_an_answer_without_end_is_given_up(self):
+        """Guards against a sidecar that keeps all that its endpoint sends."""
+        server = Factory.forProtocol(EndlessServer)
+        pieces, end = self.run_job(server)
+        self.assertEqual([], pieces)
+        self.assertEqual(Code.ANSWER_TOO_LARGE, end.code)
+        self.assertLess(server.sent, 2 * _LIMIT_BYTES)
+
+    def test_an_answer_that_is_no_text_fails_its_run_alone(self):
+        """Guards against a run that never ends."""
+        server = Factory.forProtocol(ClosingServer)
+        server.response = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n\xff\xfe"
+        )
+        pieces, end = self.run_job(server)
+        self.assertEqual([], pieces)
+        self.assertEqual(Code.ENDPOINT_FAILED, end.code)
+
+
 class BlockExportTest(TestCase):
     """Blocks that are read from an engine."""
 
--- a/tests/promises/test_odd_sidecars.py
+++ b/tests/promises/test_odd_sidecars.py
@@ -4,8 +4,10 @@
 
 import msgspec
 from testtools import TestCase
+from twisted.internet.defer import Deferred
 
 from magnolialug.entry.retryloop import Served
+from magnolialug.result import Code
 from magnolialug.wire import messages as msg
 from tests.harness import Cluster
 
@@ -62,3 +64,46 @@
             cluster.run(0.5)
             outcome = cluster.call(0, cluster.prompt("after"))
             self.assertIsInstance(cluster.finish(outcome), Served, now)
+
+
+class EndlessAnswerTest(TestCase):
+    """Answers without end, at a sidecar and at an entry."""
+
+    def test_tokens_without_end_end_a_call(self):
+        """Guards against an entry that keeps all that a sidecar sends."""
+        cluster = Cluster(bookings=0, models=1)
+        outcome = cluster.call(0, cluster.prompt("long", 120))
+        cluster.run(0.05)
+        app = cluster.sidecars["model-1"]
+        link = outcome.entry.fleet.upstreams["model-1"]._link
+        (run,) = cluster.engines["model-1"]._running
+        run.pause()
+        cluster.run(0.1)
+        (answer,) = app.answers._answers.values()
+        seq = answer.last_seq
+        text = "x" * 100_000
+        for number in range(1, 40):
+            link.on_message(msg.Token(answer.attempt, seq + number, text))
+            cluster.run(0.05)
+        held = sum(map(len, (piece for _, piece in outcome.sink.pieces)))
+        self.assertLess(held, 2_000_000)
+        self.assertEqual(Code.ANSWER_TOO_LARGE, outcome.result.code)
+
+    def test_a_sidecar_that_passes_its_window_loses_its_link(self):
+        """Guards against pieces that gather behind a caller that lags."""
+        cluster = Cluster(bookings=0, models=1)
+        outcome = cluster.call(0, cluster.prompt("long", 120))
+        outcome.sink.gate = Deferred()
+        cluster.run(0.1)
+        app = cluster.sidecars["model-1"]
+        upstream = outcome.entry.fleet.upstreams["model-1"]
+        link = upstream._link
+        (answer,) = app.answers._answers.values()
+        for number in range(2000):
+            link.on_message(msg.Token(answer.attempt, 1000 + number, "x"))
+        (boxes,) = upstream.mailboxes.values()
+        self.assertLess(len(boxes[0]), 600)
+        self.assertIsNot(link, upstream._link)
+        outcome.sink.gate.callback(None)
+        outcome.sink.gate = None
+        self.assertIsInstance(cluster.finish(outcome), Served)
