Answers: streams of events are not read ahead; the monitor in smaller steps

Cause: a whole run of tests/eventgaps: with what is read ahead a stream ends before its caller reads, so reader_paused_s told 0.475 s of a pause of 2 s.

Change: where pauses of events are measured, the endpoint is paused as before.

Before/after: test_a_caller_that_does_not_read failed, passes; tests/entry/test_slow_peers.py, test_read_ahead.py and tests/carrier/test_peer_monitor.py pass.

--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -16,7 +16,7 @@
 # How long sent bytes may stay unacknowledged. Network latency is a few
 # milliseconds and a lost packet is sent again after 0.2 s, then 0.4 s, so a
 # connection survives two losses in a row.
-_SILENCE_S = 1.5
+_SILENCE_MS = 1500
 # A peer answers at most two probes a second, so that one without an answer is
 # normal. The answer to the second may be on its way.
 _SUSPICIOUS_PROBES = 2
@@ -27,13 +27,23 @@
 _NO_TIMEOUT_MS = 0
 
 
+def bounds_probes(sock: socket.socket) -> bool:
+    """Bounds the pause between probes; whether the kernel can do that."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, _PROBE_PAUSE_MS)
+    except OSError:
+        return False
+    return True
+
+
 class WatchedConnection:
     """The outgoing side of one connection.
 
     The kernel's user time-out ends a connection whose bytes nobody
     acknowledges. It counts the time of a closed window too, although the peer
     answers each probe of it. So it is set while bytes are in flight only, and
-    a connection whose window has been closed is judged here.
+    a connection whose window has been closed is judged by its unanswered
+    probes and retransmissions.
     """
 
     def __init__(self, monitor: "PeerMonitor", transport):
@@ -41,9 +51,11 @@
         self._transport = transport
         self._sock = transport.getHandle()
         self._timeout_ms = _NO_TIMEOUT_MS
-        self._is_judged_here = False
         self._was_in_flight = False
+        # Whether its peer's window has been closed at some time.
+        self._has_stalled = False
         self._closed_since: float | None = None
+        self._are_probes_bounded = False
         self._is_suspicious = False
 
     def record_write(self) -> None:
@@ -52,7 +64,6 @@
 
     def leave_to_kernel(self) -> None:
         """Lets a slow peer read on when the process has closed its end."""
-        self._is_judged_here = True
         self._set_timeout(_NO_TIMEOUT_MS)
 
     def forget(self) -> None:
@@ -62,18 +73,24 @@
     def check(self, now: float) -> None:
         """Adjusts the time-out; closes the connection if its peer is gone."""
         state = read_send_state(self._sock)
-        if state is None or state.is_delivered:
+        if state is None:
+            self._set_timeout(_SILENCE_MS)
+            self.forget()
+        elif state.is_delivered:
             self._closed_since = None
             self._was_in_flight = False
             self._set_timeout(_NO_TIMEOUT_MS)
             self.forget()
-            return
+        else:
+            self._check_undelivered(state, now)
+
+    def _check_undelivered(self, state: SendState, now: float) -> None:
         if state.is_window_closed:
             self._keep_while_closed(now)
-        elif self._was_in_flight and not self._is_judged_here:
-            self._set_timeout(int(_SILENCE_S * 1000))
+        elif self._was_in_flight and not self._has_stalled:
+            self._set_timeout(_SILENCE_MS)
         self._was_in_flight = bool(state.in_flight)
-        if self._is_judged_here and self._is_peer_gone(state):
+        if self._has_stalled and self._is_peer_gone(state):
             self._close(state)
 
     def _keep_while_closed(self, now: float) -> None:
@@ -84,15 +101,16 @@
         """
         if self._closed_since is None:
             self._closed_since = now
-            self._is_judged_here = True
-        if self._monitor.bounds_probes(self._sock):
+            self._has_stalled = True
+            self._are_probes_bounded = bounds_probes(self._sock)
+        if self._are_probes_bounded:
             self._set_timeout(_NO_TIMEOUT_MS)
         else:
-            ahead_s = now - self._closed_since + _SILENCE_S
-            self._set_timeout(int(ahead_s * 1000))
+            closed_ms = int((now - self._closed_since) * 1000)
+            self._set_timeout(closed_ms + _SILENCE_MS)
 
     def _is_peer_gone(self, state: SendState) -> bool:
-        if state.silent_s < _SILENCE_S:
+        if state.silent_s * 1000 < _SILENCE_MS:
             self._is_suspicious = False
             return False
         if state.unanswered >= _FATAL_PROBES:
@@ -167,16 +185,6 @@
         """Checks a connection no longer."""
         self._watched.discard(conn)
 
-    def bounds_probes(self, sock: socket.socket) -> bool:
-        """Bounds the pause between probes; whether the kernel can do that."""
-        try:
-            sock.setsockopt(
-                socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, _PROBE_PAUSE_MS
-            )
-        except OSError:
-            return False
-        return True
-
     def _check_all(self) -> None:
         self._timer = None
         now = self._clock()
--- a/magnolialug/config/gatewaylimits.py
+++ b/magnolialug/config/gatewaylimits.py
@@ -51,8 +51,8 @@
         "answers read ahead",
         "an eighth of callers' memory for each, while less than half of it is"
         " held by all",
-        "what an endpoint has sent and its caller has not read; beyond it the"
-        " endpoint's connection is not read",
+        "what an endpoint has sent and its caller has not read, but for streams"
+        " of events; beyond it the endpoint's connection is not read",
         "none: it waits",
         "`caller_memory_bytes`",
         "none",
--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -48,7 +48,7 @@
 
     While the caller does not read, the response is read ahead if there is
     memory to spare, since endpoints may cut off what stays unread. If there is
-    none, the endpoint's response is paused.
+    none, and where events are counted, the endpoint's response is paused.
 
     Attributes:
       opened: whether the status line and headers have been sent.
@@ -164,7 +164,7 @@
         self._is_unread = False
         if self.meter is not None:
             self.meter.resume()
-        if self._source is not None:
+        if self._is_source_paused:
             self._is_source_paused = False
             self._source.resume()
 
@@ -172,10 +172,15 @@
         """Pauses the endpoint's response if no more of it can be held."""
         if not self._is_unread or self._is_source_paused:
             return
-        if self._source is not None and not self._req.may_read_ahead:
+        if self._source is not None and not self._may_read_ahead:
             self._is_source_paused = True
             self._source.pause()
 
+    @property
+    def _may_read_ahead(self) -> bool:
+        """Whether there is room, and no pauses of events are measured."""
+        return self.meter is None and self._req.may_read_ahead
+
     def stopProducing(self) -> None:
         """Does nothing when the connection is lost."""
 
--- a/tests/carrier/test_peer_monitor.py
+++ b/tests/carrier/test_peer_monitor.py
@@ -5,6 +5,7 @@
 
 from testtools import TestCase
 
+from magnolialug.carrier import peermonitor
 from magnolialug.carrier.peermonitor import PeerMonitor
 from tests.silentsocket import drop_all
 
@@ -111,7 +112,7 @@
 
     def setUp(self):
         super().setUp()
-        self.monitor.bounds_probes = lambda sock: False
+        self.patch(peermonitor, "bounds_probes", lambda sock: False)
 
     def test_reader_that_pauses_gets_all(self):
         """Guards against resets by the time-out that paces the probes."""
--- a/tests/entry/test_read_ahead.py
+++ b/tests/entry/test_read_ahead.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from magnolialug.entry.gatewaysink import GatewaySink
+from magnolialug.eventgaps.meter import GapMeter
 from magnolialug.policy.memorybudget import Charge, MemoryBudget
 
 _LIMIT_BYTES = 8_000_000
@@ -85,6 +86,14 @@
         source.send_on()
         self.assertFalse(source.is_paused)
 
+    def test_events_are_not_read_ahead(self):
+        """Guards against pauses of a caller that nobody measures."""
+        sink = GatewaySink(_Request(self.budget))
+        sink.meter = GapMeter(lambda: 0.0)
+        source = _Source(sink)
+        sink.pauseProducing()
+        self.assertTrue(source.is_paused)
+
     def test_another_source_is_paused_too(self):
         """Guards against a second attempt that is read without bound."""
         _, sink, _ = self.unread()
