--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -27,8 +27,8 @@
 _NO_TIMEOUT_MS = 0
 
 
-def bounds_probes(sock: socket.socket) -> bool:
-    """Bounds the pause between probes; whether the kernel can do that."""
+def limit_probe_pause(sock: socket.socket) -> bool:
+    """Bounds the pause between probes; returns whether the kernel can."""
     try:
         sock.setsockopt(socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, _PROBE_PAUSE_MS)
     except OSError:
@@ -102,7 +102,7 @@
         if self._closed_since is None:
             self._closed_since = now
             self._has_stalled = True
-            self._are_probes_bounded = bounds_probes(self._sock)
+            self._are_probes_bounded = limit_probe_pause(self._sock)
         if self._are_probes_bounded:
             self._set_timeout(_NO_TIMEOUT_MS)
         else:
--- a/tests/carrier/test_peer_monitor.py
+++ b/tests/carrier/test_peer_monitor.py
@@ -112,7 +112,7 @@
 
     def setUp(self):
         super().setUp()
-        self.patch(peermonitor, "bounds_probes", lambda sock: False)
+        self.patch(peermonitor, "limit_probe_pause", lambda sock: False)
 
     def test_reader_that_pauses_gets_all(self):
         """Guards against resets by the time-out that paces the probes."""
