--- a/tests/entry/test_stop_answers.py
+++ b/tests/entry/test_stop_answers.py
@@ -10,6 +10,7 @@
 GRACE_S = 8.0
 _LONG_S = 12.0
 _TIMEOUT_MS = 15_000
+_SERVED = 200
 _NOT_RUN = 503
 _UNKNOWN = 502
 
@@ -19,7 +20,7 @@
 
     def setUp(self):
         super().setUp()
-        operator = config()
+        self.operator = operator = config()
         for row in operator["routes"]:
             row["timeoutMs"] = row["targetLatencyMs"] = _TIMEOUT_MS
         self.cluster = GatewayCluster(desks=2, engines=1, operator=operator)
@@ -99,6 +100,37 @@
         self.assertEqual(_UNKNOWN, caller.last.status)
         self.assertTrue(caller.last.whole)
 
+    def test_a_retry_late_in_the_grace_is_answered(self):
+        """Guards against a second attempt that outlasts the process."""
+        caller = self.send("/read/x")
+        self.cluster.pass_time(0.5)
+        ended = self.stop()
+        self.cluster.pass_time(6.8)
+        for desk in self.cluster.desks.values():
+            for conn in list(desk.open):
+                if conn.current is not None:
+                    conn.transport.abortConnection()
+        self.check_ended(ended)
+        self.assertEqual(2, self.cluster.ran(caller.request_id))
+        self.assertEqual(_UNKNOWN, caller.last.status)
+        self.assertTrue(caller.last.whole)
+
+    def test_requests_are_answered_beside_a_release_and_a_change(self):
+        """Guards against a stop that other planned work disturbs."""
+        callers = [self.send("/book/x", body=b"x") for _ in range(4)]
+        self.cluster.pass_time(0.5)
+        ended = self.stop()
+        for version, desk in enumerate(list(self.cluster.desks.values()), 2):
+            self.cluster.relist(desk, state="draining")
+            self.cluster.add_desk()
+            self.cluster.configure({**self.operator, "version": version})
+            self.cluster.pass_time(1)
+        callers += [self.send("/book/x", body=b"x") for _ in range(4)]
+        self.check_ended(ended)
+        statuses = [caller.last.status for caller in callers]
+        self.assertEqual([_UNKNOWN] * 4 + [_SERVED] * 4, statuses)
+        self.assertTrue(all(caller.last.whole for caller in callers))
+
     def test_a_stream_that_has_begun_is_not_answered_anew(self):
         """Guards against an error inside a stream."""
         for engine in self.cluster.engines.values():
