Client: its close ends the checks of its connections

Cause: tests/platform/test_kv_contract.py, HttpTest, failed with a timer that was left: the monitor's, up to 0.25 s after the client had been closed.

Change: a client that closes stops its monitor, which cancels its timer.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -301,3 +301,4 @@
         for pool in self._pools.values():
             pool.close()
         self._pools.clear()
+        self._monitor.stop()
--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -174,6 +174,9 @@
         for conn in list(self._watched):
             conn.leave_to_kernel()
         self._watched.clear()
+        timer, self._timer = self._timer, None
+        if timer is not None:
+            timer.cancel()
 
     def add(self, conn: WatchedConnection) -> None:
         """Checks a connection from now on."""
