Planned stop: an exception beside the last answer is logged

Cause: by the second reading of the change: a call that raised while it was ended for a stop was answered as unknown, and nobody saw the exception, since the stop's failure was looked at first. Ruled out: a task's cancellation, which is no fault and still logs nothing.

Change: only the cancellation leads to the stop's answer. Any other exception takes the usual way, with its log line and the same answer.

Before/after: test_a_fault_at_the_end_is_logged failed without the line; tests/entry/test_stop_answers.py, test_stop_signals.py, test_gateway_members.py and test_pipelined_stop.py pass, 34 tests.

--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -163,11 +163,11 @@
 
     def _on_error(self, reason: TwistedFailure) -> None:
         """Ends a response whose task was cancelled or raised an error."""
-        if self._stop_failure is not None:
-            self._on_result(self._stop_failure)
-            return
         if reason.check(CancelledError):
-            self._count("cancelled")
+            if self._stop_failure is not None:
+                self._on_result(self._stop_failure)
+            else:
+                self._count("cancelled")
             return
         self._sink.refuse(failed(Code.OUTCOME_UNKNOWN, reason.type.__name__))
         self._log.emit(Event.TASK_FAILED, traceback=reason.getTraceback())
--- a/tests/entry/test_stop_answers.py
+++ b/tests/entry/test_stop_answers.py
@@ -4,8 +4,10 @@
 from testtools import TestCase
 from twisted.internet.defer import ensureDeferred
 
+from magnolialug.entry.hedging import Hedging
 from magnolialug.standin.caller import request
 from tests.gatewaycluster import GatewayCluster, config
+from tests.loglines import collect_lines
 
 GRACE_S = 8.0
 _LONG_S = 12.0
@@ -131,6 +133,22 @@
         self.assertEqual([_UNKNOWN] * 4 + [_SERVED] * 4, statuses)
         self.assertTrue(all(caller.last.whole for caller in callers))
 
+    def test_a_fault_at_the_end_is_logged(self):
+        """Guards against an exception that the last answer hides."""
+
+        def fail(hedging):
+            raise LookupError("a fault of ours")
+
+        lines = collect_lines(self)
+        caller = self.send("/read/x")
+        self.cluster.pass_time(0.5)
+        ended = self.stop()
+        self.patch(Hedging, "stop", fail)
+        self.check_ended(ended)
+        self.assertEqual(_UNKNOWN, caller.last.status)
+        (line,) = [row for row in lines if "TASK_FAILED" in row]
+        self.assertIn("LookupError", line)
+
     def test_a_stream_that_has_begun_is_not_answered_anew(self):
         """Guards against an error inside a stream."""
         for engine in self.cluster.engines.values():
