Soak: a finding on a cold endpoint names who sent how much

The report told neither how long the endpoint had been cold nor which gateway had sent too much, so it could not be told whether one gateway had missed the cold start, counted the others wrongly, or whether starts of gateways added up.

Change: the detail has both. The bound and what counts stay as they are.

Before/after: test_a_finding_names_what_each_machine_sent failed before; tests/soak/test_zones.py passes, 9 tests.

--- a/magnolialug/soak/zones.py
+++ b/magnolialug/soak/zones.py
@@ -1,6 +1,6 @@
 """Evacuated zones and cold endpoints: what may reach them, and what does."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 
 __all__ = ["COLD_PER_S", "COLD_S", "EVACUATION_S", "ZoneChecks"]
@@ -67,7 +67,7 @@
           at: when its caller sent it.
         """
         self._check_zone(instance, zone, request, machine)
-        self._check_rate(instance, request, at)
+        self._check_rate(instance, request, machine, at)
 
     def _check_zone(
         self, instance: str, zone: str, request: str, machine: str
@@ -80,7 +80,9 @@
             detail = f"{instance}, {late:.2f} s late"
             self._broken("EVAC", detail, request)
 
-    def _check_rate(self, instance: str, request: str, at: float) -> None:
+    def _check_rate(
+        self, instance: str, request: str, machine: str, at: float
+    ) -> None:
         """Counts what was sent and arrived in one second, while it was cold."""
         now = self._clock()
         since = self._cold_since.get(instance)
@@ -88,10 +90,19 @@
             return
         from_ = max(since, now - 1.0)
         recent = self._arrivals[instance]
-        recent.append((now, at))
+        recent.append((now, at, machine))
         while recent[0][0] < from_:
             recent.popleft()
-        count = sum(sent > now - 1.0 for _, sent in recent)
+        senders = Counter(
+            sender for _, sent, sender in recent if sent > now - 1.0
+        )
+        count = senders.total()
         if count > _MOST_PER_S:
-            detail = f"{instance} got {count} requests in a second"
+            shares = ", ".join(
+                f"{n} by {m}" for m, n in sorted(senders.items())
+            )
+            detail = (
+                f"{instance} got {count} requests in a second, "
+                f"{now - since:.2f} s after it turned cold: {shares}"
+            )
             self._broken("FAILBACK", detail, request)
--- a/tests/soak/test_zones.py
+++ b/tests/soak/test_zones.py
@@ -12,18 +12,24 @@
         super().setUp()
         self.now = 10.0
         self.broken = []
+        self.details = []
         self.calm = True
         self.checks = ZoneChecks(
             lambda: self.now,
             lambda machine, since: self.calm,
-            lambda promise, detail, request: self.broken.append(promise),
+            self.record,
         )
 
-    def arrive(self, count, seconds=0.0, held_s=0.0):
+    def record(self, promise, detail, request):
+        """Notes what the checks find."""
+        self.broken.append(promise)
+        self.details.append(detail)
+
+    def arrive(self, count, seconds=0.0, held_s=0.0, machine="vm-0"):
         """Lets requests arrive over some time."""
         for _ in range(count):
             sent_at = self.now - held_s
-            self.checks.arrived("i-1", "a", "r", "vm-0", sent_at)
+            self.checks.arrived("i-1", "a", "r", machine, sent_at)
             self.now += seconds / count
 
     def test_what_arrives_within_the_bound_of_an_evacuation_is_allowed(self):
@@ -59,6 +65,19 @@
         self.arrive(1)
         self.assertEqual(["FAILBACK"], self.broken)
 
+    def test_a_finding_names_what_each_machine_sent(self):
+        """Guards against findings that do not tell who sent too much."""
+        self.checks.starts("i-1")
+        self.arrive(4, 0.5)
+        self.arrive(14, machine="vm-1")
+        self.assertEqual(
+            [
+                "i-1 got 18 requests in a second, 0.50 s after it turned cold: "
+                "4 by vm-0, 14 by vm-1"
+            ],
+            self.details,
+        )
+
     def test_what_came_while_it_was_warm_does_not_count(self):
         """An endpoint is busy, and turns cold a moment later."""
         self.arrive(40, 0.5)
