--- a/tests/entry/test_slow_peers.py
+++ b/tests/entry/test_slow_peers.py
@@ -1,16 +1,20 @@
 """Ends of connections that are slow, and ends that are gone, at a process."""
 
 import contextlib
-import pathlib
 import signal
 import socket
-import struct
 import threading
 import time
 
 from testtools import TestCase
 
-from tests.gatewayprocess import GatewayProcess, Limits, request, status_of
+from tests.gatewayprocess import (
+    GatewayProcess,
+    Limits,
+    callers_ports,
+    request,
+    status_of,
+)
 from tests.silentsocket import drop_all
 
 _ANSWER_BYTES = 1_000_000
@@ -19,8 +23,6 @@
 # More than the kernel's buffers of all connections of an answer take.
 _BUFFERS_BYTES = 12_000_000
 _TIMEOUT_S = 20.0
-# As the kernel lists it.
-_ESTABLISHED = "01"
 _PAUSES_S = (3.0, 4.0)
 # A peer that acknowledges nothing is given up after this time, in seconds.
 _SILENCE_S = 1.5
@@ -70,20 +72,6 @@
         return self.read >= self.size
 
 
-def _callers_ports(front):
-    """Returns the ports of callers with an open connection to a gateway."""
-    host, port = front
-    (address,) = struct.unpack("=I", socket.inet_aton(host))
-    listener = f"{address:08X}:{port:04X}"
-    rows = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
-    ends = [row.split()[1:4] for row in rows]
-    return {
-        int(there.partition(":")[2], 16)
-        for here, there, state in ends
-        if state == _ESTABLISHED and here == listener
-    }
-
-
 class _SlowPeerTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -123,7 +111,7 @@
         """Returns the seconds until the process has closed its end."""
         began = time.monotonic()
         port = conn.getsockname()[1]
-        while port in _callers_ports(self.gateway.front):
+        while port in callers_ports(self.gateway.front):
             if time.monotonic() - began > _TIMEOUT_S:
                 break
             time.sleep(0.02)
@@ -198,7 +186,7 @@
         time.sleep(before_s)
         if reads:
             self.assertEqual(200, status_of(conn))
-        self.assertIn(conn.getsockname()[1], _callers_ports(self.gateway.front))
+        self.assertIn(conn.getsockname()[1], callers_ports(self.gateway.front))
         drop_all(conn)
         return self.closed_after(conn)
 
--- a/tests/gatewayprocess.py
+++ b/tests/gatewayprocess.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -21,6 +22,7 @@
     "FILE_DESCRIPTORS",
     "GatewayProcess",
     "Limits",
+    "callers_ports",
     "most_memory_mb",
     "open_files",
     "request",
@@ -33,6 +35,8 @@
 _PAUSE_S = 0.2
 # The log, which its reader holds and not the process, is its stdout and stderr.
 _LOG_HANDLES = 2
+# Of an open connection, as the kernel lists it.
+_ESTABLISHED = "01"
 # Of a process's descriptors these are kept for files.
 FILE_DESCRIPTORS = 200
 
@@ -255,6 +259,20 @@
     return sockets, size
 
 
+def callers_ports(listener: tuple[str, int]) -> set[int]:
+    """Returns the ports of those with an open connection to a listener."""
+    host, port = listener
+    (address,) = struct.unpack("=I", socket.inet_aton(host))
+    name = f"{address:08X}:{port:04X}"
+    rows = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+    ends = [row.split()[1:4] for row in rows]
+    return {
+        int(there.partition(":")[2], 16)
+        for here, there, state in ends
+        if state == _ESTABLISHED and here == name
+    }
+
+
 def status_of(conn: socket.socket) -> int:
     """Returns the status of the next answer, 0 if there is none."""
     data = b""
