Connections: a gone peer is noticed as soon where the process was late

The user time-out is set when a check finds bytes in flight; a check that comes after the third retransmission sets it too late, and the kernel looks again at 3 s, then at 6 s. Found by reading what could make GoneCallerTest take 3.5 s, which was seen twice and not traced. Ruled out: the time since the last acknowledgement as the measure, since the retransmissions of a peer that hears nothing renew it.

Change: three retransmissions without an answer, in two checks in a row, close the connection, whether or not its window was closed before. The kernel makes the third 1.4 s after the first sending, so who is alive has no less time than the user time-out leaves it.

--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -21,6 +21,9 @@
 # normal. The answer to the second may be on its way.
 _SUSPICIOUS_PROBES = 2
 _FATAL_PROBES = 3
+# The kernel makes three within the time above. The answer to the last may be on
+# its way.
+_SUSPICIOUS_RETRANSMISSIONS = 3
 # The option that bounds the pause between two probes, since Linux 6.15.
 _TCP_RTO_MAX_MS = 44
 _PROBE_PAUSE_MS = 1000
@@ -41,9 +44,9 @@
 
     The kernel's user time-out ends a connection whose bytes nobody
     acknowledges. It counts the time of a closed window too, although the peer
-    answers each probe of it. So it is set while bytes are in flight only, and
-    a connection whose window has been closed is judged by its unanswered
-    probes and retransmissions.
+    answers each probe of it. So it is set while bytes are in flight only.
+    Where it is not set, or was set late because the process was, a connection
+    is judged by its unanswered probes and retransmissions.
     """
 
     def __init__(self, monitor: "PeerMonitor", transport):
@@ -90,7 +93,7 @@
         elif self._was_in_flight and not self._has_stalled:
             self._set_timeout(_SILENCE_MS)
         self._was_in_flight = bool(state.in_flight)
-        if self._has_stalled and self._is_peer_gone(state):
+        if self._is_peer_gone(state):
             self._close(state)
 
     def _keep_while_closed(self, now: float) -> None:
@@ -110,14 +113,17 @@
             self._set_timeout(closed_ms + _SILENCE_MS)
 
     def _is_peer_gone(self, state: SendState) -> bool:
-        if state.silent_s * 1000 < _SILENCE_MS:
-            self._is_suspicious = False
-            return False
-        if state.unanswered >= _FATAL_PROBES:
-            return True
+        if self._has_stalled:
+            if state.silent_s * 1000 < _SILENCE_MS:
+                self._is_suspicious = False
+                return False
+            if state.unanswered >= _FATAL_PROBES:
+                return True
         was_suspicious = self._is_suspicious
-        self._is_suspicious = (
-            state.is_window_closed and state.unanswered >= _SUSPICIOUS_PROBES
+        self._is_suspicious = state.unanswered >= (
+            _SUSPICIOUS_PROBES
+            if state.is_window_closed
+            else _SUSPICIOUS_RETRANSMISSIONS
         )
         return was_suspicious and self._is_suspicious
 
--- a/tests/entry/test_slow_peers.py
+++ b/tests/entry/test_slow_peers.py
@@ -28,6 +28,8 @@
 _SILENCE_S = 1.5
 # Two checks, and what a busy machine is late by.
 _LATE_S = 1.0
+# The process is suspended for this long, more than the silence.
+_SUSPENDED_S = 4.0
 # Between two probes of a window that has been closed for a while.
 _PROBE_PAUSE_S = 1.0
 
@@ -226,6 +228,22 @@
         drop_all(conn)
         self.assertLess(self.closed_after(conn), 2.0 + _LATE_S)
 
+    def test_silence_beside_a_suspension_closes_the_connection(self):
+        """Guards against a time-out that a late process sets too late."""
+        conn = self.connect(b"")
+        data = request("GET", "/read/x?size=2000", "suspended")
+        conn.sendall(data[:-1])
+        time.sleep(0.5)
+        drop_all(conn)
+        conn.send(data[-1:])
+        port = conn.getsockname()[1]
+        while port not in callers_ports(self.gateway.front, in_flight=True):
+            time.sleep(0.01)
+        self.gateway.process.send_signal(signal.SIGSTOP)
+        time.sleep(_SUSPENDED_S)
+        self.gateway.process.send_signal(signal.SIGCONT)
+        self.assertLess(self.closed_after(conn), _LATE_S)
+
 
 class SlowEndpointTest(_SlowPeerTest):
     """Endpoints that do not read a body."""
--- a/tests/gatewayprocess.py
+++ b/tests/gatewayprocess.py
@@ -259,17 +259,24 @@
     return sockets, size
 
 
-def callers_ports(listener: tuple[str, int]) -> set[int]:
-    """Returns the ports of those with an open connection to a listener."""
+def callers_ports(
+    listener: tuple[str, int], in_flight: bool = False
+) -> set[int]:
+    """Returns the ports of those with an open connection to a listener.
+
+    Args:
+      in_flight: returns those only that have not acknowledged all bytes.
+    """
     host, port = listener
     (address,) = struct.unpack("=I", socket.inet_aton(host))
     name = f"{address:08X}:{port:04X}"
     rows = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
-    ends = [row.split()[1:4] for row in rows]
+    ends = [row.split()[1:5] for row in rows]
     return {
         int(there.partition(":")[2], 16)
-        for here, there, state in ends
+        for here, there, state, queues in ends
         if state == _ESTABLISHED and here == name
+        if not in_flight or int(queues.partition(":")[0], 16)
     }
 
 
