Tests: the wait for bytes in flight has a bound

Cause: by reading the diff once more: test_silence_beside_a_suspension_closes_ the_connection waited without end for a gateway that sends no answer.

The check stays.

--- a/tests/entry/test_slow_peers.py
+++ b/tests/entry/test_slow_peers.py
@@ -237,7 +237,9 @@
         drop_all(conn)
         conn.send(data[-1:])
         port = conn.getsockname()[1]
+        limit = time.monotonic() + _TIMEOUT_S
         while port not in callers_ports(self.gateway.front, in_flight=True):
+            self.assertLess(time.monotonic(), limit)
             time.sleep(0.01)
         self.gateway.process.send_signal(signal.SIGSTOP)
         time.sleep(_SUSPENDED_S)
