Log: the line of a whole answer names its endpoint and what was left open

Cause: a stream without a length is whole when its connection closes. Change: 2003 REQUEST_DONE has the endpoint and how many other connections to it were open when the answer ended. No decision changes. Before/after: test_line_of_a_whole_answer_tells_who_ended_it failed before (the field was missing), passes.

--- a/magnolialug/entry/gatewaycall.py
+++ b/magnolialug/entry/gatewaycall.py
@@ -15,7 +15,7 @@
 from magnolialug.entry.httpattempt import HttpAttempt
 from magnolialug.entry.httpattemptrunner import HttpAttemptRunner
 from magnolialug.entry.placer import Placer
-from magnolialug.entry.progress import Served
+from magnolialug.entry.progress import AnswerEnd, Served
 from magnolialug.entry.retryloop import RetryLoop, ServingContext
 from magnolialug.eventgaps.answer import AnswerGaps
 from magnolialug.events import Event, explain
@@ -196,7 +196,7 @@
             first_s=round(served.ttft_s, 3),
             in_time=served.ttft_s <= self._call.route.target_s,
             took_s=round(took_s, 3),
-            framing=served.framing.value if served.framing else "",
+            **_end_fields(served.end),
             **self._gaps.count_whole(served.ttft_s),
         )
 
@@ -215,3 +215,14 @@
             **explain(failure),
         )
         self._log.failed()
+
+
+def _end_fields(end: AnswerEnd | None) -> dict[str, object]:
+    """Returns what the log tells of the end of a complete answer."""
+    if end is None:
+        return {"framing": ""}
+    return {
+        "framing": end.framing.value if end.framing else "",
+        "endpoint": end.endpoint,
+        "connections": end.connections,
+    }
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -28,7 +28,7 @@
 from magnolialug.entry.peer import Peer
 from magnolialug.entry.placer import Placed, Placer
 from magnolialug.entry.proberesults import ProbeResults
-from magnolialug.entry.progress import Ended, Progress, Served
+from magnolialug.entry.progress import AnswerEnd, Ended, Progress, Served
 from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId, EngineBuild, SoftwareVersion
 from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
@@ -110,7 +110,7 @@
         self._searches = 0
         self._waited_s = 0.0
         self._lead = NO_LEAD
-        self._framing: Framing | None = None
+        self._answer_end: AnswerEnd | None = None
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
@@ -425,7 +425,7 @@
         self._record_outcome(peer, dispatch, outcome)
         self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
-            self._framing = outcome.framing
+            self._answer_end = _answer_end(dispatch.endpoint, peer, outcome)
             return
         if outcome.ended.ending is Ending.UNSENT:
             self._record_unsent(attempt)
@@ -487,7 +487,7 @@
         self._sink.complete()
         first_at = progress.first_at or self._clock()
         ttft_s = first_at - self._call.arrived
-        return Served(None, progress.seq, ttft_s, self._framing)
+        return Served(None, progress.seq, ttft_s, self._answer_end)
 
     def _record_outcome(
         self, peer: Peer, dispatch: Dispatch, outcome: Outcome
@@ -546,6 +546,15 @@
         return peer.build(prompt.model) if prompt else EngineBuild("")
 
 
+def _answer_end(
+    endpoint: EndpointId, peer: Peer, outcome: Outcome
+) -> AnswerEnd:
+    # The connection that ended the answer by its close is still counted.
+    closed = outcome.framing is Framing.CLOSE
+    left = peer.pool.connection_count - closed
+    return AnswerEnd(endpoint, outcome.framing, left)
+
+
 def _named_sources(
     prompt: Prompt | None, to: Dispatch
 ) -> list[tuple[str, int, str]]:
--- a/magnolialug/entry/progress.py
+++ b/magnolialug/entry/progress.py
@@ -3,11 +3,12 @@
 import msgspec
 
 from magnolialug.carrier.reader import Framing
+from magnolialug.ids import EndpointId
 from magnolialug.policy.retry import Ending
 from magnolialug.result import Failure
 from magnolialug.wire.messages import Done
 
-__all__ = ["Ended", "Progress", "Served"]
+__all__ = ["AnswerEnd", "Ended", "Progress", "Served"]
 
 
 class Progress(msgspec.Struct):
@@ -39,16 +40,28 @@
     sent: int = 1
 
 
+class AnswerEnd(msgspec.Struct, frozen=True):
+    """How a complete answer of an endpoint has ended.
+
+    Attributes:
+      framing: what told its end.
+      connections: how many connections to the endpoint were left.
+    """
+
+    endpoint: EndpointId
+    framing: Framing | None
+    connections: int
+
+
 class Served(msgspec.Struct, frozen=True):
     """The result of a complete answer.
 
     Attributes:
       done: the sidecar's final message, None if the answer has none.
-      framing: what told the end of an endpoint's answer; None for an answer
-        of a sidecar.
+      end: how the endpoint's answer has ended; None for an answer of a sidecar.
     """
 
     done: Done | None
     pieces: int
     ttft_s: float
-    framing: Framing | None = None
+    end: AnswerEnd | None = None
--- a/tests/entry/test_failure_lines.py
+++ b/tests/entry/test_failure_lines.py
@@ -63,6 +63,25 @@
                 [(r["framing"], r["in_event"]) for r in cut],
             )
 
+    def test_line_of_a_whole_answer_tells_who_ended_it(self):
+        """Guards against the end of a process that reads like a sound one.
+
+        A stream without a length is whole when its connection closes, and
+        nothing told whether its endpoint had closed the others too.
+        """
+        lines = collect_lines(self)
+        cluster = GatewayCluster(desks=0, engines=1)
+        (engine,) = cluster.engines.values()
+        for framing, left in ((Framing.CHUNKS, 1), (Framing.CLOSE, 0)):
+            engine.framing = framing
+            cluster.ask("/draft/x")
+            rows = [msgspec.json.decode(str(line)) for line in lines]
+            lines.clear()
+            (done,) = [r for r in rows if r.get("name") == "REQUEST_DONE"]
+            self.assertEqual(
+                (engine.instance, left), (done["endpoint"], done["connections"])
+            )
+
 
 class SoftwareLineTest(TestCase):
     """The log tells which software version a stream goes to."""
