--- a/magnolialug/cmd/soak.py
+++ b/magnolialug/cmd/soak.py
@@ -30,6 +30,13 @@
             Flag("minutes", "float", 0.25, "how long new faults begin"),
             Flag("machines", "int", 3, "gateways"),
             Flag("clients", "int", 12, "callers, one connection each"),
+            Flag(
+                "endpoint_processes",
+                "int",
+                0,
+                "endpoints as processes of their own, which signals end; 0 for"
+                " stand-ins within the soak",
+            ),
             Flag("only", "str", "", "kinds of fault, separated by commas"),
             Flag("program", "str", "", "command to run in a gateway's place"),
             Flag("out", "str", "", "folder for logs and settings"),
@@ -74,6 +81,7 @@
     from twisted.internet import reactor
 
     from magnolialug.soak.run import Plan, Soak
+    from magnolialug.soak.site import SiteSoak
 
     reports = []
 
@@ -91,7 +99,10 @@
         folder=folder,
         only=_kinds(flags.only),
     )
-    soak = Soak(reactor, plan, done)
+    if flags.endpoint_processes:
+        soak = SiteSoak(reactor, plan, flags.endpoint_processes, done)
+    else:
+        soak = Soak(reactor, plan, done)
     reactor.callWhenRunning(soak.start)
     try:
         reactor.run()
--- a/magnolialug/soak/world.py
+++ b/magnolialug/soak/world.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-import msgspec
-from twisted.internet.defer import ensureDeferred
 from twisted.web.server import Site
 
 from magnolialug.platform.kv import KvEntry
 from magnolialug.soak.block import Block
+from magnolialug.soak.engine import Engine
 from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.idlelimits import IdleLimits
+from magnolialug.soak.kvwriter import write_past_faults
 from magnolialug.soak.leaving import LeavingChecks
 from magnolialug.soak.limits import LimitChecks
 from magnolialug.soak.machine import CONTACT_S
@@ -22,7 +22,6 @@
 from magnolialug.standin.endpoint import EndpointStandin, Received
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
-from magnolialug.standin.modelserver import ModelServerStandin
 from magnolialug.standin.operatorconfig import cache_store
 from magnolialug.standin.partstore import PartStoreStandin
 
@@ -46,21 +45,6 @@
 _FAULTY_S = 8.0
 
 
-class Engine(ModelServerStandin):
-    """A model engine whose words name the request they belong to.
-
-    Attributes:
-      software: the version of its software.
-    """
-
-    software = "v1"
-
-    def text(self, req: Received, number: int) -> bytes:
-        """Returns an event's data."""
-        words = (req.request_id, self.instance, str(number), self.software)
-        return "/".join(words).encode()
-
-
 class World:
     """Stand-ins of the store, endpoints and a store of cache parts.
 
@@ -255,12 +239,7 @@
 
     def write(self, key: str, value: dict | bytes) -> None:
         """Writes a key past all faults, as its owner does."""
-        found = self.kv._rows.get(key)
-        revision = found.revision if found else 0
-        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
-        faults, self.kv.faults = self.kv.faults, type(self.kv.faults)()
-        ensureDeferred(self.kv.put_if(key, data, revision))
-        self.kv.faults = faults
+        write_past_faults(self.kv, key, value)
 
     def stored(self, prefix: str) -> list[KvEntry]:
         """Returns what keys with a prefix hold, past all faults."""
