Attempts: an end by the close of the connection is checked at its endpoint

Change: such an end counts only if the endpoint still listens. The kernel closes the listener of a process however it ends, so one connection that stays open for 50 ms tells; it serves the next request in place of the one that has closed. Where this process stood still, or did not read for a while, another start may listen by now, and nothing proves the end. Otherwise the answer counts as lost: it goes on at another endpoint where it may, and ends cut where it may not. Health and quarantine see a lost connection as well. test_connections_with_unexpected_data_are_not_reused counted connections; it now compares the connections that served the two requests, since the second is there before its request. The tests' network reads an orderly close behind what a paused reader has not read, as a kernel does. An endpoint that lives and ends a stream between two events is not told apart by this.

--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from magnolialug.carrier.connection import AcceptsHead, Connection
+from magnolialug.carrier.listeningcheck import ListeningCheck
 from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
 
@@ -138,6 +139,7 @@
         self._all: set[Connection] = set()
         self._connecting = 0
         self._closed = False
+        self._listening = ListeningCheck(self, reactor.callLater)
 
     @property
     def connection_count(self) -> int:
@@ -149,6 +151,11 @@
         """Whether a connection is idle or a further one may be made."""
         return bool(self._idle) or self.connection_count < self.limit
 
+    @property
+    def has_open_connection(self) -> bool:
+        """Whether a connection is open."""
+        return bool(self._all)
+
     def send(
         self,
         request: bytes,
@@ -194,6 +201,17 @@
             conn.close()
         self._idle.clear()
 
+    def check_listening(self, done: Callable[[bool], None]) -> None:
+        """Calls `done` with whether the endpoint still listens."""
+        self._listening.ask(done)
+
+    def keep(self, conn: Connection) -> None:
+        """Takes an unused connection for the next request."""
+        if self.connection_count > self.limit:
+            conn.close()
+        else:
+            self._add_idle(conn)
+
     def probe(self, done: Callable[[bool], None]) -> None:
         """Determines whether the endpoint has ended.
 
@@ -217,7 +235,6 @@
             done(False)
 
         def closed(conn: Connection) -> None:
-            self._remove(conn)
             if timers[0].active():
                 timers[0].cancel()
                 done(not self._all)
@@ -225,7 +242,7 @@
         def failed(refused: bool) -> None:
             done(refused and not self._all)
 
-        self._open_connection(opened, failed, closed)
+        self.open_connection(opened, failed, closed)
 
     def _connect(self, pending: PendingRequest) -> None:
         def opened(conn: Connection) -> None:
@@ -237,13 +254,14 @@
         def failed(refused: bool) -> None:
             pending.on_end(End.UNSENT)
 
-        self._open_connection(opened, failed, self._remove)
+        self.open_connection(opened, failed, lambda conn: None)
 
-    def _open_connection(
+    def open_connection(
         self,
         on_open: Callable[[Connection], None],
         on_failed: Callable[[bool], None],
         on_closed: Callable[[Connection], None],
+        timeout_s: float = CONNECT_S,
     ) -> None:
         """Makes a connection.
 
@@ -264,12 +282,16 @@
             self._connecting -= 1
             on_failed(refused)
 
+        def closed(conn: Connection) -> None:
+            self._remove(conn)
+            on_closed(conn)
+
         conn = Connection(
-            self._clock, opened, self._add_idle, on_closed, self._monitor
+            self._clock, opened, self._add_idle, closed, self._monitor
         )
         factory = _Factory(lambda _: conn, failed)
         host, port = self.address
-        self._reactor.connectTCP(host, port, factory, timeout=CONNECT_S)
+        self._reactor.connectTCP(host, port, factory, timeout=timeout_s)
 
     def _add_idle(self, conn: Connection) -> None:
         if self._closed:
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -55,6 +55,9 @@
 # A stream that has begun is late after a shorter pause, so little is lost by
 # waiting for an engine that goes on after a second. Callers leave after two.
 _STREAM_SILENT_S = 1.0
+# Shorter than an endpoint takes to start again. What is read after a longer
+# pause may come from an endpoint that has ended since.
+_STALE_S = 0.25
 # Bound of an answer that is buffered while another endpoint can replace it.
 _MAX_BUFFERED_BYTES = 64 * 1024
 # Longest time for the body of a refusal or failure, which has a few bytes. The
@@ -182,6 +185,8 @@
         self._is_source = False
         self._is_paused = False
         self._read_since = now
+        self._swept_at = now
+        self._stale_until = now
         self._event_forwarded = False
         self.done: Deferred[Outcome] = Deferred(self._cancelled)
         self.peer = peer
@@ -207,6 +212,7 @@
         self._splitter: EventSplitter | None = None
         self._pending_request: PendingRequest | None = None
         self._drop_end = End.COMPLETE
+        self._is_end_checked = False
         self._given_up: GivenUp | None = None
 
     def start(self, clock) -> None:
@@ -241,7 +247,8 @@
     def resume(self) -> None:
         """Resumes reading the answer."""
         self._is_paused = False
-        self._read_since = self._clock()
+        self._read_since = now = self._clock()
+        self._stale_until = now + _STALE_S
         self._pending_request.resume()
 
     def waits_since(self, now: float) -> float:
@@ -254,8 +261,13 @@
         Its endpoint's silence does not end it: the endpoint may go on. Whoever
         `on_overdue` tells of it may try another one beside it.
         """
+        if self._stood_still(now):
+            self._stale_until = now + _STALE_S
+        self._swept_at = now
         if now >= self._call.deadline:
             self._give_up(GivenUp.DEADLINE)
+        elif self._is_end_checked:
+            return
         elif self._is_orphaned():
             self._give_up(GivenUp.RESTARTED)
         elif self._is_failure_late(now):
@@ -267,9 +279,11 @@
         """Ends the attempt because another one's answer is forwarded."""
         if self._is_overdue(self._clock()):
             self._give_up(GivenUp.SUPERSEDED)
-        else:
-            self._given_up = GivenUp.SUPERSEDED
-            self._pending_request.drop()
+            return
+        self._given_up = GivenUp.SUPERSEDED
+        self._pending_request.drop()
+        if self._is_end_checked:
+            self._finish(End.DROPPED)
 
     def cancel(self) -> None:
         """Ends the attempt because its call has ended."""
@@ -292,6 +306,8 @@
     def _give_up(self, reason: GivenUp) -> None:
         self._given_up = reason
         self._pending_request.time_out()
+        if self._is_end_checked:
+            self._finish(End.SILENT)
 
     @property
     def _can_be_superseded(self) -> bool:
@@ -495,6 +511,40 @@
             # Whatever told its end, a stream that ends inside an event has
             # been broken off.
             end = End.CLOSED
+        if end is not End.COMPLETE or not self._is_unproven:
+            self._finish(end)
+        elif self._is_stale(self._clock()):
+            # Another start may listen there by now.
+            self._finish(End.CLOSED)
+        else:
+            self._is_end_checked = True
+            self.peer.pool.check_listening(self._on_end_checked)
+
+    def _stood_still(self, now: float) -> bool:
+        """Whether this process has not run for a while."""
+        return now - self._swept_at > _STALE_S
+
+    def _is_stale(self, now: float) -> bool:
+        """Whether what is read now may have arrived long ago."""
+        return now < self._stale_until or self._stood_still(now)
+
+    @property
+    def _is_unproven(self) -> bool:
+        """Whether the end may be that of the endpoint's process.
+
+        The kernel closes the connections of a killed process as if their
+        answers were whole, unless something on them is unread.
+        """
+        is_closed = self._framing is Framing.CLOSE
+        return is_closed and self._stage is not _Stage.REFUSED
+
+    def _on_end_checked(self, listens: bool) -> None:
+        if self._is_end_checked:
+            self._finish(End.COMPLETE if listens else End.CLOSED)
+
+    def _finish(self, end: End) -> None:
+        """Reports how the attempt has ended, once."""
+        self._is_end_checked = False
         done, self.done = self.done, None
         if done is not None and end is End.COMPLETE:
             self._forward_rest()
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -6,7 +6,7 @@
 
 from magnolialug.carrier.reader import Framing
 from magnolialug.standin.endpoint import Fault
-from magnolialug.standin.modelserver import BreakOff
+from magnolialug.standin.modelserver import BreakOff, ModelServerStandin
 from tests.gatewaycluster import GatewayCluster
 
 STREAM_FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE)
@@ -149,6 +149,125 @@
         self.assertEqual(0, cluster.ran(callers[-1].request_id))
 
 
+def kill(cluster, endpoint):
+    """Ends an endpoint as a kernel does where nothing is unread: in order."""
+    cluster.net.servers.pop(endpoint.address, None)
+    for conn in list(endpoint.open):
+        conn.transport.loseConnection()
+
+
+class KilledEndpointTest(TestCase):
+    """Endpoints whose process ends while it sends, between two events."""
+
+    def ask_dying_engines(self, path, dying):
+        """Returns the cluster, and the caller of engines that die.
+
+        Args:
+          dying: how many engines end, the first behind one event, the second
+            behind three.
+        """
+        cluster = GatewayCluster(desks=0, engines=2)
+        armed = []
+
+        def arm(engine, req):
+            if req.target == path and len(armed) < dying:
+                armed.append(engine)
+                engine.stop_after = [2 * len(armed) - 1]
+
+        for engine in cluster.engines.values():
+            engine.framing = Framing.CLOSE
+            engine.break_off = BreakOff.CLOSE
+            engine.on_break_off = partial(kill, cluster, engine)
+            engine.on_arrival = partial(arm, engine)
+        return cluster, cluster.ask(path, seconds=2)
+
+    def test_stream_of_a_killed_engine_is_not_passed_on_as_whole(self):
+        """Guards against the FIN of a killed process that ends a stream."""
+        cluster, caller = self.ask_dying_engines("/draft/x", dying=1)
+        self.assertIn(b"id: 1\n", caller.last.body)
+        self.assertNotIn(b"id: 2\n", caller.last.body)
+        self.assertFalse(caller.last.whole)
+        self.assertTrue(caller.closed)
+        self.assertEqual(1, cluster.ran(caller.request_id))
+
+    def test_stream_of_a_killed_engine_is_resumed(self):
+        """Guards against a short stream that another engine could complete."""
+        _, caller = self.ask_dying_engines("/check/x", dying=1)
+        self.assertTrue(caller.last.whole)
+        self.assertTrue(caller.last.body.endswith(b"id: 4\ndata: word4\n\n"))
+        self.assertEqual(4, caller.last.body.count(b"id: "))
+
+    def test_stream_whose_engines_are_all_killed_is_cut(self):
+        """Guards against a resumed stream that a second kill ends as whole."""
+        _, caller = self.ask_dying_engines("/check/x", dying=2)
+        self.assertFalse(caller.last.whole)
+        self.assertTrue(caller.closed)
+
+    def begin_draft(self):
+        """Returns a caller that has one event, the cluster and its engine."""
+        cluster = GatewayCluster(desks=0, engines=1)
+        (engine,) = cluster.engines.values()
+        engine.framing = Framing.CLOSE
+        engine.gap_s = 0.1
+        caller = cluster.send("/draft/x")
+        cluster.pass_time(0.12)
+        self.assertEqual(1, caller.last.body.count(b"id: "))
+        return caller, cluster, engine
+
+    def replace(self, cluster, engine):
+        """Kills an engine; another one gets its address at once."""
+        kill(cluster, engine)
+        cluster.net.servers[engine.address] = ModelServerStandin(
+            cluster.net, "i-other"
+        )
+
+    def test_end_that_a_suspended_gateway_reads_late_is_not_whole(self):
+        """Guards against another start that listens when the FIN is read."""
+        caller, cluster, engine = self.begin_draft()
+        self.replace(cluster, engine)
+        cluster.net.advance(1.0)
+        cluster.pass_time(1.0)
+        self.assertFalse(caller.last.whole)
+        self.assertTrue(caller.closed)
+
+    def test_end_behind_a_pause_of_the_reader_is_not_whole(self):
+        """Guards against an old FIN that is read when the caller reads on."""
+        caller, cluster, engine = self.begin_draft()
+        (attempt,) = cluster.gateway._in_flight
+        attempt.pause()
+        self.replace(cluster, engine)
+        cluster.pass_time(1.0)
+        attempt.resume()
+        cluster.pass_time(1.0)
+        self.assertFalse(caller.last.whole)
+        self.assertTrue(caller.closed)
+
+    def test_plain_answer_of_a_killed_endpoint_is_asked_for_again(self):
+        """Guards against half a body that reaches its caller as whole."""
+        for path, status in (("/read/x", 200), ("/book/x", 502)):
+            cluster = GatewayCluster(desks=2, engines=0)
+            for desk in cluster.desks.values():
+                desk.answer = partial(self._send_half_once, cluster, desk)
+            caller = cluster.ask(path, seconds=2)
+            self.assertEqual(status, caller.last.status, path)
+            if status == 200:
+                self.assertEqual(b"served", caller.last.body)
+
+    def _send_half_once(self, cluster, desk, conn, req):
+        """Sends half an answer, and ends; the other endpoint sends it all."""
+        others = [d for d in cluster.desks.values() if d is not desk]
+        if any(d.address not in cluster.net.servers for d in others):
+            type(desk).answer(desk, conn, req)
+            return
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {req.request_id}",
+            "X-Response-Stamp: stamp",
+        )
+        conn.send("\r\n".join(lines).encode() + b"\r\n\r\nser")
+        kill(cluster, desk)
+
+
 class CallerWithoutChunksTest(TestCase):
     """Callers of HTTP/1.0, for whom the close is the end of an answer."""
 
--- a/tests/entry/test_gateway_attempts.py
+++ b/tests/entry/test_gateway_attempts.py
@@ -19,6 +19,19 @@
     return cluster, desk
 
 
+def serving_connections(desk):
+    """Returns a dict that takes each request's connection by its id."""
+    served_by = {}
+    answer = desk.answer
+
+    def record(conn, req):
+        served_by[req.request_id] = conn
+        answer(conn, req)
+
+    desk.answer = record
+    return served_by
+
+
 class FaultTableTest(TestCase):
     """Every fault of a plain endpoint, for both types of route."""
 
@@ -89,12 +102,16 @@
         ):
             cluster, desk = one_desk(fault)
             desk.body_of = lambda req: req.request_id.encode()
-            cluster.ask("/book/x")
-            before = desk.connections
+            served_by = serving_connections(desk)
+            first = cluster.ask("/book/x")
             second = cluster.ask("/book/x")
             self.assertEqual(200, second.last.status, fault)
             self.assertEqual(second.request_id.encode(), second.last.body)
-            self.assertGreater(desk.connections, before, fault)
+            self.assertIsNot(
+                served_by[first.request_id],
+                served_by[second.request_id],
+                fault,
+            )
 
     def test_late_extra_answer_is_skipped(self):
         """Guards against a caller that gets the answer to an earlier request.
--- a/tests/network.py
+++ b/tests/network.py
@@ -56,6 +56,7 @@
         self.handle = Handle()
         self.sent = b""
         self._waiting = b""
+        self._unread_end = None
 
     def write(self, data):
         """Sends bytes."""
@@ -106,8 +107,10 @@
             self.net.callLater(self.latency_s, self.peer.end, ConnectionLost())
 
     def end(self, reason):
-        """Is closed."""
-        if not self.closed:
+        """Is closed; an orderly close is read behind what is held back."""
+        if self.paused and not self.disconnecting and _is_orderly(reason):
+            self._unread_end = reason
+        elif not self.closed:
             self.closed = True
             self.protocol.connectionLost(Failure(reason))
 
@@ -121,6 +124,9 @@
         data, self._waiting = self._waiting, b""
         if data:
             self.arrive(data)
+        reason, self._unread_end = self._unread_end, None
+        if reason is not None:
+            self.end(reason)
 
     def stopProducing(self):
         """Closes in order."""
@@ -156,6 +162,10 @@
     getHost = getPeer
 
 
+def _is_orderly(reason):
+    return isinstance(reason, ConnectionDone)
+
+
 class SlowLink:
     """Bounds what arrives from a server, over all connections to it.
 
