Attempts: a stream that closes behind its head is not whole

Change: each run of a stream makes at least one event, so an end by the close before it is a lost connection. A resumed stream may have nothing left and is not concerned. A plain answer with neither and an empty body stays whole, as HTTP/1.1 has it.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -213,6 +213,7 @@
         self._pending_request: PendingRequest | None = None
         self._drop_end = End.COMPLETE
         self._is_end_checked = False
+        self._event_count = 0
         self._given_up: GivenUp | None = None
 
     def start(self, clock) -> None:
@@ -433,6 +434,7 @@
             self.begun = True
             self._first_data_at = self.last_contact_at
         events = self._boundary.feed(data) if self._boundary else 0
+        self._event_count += events
         if self._stage is _Stage.FORWARDING:
             self._deliver(data)
             if events and not self._is_paused:
@@ -513,8 +515,9 @@
             end = End.CLOSED
         if end is not End.COMPLETE or not self._is_unproven:
             self._finish(end)
-        elif self._is_stale(self._clock()):
-            # Another start may listen there by now.
+        elif self._has_no_event or self._is_stale(self._clock()):
+            # A run begins with an event; what has been read late may come from
+            # an endpoint in whose place another one listens.
             self._finish(End.CLOSED)
         else:
             self._is_end_checked = True
@@ -538,6 +541,14 @@
         is_closed = self._framing is Framing.CLOSE
         return is_closed and self._stage is not _Stage.REFUSED
 
+    @property
+    def _has_no_event(self) -> bool:
+        """Whether a stream has ended before the first event of its run."""
+        is_new_run = (
+            self._boundary is not None and not self.dispatch.resume_after
+        )
+        return is_new_run and not self._event_count
+
     def _on_end_checked(self, listens: bool) -> None:
         if self._is_end_checked:
             self._finish(End.COMPLETE if listens else End.CLOSED)
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -86,6 +86,35 @@
                     self.assertNotIn("x-response-stamp", caller.last.headers)
                     self.assertIn(b"outcome_unknown", caller.last.body, case)
 
+    def test_stream_that_closes_behind_its_head_is_not_whole(self):
+        """Guards against a head that a living engine leaves without a body.
+
+        It has neither a length nor chunks, so its close is taken for the end.
+        """
+        for path, stops, status in (
+            ("/draft/x", 1, 502),
+            ("/check/x", 1, 200),
+            ("/check/x", 5, 502),
+        ):
+            cluster = cluster_with_broken_engines(
+                Framing.CLOSE, BreakOff.CLOSE, stops=0, in_event=False
+            )
+            left = [0] * stops
+
+            def arm(engine, req, left=left):
+                engine.stop_after = [left.pop()] if left else []
+
+            for engine in cluster.engines.values():
+                engine.on_arrival = partial(arm, engine)
+            caller = cluster.ask(path, seconds=2)
+            case = (path, stops)
+            self.assertEqual(status, caller.last.status, case)
+            self.assertTrue(caller.last.whole, case)
+            if status == 200:
+                self.assertEqual(4, caller.last.body.count(b"id: "), case)
+            else:
+                self.assertNotIn("x-response-stamp", caller.last.headers)
+
     def test_stream_without_a_content_type_is_checked_too(self):
         """Guards against a check that a missing or mixed-case type avoids."""
         for content_type in ("", "Text/Event-Stream; charset=utf-8"):
