Attempts: another endpoint is asked what follows an end that proves nothing

Cause: a living engine that closes between two events of a stream, with neither a length nor chunks, got its caller a short stream framed as whole (ORDER). Nothing on its connection or at its listener tells that from a sound end. Change: where the stream may be resumed, another endpoint is asked to go on behind the last event (entry/endconfirmation.py). What it adds goes on to the caller; nothing more confirms the end. What nobody can be asked about is whole, as HTTP/1.1 says, unless an end of the same stream has proved false: then it is cut, and its caller can take it up. Half of the retry budget is kept for requests without an answer, and a call reaches no more endpoints than its route allows. 2016 END_UNPROVEN and the counter ends_unproven tell of each such end. Before/after: of the nine tests of LivingEngineTest test_stream_that_closes_early_goes_on_at_another_engine and the two on second ends failed before, pass now. A route that may not be resumed has no such witness.

--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -46,6 +46,7 @@
         self.limited = meter.create_counter("requests_limited")
         self.streams_taken_up = meter.create_counter("streams_taken_up")
         self.retries = meter.create_counter("retries")
+        self.ends_unproven = meter.create_counter("ends_unproven")
         self.attempts = meter.create_counter("attempts")
         self.kv_calls = meter.create_counter("kv_calls")
         self.kv_bytes = meter.create_counter("kv_bytes", "By")
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -1,5 +1,6 @@
 """Makes a call's attempts directly at endpoints over HTTP."""
 
+from collections.abc import Callable
 from functools import partial
 from itertools import islice
 
@@ -16,6 +17,7 @@
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.candidateprober import CandidateProber
 from magnolialug.entry.dispatch import Dispatch
+from magnolialug.entry.endconfirmation import EndConfirmation, EndProof
 from magnolialug.entry.forwardcall import ForwardCall
 from magnolialug.entry.gatewaymetrics import GatewayMetrics
 from magnolialug.entry.hedging import Hedging
@@ -55,6 +57,8 @@
 _LOGGED_PARTS = 256
 _LOGGED_CHARS = 64
 _HEDGE_SHORTLIST_SIZE = 4
+# Bounds the questions about one stream beyond its route's attempts.
+_MAX_ASKED = 2
 _SUCCESS = range(200, 300)
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
@@ -111,6 +115,13 @@
         self._waited_s = 0.0
         self._lead = NO_LEAD
         self._answer_end: AnswerEnd | None = None
+        self._is_served = False
+        self._confirmation = EndConfirmation(
+            self._unproven_source,
+            self._place_confirmation,
+            self._ask_for_rest,
+            self._record_end,
+        )
 
     async def attempt(self, progress: Progress) -> Served | Ended | Failure:
         """Places and makes one attempt."""
@@ -121,8 +132,20 @@
             )
             return self._withheld_answer() or placed
         self._log_placed(placed)
+        sent_before = self._sent_count
         ended = await self._run(placed, progress)
-        return ended or self._served(progress)
+        if ended is not None:
+            return ended
+        ended = await self._confirmation.confirm(progress)
+        if ended is None:
+            return self._served(progress)
+        sent = self._sent_count - sent_before
+        return msgspec.structs.replace(ended, sent=sent)
+
+    @property
+    def _sent_count(self) -> int:
+        """The number of attempts that endpoints may have received."""
+        return len(self._attempts) - self._unsent
 
     async def _place(self, progress: Progress) -> Placed | Failure:
         """Returns a placement, or the reason why there is none."""
@@ -318,10 +341,10 @@
         hedging = Hedging(
             race,
             partial(self._place_hedge, progress),
-            lambda hedge: self._send(hedge, progress, race, hedging),
+            lambda hedge: self._send(hedge, progress, race, hedging.on_overdue),
             self._clock,
         )
-        self._send(placed, progress, race, hedging)
+        self._send(placed, progress, race, hedging.on_overdue)
         try:
             return await race.done
         finally:
@@ -335,9 +358,28 @@
         Returns:
           None if it is not, for now.
         """
+        placed = await self._place_spare(progress, overdue.dispatch.endpoint)
+        if placed is None:
+            return None
+        self._log.emit(
+            Event.HEDGED,
+            endpoint=overdue.dispatch.endpoint,
+            silent_s=round(self._clock() - overdue.last_contact_at, 3),
+        )
+        self._log_placed(placed)
+        return placed
+
+    async def _place_spare(
+        self, progress: Progress, avoided: EndpointId
+    ) -> Placed | None:
+        """Returns where the request goes beside or behind a sound attempt.
+
+        Returns:
+          None if nowhere, for now.
+        """
         if not self._may_hedge():
             return None
-        self._avoid.add(overdue.dispatch.endpoint)
+        self._avoid.add(avoided)
         self._searches += 1
         count = _HEDGE_SHORTLIST_SIZE * 2**self._searches
         if not self._placer.has_sound(self._call, self._avoid, count):
@@ -346,21 +388,80 @@
         placed = self._placer.place_hedge(self._call, progress, results)
         if placed is None or not self._may_hedge():
             return None
+        self._count_retry()
+        return placed
+
+    def _unproven_source(self, progress: Progress) -> EndpointId | None:
+        """Returns the endpoint of a stream's end that only a close has told.
+
+        Returns:
+          None also if no other endpoint can go on with the stream.
+        """
+        end = self._answer_end
+        is_resumable = self._call.route.resumable and progress.seq > 0
+        if is_resumable and self._is_served and end.framing is Framing.CLOSE:
+            return end.endpoint
+        return None
+
+    async def _place_confirmation(
+        self, progress: Progress, source: EndpointId
+    ) -> Placed | None:
+        """Returns where to ask whether a stream goes on, None if nowhere.
+
+        Half of the retry budget is kept for requests that have no answer.
+        """
+        budget = self._budget
+        if budget.left(self._call.service) < budget.limit / 2:
+            return None
+        if self._may_hedge():
+            return await self._place_spare(progress, source)
+        return await self._place_again(progress, source)
+
+    async def _place_again(
+        self, progress: Progress, source: EndpointId
+    ) -> Placed | None:
+        """Returns an endpoint that the request was sent to before.
+
+        A call may reach no more endpoints than its route allows, so the one
+        whose end has proved false is asked about the other's.
+        """
+        tried = {row.dispatch.endpoint for row in self._attempts} - {source}
+        if not tried or self._sent_count > self._call.attempts + _MAX_ASKED:
+            return None
+        results = await self._prober.probe(self._call, self._avoid - tried)
+        rows = [row for row in results.candidates if row.endpoint in tried]
+        results = msgspec.structs.replace(results, candidates=rows)
+        placed = self._placer.place_hedge(self._call, progress, results)
+        if placed is not None:
+            self._count_retry()
+        return placed
+
+    def _count_retry(self) -> None:
         self._budget.withdraw(self._call.service)
         self._metrics.retries.add(1, {"service": self._call.service})
+
+    async def _ask_for_rest(
+        self, placed: Placed, progress: Progress
+    ) -> Ended | None:
+        """Makes an attempt that ends when it is overdue."""
+        self._log_placed(placed)
+        race = AttemptRace(self._on_attempt_end)
+        self._send(placed, progress, race, lambda attempt: attempt.supersede())
+        return await race.done
+
+    def _record_end(
+        self, endpoint: EndpointId, seq: int, proof: EndProof
+    ) -> None:
+        self._metrics.ends_unproven.add(1, {"result": proof.value})
         self._log.emit(
-            Event.HEDGED,
-            endpoint=overdue.dispatch.endpoint,
-            silent_s=round(self._clock() - overdue.last_contact_at, 3),
+            Event.END_UNPROVEN, endpoint=endpoint, after=seq, result=proof.value
         )
-        self._log_placed(placed)
-        return placed
 
     def _may_hedge(self) -> bool:
         """Whether the request may be sent to one more endpoint."""
         return (
             self._call.kind.idempotent
-            and len(self._attempts) - self._unsent < self._call.attempts
+            and self._sent_count < self._call.attempts
             and self._budget.left(self._call.service) >= 1.0
             and self._quarantine.refusal(self._call.identity) is None
         )
@@ -370,7 +471,7 @@
         placed: Placed,
         progress: Progress,
         race: AttemptRace,
-        hedging: Hedging,
+        on_overdue: Callable[[HttpAttempt], None],
     ) -> None:
         peer, dispatch = placed.peer, placed.dispatch
         now = self._clock()
@@ -383,7 +484,7 @@
             now,
             now + placed.answer_timeout_s,
             AttemptCallbacks(
-                hedging.on_overdue,
+                on_overdue,
                 race.win,
                 lambda: self._count_pace_sample(
                     self._placer.record_first_event(self._call, peer)
@@ -426,6 +527,7 @@
         self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
             self._answer_end = _answer_end(dispatch.endpoint, peer, outcome)
+            self._is_served = outcome.answer.status in _SUCCESS
             return
         if outcome.ended.ending is Ending.UNSENT:
             self._record_unsent(attempt)
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -64,6 +64,7 @@
     STREAM_TAKEN_UP = 2013
     HEDGED = 2014
     RESPONSE_REFUSED = 2015
+    END_UNPROVEN = 2016
     CLAIM_MADE = 2100
     CLAIM_FOLLOWED = 2101
     CLAIM_MOVED = 2102
@@ -167,6 +168,7 @@
     Event.STREAM_TAKEN_UP: "A caller takes a stream up; what began it.",
     Event.HEDGED: "A request also goes to another endpoint; its own is silent.",
     Event.RESPONSE_REFUSED: "Bytes are no response, or have no end; why.",
+    Event.END_UNPROVEN: "A stream ended by a close only; whether it is whole.",
     Event.CLAIM_MADE: "A non-idempotent request was claimed in the KV.",
     Event.CLAIM_FOLLOWED: "A duplicate follows an existing claim.",
     Event.CLAIM_MOVED: "A claim moved after its attempt was sealed unrun.",
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -178,6 +178,125 @@
         self.assertEqual(0, cluster.ran(callers[-1].request_id))
 
 
+class LivingEngineTest(TestCase):
+    """Engines that close between two events of a stream, and live on."""
+
+    def ask(self, stops, engines=2, framing=Framing.CLOSE, path="/check/x"):
+        """Returns the cluster and the caller of a stream.
+
+        Args:
+          stops: behind which event each run, in turn, closes.
+        """
+        cluster = GatewayCluster(desks=0, engines=engines)
+        self.left = list(stops)
+
+        def arm(engine, req):
+            if req.target == path:
+                engine.stop_after = [self.left.pop(0)] if self.left else []
+
+        for engine in cluster.engines.values():
+            engine.framing = framing
+            engine.break_off = BreakOff.CLOSE
+            engine.on_arrival = partial(arm, engine)
+        return cluster, cluster.ask(path, seconds=2)
+
+    def test_stream_that_closes_early_goes_on_at_another_engine(self):
+        """Guards against a short stream that a living engine ends."""
+        cluster, caller = self.ask(stops=[2])
+        self.assertTrue(caller.last.whole)
+        self.assertEqual(4, caller.last.body.count(b"id: "))
+        runs = [e.ran[caller.request_id] for e in cluster.engines.values()]
+        self.assertEqual([1, 2], sorted(runs))
+
+    def test_whole_stream_is_confirmed_by_one_more_run(self):
+        """Guards against whole streams that are cut, or asked for twice."""
+        cluster, caller = self.ask(stops=[])
+        self.assertTrue(caller.last.whole)
+        self.assertEqual(4, caller.last.body.count(b"id: "))
+        self.assertEqual(2, cluster.ran(caller.request_id))
+        self.assertFalse(caller.closed)
+
+    def test_framed_stream_is_not_asked_for_again(self):
+        """Guards against second runs of streams that prove their end."""
+        for framing in (Framing.CHUNKS, Framing.LENGTH):
+            cluster, caller = self.ask(stops=[], framing=framing)
+            self.assertTrue(caller.last.whole)
+            self.assertEqual(1, cluster.ran(caller.request_id))
+
+    def test_stream_that_may_not_be_resumed_runs_once(self):
+        """Guards against a second run of a request that may run once."""
+        cluster, caller = self.ask(stops=[], path="/draft/x")
+        self.assertTrue(caller.last.whole)
+        self.assertEqual(1, cluster.ran(caller.request_id))
+
+    def test_whole_stream_of_the_only_engine_stays_whole(self):
+        """Guards against whole streams that are cut for want of a witness."""
+        _, caller = self.ask(stops=[], engines=1)
+        self.assertTrue(caller.last.whole)
+
+    def test_whole_stream_stays_whole_if_the_other_engine_fails(self):
+        """Guards against whole streams that a refused confirmation cuts."""
+        cluster = GatewayCluster(desks=0, engines=2)
+        for engine in cluster.engines.values():
+            engine.framing = Framing.CLOSE
+        first = cluster.ask("/check/w", seconds=2)
+        self.assertTrue(first.last.whole)
+        for fault in (Fault.ERROR, Fault.SHED, Fault.MUTE):
+            cluster = GatewayCluster(desks=0, engines=2)
+            seen = []
+
+            def arm(engine, req, seen=seen, fault=fault):
+                if req.target == "/check/x":
+                    seen.append(engine)
+                    engine.faults = [fault] if len(seen) > 1 else []
+
+            for engine in cluster.engines.values():
+                engine.framing = Framing.CLOSE
+                engine.on_arrival = partial(arm, engine)
+            caller = cluster.ask("/check/x", seconds=3)
+            self.assertEqual(2, len(seen), fault)
+            self.assertTrue(caller.last.whole, fault)
+            self.assertEqual(4, caller.last.body.count(b"id: "), fault)
+
+    def test_stream_that_closes_early_twice_goes_on(self):
+        """Guards against a false end that is believed the second time."""
+        _, caller = self.ask(stops=[1, 3])
+        self.assertTrue(caller.last.whole)
+        self.assertEqual(4, caller.last.body.count(b"id: "))
+
+    def test_stream_whose_false_end_nobody_confirms_is_cut(self):
+        """Guards against a second end that is believed after a false one."""
+        cluster = GatewayCluster(desks=0, engines=2)
+        runs = []
+
+        def arm(engine, req):
+            if req.target == "/check/x":
+                runs.append(engine)
+                engine.stop_after = [1] if len(runs) == 1 else []
+                engine.faults = [Fault.SHED] if len(runs) > 2 else []
+
+        for engine in cluster.engines.values():
+            engine.framing = Framing.CLOSE
+            engine.break_off = BreakOff.CLOSE
+            engine.on_arrival = partial(arm, engine)
+        caller = cluster.ask("/check/x", seconds=2)
+        self.assertEqual(4, caller.last.body.count(b"id: "))
+        self.assertFalse(caller.last.whole)
+        self.assertTrue(caller.closed)
+
+    def test_confirmations_leave_half_of_the_retry_budget(self):
+        """Guards against sound ends that use up what lost requests need."""
+        cluster, _ = self.ask(stops=[])
+        budget = cluster.gateway._budget
+        while budget.left("llm") >= budget.limit / 2:
+            budget.withdraw("llm")
+        before = budget.left("llm")
+        caller = cluster.ask("/check/x", seconds=2)
+        self.assertTrue(caller.last.whole)
+        self.assertEqual(1, cluster.ran(caller.request_id))
+        self.assertGreaterEqual(budget.left("llm"), before)
+
+
 def kill(cluster, endpoint):
     """Ends an endpoint as a kernel does where nothing is unread: in order."""
     cluster.net.servers.pop(endpoint.address, None)
