Streams: events in CRLF and CR are split like those in LF

EventSplitter looked for two LF; the standard also allows CRLF and CR, and EventBoundary beside it knows all three. Change: the splitter looks for a line end and a blank line in any of them, from the few bytes on that can have begun one. Line ends behind the last event are passed on at the end of the stream, so that no byte is missing. The stand-in and the processes of the soak send both; the history checker reads them.

--- a/magnolialug/entry/eventsplitter.py
+++ b/magnolialug/entry/eventsplitter.py
@@ -1,8 +1,13 @@
 """Splits a byte stream into complete server-sent events."""
 
+import re
+
 __all__ = ["EventSplitter"]
 
-_END = b"\n\n"
+# The last byte of an event, the end of its line and a blank line.
+_END = re.compile(rb"[^\r\n](?>\r\n|\r|\n){2}")
+# One byte less than the longest match.
+_MAX_BEGUN_END_BYTES = 4
 _ID = b"id:"
 # An event has a few dozen bytes. A longer one is not from an event stream, and
 # buffering it without a limit would exhaust the process's memory.
@@ -33,16 +38,24 @@
           ValueError: if an event exceeds the size limit, which means that
             the data is not an event stream.
         """
+        searched_from = max(0, len(self._buffer) - _MAX_BEGUN_END_BYTES)
         data = self._buffer + data
-        end = data.rfind(_END)
-        if end < 0:
-            self._buffer = data
-            if len(data) > _MAX_EVENT_BYTES:
-                raise ValueError("event exceeds the size limit")
-            return b""
-        self._buffer = data[end + len(_END) :]
-        whole = data[: end + len(_END)]
-        return b"".join(filter(self._is_new, _split(whole)))
+        end = 0
+        events = []
+        for found in _END.finditer(data, searched_from):
+            event = data[end : found.end()]
+            end = found.end()
+            if self._is_new(event):
+                events.append(event)
+        self._buffer = data[end:]
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            raise ValueError("event exceeds the size limit")
+        return b"".join(events)
+
+    def take_rest(self) -> bytes:
+        """Returns the line ends behind the last event, at the stream's end."""
+        rest, self._buffer = self._buffer, b""
+        return rest
 
     @property
     def has_partial_event(self) -> bool:
@@ -59,12 +72,8 @@
         return True
 
 
-def _split(events: bytes) -> list[bytes]:
-    return [event + _END for event in events.split(_END) if event]
-
-
 def _id_of(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         if line.startswith(_ID):
             value = line[len(_ID) :].strip()
             return int(value) if value.isdigit() else None
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -580,6 +580,8 @@
             self._forward_buffered()
         if self._stage is _Stage.FORWARDING and not self._has_claimed:
             self._claim()
+        if self._event_forwarded and (rest := self._splitter.take_rest()):
+            self._sink.data(rest)
 
     def _release_sink(self) -> None:
         if self._is_source:
--- a/magnolialug/soak/endpointhost.py
+++ b/magnolialug/soak/endpointhost.py
@@ -26,6 +26,7 @@
 
     Attributes:
       framing: what tells the end of its answers.
+      line_end: ends the lines of its streams.
       runs_path: the file that takes the id of each request that it runs.
       events: how many events a stream has.
       gap_s: the pause between events.
@@ -36,6 +37,7 @@
     host: str
     port: int
     framing: Framing
+    line_end: str
     runs_path: str
     born_ms: int
     events: int
@@ -111,6 +113,7 @@
         endpoint.events = spec.events
         endpoint.gap_s = spec.gap_s
         endpoint.version = spec.weights
+        endpoint.line_end = spec.line_end.encode()
     else:
         endpoint = _PlainEndpoint(reactor, spec.instance)
         endpoint.body_of = lambda req: (
--- a/magnolialug/soak/historychecker.py
+++ b/magnolialug/soak/historychecker.py
@@ -15,7 +15,10 @@
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _DENIALS = frozenset({400, 401, 403, 404, 413, 431})
 _NO_ROUTE = 404
-_EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
+_LINE_END = rb"(?>\r\n|\r|\n)"
+_EVENT = re.compile(
+    rb"id: (\d+)" + _LINE_END + rb"data: ([^\r\n]*)" + _LINE_END * 2
+)
 _RETRY_WINDOW_S = 10.0
 _RETRY_RATIO = 0.2
 _RETRY_EXTRA = 54
--- a/magnolialug/soak/site.py
+++ b/magnolialug/soak/site.py
@@ -43,6 +43,7 @@
 _DRAIN_S = 2.2
 _LEAST_UP = 2
 _FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE, Framing.CLOSE)
+_LINE_ENDS = ("\n", "\r\n")
 _STORE_TOKENS = 1_000_000
 
 
@@ -170,6 +171,7 @@
             host,
             port,
             self._random.choice(_FRAMINGS),
+            self._random.choice(_LINE_ENDS),
             str(self._plan.folder / f"endpoint-{slot}.runs"),
             int(self._reactor.seconds() * 1000),
             _EVENTS,
--- a/magnolialug/standin/modelserver.py
+++ b/magnolialug/standin/modelserver.py
@@ -62,6 +62,7 @@
       break_off: how they end.
       framing: how streams tell their end.
       content_type: of streams, "" for none.
+      line_end: ends the lines of events.
       error_status: of the answers that a fault makes errors.
       error_type: their content type.
       on_break_off: is called when a run breaks off.
@@ -96,6 +97,7 @@
         self.break_off = BreakOff.RESET
         self.framing = Framing.CHUNKS
         self.content_type = "text/event-stream"
+        self.line_end = b"\n"
         self.error_status = 500
         self.error_type = "text/plain"
         self.on_break_off: Callable[[], None] = lambda: None
@@ -245,10 +247,12 @@
         return self._slowed(max(self.gap_s, steps_s))
 
     def _event_bytes(self, run: _Run, number: int) -> bytes:
-        return b"id: %d\ndata: %s\n\n" % (number, self.text(run.req, number))
+        lines = (b"id: %d" % number, b"data: " + self.text(run.req, number))
+        return self.line_end.join((*lines, b"", b""))
 
     def _partial_event(self, run: _Run, number: int) -> bytes:
-        return b"id: %d\ndata: wo" % number if self.in_event else b""
+        lines = (b"id: %d" % number, b"data: wo")
+        return self.line_end.join(lines) if self.in_event else b""
 
     def _write(self, run: _Run, data: bytes) -> None:
         if self.framing is Framing.CHUNKS:
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -66,6 +66,30 @@
                     caller.last.body.endswith(b"id: 4\ndata: word4\n\n")
                 )
 
+    def test_streams_with_other_line_ends_are_whole_and_resumed(self):
+        """Guards against resumable streams in CRLF that are never answered."""
+        for line_end in (b"\r\n", b"\r"):
+            for framing, break_off in self.cases():
+                for path, stops in (("/check/x", 0), ("/check/x", 1)):
+                    cluster = cluster_with_broken_engines(
+                        framing, break_off, stops=0
+                    )
+                    left = [2] * stops
+
+                    def arm(engine, req, left=left):
+                        engine.stop_after = [left.pop()] if left else []
+
+                    for engine in cluster.engines.values():
+                        engine.line_end = line_end
+                        engine.on_arrival = partial(arm, engine)
+                    caller = cluster.ask(path, seconds=2)
+                    case = (line_end, framing, break_off, stops)
+                    self.assertTrue(caller.last.whole, case)
+                    body = caller.last.body
+                    self.assertEqual(4, body.count(b"id: "), case)
+                    end = line_end.join((b"data: word4", b"", b""))
+                    self.assertTrue(body.endswith(end), case)
+
     def test_stream_without_an_event_is_refused_with_a_reason(self):
         """Guards against a connection that closes without an answer.
 
