Streams: one whose events have no ids is not begun again

Cause: by reading, the class of events that come twice: on a route that may be resumed, an engine whose events have data and no id was lost after some of them, and another one was asked for what follows event 0: all of it. Change: such a stream cannot go on elsewhere, so it ends cut; no confirmation and no second attempt is made for it. Comments without data count for nothing. Before/after: test_stream_without_ids_does_not_begin_again failed before (six events of four), passes.

--- a/magnolialug/entry/eventsplitter.py
+++ b/magnolialug/entry/eventsplitter.py
@@ -9,6 +9,7 @@
 # One byte less than the longest match.
 _MAX_BEGUN_END_BYTES = 4
 _ID = b"id:"
+_DATA = b"data:"
 # An event has a few dozen bytes. A longer one is not from an event stream, and
 # buffering it without a limit would exhaust the process's memory.
 _MAX_EVENT_BYTES = 256 * 1024
@@ -25,10 +26,13 @@
 
     Attributes:
       last_id: the id of the last event that the caller has.
+      is_numbered: whether all events with data have had an id, so that another
+        endpoint can go on behind the last one.
     """
 
     def __init__(self, last_id: int = 0):
         self.last_id = last_id
+        self.is_numbered = True
         self._buffer = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -65,6 +69,8 @@
     def _is_new(self, event: bytes) -> bool:
         number = _id_of(event)
         if number is None:
+            if _has_data(event):
+                self.is_numbered = False
             return True
         if number <= self.last_id:
             return False
@@ -78,3 +84,7 @@
             value = line[len(_ID) :].strip()
             return int(value) if value.isdigit() else None
     return None
+
+
+def _has_data(event: bytes) -> bool:
+    return any(line.startswith(_DATA) for line in event.splitlines())
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -117,6 +117,7 @@
       withheld: the body of a failure that was not forwarded.
       framing: what tells the end of the answer, None if none arrived.
       in_event: whether the answer is a stream that ended inside an event.
+      is_resumable: whether another endpoint can go on behind its last event.
       given_up: why it was ended here, None if it was not.
     """
 
@@ -130,6 +131,7 @@
     withheld: bytes = b""
     framing: Framing | None = None
     in_event: bool = False
+    is_resumable: bool = False
     given_up: GivenUp | None = None
 
 
@@ -314,7 +316,7 @@
     def _can_be_superseded(self) -> bool:
         """Whether another endpoint's answer can take this one's place."""
         is_forwarding = self._stage is _Stage.FORWARDING
-        return not is_forwarding or self._splitter is not None
+        return not is_forwarding or self._is_resumable
 
     @property
     def has_begun_stream(self) -> bool:
@@ -571,6 +573,7 @@
         outcome.first_event_s = self._first_event_s
         outcome.framing = self._framing
         outcome.in_event = self._is_inside_event
+        outcome.is_resumable = self._is_resumable
         outcome.given_up = self._given_up
         done.callback(outcome)
 
@@ -611,9 +614,14 @@
         return self._boundary is not None and self._boundary.is_inside_event
 
     def _lost_ending(self) -> Ending:
-        passing = self._stage is _Stage.FORWARDING and self._splitter is None
+        passing = self._stage is _Stage.FORWARDING and not self._is_resumable
         return Ending.CUT if passing else Ending.LOST
 
+    @property
+    def _is_resumable(self) -> bool:
+        """Whether another endpoint can go on behind the last event."""
+        return self._splitter is not None and self._splitter.is_numbered
+
     def _refusal(self) -> Failure:
         code = Code.QUEUE_FULL
         after_s = _PLAIN_RETRY_AFTER_S
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -115,7 +115,7 @@
         self._waited_s = 0.0
         self._lead = NO_LEAD
         self._answer_end: AnswerEnd | None = None
-        self._is_served = False
+        self._is_resumable = False
         self._confirmation = EndConfirmation(
             self._unproven_source,
             self._place_confirmation,
@@ -398,10 +398,10 @@
           None also if no other endpoint can go on with the stream.
         """
         end = self._answer_end
-        is_resumable = self._call.route.resumable and progress.seq > 0
-        if is_resumable and self._is_served and end.framing is Framing.CLOSE:
-            return end.endpoint
-        return None
+        is_proved = end.framing is not Framing.CLOSE
+        if is_proved or not self._is_resumable or not progress.seq:
+            return None
+        return end.endpoint
 
     async def _place_confirmation(
         self, progress: Progress, source: EndpointId
@@ -527,7 +527,7 @@
         self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
             self._answer_end = _answer_end(dispatch.endpoint, peer, outcome)
-            self._is_served = outcome.answer.status in _SUCCESS
+            self._is_resumable = outcome.is_resumable
             return
         if outcome.ended.ending is Ending.UNSENT:
             self._record_unsent(attempt)
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -288,6 +288,29 @@
         self.assertTrue(caller.last.whole)
         self.assertEqual(4, caller.last.body.count(b"id: "))
 
+    def test_stream_without_ids_does_not_begin_again(self):
+        """Guards against events that come twice, as nothing numbers them."""
+        for framing in (Framing.CHUNKS, Framing.CLOSE):
+            for stops, is_whole in (
+                ([2], framing is Framing.CLOSE),
+                ([], True),
+            ):
+                cluster = GatewayCluster(desks=0, engines=2)
+                for engine in cluster.engines.values():
+                    engine.framing = framing
+                    engine.break_off = BreakOff.CLOSE
+                    engine.stop_after = list(stops)
+                    engine._event_bytes = lambda run, number: (
+                        b"data: word%d\n\n" % number
+                    )
+                caller = cluster.ask("/check/x", seconds=2)
+                case = (framing, stops)
+                self.assertEqual(
+                    2 if stops else 4, caller.last.body.count(b"data"), case
+                )
+                self.assertEqual(is_whole, caller.last.whole, case)
+                self.assertEqual(1, cluster.ran(caller.request_id), case)
+
     def test_stream_whose_false_end_nobody_confirms_is_cut(self):
         """Guards against a second end that is believed after a false one."""
         cluster = GatewayCluster(desks=0, engines=2)
