Attempts: a whole answer whose end is read late is not cut

Cause: by reading the first form of the check of ends: a caller that paused for longer than 0.25 s just before the end of a stream with neither a length nor chunks, at a sound engine, lost it, since another start might listen by then. Change: where the request may not be repeated, the check waits until a successor at the address would be known, 2 s; the end counts unless there is one. The state of the check has its own module, entry/endcheck.py.

--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -13,6 +13,7 @@
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
+from magnolialug.entry.endcheck import EndCheck
 from magnolialug.entry.eventboundary import EventBoundary
 from magnolialug.entry.eventsplitter import EventSplitter
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
@@ -55,9 +56,6 @@
 # A stream that has begun is late after a shorter pause, so little is lost by
 # waiting for an engine that goes on after a second. Callers leave after two.
 _STREAM_SILENT_S = 1.0
-# Shorter than an endpoint takes to start again. What is read after a longer
-# pause may come from an endpoint that has ended since.
-_STALE_S = 0.25
 # Bound of an answer that is buffered while another endpoint can replace it.
 _MAX_BUFFERED_BYTES = 64 * 1024
 # Longest time for the body of a refusal or failure, which has a few bytes. The
@@ -187,8 +185,8 @@
         self._is_source = False
         self._is_paused = False
         self._read_since = now
-        self._swept_at = now
-        self._stale_until = now
+        self._paused_at = now
+        self._end_check = EndCheck(peer, now)
         self._event_forwarded = False
         self.done: Deferred[Outcome] = Deferred(self._cancelled)
         self.peer = peer
@@ -214,7 +212,6 @@
         self._splitter: EventSplitter | None = None
         self._pending_request: PendingRequest | None = None
         self._drop_end = End.COMPLETE
-        self._is_end_checked = False
         self._event_count = 0
         self._given_up: GivenUp | None = None
 
@@ -244,6 +241,7 @@
     def pause(self) -> None:
         """Stops reading the answer; its endpoint can send little more."""
         self._is_paused = True
+        self._paused_at = self._clock()
         self._callbacks.on_events(0)
         self._pending_request.pause()
 
@@ -251,7 +249,7 @@
         """Resumes reading the answer."""
         self._is_paused = False
         self._read_since = now = self._clock()
-        self._stale_until = now + _STALE_S
+        self._end_check.record_resumed(now, now - self._paused_at)
         self._pending_request.resume()
 
     def waits_since(self, now: float) -> float:
@@ -264,12 +262,10 @@
         Its endpoint's silence does not end it: the endpoint may go on. Whoever
         `on_overdue` tells of it may try another one beside it.
         """
-        if self._stood_still(now):
-            self._stale_until = now + _STALE_S
-        self._swept_at = now
+        self._end_check.sweep(now)
         if now >= self._call.deadline:
             self._give_up(GivenUp.DEADLINE)
-        elif self._is_end_checked:
+        elif self._end_check.is_running:
             return
         elif self._is_orphaned():
             self._give_up(GivenUp.RESTARTED)
@@ -285,7 +281,7 @@
             return
         self._given_up = GivenUp.SUPERSEDED
         self._pending_request.drop()
-        if self._is_end_checked:
+        if self._end_check.is_running:
             self._finish(End.DROPPED)
 
     def cancel(self) -> None:
@@ -309,7 +305,7 @@
     def _give_up(self, reason: GivenUp) -> None:
         self._given_up = reason
         self._pending_request.time_out()
-        if self._is_end_checked:
+        if self._end_check.is_running:
             self._finish(End.SILENT)
 
     @property
@@ -517,47 +513,36 @@
             end = End.CLOSED
         if end is not End.COMPLETE or not self._is_unproven:
             self._finish(end)
-        elif self._has_no_event or self._is_stale(self._clock()):
-            # A run begins with an event; what has been read late may come from
-            # an endpoint in whose place another one listens.
+        elif self._has_no_event:
             self._finish(End.CLOSED)
         else:
-            self._is_end_checked = True
-            self.peer.pool.check_listening(self._on_end_checked)
-
-    def _stood_still(self, now: float) -> bool:
-        """Whether this process has not run for a while."""
-        return now - self._swept_at > _STALE_S
-
-    def _is_stale(self, now: float) -> bool:
-        """Whether what is read now may have arrived long ago."""
-        return now < self._stale_until or self._stood_still(now)
+            self._end_check.start(
+                self._clock(), self._call.kind.idempotent, self._on_end_checked
+            )
 
     @property
     def _is_unproven(self) -> bool:
-        """Whether the end may be that of the endpoint's process.
-
-        The kernel closes the connections of a killed process as if their
-        answers were whole, unless something on them is unread.
-        """
+        """Whether the end may be that of the endpoint's process."""
         is_closed = self._framing is Framing.CLOSE
         return is_closed and self._stage is not _Stage.REFUSED
 
     @property
     def _has_no_event(self) -> bool:
-        """Whether a stream has ended before the first event of its run."""
+        """Whether a stream has ended before the first event of its run.
+
+        Every run makes at least one; a resumed one may have none left.
+        """
         is_new_run = (
             self._boundary is not None and not self.dispatch.resume_after
         )
         return is_new_run and not self._event_count
 
-    def _on_end_checked(self, listens: bool) -> None:
-        if self._is_end_checked:
-            self._finish(End.COMPLETE if listens else End.CLOSED)
+    def _on_end_checked(self, proved: bool) -> None:
+        self._finish(End.COMPLETE if proved else End.CLOSED)
 
     def _finish(self, end: End) -> None:
         """Reports how the attempt has ended, once."""
-        self._is_end_checked = False
+        self._end_check.stop()
         done, self.done = self.done, None
         if done is not None and end is End.COMPLETE:
             self._forward_rest()
