Attempts: an end that is checked makes no endpoint suspected

Cause: by reading the new check: while an end that was read late waited for up to two seconds, its endpoint counted as silent with work, got 4100 ENDPOINT_SUSPECTED and no new work; and one result that raised kept the others of the same check from ever being told. Change: an attempt whose end is checked expects nothing from its endpoint; each result is told in a call of its own. Before/after: test_whole_answer_is_whole_though_its_end_is_read_late (with the check of the endpoint's state) and test_one_that_raises_keeps_no_others_back failed before, pass.

--- a/magnolialug/carrier/listeningcheck.py
+++ b/magnolialug/carrier/listeningcheck.py
@@ -100,6 +100,7 @@
     def _finish(self, listens: bool) -> None:
         asking, self._asking = self._asking, []
         for done in asking:
-            done(listens)
-        if self._waiting and not self._asking:
+            # One that raises keeps no others back.
+            self._call_later(0, done, listens)
+        if self._waiting:
             self._begin()
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -254,7 +254,8 @@
 
     def waits_since(self, now: float) -> float:
         """Returns since when its endpoint could have sent something."""
-        return now if self._is_paused else self._read_since
+        expects_none = self._is_paused or self._end_check.is_running
+        return now if expects_none else self._read_since
 
     def sweep(self, now: float) -> None:
         """Ends the attempt if it is past its deadline or orphaned.
--- a/tests/carrier/test_listening_check.py
+++ b/tests/carrier/test_listening_check.py
@@ -78,6 +78,18 @@
         self.net.advance_by(1, 0.001)
         self.assertEqual([True, False], self.results)
 
+    def test_one_that_raises_keeps_no_others_back(self):
+        """Guards against attempts that never end behind a failed one."""
+
+        def fail(listens):
+            raise RuntimeError("fails")
+
+        self.pool.check_listening(fail)
+        self.pool.check_listening(self.results.append)
+        self.assertRaises(RuntimeError, self.net.advance_by, 0.1, 0.001)
+        self.net.advance_by(0.2, 0.001)
+        self.assertEqual([True], self.results)
+
     def test_a_pool_at_its_limit_keeps_no_connection_of_a_check(self):
         """Guards against more connections than an endpoint allows."""
         self.pool.limit = 0
--- a/tests/entry/test_broken_off_answers.py
+++ b/tests/entry/test_broken_off_answers.py
@@ -444,7 +444,10 @@
         attempt.pause()
         cluster.pass_time(1.0)
         attempt.resume()
-        cluster.pass_time(3.0)
+        (peer,) = cluster.gateway.directory.peers.values()
+        for _ in range(30):
+            cluster.pass_time(0.1)
+            self.assertFalse(peer.unresponsive)
         self.assertTrue(caller.last.whole)
         self.assertEqual(4, caller.last.body.count(b"id: "))
 
