Soak: one way to ask machines whether they are ready, one to run a soak

Cause: the soak with endpoint processes repeated lines of the other soak and of its tests. Change: soak/frontreadiness.py and tests/soak/soakcase.py; no check changes.

--- a/magnolialug/soak/run.py
+++ b/magnolialug/soak/run.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from magnolialug.carrier.client import Client as Asker
-from magnolialug.carrier.client import Reply, request_bytes
 from magnolialug.quarantine.quarantinelist import (
     QUARANTINE_KEYS,
     read_quarantine,
@@ -18,6 +17,7 @@
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.faults import FAULTS
 from magnolialug.soak.flood import Flood
+from magnolialug.soak.frontreadiness import READY_INTERVAL_S, ask_fronts
 from magnolialug.soak.historychecker import HistoryChecker, Sent, Violation
 from magnolialug.soak.longprompts import LONG_CLIENTS, LongPrompts
 from magnolialug.soak.machine import CONTACT_S, Machine
@@ -33,7 +33,6 @@
 __all__ = ["Plan", "Report", "Soak"]
 
 _LOOK_S = 0.1
-_READY_S = 0.5
 # A machine that has not begun to serve by then never will.
 _START_S = 15.0
 # The rules give twelve seconds to serve again, and to have all weights in
@@ -161,7 +160,7 @@
             machine.disturb()
             machine.start()
         self._every(_LOOK_S, self._look)
-        self._every(_READY_S, self._ask_ready)
+        self._every(READY_INTERVAL_S, self._ask_ready)
         whole_s = _START_S + self._plan.seconds + _RECOVERY_S + _MEASURED_S
         self.later(whole_s + _SPARE_S, self._overdue)
         self._await_ready(self.now + _START_S)
@@ -307,14 +306,7 @@
         self._timers = [timer for timer in self._timers if timer.active()]
 
     def _ask_ready(self) -> None:
-        for front in self.fronts:
-            address = self._block.ready(front.machine.number)
-            ask = request_bytes("GET", address[0], "/readyz")
-            fut = self.asker.ask(address, ask, _READY_S)
-            fut.addCallback(self._heard_ready, front)
-
-    def _heard_ready(self, reply, front: Front) -> None:
-        front.ready = isinstance(reply, Reply) and reply.status == 200
+        ask_fronts(self.asker, self._block, self.fronts)
 
     def _await_ready(self, limit: float) -> None:
         if all(front.ready for front in self.fronts):
--- a/magnolialug/soak/site.py
+++ b/magnolialug/soak/site.py
@@ -13,12 +13,12 @@
 from twisted.web.server import Site as WebSite
 
 from magnolialug.carrier.client import Client as Asker
-from magnolialug.carrier.client import Reply, request_bytes
 from magnolialug.carrier.reader import Framing
 from magnolialug.soak.block import Block
 from magnolialug.soak.clients import Client, Front
 from magnolialug.soak.endpointhost import EndpointSpec
 from magnolialug.soak.endpointprocess import EndpointProcess, ProcessState
+from magnolialug.soak.frontreadiness import READY_INTERVAL_S, ask_fronts
 from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.kvwriter import write_past_faults
 from magnolialug.soak.machine import Machine
@@ -26,14 +26,12 @@
 from magnolialug.soak.worldconfig import soak_config
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
-from magnolialug.standin.operatorconfig import cache_store
 
 __all__ = ["SiteSoak"]
 
 _EVENTS = 8
 _GAP_S = 0.05
 _IDLE_S = 15.0
-_READY_S = 0.5
 _START_S = 20.0
 _FAULTS_GAP_S = 0.35
 # What is begun when the faults end is answered by then.
@@ -44,7 +42,6 @@
 _LEAST_UP = 2
 _FRAMINGS = (Framing.CHUNKS, Framing.LENGTH, Framing.CLOSE, Framing.CLOSE)
 _LINE_ENDS = ("\n", "\r\n")
-_STORE_TOKENS = 1_000_000
 
 
 class SiteSoak:
@@ -98,7 +95,7 @@
         for machine in self._machines:
             machine.start()
         self._every(0.1, self._look)
-        self._every(_READY_S, self._ask_ready)
+        self._every(READY_INTERVAL_S, self._ask_ready)
         self._await_ready(self._reactor.seconds() + _START_S)
 
     def close(self) -> None:
@@ -123,11 +120,9 @@
         self._later(seconds, self._every, seconds, call)
 
     def _configure(self) -> None:
-        # No store listens there; prompts are read without it.
-        host, port = self._block.endpoint(10)
-        store = cache_store("cache", f"{host}:{port}", _STORE_TOKENS)
-        config = soak_config(1, store, _IDLE_S)
-        config["services"] = config["services"][:2]
+        config = soak_config(1, {}, _IDLE_S)
+        # The last service is the store of cache parts, which there is not.
+        config["services"].pop()
         self._write("op/config", config)
 
     def _write(self, key: str, value: dict) -> None:
@@ -294,14 +289,7 @@
         self._timers = [timer for timer in self._timers if timer.active()]
 
     def _ask_ready(self) -> None:
-        for front in self._fronts:
-            address = self._block.ready(front.machine.number)
-            ask = request_bytes("GET", address[0], "/readyz")
-            fut = self._asker.ask(address, ask, _READY_S)
-            fut.addCallback(self._heard_ready, front)
-
-    def _heard_ready(self, reply, front: Front) -> None:
-        front.ready = isinstance(reply, Reply) and reply.status == 200
+        ask_fronts(self._asker, self._block, self._fronts)
 
     def _await_ready(self, limit: float) -> None:
         states = {process.state for process in self._processes.values()}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,38 +1,13 @@
 """The soak finds faults that were put in on purpose, and none besides."""
 
-import json
-import subprocess
 import sys
 
-import fixtures
-from testtools import TestCase
+from tests.soak.soakcase import SoakTestCase
 
-_LIMIT_S = 90
 
-
-class SoakTest(TestCase):
+class SoakTest(SoakTestCase):
     """Short runs of real processes."""
 
-    def soak(self, *flags):
-        """Runs a soak; returns its exit code and its report."""
-        folder = self.useFixture(fixtures.TempDir()).path
-        ended = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "magnolialug.cmd.soak",
-                "--log_level=ERROR",
-                f"--out={folder}",
-                *flags,
-            ],
-            capture_output=True,
-            text=True,
-            timeout=_LIMIT_S,
-            check=False,
-        )
-        self.assertTrue(ended.stdout, ended.stderr)
-        return ended.returncode, json.loads(ended.stdout)
-
     def sabotaged(self, kind, only, minutes=0.25):
         """Runs a soak of sabotaged gateways; returns the promises broken.
 
