--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -651,9 +651,9 @@
 def _answer_end(
     endpoint: EndpointId, peer: Peer, outcome: Outcome
 ) -> AnswerEnd:
-    # The connection that ended the answer by its close is still counted.
-    closed = outcome.framing is Framing.CLOSE
-    left = peer.pool.connection_count - closed
+    # One connection is that of the check of the end.
+    checked = outcome.framing is Framing.CLOSE
+    left = peer.pool.connection_count - checked
     return AnswerEnd(endpoint, outcome.framing, left)
 
 
