Attempts: questions about an end keep the quarantine and their bound

Before/after: two tests of AskedTest and ConnectionsLeftTest failed before (5 runs for 4, 4 for 2, 0 for 1), pass.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -411,7 +411,7 @@
         Half of the retry budget is kept for requests that have no answer.
         """
         budget = self._budget
-        if budget.left(self._call.service) < budget.limit / 2:
+        if budget.left(self._call.service) < max(1.0, budget.limit / 2):
             return None
         if self._may_hedge():
             return await self._place_spare(progress, source)
@@ -426,7 +426,9 @@
         whose end has proved false is asked about the other's.
         """
         tried = {row.dispatch.endpoint for row in self._attempts} - {source}
-        if not tried or self._sent_count > self._call.attempts + _MAX_ASKED:
+        if not tried or self._sent_count >= self._call.attempts + _MAX_ASKED:
+            return None
+        if self._quarantine.refusal(self._call.identity) is not None:
             return None
         results = await self._prober.probe(self._call, self._avoid - tried)
         rows = [row for row in results.candidates if row.endpoint in tried]
@@ -526,7 +528,9 @@
         self._record_outcome(peer, dispatch, outcome)
         self._log_outcome(dispatch, outcome)
         if outcome.ended is None:
-            self._answer_end = _answer_end(dispatch.endpoint, peer, outcome)
+            self._answer_end = AnswerEnd(
+                dispatch.endpoint, outcome.framing, peer.pool.connection_count
+            )
             self._is_resumable = outcome.is_resumable
             return
         if outcome.ended.ending is Ending.UNSENT:
@@ -648,15 +652,6 @@
         return peer.build(prompt.model) if prompt else EngineBuild("")
 
 
-def _answer_end(
-    endpoint: EndpointId, peer: Peer, outcome: Outcome
-) -> AnswerEnd:
-    # One connection is that of the check of the end.
-    checked = outcome.framing is Framing.CLOSE
-    left = peer.pool.connection_count - checked
-    return AnswerEnd(endpoint, outcome.framing, left)
-
-
 def _named_sources(
     prompt: Prompt | None, to: Dispatch
 ) -> list[tuple[str, int, str]]:
