Attempts: what a check of an end proves, and what it does not

Cause: a reviewer who had not seen the work broke the check in six ways. And sound answers were lost: those of an endpoint that closes its listener for a planned stop, those of one that has too many connections, those held past their deadline; endpoints were suspected for a standstill of the gateway. Change: only a refusal says that nobody listens; a connection that is accepted and closed at once is that of a full endpoint. A late end is asked about at once, and then a successor would be known in time. An endpoint that has said that it leaves is believed. An end that cannot be told any more is lost without a word on its endpoint. A pause counts from when the reader fell behind. A listener that outlives its worker still vouches for it.

--- a/magnolialug/carrier/listeningcheck.py
+++ b/magnolialug/carrier/listeningcheck.py
@@ -9,10 +9,10 @@
 
 __all__ = ["Connector", "ListeningCheck"]
 
-# A process that is killed closes its files one after another, its listener
-# last, and can be preempted in between.
+# A process that is killed closes its files one after another, in any order, and
+# can be preempted in between.
 _STAYS_OPEN_S = 0.05
-# Pauses before further tries, in which the closes of other connections arrive.
+# Pauses before further tries, in which a process that ends has ended.
 _RETRY_PAUSES_S = (0.02, 0.06)
 # Far above a round trip; a lost SYN is sent again by the next try.
 _CONNECT_S = 0.25
@@ -33,17 +33,13 @@
     def keep(self, conn: Connection) -> None:
         """Takes such a connection for the next request."""
 
-    @property
-    def has_open_connection(self) -> bool:
-        """Whether a connection to the endpoint is open."""
-
 
 class ListeningCheck:
     """Makes a connection, which the next request can use.
 
-    The kernel closes the listener of a process that ends, however it ends. An
-    endpoint that has too many connections refuses further ones as well, but
-    keeps those that it has.
+    The kernel closes the listener of a process that ends, however it ends, and
+    then refuses connections. An endpoint that has too many accepts further ones
+    and closes them at once; a process that ends may, for a moment.
 
     Checks that are asked for meanwhile wait for the next one: a connection
     that was begun before a close proves nothing about it.
@@ -84,18 +80,18 @@
         def closed(conn: Connection) -> None:
             if timers and timers[0].active():
                 timers[0].cancel()
-                self._on_refused()
+                self._try_again_or_finish(True)
 
         def failed(refused: bool) -> None:
-            self._on_refused()
+            self._try_again_or_finish(False)
 
         self._connector.open_connection(opened, failed, closed, _CONNECT_S)
 
-    def _on_refused(self) -> None:
+    def _try_again_or_finish(self, accepts: bool) -> None:
         if self._pauses:
             self._call_later(self._pauses.pop(0), self._try)
         else:
-            self._finish(self._connector.has_open_connection)
+            self._finish(accepts)
 
     def _finish(self, listens: bool) -> None:
         asking, self._asking = self._asking, []
--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -151,11 +151,6 @@
         """Whether a connection is idle or a further one may be made."""
         return bool(self._idle) or self.connection_count < self.limit
 
-    @property
-    def has_open_connection(self) -> bool:
-        """Whether a connection is open."""
-        return bool(self._all)
-
     def send(
         self,
         request: bytes,
--- a/magnolialug/entry/endcheck.py
+++ b/magnolialug/entry/endcheck.py
@@ -1,16 +1,32 @@
 """Checks whether the end of an answer is that of its endpoint's process."""
 
+import enum
 from collections.abc import Callable
 
 from magnolialug.entry.peer import Peer
 
-__all__ = ["EndCheck"]
+__all__ = ["EndCheck", "EndState"]
 
 # Shorter than an endpoint takes to start again. What is read after a longer
 # pause may come from an endpoint in whose place another one listens.
 _STALE_S = 0.25
 # An endpoint registers itself with its first heartbeat, 1.2 s after its start.
 _SUCCESSOR_KNOWN_S = 2.0
+# What is left to the caller when a wait for a successor ends.
+_SPARE_S = 0.3
+
+
+class EndState(enum.Enum):
+    """What is known of an end that the close of its connection has told.
+
+    PROVED: its endpoint lives on, or had said that it stops.
+    KILLED: its endpoint listens no more.
+    UNKNOWN: it was read too late to tell.
+    """
+
+    PROVED = "proved"
+    KILLED = "killed"
+    UNKNOWN = "unknown"
 
 
 class EndCheck:
@@ -20,6 +36,9 @@
     were whole, unless something on them is unread. It also closes the listener,
     which tells the two apart, as long as no other endpoint listens there.
 
+    An endpoint that has said that it stops closes its listener in order, and
+    finishes its answers.
+
     Attributes:
       is_running: whether a check has begun and not ended.
     """
@@ -28,64 +47,84 @@
         self.is_running = False
         self._peer = peer
         self._swept_at = now
-        self._stale_until = now
+        self._stood_still_at = float("-inf")
+        self._behind_since = now
+        self._resumed_at = float("-inf")
         self._is_late = False
         self._due_at = float("inf")
-        self._done: Callable[[bool], None] = lambda proved: None
+        self._done: Callable[[EndState], None] = lambda state: None
 
     def sweep(self, now: float) -> None:
-        """Records that this process runs; makes a check that is due."""
-        if self._stood_still(now):
-            self._stale_until = now + _STALE_S
+        """Records that this process runs; ends a wait that is over."""
+        if self._stands_still(now):
+            self._stood_still_at = now
         self._swept_at = now
         if self.is_running and now >= self._due_at:
-            self._due_at = float("inf")
-            self._ask()
+            # Who listened when the wait began would be known by now.
+            replaced = self._peer.gone
+            self._report(EndState.KILLED if replaced else EndState.PROVED)
 
     def record_resumed(self, now: float, paused_s: float) -> None:
-        """Records that the answer is read again after a pause."""
-        if paused_s > _STALE_S:
-            self._stale_until = now + _STALE_S
+        """Records that the answer is read again after a pause.
+
+        Between short pauses an answer's rest may stay unread for long.
+        """
+        paused_at = now - paused_s
+        if paused_at - self._resumed_at > _STALE_S:
+            self._behind_since = paused_at
+        self._resumed_at = now
 
     def start(
-        self, now: float, may_repeat: bool, done: Callable[[bool], None]
+        self,
+        now: float,
+        deadline: float,
+        may_repeat: bool,
+        done: Callable[[EndState], None],
     ) -> None:
-        """Calls `done` with whether the end is proved, unless stopped.
+        """Calls `done` with what is known of an end, unless stopped.
 
         Args:
+          deadline: when the answer is of no more use.
           may_repeat: whether the request may be sent to another endpoint. Then
             an end that is read late is not worth a wait.
         """
         self.is_running = True
         self._done = done
-        if not self._is_stale(now):
-            self._ask()
-        elif may_repeat:
-            self._report(False)
+        self._is_late = self._was_read_late(now)
+        if self._peer.has_said_leaving:
+            self._report(EndState.PROVED)
+        elif self._is_late and may_repeat:
+            self._report(EndState.UNKNOWN)
         else:
-            self._is_late = True
-            self._due_at = now + _SUCCESSOR_KNOWN_S
+            known_at = min(now + _SUCCESSOR_KNOWN_S, deadline - _SPARE_S)
+            self._peer.pool.check_listening(
+                lambda listens: self._on_checked(listens, known_at)
+            )
 
     def stop(self) -> None:
         """Ends the check without a result."""
         self.is_running = False
 
-    def _stood_still(self, now: float) -> bool:
+    def _stands_still(self, now: float) -> bool:
         """Whether this process has not run for a while."""
         return now - self._swept_at > _STALE_S
 
-    def _is_stale(self, now: float) -> bool:
+    def _was_read_late(self, now: float) -> bool:
         """Whether what is read now may have arrived long ago."""
-        return now < self._stale_until or self._stood_still(now)
-
-    def _ask(self) -> None:
-        self._peer.pool.check_listening(self._on_checked)
-
-    def _on_checked(self, listens: bool) -> None:
-        is_replaced = self._is_late and self._peer.gone
-        self._report(listens and not is_replaced)
+        if self._stands_still(now) or now - self._stood_still_at < _STALE_S:
+            return True
+        is_behind = now - self._resumed_at < _STALE_S
+        return is_behind and now - self._behind_since > _STALE_S
+
+    def _on_checked(self, listens: bool, known_at: float) -> None:
+        if not listens:
+            self._report(EndState.KILLED)
+        elif self._is_late:
+            self._due_at = known_at
+        else:
+            self._report(EndState.PROVED)
 
-    def _report(self, proved: bool) -> None:
+    def _report(self, state: EndState) -> None:
         if self.is_running:
             self.is_running = False
-            self._done(proved)
+            self._done(state)
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -13,7 +13,7 @@
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
-from magnolialug.entry.endcheck import EndCheck
+from magnolialug.entry.endcheck import EndCheck, EndState
 from magnolialug.entry.eventboundary import EventBoundary
 from magnolialug.entry.eventsplitter import EventSplitter
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
@@ -63,6 +63,14 @@
 _FAILURE_BODY_S = 1.0
 
 
+# An end that is unknown is lost, but tells nothing of its endpoint.
+_ENDS = {
+    EndState.PROVED: End.COMPLETE,
+    EndState.KILLED: End.CLOSED,
+    EndState.UNKNOWN: End.DROPPED,
+}
+
+
 class ForwardSink(Protocol):
     """Writes an endpoint's answer to the caller."""
 
@@ -518,7 +526,10 @@
             self._finish(End.CLOSED)
         else:
             self._end_check.start(
-                self._clock(), self._call.kind.idempotent, self._on_end_checked
+                self._clock(),
+                self._call.deadline,
+                self._call.kind.idempotent,
+                lambda state: self._finish(_ENDS[state]),
             )
 
     @property
@@ -538,9 +549,6 @@
         )
         return is_new_run and not self._event_count
 
-    def _on_end_checked(self, proved: bool) -> None:
-        self._finish(End.COMPLETE if proved else End.CLOSED)
-
     def _finish(self, end: End) -> None:
         """Reports how the attempt has ended, once."""
         self._end_check.stop()
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -116,8 +116,12 @@
     @property
     def leaving(self) -> bool:
         """Whether it is shutting down or has ended."""
-        said_so = self.listed.leaving or self.leaving_source is not None
-        return self.gone or said_so
+        return self.gone or self.has_said_leaving
+
+    @property
+    def has_said_leaving(self) -> bool:
+        """Whether it has said that it is shutting down."""
+        return self.listed.leaving or self.leaving_source is not None
 
     @property
     def accepts_work(self) -> bool:
