--- a/magnolialug/cmd/soak.py
+++ b/magnolialug/cmd/soak.py
@@ -4,6 +4,7 @@
 import shlex
 import sys
 import tempfile
+from collections.abc import Container
 
 import msgspec
 
@@ -58,15 +59,18 @@
     sys.exit(_soak(flags, folder))
 
 
-def _kinds(text: str) -> tuple[str, ...]:
+def _kinds(text: str, known: Container[str]) -> tuple[str, ...]:
     """Returns the kinds of fault that a flag names.
 
+    Args:
+      known: the kinds that there are.
+
     Raises:
       SystemExit: with EXIT_BAD_INPUT for a kind that there is not.
     """
     kinds = tuple(filter(None, text.split(",")))
     for kind in kinds:
-        if kind not in FAULTS:
+        if kind not in known:
             code = Code.BAD_CONFIG_VALUE
             print(
                 f"{code.value} {code.name}: --only: no such kind"
@@ -81,7 +85,7 @@
     from twisted.internet import reactor
 
     from magnolialug.soak.run import Plan, Soak
-    from magnolialug.soak.site import SiteSoak
+    from magnolialug.soak.site import SIGNALS, SiteSoak
 
     reports = []
 
@@ -97,7 +101,9 @@
         clients=flags.clients,
         program=tuple(program),
         folder=folder,
-        only=_kinds(flags.only),
+        only=_kinds(
+            flags.only, SIGNALS if flags.endpoint_processes else FAULTS
+        ),
     )
     if flags.endpoint_processes:
         soak = SiteSoak(reactor, plan, flags.endpoint_processes, done)
--- a/magnolialug/soak/site.py
+++ b/magnolialug/soak/site.py
@@ -27,7 +27,20 @@
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
 
-__all__ = ["SiteSoak"]
+__all__ = ["SIGNALS", "SiteSoak"]
+
+# What is done to a process, by the name of a method, and how often against the
+# others.
+SIGNALS = {
+    "kill_endpoint": 8,
+    "pause_endpoint": 2,
+    "kill_paused_endpoint": 2,
+    "stop_endpoint": 2,
+    "terminate_endpoint": 2,
+    "pause_machine": 2,
+    "kill_machine": 2,
+    "stop_machine": 1,
+}
 
 _EVENTS = 8
 _GAP_S = 0.05
@@ -270,19 +283,6 @@
     def _stop_machine(self) -> None:
         self._some_machine().stop()
 
-    def _faults(self) -> dict[str, tuple[int, Callable[[], None]]]:
-        """Returns each fault with its weight."""
-        return {
-            "kill_endpoint": (8, self._kill_endpoint),
-            "pause_endpoint": (2, self._pause_endpoint),
-            "kill_paused_endpoint": (2, self._kill_paused_endpoint),
-            "stop_endpoint": (2, self._stop_endpoint),
-            "terminate_endpoint": (2, self._terminate_endpoint),
-            "pause_machine": (2, self._pause_machine),
-            "kill_machine": (2, self._kill_machine),
-            "stop_machine": (1, self._stop_machine),
-        }
-
     def _look(self) -> None:
         for machine in self._machines:
             machine.look()
@@ -305,18 +305,18 @@
     def _begin(self) -> None:
         for client in self._clients:
             client.start()
-        faults = self._faults()
-        weights = [weight for weight, _ in faults.values()]
+        kinds = self._plan.only or tuple(SIGNALS)
+        weights = [SIGNALS[kind] for kind in kinds]
         at = 0.5
         while at < self._plan.seconds:
-            name = self._random.choices(list(faults), weights)[0]
-            self._later(at, self._inject, name, faults[name][1])
+            kind = self._random.choices(kinds, weights)[0]
+            self._later(at, self._inject, kind)
             at += self._random.expovariate(1 / _FAULTS_GAP_S)
         self._later(self._plan.seconds + _SETTLE_S, self._finish)
 
-    def _inject(self, name: str, act: Callable[[], None]) -> None:
-        self._counts[name] += 1
-        act()
+    def _inject(self, kind: str) -> None:
+        self._counts[kind] += 1
+        getattr(self, f"_{kind}")()
 
     def _finish(self) -> None:
         for client in self._clients:
--- a/tests/soak/test_site.py
+++ b/tests/soak/test_site.py
@@ -19,3 +19,6 @@
         self.assertEqual(0, code)
         self.assertGreater(report["faults"]["kill_endpoint"], 5)
         self.assertGreater(report["requests"], 800)
+        # Half of the endpoints send answers that only a close ends.
+        outcomes = report["outcomes"]
+        self.assertLess(outcomes["draft cut"], outcomes["draft 200"] / 4)
