Sidecars: the close of a killed service ends no answer

Cause: a plain service's answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a killed process in order, and the sidecar took that for the end: it delivered what there was as a whole answer.

Change: where only the close of the connection tells the end, the taker of a stream asks the pool whether the server still listens, as the gateway's attempts do. If not, the answer is not whole.

Conclusion: fixed for a sidecar that reads the close at once. One that stood still meanwhile may find a later start of the service at the address.

--- a/magnolialug/platform/http.py
+++ b/magnolialug/platform/http.py
@@ -1,6 +1,7 @@
 """Requests to URLs, over the one HTTP carrier."""
 
 from collections.abc import Callable
+from functools import partial
 from urllib.parse import urlsplit
 
 import msgspec
@@ -8,11 +9,13 @@
 
 from magnolialug.carrier.client import Client, NoReply, request_bytes
 from magnolialug.carrier.pool import PendingRequest
-from magnolialug.carrier.reader import Head
+from magnolialug.carrier.reader import Framing, Head
 from magnolialug.carrier.responsereceiver import End
 from magnolialug.result import Code, Failure, failed
 
-__all__ = ["HttpClient", "Reply", "StreamTaker"]
+__all__ = ["CheckListening", "HttpClient", "Reply", "StreamTaker"]
+
+CheckListening = Callable[[Callable[[bool], None]], None]
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -36,6 +39,10 @@
 class StreamTaker:
     """Takes a response piece by piece.
 
+    The close that ends a body without a length or chunks is only trusted if
+    the server still listens: the kernel closes the connections of a killed
+    process as if their answers were whole.
+
     Args:
       on_status: gets the status before the first piece.
       on_data: gets each piece of the body.
@@ -51,14 +58,24 @@
         self.on_data = on_data
         self._on_status = on_status
         self._on_end = on_end
+        self._framing: Framing | None = None
+        self._check_listening: CheckListening | None = None
+
+    def begin(self, check_listening: CheckListening) -> None:
+        """Learns how to ask whether the server still listens."""
+        self._check_listening = check_listening
 
     def on_head(self, head: Head) -> None:
         """Takes the status line and headers."""
+        self._framing = head.framing
         self._on_status(head.status)
 
     def on_end(self, end: End) -> None:
         """Learns how the exchange ended."""
-        self._on_end(end is End.COMPLETE)
+        if end is End.COMPLETE and self._framing is Framing.CLOSE:
+            self._check_listening(self._on_end)
+        else:
+            self._on_end(end is End.COMPLETE)
 
 
 class HttpClient:
@@ -83,6 +100,7 @@
     ) -> PendingRequest:
         """Sends a request whose response is taken as it arrives."""
         address, request = _request(method, url, body, headers)
+        taker.begin(partial(self._client.check_listening, address))
         return self._client.send(address, request, taker)
 
     async def ask(
