Entries: JSON answers have a length

Cause: an entry wrote JSON answers and numbered errors without a length. A caller of HTTP/1.1 got chunks; for one of HTTP/1.0 the close was the end, so that a part of the body looked whole when its entry was killed.

Change: whole bodies are sent with their Content-Length.

Conclusion: fixed for all bodies that an entry has whole when it answers.

--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -16,19 +16,29 @@
 from magnolialug.ids import RequestId
 from magnolialug.result import CODES, Failure
 
-__all__ = ["CallerSink", "write_failure"]
+__all__ = ["CallerSink", "write_failure", "write_json"]
+
+
+def write_json(req: Request, body: bytes) -> None:
+    """Sends a whole JSON body and its length.
+
+    Callers of HTTP/1.0 read no chunks: without a length, they would take the
+    close of a killed process for the end of the body.
+    """
+    req.setHeader("Content-Type", "application/json")
+    req.setHeader("Content-Length", str(len(body)))
+    req.write(body)
+    req.finish()
 
 
 def write_failure(req: Request, failure: Failure, request_id: str = "") -> None:
     """Sends a numbered error, with Retry-After if the failure has a time."""
     req.setResponseCode(CODES[failure.code].status)
-    req.setHeader("Content-Type", "application/json")
     req.setHeader("X-Request-Id", request_id or f"none.{secrets.token_hex(8)}")
     if failure.retry_after_s > 0:
         seconds = max(1, -(-failure.retry_after_s // 1))
         req.setHeader("Retry-After", str(int(seconds)))
-    req.write(msgspec.json.encode(error_body(failure)))
-    req.finish()
+    write_json(req, msgspec.json.encode(error_body(failure)))
 
 
 class CallerSink:
@@ -167,11 +177,9 @@
             finish,
             usage_of(served.done),
         )
-        self._req.setHeader("Content-Type", "application/json")
         self._req.setHeader("X-Request-Id", self.request_id)
         text = body.encode() if isinstance(body, str) else None
-        self._req.write(text or msgspec.json.encode(body))
-        self._req.finish()
+        write_json(self._req, text or msgspec.json.encode(body))
 
     def _close(self) -> None:
         self._req.unregisterProducer()
--- a/magnolialug/entry/web.py
+++ b/magnolialug/entry/web.py
@@ -25,7 +25,7 @@
     PLAIN,
     ResponseFormat,
 )
-from magnolialug.entry.sink import CallerSink, write_failure
+from magnolialug.entry.sink import CallerSink, write_failure, write_json
 from magnolialug.events import Event, emit, explain
 from magnolialug.ids import KindName, RequestId, ServiceName, TeamId
 from magnolialug.policy.blocks import prompt_root
@@ -89,7 +89,7 @@
         if segments == ["healthz"]:
             return self._health(req)
         if segments == ["metrics"]:
-            return _send_json(req, self._app.metrics.as_json())
+            return write_json(req, self._app.metrics.as_json())
         if not segments or segments[0] != "v1":
             return failed(Code.UNKNOWN_PATH, field="path", value=req.path)
         team = self._team(req)
@@ -110,13 +110,13 @@
             case ("GET", "requests", request_id):
                 return self._replay(req, team, RequestId(request_id))
             case ("GET", "models"):
-                return _send_json(req, self._models())
+                return write_json(req, self._models())
         return failed(Code.UNKNOWN_PATH, field="path", value=req.path)
 
     def _health(self, req: Request) -> None:
         ready = self._app.ready()
         req.setResponseCode(200 if ready else 503)
-        _send_json(
+        write_json(
             req,
             msgspec.json.encode(
                 {
@@ -277,12 +277,6 @@
     reason.raiseException()
 
 
-def _send_json(req: Request, body: bytes) -> None:
-    req.setHeader("Content-Type", "application/json")
-    req.write(body)
-    req.finish()
-
-
 def _default_kind(kinds: dict[str, Kind]) -> str:
     return next(name for name, kind in kinds.items() if kind.default)
 
