Entries: a killed entry ends no stream for callers of HTTP/1.0

Cause: callers of HTTP/1.0 read no chunks, so that the close ends a stream, and the kernel closes the connections of a killed entry in order.

Change: while such a stream is open, every close of its connection is a reset, as the gateway does it; a whole stream is closed in order.

Before/after: tests/promises/test_cut_streams.py closes the connection behind two pieces. Before, the caller of HTTP/1.0 took the stream for whole and the test failed; after, it does not, and whole streams are whole.

Conclusion: fixed; callers of HTTP/1.1 got chunks and were not affected.

--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
+from magnolialug.carrier.connection import set_reset_on_close
 from magnolialug.entry.progress import Served
 from magnolialug.entry.responseformats import (
     ResponseFormat,
@@ -48,6 +49,10 @@
     `write_piece` does not return; no further ack is sent, and the sidecar stops
     sending.
 
+    Args:
+      ends_by_close: whether only the close of its connection ends a stream,
+        as for callers of HTTP/1.0.
+
     Attributes:
       gone: whether the caller has disconnected.
       request_id: the id under which the answer can be requested again.
@@ -63,6 +68,7 @@
         stream: bool,
         include_usage: bool,
         on_gone: Callable[[], None] = lambda: None,
+        ends_by_close: bool = False,
     ):
         self.gone = False
         self.request_id = ""
@@ -73,6 +79,7 @@
         self._created = created
         self._stream = stream
         self._include_usage = include_usage
+        self._ends_by_close = ends_by_close
         self._open = False
         self._texts: list[str] = []
         self._writable: Deferred | None = None
@@ -132,6 +139,9 @@
         if self._open:
             return
         self._open = True
+        if self._ends_by_close:
+            # An orderly close would be the end of a whole answer.
+            set_reset_on_close(self._req.transport, True)
         self._req.setHeader("Content-Type", "text/event-stream")
         self._req.setHeader("Cache-Control", "no-store")
         self._req.setHeader("X-Request-Id", self.request_id)
@@ -182,5 +192,7 @@
         write_json(self._req, text or msgspec.json.encode(body))
 
     def _close(self) -> None:
+        if self._ends_by_close:
+            set_reset_on_close(self._req.transport, False)
         self._req.unregisterProducer()
         self._req.finish()
--- a/magnolialug/entry/web.py
+++ b/magnolialug/entry/web.py
@@ -186,6 +186,7 @@
             int(time.time()),
             bool(body.stream),
             bool(options and options.include_usage),
+            ends_by_close=_ends_by_close(req),
         )
         self._start(req, call, sink)
         return None
@@ -260,6 +261,7 @@
             int(time.time()),
             name != "plain",
             True,
+            ends_by_close=_ends_by_close(req),
         )
         sink.set_request_id(request_id)
         fut = ensureDeferred(self._app.replay(team, request_id, after, sink))
@@ -277,6 +279,14 @@
     reason.raiseException()
 
 
+def _ends_by_close(req: Request) -> bool:
+    """Whether only the close of the connection ends a body without length.
+
+    Callers of HTTP/1.0 read no chunks.
+    """
+    return req.clientproto == b"HTTP/1.0"
+
+
 def _default_kind(kinds: dict[str, Kind]) -> str:
     return next(name for name, kind in kinds.items() if kind.default)
 
--- a/tests/promises/test_cut_streams.py
+++ b/tests/promises/test_cut_streams.py
@@ -64,6 +64,12 @@
         self.net.advance_by(0.1)
         return self.caller.last
 
+    def kill(self):
+        """Closes the connection as a kernel does; returns the answer."""
+        self.pipe.peer.loseConnection()
+        self.net.advance_by(0.1)
+        return self.caller.last
+
 
 def write_two(call):
     """Writes two pieces."""
@@ -73,6 +79,26 @@
     call.net.advance_by(0.1)
 
 
+class CutStreamTest(TestCase):
+    """Streams that end before their last piece."""
+
+    def test_stream_of_a_killed_entry_is_not_whole(self):
+        """Guards against the close of a killed entry that ends a stream."""
+        for version in _VERSIONS:
+            call = OneCall(version, True)
+            write_two(call)
+            self.assertFalse(call.kill().whole, version)
+
+    def test_whole_stream_is_whole(self):
+        """Guards against resets and cuts that end whole streams."""
+        for version in _VERSIONS:
+            call = OneCall(version, True)
+            write_two(call)
+            answer = call.end(Served(None, 2, 0.1))
+            self.assertTrue(answer.whole, version)
+            self.assertIn(b"[DONE]", answer.body, version)
+
+
 class CutBodyTest(TestCase):
     """JSON bodies that are cut on their way to the caller."""
 
