Entries: a stream that fails is not framed as whole

Cause: when an attempt was lost behind the first piece, the entry sent a numbered error as an event and then ended the response in order, with its last chunk: a stream without its last piece that was framed as complete. Only the missing [DONE] told a caller that looked for it.

Change: the error event is sent as before; then the connection is closed before the last chunk.

Before/after: tests/promises/test_cut_streams.py ends a stream by a failure behind two pieces.

--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -157,7 +157,7 @@
             write_failure(self._req, failure, self.request_id)
             return
         self._event(error_body(failure))
-        self._close()
+        self._abort()
 
     def _finish_stream(self, served: Served) -> None:
         self._begin()
@@ -196,3 +196,8 @@
             set_reset_on_close(self._req.transport, False)
         self._req.unregisterProducer()
         self._req.finish()
+
+    def _abort(self) -> None:
+        """Closes the connection so that the stream is not framed as whole."""
+        self._req.unregisterProducer()
+        self._req.channel.loseConnection()
--- a/tests/promises/test_cut_streams.py
+++ b/tests/promises/test_cut_streams.py
@@ -82,6 +82,23 @@
 class CutStreamTest(TestCase):
     """Streams that end before their last piece."""
 
+    def test_lost_stream_is_not_framed_as_whole(self):
+        """Guards against a stream without its last piece that looks whole."""
+        for version in _VERSIONS:
+            call = OneCall(version, True)
+            write_two(call)
+            answer = call.end(_LOST)
+            self.assertIn(b"id: 2\n", answer.body, version)
+            self.assertFalse(answer.whole, version)
+            self.assertTrue(call.caller.closed, version)
+
+    def test_caller_of_a_lost_stream_is_told_why(self):
+        """Guards against a cut that hides the numbered error."""
+        call = OneCall("1.1", True)
+        write_two(call)
+        code = str(Code.OUTCOME_UNKNOWN.value).encode()
+        self.assertIn(code, call.end(_LOST).body)
+
     def test_stream_of_a_killed_entry_is_not_whole(self):
         """Guards against the close of a killed entry that ends a stream."""
         for version in _VERSIONS:
