Tests: the killed service is asked once its sidecar is reached

Cause: the test asked as soon as magnolialug-ctl status was content, which can be before the entry has a link to the sidecar that was started again.

Change: it waits until a whole answer comes through.

Conclusion: nothing is checked less; the first whole answer is asked again.

--- a/tests/cmd/test_killed_endpoint.py
+++ b/tests/cmd/test_killed_endpoint.py
@@ -45,6 +45,7 @@
         port = self.move_booking(fleet)
         for kind in ("book", "availability"):
             endpoint = self.start_endpoint(fleet, port)
+            fleet.wait(lambda: self.is_reached(fleet))
             status, _, text = self.ask(fleet, kind, "whole")
             self.assertEqual((200, '{"canoe": 3}'), (status, text))
             with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -55,6 +56,10 @@
                 status, _, text = fut.result()
             self.assertGreaterEqual(status, 500, text)
 
+    def is_reached(self, fleet):
+        """Whether the entry reaches the service through its sidecar."""
+        return self.ask(fleet, "availability", "whole")[0] == 200
+
     def ask(self, fleet, kind, word):
         """Returns status, headers and text of a call."""
         url = f"{fleet.entries[0]}/v1/services/booking/{kind}"
@@ -75,7 +80,6 @@
         fleet.start(
             "booking-1", "sidecar", "--endpoint=booking-1", fleet.kv_flag
         )
-        fleet.wait(lambda: fleet.ctl("status", f"--entries={fleet.all}") == 0)
         return port
 
     def start_endpoint(self, fleet, port):
