Entries: an empty answer of a plain service stays empty

Cause: an empty text counted as no text, and was encoded as JSON: the caller got a body of two quotation marks that the service had not sent.

Change: a text is passed on as it is.

Before/after: tests/promises/test_cut_streams.py asks for an empty answer. Before, the body was '""' and the test failed; after, it is empty, for HTTP/1.0 and HTTP/1.1.

Conclusion: fixed; found while reading for answers that end early.

--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -188,8 +188,9 @@
             usage_of(served.done),
         )
         self._req.setHeader("X-Request-Id", self.request_id)
-        text = body.encode() if isinstance(body, str) else None
-        write_json(self._req, text or msgspec.json.encode(body))
+        is_text = isinstance(body, str)
+        data = body.encode() if is_text else msgspec.json.encode(body)
+        write_json(self._req, data)
 
     def _close(self) -> None:
         if self._ends_by_close:
--- a/tests/promises/test_cut_streams.py
+++ b/tests/promises/test_cut_streams.py
@@ -28,9 +28,9 @@
       sink: takes the answer.
     """
 
-    def __init__(self, version, stream):
+    def __init__(self, version, stream, path="completions"):
         self.net = Network()
-        app = Cluster(bookings=0, models=1).entries[0]
+        app = Cluster(bookings=1, models=1).entries[0]
         self.sink = None
         self.ended = Deferred()
 
@@ -48,7 +48,7 @@
         self.pipe = self.net.connect(self.caller, ADDRESS)
         body = json.dumps({"model": "guide", "prompt": "a", "stream": stream})
         self.pipe.write(
-            f"POST /v1/completions HTTP/{version}\r\nHost: x\r\n"
+            f"POST /v1/{path} HTTP/{version}\r\nHost: x\r\n"
             "Authorization: Bearer demo-members\r\n"
             f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
         )
@@ -144,3 +144,15 @@
     def test_failure_cut_at_any_byte(self):
         """Guards against half a numbered error that looks whole."""
         self.check_framed(_LOST)
+
+
+class EmptyBodyTest(TestCase):
+    """Answers of a plain service without any byte."""
+
+    def test_empty_answer_stays_empty(self):
+        """Guards against a body that the service did not send."""
+        for version in _VERSIONS:
+            call = OneCall(version, False, "services/booking/availability")
+            answer = call.end(Served(None, 0, 0.1))
+            self.assertEqual((200, b""), (answer.status, answer.body))
+            self.assertTrue(answer.whole, version)
