Sidecars: a close that is read late ends no answer

Cause: a sidecar that stood still reads the close of a killed service when another start listens at the address, which then vouches for it.

Change: the taker of a stream notes when its process has not run for 0.25 s. A close that alone tells an end, and is read then, proves nothing.

Before/after: tests/platform/test_cut_answers.py lets the sidecar stand still for a second. Before, half an answer was whole and the test failed; after, the run fails.

A sound answer that only a close ends fails where its sidecar stands still just then; those with a length or chunks do not.

--- a/magnolialug/platform/http.py
+++ b/magnolialug/platform/http.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from twisted.internet import reactor as default_reactor
+from twisted.internet.interfaces import IReactorTime
 
 from magnolialug.carrier.client import Client, NoReply, request_bytes
 from magnolialug.carrier.pool import PendingRequest
@@ -17,6 +18,11 @@
 
 CheckListening = Callable[[Callable[[bool], None]], None]
 
+_TICK_S = 0.1
+# Shorter than a server takes to start again. What is read after a longer
+# standstill may come from a server in whose place another one listens.
+_STALE_S = 0.25
+
 
 class Reply(msgspec.Struct, frozen=True):
     """A whole HTTP response."""
@@ -36,6 +42,33 @@
         return not names.isdisjoint(("content-length", "transfer-encoding"))
 
 
+class _StandstillWatch:
+    """Notes when this process has not run for a while."""
+
+    def __init__(self, reactor: IReactorTime):
+        self._reactor = reactor
+        self._ticked_at = reactor.seconds()
+        self._stale_until = self._ticked_at
+        self._timer = reactor.callLater(_TICK_S, self._tick)
+
+    def is_stale(self) -> bool:
+        """Whether what is read now may have arrived long ago."""
+        now = self._reactor.seconds()
+        return now < self._stale_until or now - self._ticked_at > _STALE_S
+
+    def stop(self) -> None:
+        """Ends the watch."""
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _tick(self) -> None:
+        now = self._reactor.seconds()
+        if now - self._ticked_at > _STALE_S:
+            self._stale_until = now + _STALE_S
+        self._ticked_at = now
+        self._timer = self._reactor.callLater(_TICK_S, self._tick)
+
+
 class StreamTaker:
     """Takes a response piece by piece.
 
@@ -60,10 +93,14 @@
         self._on_end = on_end
         self._framing: Framing | None = None
         self._check_listening: CheckListening | None = None
+        self._watch: _StandstillWatch | None = None
 
-    def begin(self, check_listening: CheckListening) -> None:
+    def begin(
+        self, reactor: IReactorTime, check_listening: CheckListening
+    ) -> None:
         """Learns how to ask whether the server still listens."""
         self._check_listening = check_listening
+        self._watch = _StandstillWatch(reactor)
 
     def on_head(self, head: Head) -> None:
         """Takes the status line and headers."""
@@ -72,10 +109,13 @@
 
     def on_end(self, end: End) -> None:
         """Learns how the exchange ended."""
-        if end is End.COMPLETE and self._framing is Framing.CLOSE:
-            self._check_listening(self._on_end)
-        else:
+        self._watch.stop()
+        if end is not End.COMPLETE or self._framing is not Framing.CLOSE:
             self._on_end(end is End.COMPLETE)
+        elif self._watch.is_stale():
+            self._on_end(False)
+        else:
+            self._check_listening(self._on_end)
 
 
 class HttpClient:
@@ -100,7 +140,8 @@
     ) -> PendingRequest:
         """Sends a request whose response is taken as it arrives."""
         address, request = _request(method, url, body, headers)
-        taker.begin(partial(self._client.check_listening, address))
+        check_listening = partial(self._client.check_listening, address)
+        taker.begin(self.reactor, check_listening)
         return self._client.send(address, request, taker)
 
     async def ask(
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -58,8 +58,13 @@
     return b"".join(line + 2 * line_end for line in (*lines, b"data: [DONE]"))
 
 
-def run_job(engine, response, resets=False, dies=True):
-    """Returns the pieces and the ends of a run."""
+def run_job(engine, response, resets=False, dies=True, stands_still_s=0):
+    """Returns the pieces and the ends of a run.
+
+    Args:
+      stands_still_s: for how long this process does not run when the head has
+        arrived.
+    """
     net = Network()
     net.servers[ADDRESS] = server = Factory.forProtocol(CutServer)
     server.response, server.resets, server.dies = response, resets, dies
@@ -67,6 +72,8 @@
     job = EngineJob("k", "", "", "{}", "", 9, 0, max_bytes=200_000)
     run = engine(HttpClient(net), _BASE).start(job, pieces.append)
     run.done.addCallback(ends.append)
+    net.advance_by(0.008, 0.001)
+    net.advance(stands_still_s)
     net.advance_by(1)
     return pieces, ends
 
@@ -104,6 +111,16 @@
         self.assertIsInstance(end, Failure)
         self.assertEqual(Code.ENDPOINT_FAILED, end.code)
 
+    def test_close_that_is_read_late(self):
+        """Guards against a later start that vouches for a killed service."""
+        for framing in _FRAMINGS:
+            response = framed(_TEXT.encode(), framing)[:-3]
+            pieces, (end,) = run_job(
+                PlainHttp, response, dies=False, stands_still_s=1.0
+            )
+            self.assertEqual([], pieces, framing)
+            self.assertIsInstance(end, Failure, framing)
+
     def test_close_of_a_living_service_ends_its_answer(self):
         """Guards against the loss of answers whose end a close tells."""
         for framing in _FRAMINGS:
