--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
+from magnolialug.carrier.connection import set_reset_on_close
 from magnolialug.entry.progress import Served
 from magnolialug.entry.responseformats import (
     ResponseFormat,
@@ -16,19 +17,29 @@
 from magnolialug.ids import RequestId
 from magnolialug.result import CODES, Failure
 
-__all__ = ["CallerSink", "write_failure"]
+__all__ = ["CallerSink", "write_failure", "write_json"]
+
+
+def write_json(req: Request, body: bytes) -> None:
+    """Sends a whole JSON body and its length.
+
+    Callers of HTTP/1.0 read no chunks: without a length, they would take the
+    close of a killed process for the end of the body.
+    """
+    req.setHeader("Content-Type", "application/json")
+    req.setHeader("Content-Length", str(len(body)))
+    req.write(body)
+    req.finish()
 
 
 def write_failure(req: Request, failure: Failure, request_id: str = "") -> None:
     """Sends a numbered error, with Retry-After if the failure has a time."""
     req.setResponseCode(CODES[failure.code].status)
-    req.setHeader("Content-Type", "application/json")
     req.setHeader("X-Request-Id", request_id or f"none.{secrets.token_hex(8)}")
     if failure.retry_after_s > 0:
         seconds = max(1, -(-failure.retry_after_s // 1))
         req.setHeader("Retry-After", str(int(seconds)))
-    req.write(msgspec.json.encode(error_body(failure)))
-    req.finish()
+    write_json(req, msgspec.json.encode(error_body(failure)))
 
 
 class CallerSink:
@@ -38,6 +49,10 @@
     `write_piece` does not return; no further ack is sent, and the sidecar stops
     sending.
 
+    Args:
+      ends_by_close: whether only the close of its connection ends a stream,
+        as for callers of HTTP/1.0.
+
     Attributes:
       gone: whether the caller has disconnected.
       request_id: the id under which the answer can be requested again.
@@ -53,6 +68,7 @@
         stream: bool,
         include_usage: bool,
         on_gone: Callable[[], None] = lambda: None,
+        ends_by_close: bool = False,
     ):
         self.gone = False
         self.request_id = ""
@@ -63,6 +79,7 @@
         self._created = created
         self._stream = stream
         self._include_usage = include_usage
+        self._ends_by_close = ends_by_close
         self._open = False
         self._texts: list[str] = []
         self._writable: Deferred | None = None
@@ -122,6 +139,9 @@
         if self._open:
             return
         self._open = True
+        if self._ends_by_close:
+            # An orderly close would be the end of a whole answer.
+            set_reset_on_close(self._req.transport, True)
         self._req.setHeader("Content-Type", "text/event-stream")
         self._req.setHeader("Cache-Control", "no-store")
         self._req.setHeader("X-Request-Id", self.request_id)
@@ -137,7 +157,7 @@
             write_failure(self._req, failure, self.request_id)
             return
         self._event(error_body(failure))
-        self._close()
+        self._abort()
 
     def _finish_stream(self, served: Served) -> None:
         self._begin()
@@ -167,12 +187,18 @@
             finish,
             usage_of(served.done),
         )
-        self._req.setHeader("Content-Type", "application/json")
         self._req.setHeader("X-Request-Id", self.request_id)
-        text = body.encode() if isinstance(body, str) else None
-        self._req.write(text or msgspec.json.encode(body))
-        self._req.finish()
+        is_text = isinstance(body, str)
+        data = body.encode() if is_text else msgspec.json.encode(body)
+        write_json(self._req, data)
 
     def _close(self) -> None:
+        if self._ends_by_close:
+            set_reset_on_close(self._req.transport, False)
         self._req.unregisterProducer()
         self._req.finish()
+
+    def _abort(self) -> None:
+        """Closes the connection so that the stream is not framed as whole."""
+        self._req.unregisterProducer()
+        self._req.channel.loseConnection()
