Sidecars: a plain answer without framing is whole if its service listens

Cause: A plain service's answer with neither a length nor chunks ended with its connection. The kernel closes that of a killed process in order, so the sidecar passed on what had come, nothing or half an answer, as a success. Change: At such an end `PlainHttp` asks the pool whether the service still listens, as gateways do, and otherwise the run fails. Framed answers are taken at once. A cancelled run ends at once, also during the check. Conclusion: The end of a killed service is told apart unless a successor listens within the check's time. An end that the sidecar reads late, after it stood still, is not told apart here.

--- a/magnolialug/carrier/client.py
+++ b/magnolialug/carrier/client.py
@@ -1,6 +1,6 @@
 """HTTP client that buffers whole responses from pooled connections."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -277,6 +277,16 @@
         self, address: Address, request: bytes, receiver: ResponseReceiver
     ) -> PendingRequest:
         """Sends a request and passes the response on as it arrives."""
+        pool = self._pool(address)
+        return pool.send(request, receiver, lambda head, is_first: True)
+
+    def check_listening(
+        self, address: Address, done: Callable[[bool], None]
+    ) -> None:
+        """Calls `done` with whether a peer still listens."""
+        self._pool(address).check_listening(done)
+
+    def _pool(self, address: Address) -> Pool:
         pool = self._pools.get(address)
         if pool is None:
             clock = self._reactor.seconds
@@ -288,7 +298,7 @@
                 monitor=self._monitor,
             )
             self._pools[address] = pool
-        return pool.send(request, receiver, lambda head, is_first: True)
+        return pool
 
     def drop_idle(self, address: Address) -> None:
         """Closes the idle connections to a peer."""
--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -216,14 +216,18 @@
         on_piece: Callable[[str], None],
     ):
         self.done: Deferred = Deferred()
+        self._http = http
+        self._url = url
         self._on_piece = on_piece
         self._body = body
         self._max_bytes = min(max_bytes, _PLAIN_LIMIT)
         self._status = 0
         self._pieces: list[bytes] = []
         self._received = 0
-        taker = StreamTaker(self._answered, self._data, self._ended)
-        self._pending_request = http.stream("POST", url, body.encode(), taker)
+        self._taker = StreamTaker(self._answered, self._data, self._ended)
+        self._pending_request = http.stream(
+            "POST", url, body.encode(), self._taker
+        )
 
     def pause(self) -> None:
         """Has nothing to pause: the answer is one piece."""
@@ -234,6 +238,7 @@
     def cancel(self) -> None:
         """Stops waiting; the service may have run the call."""
         self._pending_request.drop()
+        self._end(failed(Code.CANCELLED))
 
     def _answered(self, status: int) -> None:
         self._status = status
@@ -254,8 +259,20 @@
             self._end(failed(Code.ENDPOINT_FAILED, "no whole answer"))
         elif self._status >= 500:
             self._end(failed(Code.ENDPOINT_FAILED, f"status {self._status}"))
+        elif self._taker.is_framed:
+            self._end(self._deliver())
         else:
+            self._http.check_listening(self._url, self._on_checked)
+
+    def _on_checked(self, listens: bool) -> None:
+        """Takes the answer unless its service has ended with it."""
+        if self.done.called:
+            return
+        if listens:
             self._end(self._deliver())
+        else:
+            reason = "the service has ended, its answer had no length"
+            self._end(failed(Code.ENDPOINT_FAILED, reason))
 
     def _deliver(self) -> Usage | Failure:
         try:
--- a/magnolialug/platform/http.py
+++ b/magnolialug/platform/http.py
@@ -7,8 +7,8 @@
 from twisted.internet import reactor as default_reactor
 
 from magnolialug.carrier.client import Client, NoReply, request_bytes
-from magnolialug.carrier.pool import PendingRequest
-from magnolialug.carrier.reader import Head
+from magnolialug.carrier.pool import Address, PendingRequest
+from magnolialug.carrier.reader import Framing, Head
 from magnolialug.carrier.responsereceiver import End
 from magnolialug.result import Code, Failure, failed
 
@@ -40,6 +40,10 @@
       on_status: gets the status before the first piece.
       on_data: gets each piece of the body.
       on_end: is told whether the body is whole.
+
+    Attributes:
+      is_framed: whether the head tells where the body ends. Otherwise the
+        close of the connection does, and that of a killed process looks alike.
     """
 
     def __init__(
@@ -49,11 +53,13 @@
         on_end: Callable[[bool], None],
     ):
         self.on_data = on_data
+        self.is_framed = False
         self._on_status = on_status
         self._on_end = on_end
 
     def on_head(self, head: Head) -> None:
         """Takes the status line and headers."""
+        self.is_framed = head.framing is not Framing.CLOSE
         self._on_status(head.status)
 
     def on_end(self, end: End) -> None:
@@ -85,6 +91,10 @@
         address, request = _request(method, url, body, headers)
         return self._client.send(address, request, taker)
 
+    def check_listening(self, url: str, done: Callable[[bool], None]) -> None:
+        """Calls `done` with whether the server of a URL still listens."""
+        self._client.check_listening(_address(url), done)
+
     async def ask(
         self,
         method: str,
@@ -112,11 +122,15 @@
 
 def _request(
     method: str, url: str, body: bytes, headers: dict[str, str] | None
-) -> tuple[tuple[str, int], bytes]:
+) -> tuple[Address, bytes]:
     parts = urlsplit(url)
-    address = (parts.hostname or "", parts.port or 80)
     target = parts.path or "/"
     if parts.query:
         target += "?" + parts.query
     data = request_bytes(method, parts.netloc, target, body, headers)
-    return address, data
+    return _address(url), data
+
+
+def _address(url: str) -> Address:
+    parts = urlsplit(url)
+    return parts.hostname or "", parts.port or 80
--- a/tests/platform/test_enginehttp.py
+++ b/tests/platform/test_enginehttp.py
@@ -8,7 +8,7 @@
 from magnolialug.platform.enginehttp import EngineHttp, PlainHttp
 from magnolialug.platform.http import HttpClient
 from magnolialug.result import Code, Failure
-from magnolialug.sidecar.engine import EngineJob
+from magnolialug.sidecar.engine import EngineJob, Usage
 from tests.network import Network
 
 ADDRESS = ("10.1.0.1", 8080)
@@ -76,6 +76,74 @@
         self.assertEqual(Code.ENDPOINT_FAILED, end.code)
 
 
+class KilledServer(Protocol):
+    """Answers in part; then its process ends, its listener with it."""
+
+    def dataReceived(self, data):
+        """Answers a request."""
+        self.transport.write(self.factory.response)
+        self.transport.loseConnection()
+        net = self.transport.net
+        net.servers.pop(ADDRESS, None)
+
+
+class UnframedPlainAnswerTest(TestCase):
+    """Answers of a plain service whose end only a close tells."""
+
+    def setUp(self):
+        super().setUp()
+        self.net = Network()
+        self.pieces, self.ends = [], []
+
+    def start(self, server, response):
+        """Starts a run that gets this response."""
+        factory = Factory.forProtocol(server)
+        factory.response = response
+        self.net.servers[ADDRESS] = factory
+        plain = PlainHttp(HttpClient(self.net), "http://10.1.0.1:8080")
+        job = EngineJob("k", "", "", "{}", "", 1, 0, max_bytes=_LIMIT_BYTES)
+        run = plain.start(job, self.pieces.append)
+        run.done.addCallback(self.ends.append)
+        return run
+
+    def test_an_answer_whose_service_is_killed_is_not_whole(self):
+        """Guards against half an answer that is passed on as a success."""
+        for body in (b"", b"half an ans"):
+            self.ends.clear()
+            self.start(KilledServer, b"HTTP/1.1 200 OK\r\n\r\n" + body)
+            self.net.advance_by(2)
+            (end,) = self.ends
+            self.assertEqual([], self.pieces)
+            self.assertIsInstance(end, Failure)
+            self.assertEqual(Code.ENDPOINT_FAILED, end.code)
+
+    def test_an_answer_whose_service_still_listens_is_whole(self):
+        self.start(ClosingServer, b"HTTP/1.1 200 OK\r\n\r\nanswer")
+        self.net.advance_by(2)
+        (end,) = self.ends
+        self.assertEqual(["answer"], self.pieces)
+        self.assertIsInstance(end, Usage)
+
+    def test_a_framed_answer_is_whole_though_its_service_is_killed(self):
+        """Guards against answers that are lost though they came whole."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"
+        self.start(KilledServer, head + b"answer")
+        self.net.advance_by(2)
+        (end,) = self.ends
+        self.assertEqual(["answer"], self.pieces)
+        self.assertIsInstance(end, Usage)
+
+    def test_a_run_that_is_cancelled_meanwhile_delivers_nothing(self):
+        """Guards against an answer that comes after its caller has gone."""
+        run = self.start(ClosingServer, b"HTTP/1.1 200 OK\r\n\r\nanswer")
+        self.net.advance_by(0.02)
+        self.assertEqual([], self.ends)
+        run.cancel()
+        self.net.advance_by(2)
+        self.assertEqual([], self.pieces)
+        self.assertEqual(1, len(self.ends))
+
+
 class BlockExportTest(TestCase):
     """Blocks that are read from an engine."""
 
