Tests: cut responses on used connections are no replies

Cause: The tests of cut responses used each connection once, so that what an earlier response leaves in the parser could have made an end of a cut. Change: A second response on the connection is cut at every byte. Before/after: no fault was found; the new test passes on the code as it was. Conclusion: An earlier response ends no later one.

--- a/tests/carrier/test_cut_responses.py
+++ b/tests/carrier/test_cut_responses.py
@@ -1,6 +1,7 @@
 """Responses that end at any byte, in order or by a reset."""
 
 from testtools import TestCase
+from twisted.internet.protocol import Factory, Protocol
 
 from magnolialug.carrier.client import Client, NoReply, Reply, request_bytes
 from magnolialug.carrier.reader import BadResponseError
@@ -45,6 +46,40 @@
     return found
 
 
+class _SecondIsCut(Protocol):
+    """Answers one request in full, and the next in part."""
+
+    is_used = False
+
+    def dataReceived(self, data):
+        """Answers a request."""
+        if not self.is_used:
+            self.is_used = True
+            self.transport.write(self.factory.first)
+            return
+        self.transport.write(self.factory.second)
+        if self.factory.resets:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
+
+
+def asked_again(first, second, resets):
+    """Returns what two calls on one connection yield."""
+    net = Network()
+    net.servers[_ADDRESS] = factory = Factory.forProtocol(_SecondIsCut)
+    factory.first, factory.second, factory.resets = first, second, resets
+    client = Client(net)
+    results = []
+    for _ in range(2):
+        fut = client.ask(_ADDRESS, request_bytes("GET", "h", "/x"), 1.0)
+        fut.addCallback(results.append)
+        net.advance_by(0.05)
+    if len(net.dialled) != 1:
+        raise AssertionError("the connection was not used again")
+    return results
+
+
 class CutReaderTest(TestCase):
     """The parser, whose input ends in order."""
 
@@ -115,3 +150,17 @@
         for size in range(len(body) + 1):
             found = asked(head + body[:size], resets=True)
             self.assertEqual(NoReply(End.RESET), found, size)
+
+    def test_a_cut_response_on_a_used_connection_is_no_reply(self):
+        """Guards against what an earlier response leaves in the parser."""
+        kinds = framings(_BODY)
+        for name, (head, body) in kinds.items():
+            first = b"".join(kinds["length" if name == "close" else name])
+            for size in range(len(head) + len(body)):
+                resets = bool(size % 2)
+                if name == "close" and size >= len(head) and not resets:
+                    continue
+                found = asked_again(first, (head + body)[:size], resets)
+                self.assertEqual(_BODY, found[0].body, (name, size))
+                end = End.RESET if resets else End.CLOSED
+                self.assertEqual(NoReply(end), found[1], (name, size))
