Tests: a cut answer of a preview is no refusal

Cause: The operator's preview reads refusals, of which no test cut any. Change: A refusal is cut at every byte, in each framing. Before/after: no fault was found; the new test passes on the code as it was. Conclusion: The tool names no reason and no time that was not sent whole.

--- a/tests/platform/test_cut_replies.py
+++ b/tests/platform/test_cut_replies.py
@@ -9,6 +9,7 @@
 
 from magnolialug.carrier.client import Client
 from magnolialug.ctl.fleetstatus import ask_entry
+from magnolialug.ctl.preview import preview_lines
 from magnolialug.ids import EndpointId, ServiceName, ZoneId
 from magnolialug.platform.cachecalls import CacheCalls
 from magnolialug.platform.enginecalls import EngineCalls, OrderReply
@@ -17,7 +18,7 @@
 from magnolialug.platform.storehttp import StoreHttp
 from magnolialug.policy.registeredendpoint import RegisteredEndpoint
 from magnolialug.policy.storedblock import Tier
-from magnolialug.result import Failure
+from magnolialug.result import Code, Failure
 from tests.cutserver import CutServer, framings
 from tests.network import Network
 
@@ -216,3 +217,22 @@
             )
             self.assertEqual(0, found.version, case)
             self.assertNotEqual("", found.note, case)
+
+    def test_a_cut_refusal_of_a_preview_gives_no_reason(self):
+        """Guards against a reason or a time of which the end is missing."""
+        body = (
+            b'{"code":109,"name":"n","reason":"why","field":"f",'
+            b'"value":"v","retry_after_s":12.5}'
+        )
+        status = b"400 Bad Request"
+
+        def ask(net):
+            return preview_lines(net, _URL, ["path=/x"], "text")
+
+        for response, resets, case in cuts(body, status):
+            found = outcome(response, resets, ask)
+            self.assertEqual(Code.CONNECTION_REFUSED, found.code, case)
+            self.assertNotIn(found.retry_after_s, (1.0, 12.0, 12.5), case)
+        for name, (head, text) in framings(body, status).items():
+            found = outcome(head + text, False, ask)
+            self.assertEqual(12.5, found.retry_after_s, name)
