--- a/magnolialug/platform/enginehttp.py
+++ b/magnolialug/platform/enginehttp.py
@@ -234,6 +234,7 @@
     def cancel(self) -> None:
         """Stops waiting; the service may have run the call."""
         self._pending_request.drop()
+        self._end(failed(Code.CANCELLED))
 
     def _answered(self, status: int) -> None:
         self._status = status
