Streams: an event in CRLF ends behind the whole blank line

Cause: a CR behind a CRLF was a blank line of its own. A stream in CRLF that broke off between the two bytes gave its caller the event without its last byte, and the other endpoint's next event behind it: callers that know CRLF alone read the two as one. Where the stream cannot be resumed, a close there was taken for the end. Change: an event whose blank line is CR behind CRLF has not ended while nothing follows; one that was broken off there is asked for again. Before/after: test_an_event_ends_behind_the_whole_blank_line and the new case of test_partial_events_are_found_however_the_bytes_arrive failed before, pass.

--- a/magnolialug/entry/eventboundary.py
+++ b/magnolialug/entry/eventboundary.py
@@ -8,6 +8,8 @@
 _MAX_SEPARATOR_BYTES = 4
 # The last byte of an event, the end of its line and a blank line.
 _END = re.compile(rb"[^\r\n](?>\r\n|\r|\n){2}")
+# The blank line of a stream in CRLF, before its last byte.
+_BEGUN_CRLF = b"\r\n\r"
 
 
 class EventBoundary:
@@ -28,13 +30,20 @@
 
     def _last_line_end(self) -> bytes:
         """Returns the last byte of an event that goes on, and its line end."""
-        if not self.is_inside_event:
+        if self._is_ended:
             return b""
         line = self._tail.rstrip(b"\r\n")
         return self._tail[len(line) - 1 :]
 
     @property
     def is_inside_event(self) -> bool:
-        """Whether the last event has begun and not ended."""
+        """Whether the last event has begun and not ended.
+
+        It has not in the middle of the CRLF that ends it.
+        """
+        return not self._is_ended or self._tail.endswith(_BEGUN_CRLF)
+
+    @property
+    def _is_ended(self) -> bool:
         tail = self._tail.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
-        return not tail.endswith(b"\n\n")
+        return tail.endswith(b"\n\n")
--- a/magnolialug/entry/eventsplitter.py
+++ b/magnolialug/entry/eventsplitter.py
@@ -6,6 +6,10 @@
 
 # The last byte of an event, the end of its line and a blank line.
 _END = re.compile(rb"[^\r\n](?>\r\n|\r|\n){2}")
+# The blank line of a stream in CRLF, before its last byte. Another endpoint's
+# event behind it would be taken for a line of this one by callers that know
+# CRLF alone.
+_BEGUN_CRLF = b"\r\n\r"
 # One byte less than the longest match.
 _MAX_BEGUN_END_BYTES = 4
 _ID = b"id:"
@@ -47,6 +51,8 @@
         end = 0
         events = []
         for found in _END.finditer(data, searched_from):
+            if found.end() == len(data) and data.endswith(_BEGUN_CRLF):
+                break
             event = data[end : found.end()]
             end = found.end()
             if self._is_new(event):
--- a/tests/entry/test_event_boundary.py
+++ b/tests/entry/test_event_boundary.py
@@ -23,6 +23,7 @@
         (b"data: x\n\nid: 2\n", True),
         (b"data: x\r\n\r\nid: 2\r\n", True),
         (b"data: x\r\n", True),
+        (b"data: x\r\n\r", True),
         (b"d", True),
     )
 
--- a/tests/entry/test_event_splitter.py
+++ b/tests/entry/test_event_splitter.py
@@ -41,6 +41,16 @@
                 self.assertEqual(b"", splitter.feed(whole[:cut]))
                 self.assertTrue(splitter.has_partial_event, (line_end, cut))
 
+    def test_an_event_ends_behind_the_whole_blank_line(self):
+        """Guards against runs that are joined inside a CRLF."""
+        first, rest = event(1, b"\r\n")[:-1], event(1, b"\r\n")[-1:]
+        splitter = EventSplitter()
+        self.assertEqual(b"", splitter.feed(first))
+        self.assertTrue(splitter.has_partial_event)
+        self.assertEqual(0, splitter.last_id)
+        self.assertEqual(first + rest, splitter.feed(rest))
+        self.assertFalse(splitter.has_partial_event)
+
     def test_events_that_the_caller_has_are_dropped(self):
         """Guards against events that come twice after a resumption."""
         for line_end in LINE_ENDS:
