--- a/tests/gatewayprocess.py
+++ b/tests/gatewayprocess.py
@@ -60,7 +60,7 @@
 drainMs = 2000
 graceS = 8
 configApplyMs = 2000
-retryBudgetRatio = 0.2
+retryBudgetRatio = {retry_ratio}
 retryBudgetExtra = 54
 budgetWindowS = 10
 leaseMs = 3000
@@ -87,6 +87,7 @@
     header_bytes: int = 16384
     body_bytes: int = 2 * 1024 * 1024
     header_s: float = 3.0
+    retry_ratio: float = 0.2
 
     def as_config(self) -> dict:
         """Returns them as the operator names them."""
@@ -120,13 +121,22 @@
 class GatewayProcess(fixtures.Fixture):
     """A gateway, its platform, and what the gateway takes of its machine."""
 
-    def __init__(self, limits: Limits, desks: int = 2, engines: int = 1):
+    def __init__(
+        self,
+        limits: Limits,
+        desks: int = 2,
+        engines: int = 1,
+        platform: str = "tests.platformprocess",
+        **options: object,
+    ):
         super().__init__()
         self.limits = limits
+        self._platform = platform
         self._options = {
             "limits": limits.as_config(),
             "desks": desks,
             "engines": engines,
+            **options,
         }
         self._names = iter(range(1_000_000))
         self._running: list[subprocess.Popen] = []
@@ -145,6 +155,7 @@
                 host=self.host,
                 memory_mb=self.limits.memory_mb,
                 descriptors=self.limits.descriptors,
+                retry_ratio=self.limits.retry_ratio,
                 store_port=self._start_platform(),
             )
         )
@@ -170,7 +181,7 @@
             [
                 sys.executable,
                 "-m",
-                "tests.platformprocess",
+                self._platform,
                 json.dumps(self._options),
             ],
             cwd=ROOT,
