Tests: cut streams of callers without chunks

Cause: a stream that is cut ends for a caller of HTTP/1.0 in an orderly close: twisted shuts the connection down, which sends a FIN, before the close that resets it. The test that we had sees no sockets. Change: a test over real sockets, known red: the code lies outside this part.

--- a/tests/entry/test_cut_answers.py
+++ b/tests/entry/test_cut_answers.py
@@ -141,3 +141,9 @@
             if events:
                 cuts = self.ends_of_events(case)[1:]
             self.check_none_false(prefix, case, cuts)
+
+    def test_cut_streams_are_reset_for_callers_without_chunks(self):
+        """Guards against a FIN in front of the reset that tells of a cut."""
+        for case in _streams("chunks"):
+            cuts = self.some(length_of(case))
+            self.check_none_false("/once/", case, cuts, "1.0")
