Attempts: one that many requests fail at is asked for what follows

Cause: an end of a resumable stream that only a close has told was whole whenever no other endpoint was sound. Where many answers break off, none is, and then every false end between two events passed. Change: then one that responds is asked, within the same limits of attempts and budget; suspected ones are not.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -414,9 +414,26 @@
         if budget.left(self._call.service) < budget.limit / 2:
             return None
         if self._may_hedge():
-            return await self._place_spare(progress, source)
+            spare = await self._place_spare(progress, source)
+            return spare or await self._place_unhealthy(progress)
         return await self._place_again(progress, source)
 
+    async def _place_unhealthy(self, progress: Progress) -> Placed | None:
+        """Returns an endpoint that responds, though many requests fail there.
+
+        What it adds proves an end false as well as any other's.
+        """
+        results = await self._prober.probe(self._call, self._avoid)
+        if not results.candidates or not self._may_hedge():
+            return None
+        placed = self._placer.place(self._call, progress, self._avoid, results)
+        if isinstance(placed, Failure) or placed.peer.unresponsive:
+            return None
+        if placed.dispatch.endpoint in self._avoid:
+            return None
+        self._count_retry()
+        return placed
+
     async def _place_again(
         self, progress: Progress, source: EndpointId
     ) -> Placed | None:
--- a/tests/entry/test_cut_answers.py
+++ b/tests/entry/test_cut_answers.py
@@ -84,6 +84,17 @@
         self.check_none_false("/again/", case, cuts)
 
 
+class BrokenServersTest(_CutAnswersTest):
+    """Servers of which none is thought sound any more."""
+
+    def test_resumable_streams_that_only_a_close_ends_are_not_whole(self):
+        """Guards against a false end that no sound server can be asked of."""
+        case = Case("close", events=_EVENTS)
+        cuts = self.ends_of_events(case)
+        for _ in range(6):
+            self.check_none_false("/again/", case, cuts * 2)
+
+
 class CutAnswersTest(_CutAnswersTest):
     """Answers that end at any byte."""
 
