Answers: an aborted answer is a reset for callers of HTTP/1.0

Cause: callers of HTTP/1.0 read no chunks, so the close is the end of a body without a length. The tests' network knew only the option. Change: such an answer is aborted, at gateways and at entries before sidecars. What the kernel has not sent yet is lost with the reset.

--- a/magnolialug/entry/gatewaysink.py
+++ b/magnolialug/entry/gatewaysink.py
@@ -118,7 +118,11 @@
             return
         self.ended = True
         self._req.unregisterProducer()
-        self._req.channel.loseConnection()
+        if self._ends_by_close:
+            # An ordinary close sends a FIN in front of the reset.
+            self._req.transport.abortConnection()
+        else:
+            self._req.channel.loseConnection()
 
     @property
     def has_begun(self) -> bool:
--- a/magnolialug/entry/sink.py
+++ b/magnolialug/entry/sink.py
@@ -201,4 +201,8 @@
     def _abort(self) -> None:
         """Closes the connection so that the stream is not framed as whole."""
         self._req.unregisterProducer()
-        self._req.channel.loseConnection()
+        if self._ends_by_close:
+            # An ordinary close sends a FIN in front of the reset.
+            self._req.transport.abortConnection()
+        else:
+            self._req.channel.loseConnection()
