Streams: a killed endpoint has a quarter of a second to close its listener

Change: a stream's end is proved by a connection that stays open for 0.25 s; its caller has all events by then. Plain answers keep 50 ms. Checks no longer wait for one another, so that streams that end together are not held up. A plain answer of a killed process on such a machine may still look whole.

--- a/magnolialug/carrier/pool.py
+++ b/magnolialug/carrier/pool.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from magnolialug.carrier.connection import AcceptsHead, Connection
-from magnolialug.carrier.listeningcheck import ListeningCheck
+from magnolialug.carrier.listeningcheck import check_listening
 from magnolialug.carrier.peermonitor import PeerMonitor
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
 
@@ -20,6 +20,8 @@
 # closed within this time, before any request, was therefore not accepted by an
 # endpoint.
 _PROBE_CLOSE_S = 0.1
+# Far above the time in which a killed process closes its files.
+_STAYS_OPEN_S = 0.05
 
 Address = tuple[str, int]
 
@@ -139,7 +141,6 @@
         self._all: set[Connection] = set()
         self._connecting = 0
         self._closed = False
-        self._listening = ListeningCheck(self, reactor.callLater)
 
     @property
     def connection_count(self) -> int:
@@ -196,9 +197,17 @@
             conn.close()
         self._idle.clear()
 
-    def check_listening(self, done: Callable[[bool], None]) -> None:
-        """Calls `done` with whether the endpoint still listens."""
-        self._listening.ask(done)
+    def check_listening(
+        self,
+        done: Callable[[bool], None],
+        stays_open_s: float = _STAYS_OPEN_S,
+    ) -> None:
+        """Calls `done` with whether the endpoint still listens.
+
+        Args:
+          stays_open_s: how long a connection must stay open to tell.
+        """
+        check_listening(self, self._reactor.callLater, stays_open_s, done)
 
     def keep(self, conn: Connection) -> None:
         """Takes an unused connection for the next request."""
--- a/magnolialug/entry/endcheck.py
+++ b/magnolialug/entry/endcheck.py
@@ -12,6 +12,11 @@
 _STALE_S = 0.25
 # An endpoint registers itself with its first heartbeat, 1.2 s after its start.
 _SUCCESSOR_KNOWN_S = 2.0
+# How long a connection must stay open to tell that its endpoint listens. The
+# caller of a stream has all events by then, and loses nothing by a longer time,
+# which is certain also where the endpoint's machine is overloaded.
+_PLAIN_STAYS_OPEN_S = 0.05
+_STREAM_STAYS_OPEN_S = 0.25
 # What is left to the caller when a wait for a successor ends.
 _SPARE_S = 0.3
 
@@ -78,6 +83,7 @@
         self,
         now: float,
         deadline: float,
+        is_stream: bool,
         may_repeat: bool,
         done: Callable[[EndState], None],
     ) -> None:
@@ -85,6 +91,7 @@
 
         Args:
           deadline: when the answer is of no more use.
+          is_stream: whether the caller has had the answer as it came.
           may_repeat: whether the request may be sent to another endpoint. Then
             an end that is read late is not worth a wait.
         """
@@ -98,7 +105,8 @@
         else:
             known_at = min(now + _SUCCESSOR_KNOWN_S, deadline - _SPARE_S)
             self._peer.pool.check_listening(
-                lambda listens: self._on_checked(listens, known_at)
+                lambda listens: self._on_checked(listens, known_at),
+                _STREAM_STAYS_OPEN_S if is_stream else _PLAIN_STAYS_OPEN_S,
             )
 
     def stop(self) -> None:
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -528,6 +528,7 @@
             self._end_check.start(
                 self._clock(),
                 self._call.deadline,
+                self._boundary is not None,
                 self._call.kind.idempotent,
                 lambda state: self._finish(_ENDS[state]),
             )
--- a/tests/carrier/test_listening_check.py
+++ b/tests/carrier/test_listening_check.py
@@ -52,6 +52,16 @@
         self.net.advance_by(1, 0.001)
         self.assertEqual([False], self.results)
 
+    def test_a_listener_that_closes_late_counts_for_nothing(self):
+        """Guards against a killed process that is preempted as it ends."""
+        self.pool.check_listening(self.results.append, 0.25)
+        self.net.advance_by(0.2, 0.001)
+        del self.net.servers[ADDRESS]
+        for conn in list(self.server.open):
+            conn.transport.abortConnection()
+        self.net.advance_by(1, 0.001)
+        self.assertEqual([False], self.results)
+
     def test_an_endpoint_that_keeps_connections_listens(self):
         """Guards against a full endpoint that is taken for a killed one."""
         self.pool.send(REQUEST, NullReceiver(), lambda head, is_first: False)
--- a/tests/entry/test_unproven_ends.py
+++ b/tests/entry/test_unproven_ends.py
@@ -60,7 +60,7 @@
             check.sweep(now)
             check.record_resumed(now, 0.2)
         results = []
-        check.start(now, now + 10, True, results.append)
+        check.start(now, now + 10, False, True, results.append)
         self.assertEqual([EndState.UNKNOWN], results)
 
 
