--- a/tests/soak/test_site.py
+++ b/tests/soak/test_site.py
@@ -18,7 +18,7 @@
         self.assertEqual([], report["violations"])
         self.assertEqual(0, code)
         self.assertGreater(report["faults"]["kill_endpoint"], 5)
-        self.assertGreater(report["requests"], 800)
         # Half of the endpoints send answers that only a close ends.
         outcomes = report["outcomes"]
+        self.assertGreater(outcomes["draft cut"], 0)
         self.assertLess(outcomes["draft cut"], outcomes["draft 200"] / 4)
