Streams: the log tells whose copy of the registry named an only version

Cause: callers got events of two software versions in one stream; 2013 STREAM_TAKEN_UP told by what the version was known, but neither how many entries were asked and answered, nor whether the entry's own copy of the registry or that of another entry named it. Two of three hypotheses could not be told apart. Change: 2013 has asked, answered, own_version and vouched_versions. No decision changes. Before/after: test_line_tells_whose_copy_of_the_registry_named_the_version failed before, passes.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -596,6 +596,10 @@
             service=origin.service if origin else "",
             software=origin.software if origin else "",
             age_s=round(found.age_s, 3),
+            asked=found.asked,
+            answered=found.answered,
+            own_version=found.own_version or "",
+            vouched_versions=found.vouched_versions,
         )
         if origin is None:
             return failed(Code.ORIGIN_UNKNOWN, value=self._call.resumes)
--- a/magnolialug/streamorigins/wiring.py
+++ b/magnolialug/streamorigins/wiring.py
@@ -60,11 +60,19 @@
     Attributes:
       origin: None if it is unknown or ambiguous.
       age_s: how long ago it was learned, by the entry that knows it.
+      asked: how many other entries were asked.
+      answered: how many of them replied in time.
+      own_version: the only version by this entry's own copy of the registry.
+      vouched_versions: the only versions by the copies of other entries.
     """
 
     by: FoundBy
     origin: Origin | None = None
     age_s: float = 0.0
+    asked: int = 0
+    answered: int = 0
+    own_version: SoftwareVersion | None = None
+    vouched_versions: tuple[SoftwareVersion, ...] = ()
 
 
 class StreamOrigins:
@@ -128,14 +136,20 @@
         if origin is not None:
             return Found(FoundBy.OWN, origin, self._table.age_s(key, now))
         replies: list[OriginReply] = []
+        asked = 0
         selected = self._others(key)
         further = [a for a in self._ring.others if a not in selected]
         for entries in (selected, further[:_FURTHER_ENTRIES]):
+            asked += len(entries)
             replies += await self._query(key, call, entries)
             found = _origin_in(replies)
             if found is not None:
-                return found
-        return self._only_version(call, replies)
+                break
+        else:
+            found = self._only_version(call, replies)
+        return msgspec.structs.replace(
+            found, asked=asked, answered=len(replies)
+        )
 
     def tick(self, now: float) -> None:
         """Forgets streams that can no longer be taken up."""
@@ -167,12 +181,22 @@
         lifetime_s = stream_lifetime_s(call.route.timeout_s)
         now = self._clock()
         own = self._history.only_version(call.service, lifetime_s, now)
-        sure = {own, *(reply.only_version for reply in replies)} - {None}
+        vouched = {reply.only_version for reply in replies} - {None}
+        sure = vouched | ({own} - {None})
         seen = self._history.versions(call.service, lifetime_s, now)
+        found = Found(
+            FoundBy.UNKNOWN,
+            own_version=own,
+            vouched_versions=tuple(sorted(vouched)),
+        )
         if len(sure) != 1 or not seen <= sure:
-            return Found(FoundBy.UNKNOWN)
+            return found
         (software,) = sure
-        return Found(FoundBy.ONLY_VERSION, Origin(call.service, software))
+        return msgspec.structs.replace(
+            found,
+            by=FoundBy.ONLY_VERSION,
+            origin=Origin(call.service, software),
+        )
 
     def _add(self, notice: OriginNotice) -> None:
         self._table.add(
--- a/tests/entry/test_failure_lines.py
+++ b/tests/entry/test_failure_lines.py
@@ -103,6 +103,25 @@
         (taken_up,) = [r for r in rows if r.get("name") == "STREAM_TAKEN_UP"]
         self.assertEqual("only version", taken_up["found_by"])
 
+    def test_line_tells_whose_copy_of_the_registry_named_the_version(self):
+        """Guards against a line that leaves open who vouched for a version."""
+        for known_since, own in ((0.0, "v1.2"), (STREAM_LIFETIME_S, "")):
+            lines = collect_lines(self)
+            cluster = GatewayCluster(
+                desks=0, engines=0, vms=("front-1", "front-2")
+            )
+            cluster.add_engine(software="v1.2")
+            cluster.pass_time(STREAM_LIFETIME_S + 1)
+            cluster.gateway.directory.software.known_since = known_since
+            headers = ("Last-Event-Id: 2", "Resumes: 1f")
+            cluster.ask("/check/x", headers=headers)
+            rows = [msgspec.json.decode(str(line)) for line in lines]
+            (line,) = [r for r in rows if r.get("name") == "STREAM_TAKEN_UP"]
+            self.assertEqual("only version", line["found_by"])
+            self.assertEqual(own, line["own_version"])
+            self.assertEqual(["v1.2"], line["vouched_versions"])
+            self.assertEqual((1, 1), (line["asked"], line["answered"]))
+
 
 class GivenUpLineTest(TestCase):
     """The log tells why an attempt was ended by the gateway."""
