Streams: an only version takes a read of the registry that begins after the return

Cause: callers got events of two software versions in one stream (ORDER). A gateway that was cut off from the store, or stood still, took its copy of the registry for the registry until the watch noticed, up to 1.3 s later, and queries that nobody answered for replies that nobody knows the stream. Change: before a stream is taken up by an only version, the newest changes are read from the store (`entry/registrycopy.py`, one read for all who wait, a tenth of the quota for all entries) and applied (`WatchClient.catch_up`). Without that read the return is refused as not run, with a time to return; so is one of unknown origin while some entries that were asked have not replied. 2013 has found_by `unconfirmed`, 4204 tells failed reads, registry_reads counts them. Conclusion: a stream begins before its caller returns, at an endpoint that was registered before. The store's reads are linearizable, so a read that begins after the return has that registration; the absence of a version follows from a fact, no longer from not having heard of one.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -44,6 +44,7 @@
 from magnolialug.entry.peermessenger import PeerMessenger
 from magnolialug.entry.placer import AttemptCallbacks, Placer
 from magnolialug.entry.registry import Registry
+from magnolialug.entry.registrycopy import RegistryCopy
 from magnolialug.entry.retryloop import ServingContext
 from magnolialug.entry.rolloutcommands import RolloutCommands
 from magnolialug.entry.rolloutlease import LEADER_KEY, RolloutLease
@@ -208,6 +209,7 @@
             self.owners.ring,
             self.owners.pending_queries,
             self.directory.software,
+            self._registry_copy(reactor),
             self.messenger,
             reactor,
         )
@@ -456,6 +458,20 @@
             self._apply_entry_count,
         )
 
+    def _registry_copy(self, reactor) -> RegistryCopy:
+        def count(succeeded: bool) -> None:
+            result = "confirmed" if succeeded else "failed"
+            self.metrics.registry_reads.add(1, {"result": result})
+
+        return RegistryCopy(
+            lambda: self._watch_client.catch_up(),
+            lambda: self._watch_client.revision_of(REGISTRY_PREFIX),
+            self.settings.store.reads_per_s,
+            lambda: self.directory.entries,
+            reactor,
+            count,
+        )
+
     def _call_context(self, random: Random) -> CallContext:
         metrics = self.metrics
         return CallContext(
--- a/magnolialug/entry/gatewaymetrics.py
+++ b/magnolialug/entry/gatewaymetrics.py
@@ -45,6 +45,7 @@
         self.refusals = meter.create_counter("refusals")
         self.limited = meter.create_counter("requests_limited")
         self.streams_taken_up = meter.create_counter("streams_taken_up")
+        self.registry_reads = meter.create_counter("registry_reads")
         self.retries = meter.create_counter("retries")
         self.ends_unproven = meter.create_counter("ends_unproven")
         self.attempts = meter.create_counter("attempts")
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -59,6 +59,8 @@
 _HEDGE_SHORTLIST_SIZE = 4
 # Bounds the questions about one stream beyond its route's attempts.
 _MAX_ASKED = 2
+# Another entry may know at once what this one does not.
+_OTHER_ENTRY_RETRY_AFTER_S = 0.1
 _SUCCESS = range(200, 300)
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
@@ -602,7 +604,13 @@
             vouched_versions=found.vouched_versions,
         )
         if origin is None:
-            return failed(Code.ORIGIN_UNKNOWN, value=self._call.resumes)
+            return failed(
+                Code.ORIGIN_UNKNOWN,
+                value=self._call.resumes,
+                retry_after_s=_OTHER_ENTRY_RETRY_AFTER_S
+                if found.may_be_known_elsewhere
+                else 0.0,
+            )
         if origin.service != self._call.service:
             return failed(Code.VERSION_GONE, value=origin.service)
         self._call = msgspec.structs.replace(
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -39,6 +39,8 @@
 # may be slow. A watch and a call that are both lost must not delay a
 # configuration by more than 2 s.
 _CATCH_UP_S = 0.5
+# The same for a call for which a caller waits; a lost one is made once more.
+_NEWEST_S = 0.25
 # If an answer that may hold a long value takes longer than this to arrive, the
 # changes of urgent keys are requested in parallel.
 _LONG_ARRIVAL_S = 0.1
@@ -135,6 +137,37 @@
         """Returns the revision up to which a prefix has been reported."""
         return max(self.revision, self._urgent_revisions.get(prefix, 0))
 
+    async def catch_up(self) -> Failure | None:
+        """Reads the newest changes and reports those of urgent keys.
+
+        Returns:
+          why changes that were made before this call may be missing; None if
+          all have been reported.
+        """
+        if not self.is_connected:
+            return failed(Code.KV_UNREACHABLE, "the watch is lost")
+        found = await self._read_newest_changes()
+        if isinstance(found, Failure) and found.code is Code.KV_TIMEOUT:
+            # The call may have used a connection whose path was cut; after
+            # that failure the next one does not.
+            found = await self._read_newest_changes()
+        if isinstance(found, Failure):
+            return found
+        if not found.entries and found.revision > self.revision:
+            # While the service discards its history, answers skip changes.
+            return failed(Code.KV_HISTORY_GONE)
+        self._check_sizes(found.entries)
+        for prefix in self._urgent_revisions:
+            rows = [e for e in found.entries if e.key.startswith(prefix)]
+            self._apply_urgent(prefix, Changes(tuple(rows), found.revision))
+        return None
+
+    async def _read_newest_changes(self) -> Changes | Failure:
+        progress = Progress(self._clock.seconds())
+        return await self._kv.changes(
+            _ALL, self.revision, 0.0, progress, _NEWEST_S
+        )
+
     async def _run(self) -> None:
         backoff = Backoff(base_s=_RETRY_S)
         known = False
@@ -391,11 +424,13 @@
         self._has_long_values |= longest > _LONG_VALUE_BYTES
 
     def _apply_urgent(self, prefix: str, found: Changes) -> None:
-        """Reports urgent changes that arrived before a long answer."""
-        if found.entries:
+        """Reports urgent changes that arrived before an answer to the watch."""
+        known = self.revision_of(prefix)
+        newer = [e for e in found.entries if e.revision > known]
+        if newer:
             self._pages_begun_at = float("-inf")
-        self._urgent_revisions[prefix] = found.revision
-        self._report(found.entries)
+        self._urgent_revisions[prefix] = max(known, found.revision)
+        self._report(newer)
 
     def _was_reported(self, entry: KvEntry) -> bool:
         """Whether a change was reported as urgent before this answer."""
--- a/magnolialug/events.py
+++ b/magnolialug/events.py
@@ -110,6 +110,7 @@
     KV_BACK = 4201
     WATCH_STALE = 4202
     KV_ANSWER_SLOW = 4203
+    REGISTRY_UNCONFIRMED = 4204
     STORE_HEARD = 4210
     STORE_LOST = 4211
     STORE_LISTED = 4212
@@ -214,6 +215,7 @@
     Event.KV_BACK: "The key-value service answers.",
     Event.WATCH_STALE: "A watch has missed a change, or cannot be checked.",
     Event.KV_ANSWER_SLOW: "An answer of the key-value service arrived slowly.",
+    Event.REGISTRY_UNCONFIRMED: "The newest registry changes cannot be read.",
     Event.STORE_HEARD: "A store of cache parts answers.",
     Event.STORE_LOST: "A store of cache parts does not answer.",
     Event.STORE_LISTED: "A store told all the parts that it holds.",
--- a/magnolialug/streamorigins/wiring.py
+++ b/magnolialug/streamorigins/wiring.py
@@ -8,6 +8,7 @@
 
 from magnolialug.carrier.pool import Address
 from magnolialug.entry.forwardcall import ForwardCall
+from magnolialug.entry.registrycopy import RegistryCopy
 from magnolialug.ids import SoftwareVersion
 from magnolialug.owners.ownerring import OwnerRing
 from magnolialug.owners.pendingqueries import PendingQueries
@@ -44,6 +45,7 @@
     ENTRY: another entry was.
     ONLY_VERSION: no other version has served since the stream can have begun.
     UNKNOWN: it does not know.
+    UNCONFIRMED: it does not know, and its copy of the registry may be old.
     AMBIGUOUS: the caller has begun two streams under one id.
     """
 
@@ -51,6 +53,7 @@
     ENTRY = "entry"
     ONLY_VERSION = "only version"
     UNKNOWN = "unknown"
+    UNCONFIRMED = "unconfirmed"
     AMBIGUOUS = "ambiguous"
 
 
@@ -74,6 +77,13 @@
     own_version: SoftwareVersion | None = None
     vouched_versions: tuple[SoftwareVersion, ...] = ()
 
+    @property
+    def may_be_known_elsewhere(self) -> bool:
+        """Whether an entry may know the origin that was not heard of here."""
+        if self.by is FoundBy.UNCONFIRMED:
+            return True
+        return self.by is FoundBy.UNKNOWN and self.answered < self.asked
+
 
 class StreamOrigins:
     """Tells a few entries of each stream's origin, and queries them.
@@ -86,6 +96,7 @@
       ring: selects the entries.
       pending: sends queries and collects the replies.
       history: the software versions that have served in each service.
+      registry: confirms that none of them has been missed.
     """
 
     def __init__(
@@ -93,12 +104,14 @@
         ring: OwnerRing,
         pending: PendingQueries,
         history: SoftwareHistory,
+        registry: RegistryCopy,
         messenger: Messenger,
         clock: IReactorTime,
     ):
         self._ring = ring
         self._pending = pending
         self._history = history
+        self.registry = registry
         self._messenger = messenger
         self._clock = clock.seconds
         self._table = OriginTable()
@@ -129,12 +142,9 @@
     async def find(self, call: ForwardCall) -> Found:
         """Returns what began the stream that a call takes up."""
         key = origin_key(call.team, call.resumes)
-        now = self._clock()
-        if self._table.is_ambiguous(key, now):
-            return Found(FoundBy.AMBIGUOUS)
-        origin = self._table.find(key, now)
-        if origin is not None:
-            return Found(FoundBy.OWN, origin, self._table.age_s(key, now))
+        found = self._own(key)
+        if found is not None:
+            return found
         replies: list[OriginReply] = []
         asked = 0
         selected = self._others(key)
@@ -146,11 +156,21 @@
             if found is not None:
                 break
         else:
-            found = self._only_version(call, replies)
+            found = await self._find_only_version(key, call, replies)
         return msgspec.structs.replace(
             found, asked=asked, answered=len(replies)
         )
 
+    def _own(self, key: OriginKey) -> Found | None:
+        """Returns what this entry knows itself of a stream."""
+        now = self._clock()
+        if self._table.is_ambiguous(key, now):
+            return Found(FoundBy.AMBIGUOUS)
+        origin = self._table.find(key, now)
+        if origin is None:
+            return None
+        return Found(FoundBy.OWN, origin, self._table.age_s(key, now))
+
     def tick(self, now: float) -> None:
         """Forgets streams that can no longer be taken up."""
         if now >= self._cleanup_at:
@@ -171,6 +191,23 @@
         )
         return await self._pending.ask(dict.fromkeys(entries, query))
 
+    async def _find_only_version(
+        self, key: OriginKey, call: ForwardCall, replies: list[OriginReply]
+    ) -> Found:
+        """Returns the only version of the service, if there was one only.
+
+        Nobody has heard of the stream, which says nothing while this entry or
+        those that know it are cut off.
+        """
+        lifetime_s = stream_lifetime_s(call.route.timeout_s)
+        seen = self._history.versions(call.service, lifetime_s, self._clock())
+        if len(seen) > 1:
+            return Found(FoundBy.UNKNOWN)
+        if not await self.registry.confirm():
+            return Found(FoundBy.UNCONFIRMED)
+        # A notice may have arrived meanwhile.
+        return self._own(key) or self._only_version(call, replies)
+
     def _only_version(
         self, call: ForwardCall, replies: list[OriginReply]
     ) -> Found:
