Streams: an entry that vouches for a version has followed the registry until ours begins

Cause: callers got events of two software versions in one stream. An entry that has just started goes by the word of others. One that was cut off vouched for the old version though the new one had come and gone since, before the first began to read the registry. Change: replies tell up to which revision their sender has followed the registry (`OriginReply.revision`, a new last field; entries of earlier releases skip it, and are not believed). They count if that reaches the revision at which the asking entry began, and only if it has begun. Conclusion: what the other followed and what this entry followed leave no gap between them; what came before the one and after the other is seen by either.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -141,7 +141,12 @@
             self._monitor,
         )
         self.routes = RouteConfig(self._apply_routing)
-        self.registry = Registry(self.directory, reactor, settings.heartbeat_s)
+        self.registry = Registry(
+            self.directory,
+            reactor,
+            settings.heartbeat_s,
+            lambda: self._watch_client.revision_of(REGISTRY_PREFIX),
+        )
         self._grace = GracePeriod(
             reactor.seconds, lambda: self.settings.bounds.grace_s
         )
--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -1,6 +1,6 @@
 """Reads the registry of endpoints from the key-value service."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -44,16 +44,22 @@
 
     Args:
       heartbeat_s: how often an endpoint renews its entry.
+      revision: returns the revision of what is being reported.
     """
 
     def __init__(
-        self, directory: Directory, clock: IReactorTime, heartbeat_s: float
+        self,
+        directory: Directory,
+        clock: IReactorTime,
+        heartbeat_s: float,
+        revision: Callable[[], int] = lambda: 0,
     ):
         self.known = False
         self.guard = Guard(clock.seconds)
         self._directory = directory
         self._clock = clock
         self._heartbeat_s = heartbeat_s
+        self._revision = revision
         self._uncertain_until = 0.0
         self._away = False
         self._missing: set[EndpointId] = set()
@@ -100,7 +106,9 @@
             self._directory.retain({entry.endpoint for entry in listed})
         self.known = True
         if self._directory.software.known_since is None:
-            self._directory.software.known_since = self._clock.seconds()
+            self._directory.software.begin(
+                self._clock.seconds(), self._revision()
+            )
 
     def changed(self, entry: KvEntry) -> None:
         """Applies one written or removed entry."""
@@ -128,7 +136,9 @@
         if self._away and may_have_lapsed(away_s, self._heartbeat_s):
             self._uncertain_until = self._clock.seconds() + _RENEWAL_GRACE_S
         if self._away and self.known:
-            self._directory.software.known_since = self._clock.seconds()
+            self._directory.software.begin(
+                self._clock.seconds(), self._revision()
+            )
         self._away = False
 
     def tick(self) -> None:
--- a/magnolialug/policy/softwarehistory.py
+++ b/magnolialug/policy/softwarehistory.py
@@ -13,10 +13,12 @@
     Attributes:
       known_since: since when no version can have been missed; None while the
         registry cannot be read. Times are in seconds.
+      known_from: the registry's revision at that time.
     """
 
     def __init__(self) -> None:
         self.known_since: float | None = None
+        self.known_from = 0
         self._present: dict[ServiceName, Counter[SoftwareVersion]] = (
             defaultdict(Counter)
         )
@@ -24,6 +26,11 @@
             defaultdict(dict)
         )
 
+    def begin(self, now: float, revision: int) -> None:
+        """Records that all versions are known from now on."""
+        self.known_since = now
+        self.known_from = revision
+
     def add(self, service: ServiceName, software: SoftwareVersion) -> None:
         """Records that an endpoint is listed."""
         self._present[service][software] += 1
--- a/magnolialug/streamorigins/messages.py
+++ b/magnolialug/streamorigins/messages.py
@@ -46,6 +46,7 @@
       age_s: how long ago the sender learned it.
       only_version: the service's only version throughout the lifetime, None
         if there were several or the sender has not followed it for so long.
+      revision: the registry's revision up to which the sender has followed it.
     """
 
     number: int
@@ -53,3 +54,4 @@
     ambiguous: bool = False
     age_s: float = 0.0
     only_version: SoftwareVersion | None = None
+    revision: int = 0
--- a/magnolialug/streamorigins/wiring.py
+++ b/magnolialug/streamorigins/wiring.py
@@ -213,12 +213,14 @@
     ) -> Found:
         """Returns the only version of the service, if any entry is sure of it.
 
-        What this entry itself has seen must not speak against it.
+        What this entry itself has seen must not speak against it. It has seen
+        all that was listed since it follows the registry, so another entry is
+        believed only if it has followed it until then.
         """
         lifetime_s = stream_lifetime_s(call.route.timeout_s)
         now = self._clock()
         own = self._history.only_version(call.service, lifetime_s, now)
-        vouched = {reply.only_version for reply in replies} - {None}
+        vouched = self._vouched(replies)
         sure = vouched | ({own} - {None})
         seen = self._history.versions(call.service, lifetime_s, now)
         found = Found(
@@ -235,6 +237,14 @@
             origin=Origin(call.service, software),
         )
 
+    def _vouched(self, replies: list[OriginReply]) -> set[SoftwareVersion]:
+        """Returns the versions of which other entries are sure."""
+        if self._history.known_since is None:
+            return set()
+        known_from = self._history.known_from
+        named = {r.only_version for r in replies if r.revision >= known_from}
+        return named - {None}
+
     def _add(self, notice: OriginNotice) -> None:
         self._table.add(
             notice.key, notice.origin, notice.lifetime_s, self._clock()
@@ -250,6 +260,7 @@
             self._table.is_ambiguous(key, now),
             self._table.age_s(key, now) if origin else 0.0,
             self._history.only_version(query.service, query.lifetime_s, now),
+            self.registry.revision,
         )
 
 
--- a/tests/entry/test_out_of_step.py
+++ b/tests/entry/test_out_of_step.py
@@ -156,6 +156,26 @@
         first = release.begin()
         self.check_versions(first, release.take_up(first), "")
 
+    def test_gateway_that_missed_what_came_and_went_is_not_believed(
+        self,
+    ):
+        """Guards against a version that left before one gateway began to read.
+
+        It came after the last that the other has heard, and both of them list
+        the old version alone.
+        """
+        release = Release("silent", "lost")
+        cluster = release.cluster
+        first = release.begin()
+        for engine in release.news:
+            cluster.remove(f"servers/{engine.instance}")
+        for engine in release.olds:
+            cluster.relist(engine, state="ready")
+        cluster.start("front-4", 4)
+        cluster.pass_time(0.4)
+        release.hosts.append("10.0.0.4")
+        self.check_versions(first, release.take_up(first), "")
+
     def test_version_that_only_others_list_is_not_called_gone(self):
         """Guards against a final refusal while endpoints of the version serve.
 
