--- a/magnolialug/entry/registry.py
+++ b/magnolialug/entry/registry.py
@@ -105,10 +105,8 @@
             self._list_each(listed)
             self._directory.retain({entry.endpoint for entry in listed})
         self.known = True
-        if self._directory.software.known_since is None:
-            self._directory.software.begin(
-                self._clock.seconds(), self._revision()
-            )
+        # A version that came and went before is in no snapshot.
+        self._directory.software.begin(self._clock.seconds(), self._revision())
 
     def changed(self, entry: KvEntry) -> None:
         """Applies one written or removed entry."""
--- a/tests/entry/test_registry.py
+++ b/tests/entry/test_registry.py
@@ -56,3 +56,20 @@
         self.registry.snapshot([entry(3)])
         self.registry.tick()
         self.assertEqual(1, len(self.directory.peers))
+
+
+class FollowedVersionsTest(TestCase):
+    """Since when no software version can have been missed."""
+
+    def test_snapshot_in_place_of_changes_begins_anew(self):
+        """Guards against a version that came and went between two answers."""
+        clock = Clock()
+        directory = Directory(clock)
+        registry = Registry(directory, clock, _HEARTBEAT_S, lambda: 9)
+        registry.snapshot([entry(1)])
+        clock.advance(10)
+        registry.changed(entry(2))
+        self.assertEqual(0.0, directory.software.known_since)
+        registry.snapshot([entry(2)])
+        self.assertEqual(10.0, directory.software.known_since)
+        self.assertEqual(9, directory.software.known_from)
