Streams: a version is called gone only behind a read of the registry

Cause: callers were refused for good (503, 319 VERSION_GONE, no time to return) while endpoints of their stream's version served. A gateway that was out of step learned the version from the others and had not heard of its endpoints. Change: where no endpoint of the version is listed, the newest changes are read and applied first. The stream goes on if one has registered; it is refused with 319 if none has, and with 324 REGISTRY_UNCONFIRMED and a time to return if the registry cannot be read. Conclusion: what others have told of a version is news that the own copy is old; the read makes it new, or says that it cannot be made so.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -151,10 +151,9 @@
 
     async def _place(self, progress: Progress) -> Placed | Failure:
         """Returns a placement, or the reason why there is none."""
-        if self._call.takes_up_stream and self._call.software is None:
-            refusal = await self._bind_to_origin()
-            if refusal:
-                return refusal
+        refusal = await self._why_not_continued()
+        if refusal:
+            return refusal
         progress.seq = max(progress.seq, self._call.resume_after)
         refusal = self._quarantine.refusal(self._call.identity)
         if refusal:
@@ -180,8 +179,34 @@
         )
         if results.limited:
             self._count_limited(placed)
+        if isinstance(placed, Failure) and placed.code is Code.VERSION_GONE:
+            return await self._confirm_gone(placed.value) or _unconfirmed(
+                placed.value
+            )
         return placed
 
+    async def _why_not_continued(self) -> Failure | None:
+        """Returns why no endpoint can go on with a stream, None if one can."""
+        if self._call.takes_up_stream and self._call.software is None:
+            refusal = await self._bind_to_origin()
+            if refusal:
+                return refusal
+        if self._placer.lists_version(self._call):
+            return None
+        return await self._confirm_gone(self._call.software)
+
+    async def _confirm_gone(self, version: str) -> Failure | None:
+        """Returns the refusal of a stream whose version is not listed here.
+
+        Returns:
+          None if an endpoint of it has registered meanwhile.
+        """
+        if not await self._origins.registry.confirm():
+            return _unconfirmed(version)
+        if self._placer.lists_version(self._call):
+            return None
+        return failed(Code.VERSION_GONE, value=version)
+
     def _count_limited(self, placed: Placed | Failure) -> None:
         """Counts a request that an endpoint's limit has turned away."""
         if isinstance(placed, Failure):
@@ -681,6 +706,14 @@
         return peer.build(prompt.model) if prompt else EngineBuild("")
 
 
+def _unconfirmed(version: str) -> Failure:
+    return failed(
+        Code.REGISTRY_UNCONFIRMED,
+        value=version,
+        retry_after_s=_OTHER_ENTRY_RETRY_AFTER_S,
+    )
+
+
 def _named_sources(
     prompt: Prompt | None, to: Dispatch
 ) -> list[tuple[str, int, str]]:
--- a/magnolialug/entry/placer.py
+++ b/magnolialug/entry/placer.py
@@ -307,12 +307,16 @@
             and peer.pool.has_capacity
         )
 
+    def lists_version(self, call: ForwardCall) -> bool:
+        """Whether endpoints of the version that a call is bound to stay."""
+        return call.software is None or self._directory.has_version(
+            call.service, call.software
+        )
+
     def _no_endpoint(self, call: ForwardCall) -> Failure:
         """Returns why no endpoint of its service accepts a call."""
         service = call.service
-        if call.software is not None and not self._directory.has_version(
-            service, call.software
-        ):
+        if not self.lists_version(call):
             # A version that has left does not return in time for a retry.
             return failed(Code.VERSION_GONE, value=call.software)
         if self._directory.is_evacuated(service):
--- a/magnolialug/result.py
+++ b/magnolialug/result.py
@@ -60,6 +60,7 @@
     RESTING = 321
     TOO_MANY_PREVIEWS = 322
     NO_MEMORY = 323
+    REGISTRY_UNCONFIRMED = 324
     OUTCOME_UNKNOWN = 400
     ENDPOINT_FAILED = 401
     ANSWER_GONE = 402
@@ -213,6 +214,11 @@
             503,
             "No endpoint has the software version that began the stream.",
         ),
+        (
+            Code.REGISTRY_UNCONFIRMED,
+            503,
+            "Whether endpoints of the stream's version serve is not known.",
+        ),
         (
             Code.ORIGIN_UNKNOWN,
             503,
