Connections: a response that ends under an upload is whole only if the rest is read

Cause: callers got a part of an answer, framed as whole. An endpoint answered a long upload early, with neither a length nor chunks, and closed: its FIN was taken for the end of the answer, although it reset what was still being written to it. Change: on a FIN before the whole request is acknowledged the connection writes on (half-close). The response is whole when all is acknowledged, lost when the peer resets or closes (TCP_INFO, checked every 0.25 s by PeerMonitor), and ends with its call if the peer reads no more. Conclusion: a closed socket acknowledges nothing that comes later, and a sound server that answers early reads on (RFC 9112, section 9.6), so the two can be told apart. The connection serves endpoints, sidecars' services, the store, reports and orders alike. An early answer without a length now ends up to 0.25 s behind the end of its upload.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -5,9 +5,11 @@
 import struct
 from collections.abc import Callable, Sequence
 
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure as TwistedFailure
+from zope.interface import implementer
 
 from magnolialug.carrier.bodysender import BodySender
 from magnolialug.carrier.peermonitor import PeerMonitor, WatchedConnection
@@ -18,6 +20,7 @@
     ResponseReader,
 )
 from magnolialug.carrier.responsereceiver import End, ResponseReceiver
+from magnolialug.carrier.sendstate import read_send_state
 from magnolialug.events import Event, emit
 
 __all__ = [
@@ -102,6 +105,7 @@
     return _DEFAULT_KEEP_ALIVE_S
 
 
+@implementer(IHalfCloseableProtocol)
 class Connection(Protocol):
     """Sends requests one after another; is not reused after a protocol error.
 
@@ -212,6 +216,7 @@
         """Aborts the connection without flushing unsent bytes."""
         self._reusable = False
         if self.transport is not None:
+            self._watched.forget()
             self.transport.abortConnection()
 
     def pause(self) -> None:
@@ -245,6 +250,47 @@
         self._reader.stopped = True
         self._finish(End.MALFORMED)
 
+    def readConnectionLost(self) -> None:
+        """Handles the end of what the endpoint sends.
+
+        A response that has neither a length nor chunks ends with it, unless the
+        endpoint has closed the connection as a whole and still gets bytes of
+        the request: it then resets the connection, and may have stopped in the
+        middle of its response (RFC 9112, section 9.6).
+        """
+        if self._may_be_reset():
+            self._watched.await_delivery(self._on_delivered)
+        else:
+            self._end_connection(ConnectionDone())
+
+    def writeConnectionLost(self) -> None:
+        """Does nothing; the sending side is never closed by itself."""
+
+    def _may_be_reset(self) -> bool:
+        """Whether bytes are on their way that a closed endpoint would reset."""
+        if self._receiver is None or self._discarding:
+            return False
+        return self._reader.ends_with_connection and not self._is_request_sent()
+
+    def _is_request_sent(self) -> bool:
+        """Whether the endpoint has acknowledged the whole request."""
+        if self._sender is not None or unsent_bytes(self.transport):
+            return False
+        state = read_send_state(self.transport.getHandle())
+        return state is not None and state.is_delivered
+
+    def _on_delivered(self, delivered: bool) -> None:
+        if not delivered:
+            self._end_connection(ConnectionLost())
+        elif self._is_request_sent():
+            self._end_connection(ConnectionDone())
+        else:
+            self._watched.await_delivery(self._on_delivered)
+
+    def _end_connection(self, reason: ConnectionDone | ConnectionLost) -> None:
+        """Ends the connection as if its peer had closed it as a whole."""
+        self.transport.connectionLost(TwistedFailure(reason))
+
     def connectionLost(self, reason: TwistedFailure) -> None:
         """Ends the current exchange, if any, and reports the close."""
         self._watched.forget()
--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -60,33 +60,51 @@
         self._closed_since: float | None = None
         self._are_probes_bounded = False
         self._is_suspicious = False
+        self._on_delivered: Callable[[bool], None] | None = None
 
     def record_write(self) -> None:
         """Checks the connection until all has been acknowledged."""
         self._monitor.add(self)
 
+    def await_delivery(self, done: Callable[[bool], None]) -> None:
+        """Tells once whether the peer acknowledges all bytes, or resets.
+
+        Args:
+          done: called with whether it has acknowledged them. It is not called
+            if the connection is forgotten before.
+        """
+        self._on_delivered = done
+        self.record_write()
+
     def leave_to_kernel(self) -> None:
         """Lets a slow peer read on when the process has closed its end."""
         self._set_timeout(_NO_TIMEOUT_MS)
 
     def forget(self) -> None:
         """Ends the checks; the connection is closed."""
+        self._on_delivered = None
         self._monitor.discard(self)
 
     def check(self, now: float) -> None:
         """Adjusts the time-out; closes the connection if its peer is gone."""
         state = read_send_state(self._sock)
-        if state is None:
+        if state is None or state.is_reset:
             self._set_timeout(_SILENCE_MS)
-            self.forget()
+            self._end_checks(False)
         elif state.is_delivered:
             self._closed_since = None
             self._was_in_flight = False
             self._set_timeout(_NO_TIMEOUT_MS)
-            self.forget()
+            self._end_checks(True)
         else:
             self._check_undelivered(state, now)
 
+    def _end_checks(self, delivered: bool) -> None:
+        on_delivered = self._on_delivered
+        self.forget()
+        if on_delivered is not None:
+            on_delivered(delivered)
+
     def _check_undelivered(self, state: SendState, now: float) -> None:
         if state.is_window_closed:
             self._keep_while_closed(now)
--- a/magnolialug/carrier/reader.py
+++ b/magnolialug/carrier/reader.py
@@ -128,6 +128,12 @@
         self._head = None
         self._on_end()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether a response has begun that only a close ends."""
+        head = self._head
+        return head is not None and head.framing is Framing.CLOSE
+
     def end_of_stream(self) -> bool:
         """Handles an orderly close; returns whether it completes a response.
 
@@ -135,8 +141,7 @@
         must not call this after a reset, which can truncate such a body at any
         byte.
         """
-        head = self._head
-        if head is None or head.framing is not Framing.CLOSE:
+        if not self.ends_with_connection:
             return False
         self._head = None
         self._on_end()
--- a/magnolialug/carrier/sendstate.py
+++ b/magnolialug/carrier/sendstate.py
@@ -10,6 +10,8 @@
 # Of struct tcp_info, since Linux 4.6: three of the leading bytes, then words at
 # their offsets.
 _INFO_BYTES = 148
+_STATE_OFFSET = 0
+_TCP_CLOSE = 7
 _RETRANSMITS_OFFSET = 2
 _PROBES_OFFSET = 3
 _UNACKED_OFFSET = 24
@@ -22,6 +24,7 @@
     """The outgoing side of a connection.
 
     Attributes:
+      is_reset: whether the peer has reset the connection.
       in_flight: segments that were sent and are not acknowledged.
       unsent: bytes that the peer's window has no room for yet.
       unanswered: retransmissions, or probes of a closed window, since the last
@@ -29,6 +32,7 @@
       silent_s: time since the last acknowledgement.
     """
 
+    is_reset: bool
     in_flight: int
     unsent: int
     unanswered: int
@@ -37,7 +41,7 @@
     @property
     def is_delivered(self) -> bool:
         """Whether the peer has acknowledged all that was written."""
-        return not self.in_flight and not self.unsent
+        return not (self.is_reset or self.in_flight or self.unsent)
 
     @property
     def is_window_closed(self) -> bool:
@@ -56,6 +60,7 @@
     in_flight = _word(info, _UNACKED_OFFSET)
     offset = _RETRANSMITS_OFFSET if in_flight else _PROBES_OFFSET
     return SendState(
+        info[_STATE_OFFSET] == _TCP_CLOSE,
         in_flight,
         _word(info, _UNSENT_OFFSET),
         info[offset],
