Responses: a status outside 100 to 599 is a malformed response

Cause: callers got answers with the status 000, 099, 600 or 999 of an endpoint in trouble. The parser takes any three digits. A block store's 000 passed for success. Change: the reader of responses refuses them (RFC 9110, section 15); endpoints, sidecars' services, stores, reports, probes and orders share it. Conclusion: no such status reaches a caller or passes for success inside.

--- a/magnolialug/carrier/reader.py
+++ b/magnolialug/carrier/reader.py
@@ -9,6 +9,8 @@
 __all__ = ["BadResponseError", "Framing", "Head", "ResponseReader"]
 
 _NO_BODY = frozenset((204, 304))
+# RFC 9110, section 15.
+_STATUSES = range(100, 600)
 # Bounds the bytes before a head is complete, interim responses included, and
 # those between two pieces of a body: chunk sizes, extensions, trailers.
 _MAX_OVERHEAD_BYTES = 32 * 1024
@@ -171,8 +173,14 @@
             raise BadResponseError(f"more than {_MAX_HEADERS} headers")
 
     def on_headers_complete(self) -> None:
-        """Called by the parser at the empty line after the headers."""
+        """Called by the parser at the empty line after the headers.
+
+        Raises:
+          BadResponseError: if its status is of no class.
+        """
         status = self._parser.get_status_code()
+        if status not in _STATUSES:
+            raise BadResponseError(f"status {status:03}, not 100 to 599")
         self._interim = 100 <= status < 200
         if self._interim:
             return
--- a/tests/carrier/test_reader.py
+++ b/tests/carrier/test_reader.py
@@ -56,6 +56,14 @@
             )
             self.assertEqual("end", log.events[-1])
 
+    def test_status_outside_100_to_599_is_rejected(self):
+        """Guards against a status of no class that passes for an answer."""
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            log = Recorder()
+            text = b"HTTP/1.1 %b OK\r\nContent-Length: 0\r\n\r\n" % status
+            self.assertRaises(BadResponseError, log.reader.feed, text)
+            self.assertEqual([], log.events, status)
+
     def test_malformed_responses_are_rejected(self):
         for data in self.BAD:
             log = Recorder()
--- a/tests/cutserver.py
+++ b/tests/cutserver.py
@@ -11,6 +11,7 @@
 class _CutProtocol(Protocol):
     def dataReceived(self, data):
         """Answers a request with some first bytes of the response."""
+        self.factory.count += 1
         self.transport.write(self.factory.response)
         if self.factory.resets:
             self.transport.abortConnection()
@@ -25,6 +26,7 @@
     protocol = _CutProtocol
 
     def __init__(self, response, resets=False):
+        self.count = 0
         self.response = response
         self.resets = resets
 
