--- a/tests/entry/test_odd_statuses.py
+++ b/tests/entry/test_odd_statuses.py
@@ -23,7 +23,7 @@
                     self.check(status, framing, path)
 
     def check(self, status, framing, path):
-        """Checks that a caller gets 502, and that nothing runs again wrongly."""
+        """Checks that a caller gets 502, and that runs are not repeated."""
         cluster = GatewayCluster(desks=2, engines=2)
         head = b"HTTP/1.1 %b No\r\nX-Request-Id: ab\r\n" % status
         stamp = b"X-Response-Stamp: s\r\n"
