Streams: a service is called gone only behind a read of the registry

Cause: callers were refused for good (319 VERSION_GONE, no time to return) where a gateway that was cut off had an older configuration: the route had moved to the service at which their stream began. Change: such a refusal takes the same read as that of a version; without it the return is refused with 324 and a time to return. Before/after: test_service_that_only_others_name_is_not_called_gone failed before, passes. Conclusion: a gateway that cannot read the store knows that its configuration may be old. For the second or so in which a new one is on its way to a gateway in step, the final refusal can still be untrue.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -637,6 +637,9 @@
                 else 0.0,
             )
         if origin.service != self._call.service:
+            # The route may have moved to it, and the news not have arrived.
+            if not await self._origins.registry.confirm():
+                return _unconfirmed(origin.service)
             return failed(Code.VERSION_GONE, value=origin.service)
         self._call = msgspec.structs.replace(
             self._call, software=origin.software
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -360,18 +360,7 @@
     def cluster(self):
         """Returns a cluster with two engines of each service."""
         cluster = GatewayCluster(desks=0, engines=0, vms=VMS[:2])
-        split = [{"service": name, "weight": 1} for name in self.SERVICES]
-        check = route(
-            "check",
-            "/check/",
-            "",
-            routeType="streaming",
-            sessionAffinity=True,
-            resumable=True,
-            trafficSplit=split,
-        )
-        services = [ENGINES, {**ENGINES, "name": "llm2"}]
-        cluster.configure(config(2, routes=[check], services=services))
+        self.configure(cluster, 2, self.SERVICES)
         cluster.pass_time(1)
         for service in self.SERVICES:
             for _ in range(2):
@@ -402,6 +391,46 @@
             cluster.pass_time(5)
         self.assertEqual(set(self.SERVICES), began)
 
+    def configure(self, cluster, version, services):
+        """Splits the route between some of the services."""
+        split = [{"service": name, "weight": 1} for name in services]
+        check = route(
+            "check",
+            "/check/",
+            "",
+            routeType="streaming",
+            sessionAffinity=True,
+            resumable=True,
+            trafficSplit=split,
+        )
+        rows = [ENGINES, {**ENGINES, "name": "llm2"}]
+        cluster.configure(config(version, routes=[check], services=rows))
+
+    def test_service_that_only_others_name_is_not_called_gone(self):
+        """Guards against a final refusal by a configuration that is old.
+
+        The route moves to one of its services while a gateway is cut off, and a
+        stream that began there is taken up at it.
+        """
+        for service in self.SERVICES:
+            cluster = self.cluster()
+            path = ("10.9.9.8", 3)
+            cluster.start_behind(path, "front-3", 3)
+            cluster.pass_time(2)
+            cluster.net.cut(path)
+            self.configure(cluster, 3, [service])
+            cluster.pass_time(0.4)
+            for engine in cluster.engines.values():
+                engine.stop_after = [2] * 9
+            first = cluster.ask("/check/x", 0.3)
+            caller = cluster.ask(
+                "/check/x",
+                caller=cluster.caller(address_of(VMS[2])),
+                headers=("Last-Event-Id: 2", f"Resumes: {first.request_id}"),
+            )
+            if caller.last.status == 503:
+                self.assertIn("retry-after", caller.last.headers, service)
+
     def test_resumes_draws_no_service_for_a_new_stream(self):
         """Guards against callers who choose among services by a header."""
         cluster = self.cluster()
