Ends: an endpoint has no successor only if the registry can be read

Cause: callers got a part of an answer as whole. Where a gateway reads the end of an answer late, it waits until a successor at the same address would have registered, and takes the end for sound if it has heard of none. A gateway that was cut off from the store heard of none. Change: behind the wait the registry's newest changes are read; without them the end is unknown, and the answer lost. Before/after: test_a_successor_that_cannot_be_heard_of_proves_nothing failed before (the rest of the stream's end passed for whole), passes; test_a_successor_that_starts_during_the_wait_proves_nothing holds for a successor that starts within the stop, too. Conclusion: an answer that is read late while the store is away is refused rather than guessed; one that is read in time needs no registry.

--- a/magnolialug/entry/endcheck.py
+++ b/magnolialug/entry/endcheck.py
@@ -5,7 +5,7 @@
 
 from magnolialug.entry.peer import Peer
 
-__all__ = ["EndCheck", "EndState"]
+__all__ = ["Confirm", "EndCheck", "EndState"]
 
 # Shorter than an endpoint takes to start again. What is read after a longer
 # pause may come from an endpoint in whose place another one listens.
@@ -21,12 +21,15 @@
 _SPARE_S = 0.3
 
 
+Confirm = Callable[[Callable[[bool], None]], None]
+
+
 class EndState(enum.Enum):
     """What is known of an end that the close of its connection has told.
 
     PROVED: its endpoint lives on, or had said that it stops.
     KILLED: its endpoint listens no more.
-    UNKNOWN: it was read too late to tell.
+    UNKNOWN: it was read too late, or the registry not at all, to tell.
     """
 
     PROVED = "proved"
@@ -46,11 +49,16 @@
 
     Attributes:
       is_running: whether a check has begun and not ended.
+
+    Args:
+      confirm_registry: calls back with whether all successors that had
+        registered are known by then.
     """
 
-    def __init__(self, peer: Peer, now: float):
+    def __init__(self, peer: Peer, now: float, confirm_registry: Confirm):
         self.is_running = False
         self._peer = peer
+        self._confirm_registry = confirm_registry
         self._swept_at = now
         self._stood_still_at = float("-inf")
         self._behind_since = now
@@ -65,9 +73,9 @@
             self._stood_still_at = now
         self._swept_at = now
         if self.is_running and now >= self._due_at:
-            # Who listened when the wait began would be known by now.
-            replaced = self._peer.gone
-            self._report(EndState.KILLED if replaced else EndState.PROVED)
+            # Who listened when the wait began has registered by now.
+            self._due_at = float("inf")
+            self._confirm_registry(self._on_confirmed)
 
     def record_resumed(self, now: float, paused_s: float) -> None:
         """Records that the answer is read again after a pause.
@@ -132,6 +140,13 @@
         else:
             self._report(EndState.PROVED)
 
+    def _on_confirmed(self, confirmed: bool) -> None:
+        if self._peer.gone:
+            self._report(EndState.KILLED)
+        else:
+            state = EndState.PROVED if confirmed else EndState.UNKNOWN
+            self._report(state)
+
     def _report(self, state: EndState) -> None:
         if self.is_running:
             self.is_running = False
--- a/magnolialug/entry/httpattempt.py
+++ b/magnolialug/entry/httpattempt.py
@@ -13,7 +13,7 @@
 from magnolialug.config.routing import RouteType
 from magnolialug.entry.callstate import CallState, Phase
 from magnolialug.entry.dispatch import Dispatch
-from magnolialug.entry.endcheck import EndCheck, EndState
+from magnolialug.entry.endcheck import Confirm, EndCheck, EndState
 from magnolialug.entry.eventboundary import EventBoundary
 from magnolialug.entry.eventsplitter import EventSplitter
 from magnolialug.entry.forwardcall import ForwardCall, HeaderList
@@ -153,6 +153,8 @@
         route whose streams may be resumed.
       on_events: receives how many events a piece of a forwarded stream has
         completed; 0 when its caller's reading is paused.
+      confirm_registry: calls back with whether all endpoints that had
+        registered when it was called are known.
     """
 
     on_overdue: Callable[["HttpAttempt"], None]
@@ -160,6 +162,7 @@
     on_first_data: Callable[[], None]
     on_first_event: Callable[[], None]
     on_events: Callable[[int], None]
+    confirm_registry: Confirm
 
 
 class HttpAttempt:
@@ -194,7 +197,7 @@
         self._is_paused = False
         self._read_since = now
         self._paused_at = now
-        self._end_check = EndCheck(peer, now)
+        self._end_check = EndCheck(peer, now, callbacks.confirm_registry)
         self._event_forwarded = False
         self.done: Deferred[Outcome] = Deferred(self._cancelled)
         self.peer = peer
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from magnolialug.background import background
 from magnolialug.carrier.reader import Framing
 from magnolialug.carrier.responsereceiver import End
 from magnolialug.entry.admissionrules import (
@@ -539,6 +540,7 @@
                 lambda count: self._count_pace_sample(
                     self._placer.record_events(self._call, peer, count)
                 ),
+                self._confirm_registry,
             ),
         )
         self._attempts.append(attempt)
@@ -555,6 +557,12 @@
             # The gateway sweeps it until it has ended.
             attempt.fail(exc)
 
+    def _confirm_registry(self, done: Callable[[bool], None]) -> None:
+        async def confirm() -> None:
+            done(await self._origins.registry.confirm())
+
+        background("registry check", confirm())
+
     def _on_attempt_end(
         self, attempt: HttpAttempt, outcome: Outcome | None
     ) -> None:
--- a/tests/entry/test_unproven_ends.py
+++ b/tests/entry/test_unproven_ends.py
@@ -13,7 +13,9 @@
 from magnolialug.standin.modelserver import BreakOff, ModelServerStandin
 from tests.entry.test_broken_off_answers import kill
 from tests.entry.test_failure_lines import collect_lines
-from tests.gatewaycluster import GatewayCluster
+from tests.gatewaycluster import GATEWAY, GatewayCluster
+
+_PATH = ("10.9.9.8", 1)
 
 
 def stop_listening(cluster, endpoint, req):
@@ -53,7 +55,7 @@
         class Peer:
             has_said_leaving = False
 
-        check = EndCheck(Peer(), 0.0)
+        check = EndCheck(Peer(), 0.0, lambda done: None)
         now = 0.0
         for _ in range(20):
             now += 0.2
@@ -225,22 +227,38 @@
 class LateSuccessorTest(TestCase):
     """Another engine starts at the address while a late end is checked."""
 
-    def test_a_successor_that_starts_during_the_wait_proves_nothing(self):
-        """Guards against an engine that listens and is not known yet."""
-        cluster = GatewayCluster(desks=0, engines=1)
+    def check_cut(self, cluster, gateway, starts_after_s, on_stop=lambda: None):
+        """Checks that a stream whose engine was replaced is not whole."""
         (engine,) = cluster.engines.values()
         engine.framing = Framing.CLOSE
         engine.gap_s = 0.1
-        caller = cluster.send("/draft/x", deadline_ms=12000)
+        caller = cluster.caller(gateway)
+        cluster.send("/draft/x", caller, deadline_ms=12000)
         cluster.pass_time(0.12)
         self.assertEqual(1, caller.last.body.count(b"id: "))
         kill(cluster, engine)
-        cluster.net.advance(1.0)
-        cluster.pass_time(1.7)
+        on_stop()
         other = ModelServerStandin(cluster.net, "i-other")
-        cluster.net.servers[engine.address] = other
-        cluster.pass_time(1.2)
+        cluster.net.callLater(
+            starts_after_s, cluster.net.servers.update, {engine.address: other}
+        )
+        cluster.net.advance(1.0)
+        cluster.pass_time(starts_after_s + 0.2)
         cluster.write("servers/i-other", engine.row)
         cluster.pass_time(3.0)
         self.assertEqual(1, caller.last.body.count(b"id: "))
         self.assertFalse(caller.last.whole)
+
+    def test_a_successor_that_starts_during_the_wait_proves_nothing(self):
+        """Guards against an engine that listens and is not known yet."""
+        for starts_after_s in (1.0, 2.7):
+            cluster = GatewayCluster(desks=0, engines=1)
+            self.check_cut(cluster, GATEWAY, starts_after_s)
+
+    def test_a_successor_that_cannot_be_heard_of_proves_nothing(self):
+        """Guards against an old copy of the registry that lists none."""
+        cluster = GatewayCluster(desks=0, engines=1)
+        cluster.start_behind(_PATH, "front-2", 2)
+        cluster.pass_time(1.0)
+        cut = partial(cluster.net.cut, _PATH)
+        self.check_cut(cluster, ("10.0.0.2", 80), 1.0, cut)
