Entry: what binds a returning stream to its version has a file of its own

Change: entry/streamreturn.py; no change of behaviour. Before/after: the 55 tests of returns, log lines and attempts pass before and after. Conclusion: attempts and returns can be read apart.

--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -32,6 +32,7 @@
 from magnolialug.entry.placer import Placed, Placer
 from magnolialug.entry.proberesults import ProbeResults
 from magnolialug.entry.progress import AnswerEnd, Ended, Progress, Served
+from magnolialug.entry.streamreturn import bind_to_origin, registry_unconfirmed
 from magnolialug.events import Event, explain
 from magnolialug.ids import EndpointId, EngineBuild, SoftwareVersion
 from magnolialug.owners.admissionclient import AdmissionClient, AdmissionRequest
@@ -60,8 +61,6 @@
 _HEDGE_SHORTLIST_SIZE = 4
 # Bounds the questions about one stream beyond its route's attempts.
 _MAX_ASKED = 2
-# Another entry may know at once what this one does not.
-_OTHER_ENTRY_RETRY_AFTER_S = 0.1
 _SUCCESS = range(200, 300)
 _FETCHED = {"moved": "fetched"}
 _SAVED = {"moved": "saved"}
@@ -181,32 +180,34 @@
         if results.limited:
             self._count_limited(placed)
         if isinstance(placed, Failure) and placed.code is Code.VERSION_GONE:
-            return await self._confirm_gone(placed.value) or _unconfirmed(
-                placed.value
-            )
+            refusal = await self._confirm_gone()
+            return refusal or registry_unconfirmed(self._call.software)
         return placed
 
     async def _why_not_continued(self) -> Failure | None:
         """Returns why no endpoint can go on with a stream, None if one can."""
         if self._call.takes_up_stream and self._call.software is None:
-            refusal = await self._bind_to_origin()
-            if refusal:
-                return refusal
+            bound = await bind_to_origin(
+                self._call, self._origins, self._metrics, self._log
+            )
+            if isinstance(bound, Failure):
+                return bound
+            self._call = bound
         if self._placer.lists_version(self._call):
             return None
-        return await self._confirm_gone(self._call.software)
+        return await self._confirm_gone()
 
-    async def _confirm_gone(self, version: str) -> Failure | None:
+    async def _confirm_gone(self) -> Failure | None:
         """Returns the refusal of a stream whose version is not listed here.
 
         Returns:
           None if an endpoint of it has registered meanwhile.
         """
         if not await self._origins.registry.confirm():
-            return _unconfirmed(version)
+            return registry_unconfirmed(self._call.software)
         if self._placer.lists_version(self._call):
             return None
-        return failed(Code.VERSION_GONE, value=version)
+        return failed(Code.VERSION_GONE, value=self._call.software)
 
     def _count_limited(self, placed: Placed | Failure) -> None:
         """Counts a request that an endpoint's limit has turned away."""
@@ -615,45 +616,6 @@
         if self._call.software is None:
             self._call = msgspec.structs.replace(self._call, software=software)
 
-    async def _bind_to_origin(self) -> Failure | None:
-        """Binds a call that takes a stream up to the version that began it.
-
-        Returns:
-          why the stream cannot be taken up, None if it can.
-        """
-        found = await self._origins.find(self._call)
-        origin = found.origin
-        self._metrics.streams_taken_up.add(1, {"found_by": found.by.value})
-        self._log.emit(
-            Event.STREAM_TAKEN_UP,
-            resumes=self._call.resumes,
-            found_by=found.by.value,
-            service=origin.service if origin else "",
-            software=origin.software if origin else "",
-            age_s=round(found.age_s, 3),
-            asked=found.asked,
-            answered=found.answered,
-            own_version=found.own_version or "",
-            vouched_versions=found.vouched_versions,
-        )
-        if origin is None:
-            return failed(
-                Code.ORIGIN_UNKNOWN,
-                value=self._call.resumes,
-                retry_after_s=_OTHER_ENTRY_RETRY_AFTER_S
-                if found.may_be_known_elsewhere
-                else 0.0,
-            )
-        if origin.service != self._call.service:
-            # The route may have moved to it, and the news not have arrived.
-            if not await self._origins.registry.confirm():
-                return _unconfirmed(origin.service)
-            return failed(Code.VERSION_GONE, value=origin.service)
-        self._call = msgspec.structs.replace(
-            self._call, software=origin.software
-        )
-        return None
-
     def _served(self, progress: Progress) -> Served:
         self._sink.complete()
         first_at = progress.first_at or self._clock()
@@ -717,14 +679,6 @@
         return peer.build(prompt.model) if prompt else EngineBuild("")
 
 
-def _unconfirmed(version: str) -> Failure:
-    return failed(
-        Code.REGISTRY_UNCONFIRMED,
-        value=version,
-        retry_after_s=_OTHER_ENTRY_RETRY_AFTER_S,
-    )
-
-
 def _named_sources(
     prompt: Prompt | None, to: Dispatch
 ) -> list[tuple[str, int, str]]:
