Soak: releases while one machine of the site is out of step

Cause: callers got events of two software versions in one stream; the soaks released software, and cut and stopped machines, but never so that a stream of the new version came back at a machine that had not heard of it. Datagrams are not cut there. Change: `--only=release_beside_cut` of the site's soak: all engines are replaced by a new version while one machine's way to the store is held, its process stopped, or both; the other machines are killed while streams run on the new ones. Each machine has a proxy before the store.

--- a/magnolialug/soak/block.py
+++ b/magnolialug/soak/block.py
@@ -41,6 +41,11 @@
         """Returns where a machine reaches the key-value service."""
         return self.machine(number), _STORE_PORT
 
+    @property
+    def service(self) -> Address:
+        """Where the key-value service is, behind all machines' ways to it."""
+        return self.host(2), _STORE_PORT
+
     def callers(self, number: int) -> Address:
         """Returns where a machine takes callers."""
         return self.machine(number), _CALLERS_PORT
--- a/magnolialug/soak/endpointhost.py
+++ b/magnolialug/soak/endpointhost.py
@@ -30,6 +30,7 @@
       runs_path: the file that takes the id of each request that it runs.
       events: how many events a stream has.
       gap_s: the pause between events.
+      software: the version of its software.
     """
 
     instance: str
@@ -43,6 +44,7 @@
     events: int
     gap_s: float
     weights: int = 1
+    software: str = "v1"
 
 
 class _RecordedRuns(Counter):
@@ -113,6 +115,7 @@
         endpoint.events = spec.events
         endpoint.gap_s = spec.gap_s
         endpoint.version = spec.weights
+        endpoint.software = spec.software
         endpoint.line_end = spec.line_end.encode()
     else:
         endpoint = _PlainEndpoint(reactor, spec.instance)
--- a/magnolialug/soak/site.py
+++ b/magnolialug/soak/site.py
@@ -22,7 +22,9 @@
 from magnolialug.soak.historychecker import HistoryChecker
 from magnolialug.soak.kvwriter import write_past_faults
 from magnolialug.soak.machine import Machine
+from magnolialug.soak.proxy import Proxy
 from magnolialug.soak.run import Plan, Report
+from magnolialug.soak.siterelease import SiteRelease
 from magnolialug.soak.worldconfig import soak_config
 from magnolialug.standin.kv import KvStore
 from magnolialug.standin.kvface import kv_face
@@ -30,7 +32,7 @@
 __all__ = ["SIGNALS", "SiteSoak"]
 
 # What is done to a process, by the name of a method, and how often against the
-# others.
+# others; 0 for what is done only if it is named.
 SIGNALS = {
     "kill_endpoint": 8,
     "pause_endpoint": 2,
@@ -40,6 +42,7 @@
     "pause_machine": 2,
     "kill_machine": 2,
     "stop_machine": 1,
+    "release_beside_cut": 0,
 }
 
 _EVENTS = 8
@@ -93,15 +96,29 @@
         ]
         plain = endpoints * 4 // 9
         self._services = ["desk"] * plain + ["llm"] * (endpoints - plain)
+        self._software = ["v1"] * endpoints
         self._processes: dict[int, EndpointProcess] = {}
+        self._stores = [
+            Proxy(reactor, self._block.service) for _ in self._machines
+        ]
+        self._release = SiteRelease(
+            reactor,
+            self._random,
+            self._machines,
+            self._stores,
+            self._add_engine,
+            self._listed_engines,
+            self._list,
+            self._unlist,
+            self._later,
+        )
         self._clients = [self._client() for _ in range(planned.clients)]
 
     def start(self) -> None:
         """Starts everything."""
-        for machine in self._machines:
-            self._listen(
-                WebSite(kv_face(self._kv)), self._block.store(machine.number)
-            )
+        self._listen(WebSite(kv_face(self._kv)), self._block.service)
+        for machine, proxy in zip(self._machines, self._stores, strict=True):
+            self._listen(proxy, self._block.store(machine.number))
         self._configure()
         for slot in range(len(self._services)):
             self._start_endpoint(slot)
@@ -168,7 +185,11 @@
         ready = [front for front in self._fronts if front.ready]
         return self._random.choice(ready or self._fronts)
 
-    def _start_endpoint(self, slot: int) -> None:
+    def _start_endpoint(
+        self,
+        slot: int,
+        on_ready: Callable[[EndpointProcess], None] | None = None,
+    ) -> None:
         if self._over:
             return
         service = self._services[slot]
@@ -184,9 +205,10 @@
             int(self._reactor.seconds() * 1000),
             _EVENTS,
             _GAP_S,
+            software=self._software[slot],
         )
         process = EndpointProcess(
-            spec, self._list, partial(self._restart_ended, slot)
+            spec, on_ready or self._list, partial(self._restart_ended, slot)
         )
         self._processes[slot] = process
         process.start(self._reactor)
@@ -197,7 +219,7 @@
             "service": spec.service,
             "address": f"{spec.host}:{spec.port}",
             "zone": "ab"[spec.port % 2],
-            "version": "v1",
+            "version": spec.software,
             "slots": 6,
             "state": state,
             "coldRemainingMs": 0,
@@ -210,9 +232,32 @@
         spec = process.spec
         self._write(f"servers/{spec.instance}", self._row(spec, state))
 
+    def _unlist(self, process: EndpointProcess) -> None:
+        self._kv._remove(f"servers/{process.spec.instance}")
+
+    def _add_engine(
+        self, software: str, on_ready: Callable[[EndpointProcess], None]
+    ) -> None:
+        """Starts an engine of a version, which is not listed yet."""
+        slot = len(self._services)
+        self._services.append("llm")
+        self._software.append(software)
+        self._start_endpoint(slot, on_ready)
+
+    def _listed_engines(self) -> list[EndpointProcess]:
+        """Returns the engines of all versions but the newest."""
+        return [
+            process
+            for process in self._processes.values()
+            if process.spec.service == "llm"
+            and process.spec.software != self._release.software
+            and process.state is not ProcessState.ENDED
+        ]
+
     def _restart_ended(self, slot: int, process: EndpointProcess) -> None:
-        """Starts another endpoint where one has ended."""
-        if self._over:
+        """Starts another endpoint in place of one that no release replaced."""
+        is_old = process.spec.software != self._release.software
+        if self._over or (process.spec.service == "llm" and is_old):
             return
         self._later(
             _LAPSE_S, self._kv._remove, f"servers/{process.spec.instance}"
@@ -283,6 +328,10 @@
     def _stop_machine(self) -> None:
         self._some_machine().stop()
 
+    def _release_beside_cut(self) -> None:
+        if self._release.begin():
+            self._counts["releases"] += 1
+
     def _look(self) -> None:
         for machine in self._machines:
             machine.look()
@@ -307,6 +356,8 @@
             client.start()
         kinds = self._plan.only or tuple(SIGNALS)
         weights = [SIGNALS[kind] for kind in kinds]
+        if not any(weights):
+            weights = [1] * len(kinds)
         at = 0.5
         while at < self._plan.seconds:
             kind = self._random.choices(kinds, weights)[0]
--- a/tests/soak/test_site.py
+++ b/tests/soak/test_site.py
@@ -22,3 +22,17 @@
         outcomes = report["outcomes"]
         self.assertGreater(outcomes["draft cut"], 0)
         self.assertLess(outcomes["draft cut"], outcomes["draft 200"] / 4)
+
+    def test_streams_keep_their_version_beside_a_release(self):
+        """Guards against an old copy of the registry at a machine cut off."""
+        code, report = self.soak(
+            "--seed=2",
+            "--minutes=0.3",
+            "--clients=40",
+            "--machines=5",
+            "--endpoint_processes=9",
+            "--only=release_beside_cut",
+        )
+        self.assertEqual([], report["violations"])
+        self.assertEqual(0, code)
+        self.assertGreater(report["faults"]["releases"], 0)
