Ends: a leaving endpoint finishes what it got before it left, not what came late

Cause: callers got a part of a stream, framed as whole ("complete after 6"). A gateway that was cut off did not hear that an endpoint left, sent it a stream, and heard it before the endpoint's drain time was over; the endpoint exited inside the stream, and the close of a leaving endpoint was believed. Change: the end of a request that was sent after an endpoint can have registered that it leaves, and that comes after its drain time, is checked like any other. Before/after: test_stream_that_a_leaving_endpoint_got_late_is_not_whole failed before, passes. Conclusion: the entry knows since when it may not have heard, and takes the earliest time. An orderly stop that takes longer than the drain time can lose the end of such a late request; it is cut, not passed off as whole.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -58,6 +58,9 @@
     Args:
       reactor: for connections and time.
       on_connect: called for each new connection to an endpoint.
+      drain_s: how long an endpoint serves on that has said that it leaves.
+      unheard_since: returns the earliest time at which what is listed now can
+        have been written; None for the time at which it is listed.
     """
 
     def __init__(
@@ -65,6 +68,8 @@
         reactor,
         on_connect: Callable[[], None] = lambda: None,
         monitor: PeerMonitor | None = None,
+        drain_s: float = float("inf"),
+        unheard_since: Callable[[], float] | None = None,
     ):
         self.peers: dict[EndpointId, Peer] = {}
         self.entries = 1
@@ -85,6 +90,8 @@
         self._routing: Routing | None = None
         self._evacuated: frozenset[ZoneId] = frozenset()
         self._reactor = reactor
+        self._drain_s = drain_s
+        self._unheard_since = unheard_since or reactor.seconds
         self._on_connect = on_connect
         self._monitor = monitor or PeerMonitor(
             reactor.seconds, reactor.callLater
@@ -232,6 +239,7 @@
                 running=peer.running,
             )
             peer.pool.close()
+            peer.leaving_since = self._unheard_since()
             self._rings.pop(entry.service, None)
         self._update_software(peer, entry)
         peer.update_listing(entry, self._reactor.seconds())
@@ -480,6 +488,7 @@
         # may ask for a rest in answers to earlier requests.
         before = self._removed.pop((peer.start_id, entry.address), peer)
         peer.rest = before.rest
+        peer.drain_s = self._drain_s
         self._apply_limits(peer)
         peer.update_listing(entry, self._reactor.seconds())
         peer.evacuated = entry.zone in self._evacuated
--- a/magnolialug/entry/endcheck.py
+++ b/magnolialug/entry/endcheck.py
@@ -59,7 +59,7 @@
         self.is_running = False
         self._peer = peer
         self._confirm_registry = confirm_registry
-        self._swept_at = now
+        self._sent_at = self._swept_at = now
         self._stood_still_at = float("-inf")
         self._behind_since = now
         self._resumed_at = float("-inf")
@@ -106,7 +106,7 @@
         self.is_running = True
         self._done = done
         self._is_late = self._was_read_late(now)
-        if self._peer.has_said_leaving:
+        if self._is_in_order(now):
             self._report(EndState.PROVED)
         elif self._is_late and may_repeat:
             self._report(EndState.UNKNOWN)
@@ -121,6 +121,13 @@
         """Ends the check without a result."""
         self.is_running = False
 
+    def _is_in_order(self, now: float) -> bool:
+        """Whether the endpoint had said that it stops, and finishes this."""
+        peer = self._peer
+        if not peer.has_said_leaving:
+            return False
+        return not peer.may_have_stopped(self._sent_at, now)
+
     def _stands_still(self, now: float) -> bool:
         """Whether this process has not run for a while."""
         return now - self._swept_at > _STALE_S
--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -139,6 +139,8 @@
             reactor,
             lambda: metrics.connections_made.add(1),
             self._monitor,
+            settings.bounds.drain_s,
+            lambda: self._watch_client.unheard_since,
         )
         self.routes = RouteConfig(self._apply_routing)
         self.registry = Registry(
--- a/magnolialug/entry/peer.py
+++ b/magnolialug/entry/peer.py
@@ -61,6 +61,9 @@
       leaving_source: from what this entry knows that it has said in an answer
         that it leaves, None if it has not.
       on_leaving: called when that becomes known.
+      leaving_since: the earliest time at which it can have registered that it
+        leaves, infinity if it has not.
+      drain_s: how long it serves on after that.
       rest: the rest that it has asked this entry for.
       reported_end: whether other entries report that this start has ended.
       connections: this entry's share of its connections.
@@ -92,6 +95,8 @@
         self.last_contact_at = float("-inf")
         self.unresponsive = False
         self.leaving_source: NoticeSource | None = None
+        self.leaving_since = float("inf")
+        self.drain_s = float("inf")
         self.on_leaving: Callable[[NoticeSource], None] = lambda source: None
         self._running_elsewhere = 0
         self._shared_state_at = float("-inf")
@@ -123,6 +128,18 @@
         """Whether it has said that it is shutting down."""
         return self.listed.leaving or self.leaving_source is not None
 
+    def may_have_stopped(self, sent_at: float, now: float) -> bool:
+        """Whether a leaving endpoint may exit during a request.
+
+        It serves for a while after it has said that it leaves, and finishes
+        what it got before.
+
+        Args:
+          sent_at: when the request was sent.
+        """
+        since = self.leaving_since
+        return sent_at > since and now >= since + self.drain_s
+
     @property
     def accepts_work(self) -> bool:
         """Whether it may get new work, now or when it is no longer cold."""
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -86,6 +86,8 @@
     Attributes:
       is_connected: whether the service answered the last call.
       revision: the revision up to which all changes have been reported.
+      unheard_since: the earliest time at which a change can have been made that
+        is reported now, in seconds.
       guard: calls the subscribers, and counts the calls that failed.
       task: the watch; it begins with a snapshot.
     """
@@ -102,6 +104,7 @@
     ):
         self.is_connected = False
         self.revision = 0
+        self.unheard_since = clock.seconds()
         self.guard = Guard(clock.seconds)
         self._kv = kv
         self._subscribers = subscribers
@@ -156,6 +159,7 @@
         if not found.entries and found.revision > self.revision:
             # While the service discards its history, answers skip changes.
             return failed(Code.KV_HISTORY_GONE)
+        self._record_contact(found.revision)
         self._check_sizes(found.entries)
         for prefix in self._urgent_revisions:
             rows = [e for e in found.entries if e.key.startswith(prefix)]
@@ -387,6 +391,7 @@
     def _record_contact(self, revision: int) -> None:
         """Records that the service has answered."""
         now = self._clock.seconds()
+        self.unheard_since = self._answered_at
         away_s, self._answered_at = now - self._answered_at, now
         if not self.is_connected:
             self.is_connected = True
--- a/tests/entry/test_unproven_ends.py
+++ b/tests/entry/test_unproven_ends.py
@@ -13,7 +13,7 @@
 from magnolialug.standin.modelserver import BreakOff, ModelServerStandin
 from tests.entry.test_broken_off_answers import kill
 from tests.entry.test_failure_lines import collect_lines
-from tests.gatewaycluster import GATEWAY, GatewayCluster
+from tests.gatewaycluster import BOUNDS, GATEWAY, GatewayCluster
 
 _PATH = ("10.9.9.8", 1)
 
@@ -97,6 +97,33 @@
         self.assertTrue(caller.last.whole)
 
 
+class LateNewsTest(TestCase):
+    """A gateway hears late that an endpoint leaves, and sends to it before."""
+
+    def test_stream_that_a_leaving_endpoint_got_late_is_not_whole(self):
+        """Guards against the exit of a drained endpoint in a late stream."""
+        cluster = GatewayCluster(desks=0, engines=1)
+        gateway = cluster.start_behind(_PATH, "front-2", 2)
+        cluster.pass_time(1.0)
+        (engine,) = cluster.engines.values()
+        engine.framing = Framing.CLOSE
+        engine.gap_s = 0.4
+        cluster.net.cut(_PATH)
+        cluster.net.loses_datagram = lambda sender, receiver: True
+        cluster.relist(engine, state="draining")
+        cluster.pass_time(BOUNDS.drain_s - 0.2)
+        caller = cluster.caller(("10.0.0.2", 80))
+        cluster.send("/draft/x", caller, deadline_ms=12000)
+        cluster.net.heal(_PATH)
+        (peer,) = gateway.directory.peers.values()
+        while not peer.has_said_leaving:
+            cluster.pass_time(0.05)
+        kill(cluster, engine)
+        cluster.pass_time(3.0)
+        self.assertIn(caller.last.body.count(b"id: "), (1, 2, 3))
+        self.assertFalse(caller.last.whole)
+
+
 class ConnectionsLeftTest(TestCase):
     """The line of a whole answer counts the connections that are left."""
 
