--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -9,6 +9,7 @@
 import msgspec
 from testtools import TestCase
 
+from magnolialug.policy.softwarehistory import MAX_OUT_OF_STEP_S
 from magnolialug.standin.caller import Answer
 from magnolialug.standin.operatorconfig import ENGINES, route
 from tests.gatewaycluster import GatewayCluster, config
@@ -323,6 +324,8 @@
         cluster.pass_time(1)
         headers = ("Last-Event-Id: 2", "Resumes: ffff")
         self.refused(cluster, self.asks(cluster, *headers))
+        cluster.pass_time(MAX_OUT_OF_STEP_S)
+        self.refused(cluster, self.asks(cluster, *headers))
         cluster.pass_time(LIFETIME_S)
         caller = self.asks(cluster, *headers)
         self.assertEqual([3, 4], ids_in(caller.last))
