Streams: a version is not gone while a start of unknown version serves

Cause: callers were refused for good (319 VERSION_GONE, no time to return) in the second in which the endpoints of their version had started again: their reports tell of the new start before the registry tells its version, so no endpoint was listed with it. A read of the registry does not help, since the start has not registered yet. Change: Directory.has_version counts starts of unknown version. Such a return is refused with NO_ENDPOINT and a time to return; no stream goes to such a start. Conclusion: the registry names a version for each entry, so a start is of unknown version only until its first heartbeat is read.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -130,9 +130,13 @@
     def has_version(
         self, service: ServiceName, software: SoftwareVersion
     ) -> bool:
-        """Whether an endpoint of a service has a version and stays."""
+        """Whether an endpoint of a service that stays may have a version.
+
+        That of a start which has not registered yet is unknown.
+        """
+        possible = (software, UNKNOWN_SOFTWARE)
         return any(
-            peer.listed.software == software and not peer.leaving
+            peer.listed.software in possible and not peer.leaving
             for peer in self._by_service.get(service, ())
         )
 
--- a/tests/entry/test_out_of_step.py
+++ b/tests/entry/test_out_of_step.py
@@ -213,6 +213,31 @@
             self.assertNotEqual(319, code, (path, wait_s))
             self.assertIn("retry-after", caller.last.headers)
 
+    def test_version_of_a_start_that_has_not_registered_is_not_gone(self):
+        """Guards against a final refusal while an endpoint starts again.
+
+        Its report tells of the start before its registration does.
+        """
+        release = Release("whole", "whole")
+        cluster = release.cluster
+        for engine in release.news:
+            cluster.relist(engine, born=1)
+        cluster.pass_time(0.5)
+        first = release.begin()
+        directory = release.late[-1].directory
+        for engine in release.news:
+            engine.start_again(2)
+            directory.verify_start(directory.peers[engine.instance], 2)
+        early = release.take_up(first, 0.3)
+        self.assertEqual(503, early.last.status)
+        self.assertIn("retry-after", early.last.headers)
+        for engine in release.news:
+            cluster.relist(engine, born=2)
+        cluster.pass_time(float(early.last.headers["retry-after"]))
+        caller = release.take_up(first)
+        self.assertEqual([3, 4], ids_in(caller.last))
+        self.check_versions(first, caller, "")
+
     def test_stream_goes_on_where_nothing_is_cut(self):
         """Guards against a certainty that costs returns in a plain release."""
         for wait_s in (0.3, 0.6, 1.0, 3.0):
