Streams: a start whose version becomes known leaves no doubt

Cause: callers were refused (320 ORIGIN_UNKNOWN, no time to return) for a while after an endpoint of the only version had started again: its start was listed without a version until its registration came, and counted as another version that had served. Change: SoftwareHistory.identify; a start that ends before its version is known counts as before, also beside others. Conclusion: a restart of endpoints costs returns of unknown origin the time until the registration, no longer the time that a version counts.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -427,7 +427,9 @@
 
     def _update_software(self, peer: Peer, entry: RegisteredEndpoint) -> None:
         before = peer.listed
-        if (before.service, before.software) != (entry.service, entry.software):
+        if before.software == UNKNOWN_SOFTWARE != entry.software:
+            self.software.identify(entry.service, entry.software)
+        elif before.software != entry.software:
             self.software.add(entry.service, entry.software)
             self.software.remove(
                 before.service, before.software, self._reactor.seconds()
--- a/magnolialug/policy/softwarehistory.py
+++ b/magnolialug/policy/softwarehistory.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 
 from magnolialug.ids import ServiceName, SoftwareVersion
+from magnolialug.policy.registeredendpoint import UNKNOWN_SOFTWARE
 
 __all__ = ["MAX_OUT_OF_STEP_S", "SoftwareHistory"]
 
@@ -47,7 +48,14 @@
         present[software] -= 1
         if not present[software]:
             del present[software]
-            self._last_seen[service][software] = now
+        seen = self._last_seen[service]
+        seen[software] = max(now, seen.get(software, now))
+
+    def identify(self, service: ServiceName, software: SoftwareVersion) -> None:
+        """Records the version of an endpoint that was listed without one."""
+        self.add(service, software)
+        never = float("-inf")
+        self.remove(service, UNKNOWN_SOFTWARE, never)
 
     def versions(
         self, service: ServiceName, within_s: float, now: float
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -330,6 +330,23 @@
         caller = self.asks(cluster, *headers)
         self.assertEqual([3, 4], ids_in(caller.last))
 
+    def test_endpoint_that_has_started_again_leaves_no_doubt(self):
+        """Guards against returns that fail after a restart of an endpoint."""
+        cluster = cluster_of(("v1", "v1"))
+        first, _ = cluster.engines.values()
+        cluster.relist(first, born=1)
+        cluster.pass_time(LIFETIME_S)
+        cluster.start_again(first, 2, told=False)
+        for gateway in cluster.gateways:
+            directory = gateway.directory
+            directory.verify_start(directory.peers[first.instance], 2)
+        headers = ("Last-Event-Id: 2", "Resumes: ffff")
+        self.refused(cluster, self.asks(cluster, *headers))
+        cluster.relist(first, born=2)
+        cluster.pass_time(0.5)
+        caller = self.asks(cluster, *headers)
+        self.assertEqual([3, 4], ids_in(caller.last))
+
     def test_gateway_that_has_just_started_relies_on_the_others(self):
         """Guards against a process that takes what it sees for all there was.
 
--- a/tests/policy/test_software_history.py
+++ b/tests/policy/test_software_history.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from magnolialug.ids import ServiceName, SoftwareVersion
+from magnolialug.policy.registeredendpoint import UNKNOWN_SOFTWARE
 from magnolialug.policy.softwarehistory import (
     MAX_OUT_OF_STEP_S,
     SoftwareHistory,
@@ -49,6 +50,28 @@
         history.known_since = None
         self.assertIsNone(history.only_version(LLM, 6.0, 60.0))
 
+    def test_start_whose_version_becomes_known_leaves_no_doubt(self):
+        """Guards against returns that fail since an endpoint started again."""
+        history = self.history()
+        history.add(LLM, UNKNOWN_SOFTWARE)
+        self.assertIsNone(history.only_version(LLM, 6.0, 20.0))
+        history.identify(LLM, OLD)
+        self.assertEqual(OLD, history.only_version(LLM, 6.0, 20.1))
+
+    def test_start_whose_version_stays_unknown_counts(self):
+        """Guards against a start that served and ended without a version."""
+        history = self.history()
+        for _ in range(2):
+            history.add(LLM, UNKNOWN_SOFTWARE)
+        history.remove(LLM, UNKNOWN_SOFTWARE, 20.0)
+        history.identify(LLM, OLD)
+        self.assertIsNone(history.only_version(LLM, 6.0, 26.0))
+        history.add(LLM, UNKNOWN_SOFTWARE)
+        history.remove(LLM, UNKNOWN_SOFTWARE, 21.0)
+        history.add(LLM, UNKNOWN_SOFTWARE)
+        history.identify(LLM, OLD)
+        self.assertIsNone(history.only_version(LLM, 6.0, 27.0))
+
     def test_services_are_apart(self):
         history = self.history()
         history.add(ServiceName("desk"), NEW)
