Ends: a wait for a successor that the deadline cuts short proves nothing

Cause: callers got a part of an answer as whole. Where a gateway reads the end of an answer late, it waits until a successor at the address has registered, 2 s, but no longer than to 0.3 s before the deadline. Behind a shorter wait it took the end for sound, though a successor that listens registers only 1.2 s after its start. Change: with less than 1.2 s to wait the end is unknown, at once. Conclusion: whole answers that are read late within 1.5 s of their deadline are refused where they may not run again. A successor whose registration takes longer than the wait allows, or that cannot register, is still not seen.

--- a/magnolialug/entry/endcheck.py
+++ b/magnolialug/entry/endcheck.py
@@ -10,7 +10,9 @@
 # Shorter than an endpoint takes to start again. What is read after a longer
 # pause may come from an endpoint in whose place another one listens.
 _STALE_S = 0.25
-# An endpoint registers itself with its first heartbeat, 1.2 s after its start.
+# An endpoint registers itself with its first heartbeat, this long after its
+# start. The registration may take some time to arrive.
+_FIRST_HEARTBEAT_S = 1.2
 _SUCCESSOR_KNOWN_S = 2.0
 # How long a connection must stay open to tell that its endpoint listens. The
 # caller of a stream has all events by then, and loses nothing by a longer time,
@@ -112,6 +114,9 @@
             self._report(EndState.UNKNOWN)
         else:
             known_at = min(now + _SUCCESSOR_KNOWN_S, deadline - _SPARE_S)
+            if self._is_late and known_at - now < _FIRST_HEARTBEAT_S:
+                self._report(EndState.UNKNOWN)
+                return
             self._peer.pool.check_listening(
                 lambda listens: self._on_checked(listens, known_at),
                 _STREAM_STAYS_OPEN_S if is_stream else _PLAIN_STAYS_OPEN_S,
--- a/tests/entry/test_unproven_ends.py
+++ b/tests/entry/test_unproven_ends.py
@@ -262,3 +262,24 @@
         cluster.pass_time(1.0)
         cut = partial(cluster.net.cut, _PATH)
         self.check_cut(cluster, ("10.0.0.2", 80), 1.0, cut)
+
+    def test_a_successor_that_registers_past_the_deadline_proves_nothing(self):
+        """Guards against a wait that the deadline cuts short."""
+        for deadline_ms in (1600, 1900, 2300, 2500):
+            cluster = GatewayCluster(desks=0, engines=1)
+            (engine,) = cluster.engines.values()
+            engine.framing = Framing.CLOSE
+            engine.gap_s = 0.1
+            caller = cluster.send("/draft/x", deadline_ms=deadline_ms)
+            cluster.pass_time(0.12)
+            kill(cluster, engine)
+            other = ModelServerStandin(cluster.net, "i-other")
+            cluster.net.callLater(
+                0.9, cluster.net.servers.update, {engine.address: other}
+            )
+            cluster.net.advance(1.0)
+            cluster.pass_time(1.1)
+            cluster.write("servers/i-other", engine.row)
+            cluster.pass_time(2.0)
+            self.assertEqual(1, caller.last.body.count(b"id: "), deadline_ms)
+            self.assertFalse(caller.last.whole, deadline_ms)
