Registry: a service that has gone back confirms nothing

A key-value service that restarts with an older state answers with a lower revision than was read; a read of the changes behind the higher one was empty and passed for confirmation, although an endpoint had registered since. Change: WatchClient.catch_up fails if the service names a lower revision than it was asked behind. The client over HTTP (platform/kvhttp.py) still hides that by taking the higher of the two; the watch itself hears nothing until the revisions have caught up. Before/after: test_service_that_has_gone_back_confirms_nothing failed before, passes. In a trial in memory an endpoint written behind such a restart was not reported, and catch_up returned success. Conclusion: returns are refused where the client shows the revision; the rest needs a change of the client and of the watch, see docs/design/absences.md.

--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -164,9 +164,12 @@
 
     async def _read_newest_changes(self) -> Changes | Failure:
         progress = Progress(self._clock.seconds())
-        return await self._kv.changes(
-            _ALL, self.revision, 0.0, progress, _NEWEST_S
-        )
+        after = self.revision
+        found = await self._kv.changes(_ALL, after, 0.0, progress, _NEWEST_S)
+        if not isinstance(found, Failure) and found.revision < after:
+            # The service has lost changes, and its revisions begin lower.
+            return failed(Code.KV_HISTORY_GONE, field="after", value=after)
+        return found
 
     async def _run(self) -> None:
         backoff = Backoff(base_s=_RETRY_S)
--- a/tests/entry/test_catch_up.py
+++ b/tests/entry/test_catch_up.py
@@ -102,6 +102,21 @@
         (failure,) = self.catch_up()
         self.assertEqual(Code.KV_HISTORY_GONE, failure.code)
 
+    def test_service_that_has_gone_back_confirms_nothing(self):
+        """Guards against a service that restarts with lower revisions.
+
+        What is written there next has a revision that was already read.
+        """
+        for number in range(3):
+            self.write("u/a", b"%d" % number)
+            self.clock.advance(1)
+        self.kv._rows.clear()
+        self.kv._history.clear()
+        self.kv.revision = 0
+        self.write("u/b", b"1")
+        (failure,) = self.catch_up()
+        self.assertEqual(Code.KV_HISTORY_GONE, failure.code)
+
     def test_read_is_not_tried_while_the_service_is_known_to_be_away(self):
         """Guards against callers who wait for what is known to fail."""
         self.kv.faults.down = True
