Streams: an only version counts once no other service has had the requests

Cause: callers could get events of two services, and so of two versions, in one stream. A route moved to another service while nobody who could be asked knew the origin of a stream (datagrams lost): the only version of the new service was taken for that of the stream, which the old one had begun. Change: SoftwareHistory.configure records when a service began to get requests that others got before: other shares of a route, a new route, the end of a longer one. Before/after: test_only_version_of_a_new_service_continues_nothing failed before (200), passes. Conclusion: returns of unknown origin are refused for that time after a route has moved. An entry that has started since does not know of the move.

--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -102,8 +102,9 @@
             self._apply_limits(peer)
 
     def configure(self, routing: Routing) -> None:
-        """Applies the services' limits of a configuration."""
+        """Applies the services' limits and the routes of a configuration."""
         self._routing = routing
+        self.software.configure(routing.routes, self._reactor.seconds())
         for peer in self.peers.values():
             self._apply_limits(peer)
             peer.load = peer.load or self._load(peer.listed)
--- a/magnolialug/policy/softwarehistory.py
+++ b/magnolialug/policy/softwarehistory.py
@@ -1,7 +1,9 @@
 """Which software versions have served in each service lately."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
+from magnolialug.config.routing import Route, Share
 from magnolialug.ids import ServiceName, SoftwareVersion
 from magnolialug.policy.registeredendpoint import UNKNOWN_SOFTWARE
 
@@ -30,6 +32,39 @@
         self._last_seen: dict[ServiceName, dict[SoftwareVersion, float]] = (
             defaultdict(dict)
         )
+        self._shares: dict[tuple[str, str], tuple[Share, ...]] | None = None
+        self._rerouted_at: dict[ServiceName, float] = {}
+
+    def configure(self, routes: Iterable[Route], now: float) -> None:
+        """Records which services get requests that others got before.
+
+        Args:
+          routes: of the current configuration.
+        """
+        before = self._shares
+        self._shares = shares = {
+            (route.host, route.prefix): route.shares for route in routes
+        }
+        if before is None:
+            return
+        changed = {path for path in shares if shares[path] != before.get(path)}
+        for host, prefix in before.keys() - shares.keys():
+            # A route with a shorter prefix gets its requests.
+            changed |= {
+                path
+                for path in shares
+                if path[0] == host and prefix.startswith(path[1])
+            }
+        for path in changed:
+            for share in shares[path]:
+                self._rerouted_at[share.service] = now
+
+    def was_rerouted(
+        self, service: ServiceName, within_s: float, now: float
+    ) -> bool:
+        """Whether another service may have begun the streams of a service."""
+        at = self._rerouted_at.get(service, float("-inf"))
+        return at >= now - within_s - MAX_OUT_OF_STEP_S
 
     def begin(self, now: float, revision: int) -> None:
         """Records that all versions are known from now on."""
@@ -75,9 +110,12 @@
         """Returns the version, if all endpoints have had the same one.
 
         Returns:
-          None if there were several or none, or if this process has not
-          followed the registry for that long.
+          None if there were several or none, if this process has not
+          followed the registry for that long, or if another service may have
+          had the requests.
         """
+        if self.was_rerouted(service, within_s, now):
+            return None
         since = self.known_since
         if since is None or now - since < within_s:
             return None
--- a/magnolialug/streamorigins/wiring.py
+++ b/magnolialug/streamorigins/wiring.py
@@ -200,8 +200,10 @@
         those that know it are cut off.
         """
         lifetime_s = stream_lifetime_s(call.route.timeout_s)
-        seen = self._history.versions(call.service, lifetime_s, self._clock())
-        if len(seen) > 1:
+        now = self._clock()
+        seen = self._history.versions(call.service, lifetime_s, now)
+        is_rerouted = self._history.was_rerouted(call.service, lifetime_s, now)
+        if len(seen) > 1 or is_rerouted:
             return Found(FoundBy.UNKNOWN)
         if not await self.registry.confirm():
             return Found(FoundBy.UNCONFIRMED)
@@ -230,6 +232,8 @@
         )
         if len(sure) != 1 or not seen <= sure:
             return found
+        if self._history.was_rerouted(call.service, lifetime_s, now):
+            return found
         (software,) = sure
         return msgspec.structs.replace(
             found,
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -426,6 +426,30 @@
         rows = [ENGINES, {**ENGINES, "name": "llm2"}]
         cluster.configure(config(version, routes=[check], services=rows))
 
+    def test_only_version_of_a_new_service_continues_nothing(self):
+        """Guards against a route that moves while origins are lost."""
+        for before, after in (("llm", "llm2"), ("llm2", "llm")):
+            cluster = self.cluster()
+            self.configure(cluster, 3, (before,))
+            cluster.pass_time(LIFETIME_S + MAX_OUT_OF_STEP_S + 1)
+            cluster.net.loses_datagram = lambda sender, receiver: True
+            for engine in cluster.engines.values():
+                engine.stop_after = [2] * 9
+            first = cluster.ask("/check/x")
+            self.assertEqual({before}, versions_in(first.last))
+            for engine in cluster.engines.values():
+                engine.stop_after = []
+            self.configure(cluster, 4, (after,))
+            cluster.pass_time(1)
+            headers = ("Last-Event-Id: 2", f"Resumes: {first.request_id}")
+            caller = cluster.ask(
+                "/check/x",
+                caller=cluster.caller(address_of(VMS[1])),
+                headers=headers,
+            )
+            self.assertEqual(503, caller.last.status)
+            self.assertEqual(set(), versions_in(caller.last))
+
     def test_service_that_only_others_name_is_not_called_gone(self):
         """Guards against a final refusal by a configuration that is old.
 
--- a/tests/policy/test_software_history.py
+++ b/tests/policy/test_software_history.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from magnolialug.config.routing import Route, RouteType, Share
 from magnolialug.ids import ServiceName, SoftwareVersion
 from magnolialug.policy.registeredendpoint import UNKNOWN_SOFTWARE
 from magnolialug.policy.softwarehistory import (
@@ -72,6 +73,40 @@
         history.identify(LLM, OLD)
         self.assertIsNone(history.only_version(LLM, 6.0, 27.0))
 
+    def test_service_that_gets_other_requests_is_not_certain(self):
+        """Guards against streams that another service has begun."""
+
+        def routes(**service_by_prefix):
+            return [
+                Route(
+                    name=prefix,
+                    host="",
+                    prefix="/".join(["", *prefix.split("_"), ""]),
+                    form=RouteType.STREAMING,
+                    shares=(Share(ServiceName(service), 1.0),),
+                    timeout_s=3.0,
+                    target_s=1.0,
+                )
+                for prefix, service in service_by_prefix.items()
+            ]
+
+        until = 56.0 + MAX_OUT_OF_STEP_S
+        for before, after, is_certain in (
+            (routes(a="llm"), routes(a="llm"), True),
+            (routes(a="llm"), routes(a="llm", b="desk"), True),
+            (routes(a="desk"), routes(a="llm"), False),
+            (routes(a="llm"), routes(a="llm", a_b="llm"), False),
+            (routes(a="llm", a_b="desk"), routes(a="llm"), False),
+            (routes(a="llm", b="desk"), routes(a="llm"), True),
+        ):
+            history = self.history()
+            history.configure(before, 10.0)
+            self.assertEqual(OLD, history.only_version(LLM, 6.0, 50.0))
+            history.configure(after, 50.0)
+            expected = OLD if is_certain else None
+            self.assertEqual(expected, history.only_version(LLM, 6.0, until))
+            self.assertEqual(OLD, history.only_version(LLM, 6.0, until + 0.1))
+
     def test_services_are_apart(self):
         history = self.history()
         history.add(ServiceName("desk"), NEW)
