--- a/magnolialug/entry/directory.py
+++ b/magnolialug/entry/directory.py
@@ -109,8 +109,9 @@
             self._apply_limits(peer)
 
     def configure(self, routing: Routing) -> None:
-        """Applies the services' limits of a configuration."""
+        """Applies the services' limits and the routes of a configuration."""
         self._routing = routing
+        self.software.configure(routing.routes, self._reactor.seconds())
         for peer in self.peers.values():
             self._apply_limits(peer)
             peer.load = peer.load or self._load(peer.listed)
@@ -137,9 +138,13 @@
     def has_version(
         self, service: ServiceName, software: SoftwareVersion
     ) -> bool:
-        """Whether an endpoint of a service has a version and stays."""
+        """Whether an endpoint of a service that stays may have a version.
+
+        That of a start which has not registered yet is unknown.
+        """
+        possible = (software, UNKNOWN_SOFTWARE)
         return any(
-            peer.listed.software == software and not peer.leaving
+            peer.listed.software in possible and not peer.leaving
             for peer in self._by_service.get(service, ())
         )
 
@@ -431,7 +436,9 @@
 
     def _update_software(self, peer: Peer, entry: RegisteredEndpoint) -> None:
         before = peer.listed
-        if (before.service, before.software) != (entry.service, entry.software):
+        if before.software == UNKNOWN_SOFTWARE != entry.software:
+            self.software.identify(entry.service, entry.software)
+        elif before.software != entry.software:
             self.software.add(entry.service, entry.software)
             self.software.remove(
                 before.service, before.software, self._reactor.seconds()
--- a/tests/entry/test_software_versions.py
+++ b/tests/entry/test_software_versions.py
@@ -9,6 +9,7 @@
 import msgspec
 from testtools import TestCase
 
+from magnolialug.policy.softwarehistory import MAX_OUT_OF_STEP_S
 from magnolialug.standin.caller import Answer
 from magnolialug.standin.operatorconfig import ENGINES, route
 from tests.gatewaycluster import GatewayCluster, config
@@ -323,10 +324,29 @@
         cluster.pass_time(1)
         headers = ("Last-Event-Id: 2", "Resumes: ffff")
         self.refused(cluster, self.asks(cluster, *headers))
+        cluster.pass_time(MAX_OUT_OF_STEP_S)
+        self.refused(cluster, self.asks(cluster, *headers))
         cluster.pass_time(LIFETIME_S)
         caller = self.asks(cluster, *headers)
         self.assertEqual([3, 4], ids_in(caller.last))
 
+    def test_endpoint_that_has_started_again_leaves_no_doubt(self):
+        """Guards against returns that fail after a restart of an endpoint."""
+        cluster = cluster_of(("v1", "v1"))
+        first, _ = cluster.engines.values()
+        cluster.relist(first, born=1)
+        cluster.pass_time(LIFETIME_S)
+        cluster.start_again(first, 2, told=False)
+        for gateway in cluster.gateways:
+            directory = gateway.directory
+            directory.verify_start(directory.peers[first.instance], 2)
+        headers = ("Last-Event-Id: 2", "Resumes: ffff")
+        self.refused(cluster, self.asks(cluster, *headers))
+        cluster.relist(first, born=2)
+        cluster.pass_time(0.5)
+        caller = self.asks(cluster, *headers)
+        self.assertEqual([3, 4], ids_in(caller.last))
+
     def test_gateway_that_has_just_started_relies_on_the_others(self):
         """Guards against a process that takes what it sees for all there was.
 
@@ -406,6 +426,30 @@
         rows = [ENGINES, {**ENGINES, "name": "llm2"}]
         cluster.configure(config(version, routes=[check], services=rows))
 
+    def test_only_version_of_a_new_service_continues_nothing(self):
+        """Guards against a route that moves while origins are lost."""
+        for before, after in (("llm", "llm2"), ("llm2", "llm")):
+            cluster = self.cluster()
+            self.configure(cluster, 3, (before,))
+            cluster.pass_time(LIFETIME_S + MAX_OUT_OF_STEP_S + 1)
+            cluster.net.loses_datagram = lambda sender, receiver: True
+            for engine in cluster.engines.values():
+                engine.stop_after = [2] * 9
+            first = cluster.ask("/check/x")
+            self.assertEqual({before}, versions_in(first.last))
+            for engine in cluster.engines.values():
+                engine.stop_after = []
+            self.configure(cluster, 4, (after,))
+            cluster.pass_time(1)
+            headers = ("Last-Event-Id: 2", f"Resumes: {first.request_id}")
+            caller = cluster.ask(
+                "/check/x",
+                caller=cluster.caller(address_of(VMS[1])),
+                headers=headers,
+            )
+            self.assertEqual(503, caller.last.status)
+            self.assertEqual(set(), versions_in(caller.last))
+
     def test_service_that_only_others_name_is_not_called_gone(self):
         """Guards against a final refusal by a configuration that is old.
 
