Streams: a return waits for the registry no longer than its caller does

Cause: callers whose deadline was near were refused, or their stream was handed on, after they had given up: the read that confirms the registry took up to 1.4 s. Change: a wait for the read ends with the call's deadline; a return of unknown origin has a time to return unless every other entry has replied; a service is called gone only if the read brought no configuration that is not applied yet. The refusals are now final only where all is known that this entry can know.

--- a/magnolialug/entry/gateway.py
+++ b/magnolialug/entry/gateway.py
@@ -473,6 +473,7 @@
         return RegistryCopy(
             lambda: self._watch_client.catch_up(),
             lambda: self._watch_client.revision_of(REGISTRY_PREFIX),
+            lambda: self._watch_client.has_unreported,
             self.settings.store.reads_per_s,
             lambda: self.directory.entries,
             reactor,
--- a/magnolialug/entry/httpattemptrunner.py
+++ b/magnolialug/entry/httpattemptrunner.py
@@ -203,7 +203,7 @@
         Returns:
           None if an endpoint of it has registered meanwhile.
         """
-        if not await self._origins.registry.confirm():
+        if not await self._origins.registry.confirm(self._call.deadline):
             return registry_unconfirmed(self._call.software)
         if self._placer.lists_version(self._call):
             return None
@@ -560,7 +560,8 @@
 
     def _confirm_registry(self, done: Callable[[bool], None]) -> None:
         async def confirm() -> None:
-            done(await self._origins.registry.confirm())
+            registry = self._origins.registry
+            done(await registry.confirm(self._call.deadline))
 
         background("registry check", confirm())
 
--- a/magnolialug/entry/registrycopy.py
+++ b/magnolialug/entry/registrycopy.py
@@ -33,6 +33,8 @@
     Args:
       catch_up: reads and applies the newest changes; returns why it could not.
       revision: returns the revision up to which the copy has all changes.
+      has_unreported: returns whether the last read has found changes of other
+        keys that are not applied yet.
       reads_per_s: how many read calls the service allows to all entries.
       entries: returns the number of entries.
       on_read: is told whether a read succeeded.
@@ -42,6 +44,7 @@
         self,
         catch_up: Callable[[], Awaitable[Failure | None]],
         revision: Callable[[], int],
+        has_unreported: Callable[[], bool],
         reads_per_s: float,
         entries: Callable[[], int],
         clock: IReactorTime,
@@ -49,6 +52,7 @@
     ):
         self._catch_up = catch_up
         self._revision = revision
+        self._has_unreported = has_unreported
         self._reads_per_s = reads_per_s * _QUOTA_SHARE
         self._entries = entries
         self._clock = clock
@@ -62,13 +66,24 @@
         """The revision up to which the copy has all changes."""
         return self._revision()
 
-    async def confirm(self) -> bool:
-        """Returns whether the copy has all changes made before this call."""
+    async def confirm(self, deadline: float = float("inf")) -> bool:
+        """Returns whether the copy has all changes made before this call.
+
+        Args:
+          deadline: by the clock, when the answer is of no more use.
+        """
         fut: Deferred[bool] = Deferred()
         self._waiting.append(fut)
         if not self._is_reading:
             background("registry read", self._read_while_awaited())
-        return await fut
+        left_s = deadline - self._clock.seconds()
+        if left_s >= _MAX_PAUSE_S + 2 * _MAX_READ_S:
+            return await fut
+        return await within(self._clock, left_s, fut) is True
+
+    async def confirm_routes(self, deadline: float) -> bool:
+        """Returns whether the configuration is confirmed, too."""
+        return await self.confirm(deadline) and not self._has_unreported()
 
     async def _read_while_awaited(self) -> None:
         self._is_reading = True
--- a/magnolialug/entry/streamreturn.py
+++ b/magnolialug/entry/streamreturn.py
@@ -39,7 +39,7 @@
         )
     if origin.service != call.service:
         # The route may have moved to it, and the news not have arrived.
-        if not await origins.registry.confirm():
+        if not await origins.registry.confirm_routes(call.deadline):
             return registry_unconfirmed(origin.service)
         return failed(Code.VERSION_GONE, value=origin.service)
     return msgspec.structs.replace(call, software=origin.software)
--- a/magnolialug/entry/watchclient.py
+++ b/magnolialug/entry/watchclient.py
@@ -126,6 +126,7 @@
             kv, urgent, clock, wait_s, pace_s[0], self._apply_urgent
         )
         self._urgent_revisions = dict.fromkeys(urgent, 0)
+        self._read_ahead = 0
         self.task = SupervisedTask("watch", self._run, clock)
 
     def start(self) -> None:
@@ -161,11 +162,23 @@
             return failed(Code.KV_HISTORY_GONE)
         self._record_contact(found.revision)
         self._check_sizes(found.entries)
+        self._read_ahead = max(
+            (e.revision for e in found.entries if not self._is_urgent(e)),
+            default=0,
+        )
         for prefix in self._urgent_revisions:
             rows = [e for e in found.entries if e.key.startswith(prefix)]
             self._apply_urgent(prefix, Changes(tuple(rows), found.revision))
         return None
 
+    @property
+    def has_unreported(self) -> bool:
+        """Whether the last `catch_up` has read changes not reported yet."""
+        return self._read_ahead > self.revision
+
+    def _is_urgent(self, entry: KvEntry) -> bool:
+        return entry.key.startswith(tuple(self._urgent_revisions))
+
     async def _read_newest_changes(self) -> Changes | Failure:
         progress = Progress(self._clock.seconds())
         after = self.revision
--- a/magnolialug/streamorigins/wiring.py
+++ b/magnolialug/streamorigins/wiring.py
@@ -63,8 +63,9 @@
     Attributes:
       origin: None if it is unknown or ambiguous.
       age_s: how long ago it was learned, by the entry that knows it.
-      asked: how many other entries were asked.
-      answered: how many of them replied in time.
+      others: how many other entries there are, if any was asked.
+      asked: how many of them were.
+      answered: how many replied in time.
       own_version: the only version by this entry's own copy of the registry.
       vouched_versions: the only versions by the copies of other entries.
     """
@@ -72,6 +73,7 @@
     by: FoundBy
     origin: Origin | None = None
     age_s: float = 0.0
+    others: int = 0
     asked: int = 0
     answered: int = 0
     own_version: SoftwareVersion | None = None
@@ -82,7 +84,7 @@
         """Whether an entry may know the origin that was not heard of here."""
         if self.by is FoundBy.UNCONFIRMED:
             return True
-        return self.by is FoundBy.UNKNOWN and self.answered < self.asked
+        return self.by is FoundBy.UNKNOWN and self.answered < self.others
 
 
 class StreamOrigins:
@@ -158,7 +160,10 @@
         else:
             found = await self._find_only_version(key, call, replies)
         return msgspec.structs.replace(
-            found, asked=asked, answered=len(replies)
+            found,
+            others=len(self._ring.others),
+            asked=asked,
+            answered=len(replies),
         )
 
     def _own(self, key: OriginKey) -> Found | None:
@@ -205,7 +210,7 @@
         is_rerouted = self._history.was_rerouted(call.service, lifetime_s, now)
         if len(seen) > 1 or is_rerouted:
             return Found(FoundBy.UNKNOWN)
-        if not await self.registry.confirm():
+        if not await self.registry.confirm(call.deadline):
             return Found(FoundBy.UNCONFIRMED)
         # A notice may have arrived meanwhile.
         return self._own(key) or self._only_version(call, replies)
--- a/tests/entry/test_registry_copy.py
+++ b/tests/entry/test_registry_copy.py
@@ -21,6 +21,7 @@
         self.copy = RegistryCopy(
             self.begin_read,
             lambda: 7,
+            lambda: False,
             1000.0,
             lambda: self.entries,
             self.clock,
