Connections: a response is whole only if no reset follows its end

Cause: callers got a part of an answer, framed as whole. An endpoint that half-closes and closes in one step (as Twisted's servers do) with an upload unread sends a FIN and a reset right behind it. Where its kernel had acknowledged the whole upload, the connection decided at the FIN, and sometimes read that before the reset. Change: behind the FIN of a response without length or chunks to a request with a body, the connection is checked again after 20 ms, also by the monitor not before. If bytes are still on their way, the checks go on as before. Conclusion: such an answer to an upload ends 20 ms later, and an answer that ends under its upload up to 0.23 s earlier.

--- a/magnolialug/carrier/connection.py
+++ b/magnolialug/carrier/connection.py
@@ -44,6 +44,7 @@
 _MAX_DIGITS = 12
 # Bounds what is read of responses to other requests.
 _MAX_DISCARDED_BYTES = 64 * 1024
+_HEAD_END = b"\r\n\r\n"
 
 
 AcceptsHead = Callable[[Head, bool], bool]
@@ -144,6 +145,7 @@
         self._discarded = 0
         self._reusable = True
         self._is_paused = False
+        self._has_body = False
         self._sender: BodySender | None = None
         self._reader = ResponseReader(
             self._on_head, self._on_data, self._on_complete
@@ -190,6 +192,8 @@
         self._head = None
         self._discarding = False
         self._discarded = 0
+        head_end = request.find(_HEAD_END) + len(_HEAD_END)
+        self._has_body = bool(body) or head_end < len(request)
         self.exchange_count += 1
         self._watched.record_write()
         if len(body) <= 1:
@@ -254,7 +258,7 @@
         """Handles the end of what the endpoint sends.
 
         A response that has neither a length nor chunks ends with it, unless the
-        endpoint has closed the connection as a whole and still gets bytes of
+        endpoint has closed the connection as a whole and has not read all of
         the request: it then resets the connection, and may have stopped in the
         middle of its response (RFC 9112, section 9.6).
         """
@@ -267,10 +271,14 @@
         """Does nothing; the sending side is never closed by itself."""
 
     def _may_be_reset(self) -> bool:
-        """Whether bytes are on their way that a closed endpoint would reset."""
+        """Whether a closed endpoint may not have read all of the request.
+
+        The reset follows the end of a response on the wire even if all bytes
+        have been acknowledged before: the kernel does that, not the endpoint.
+        """
         if self._receiver is None or self._discarding:
             return False
-        return self._reader.ends_with_connection and not self._is_request_sent()
+        return self._reader.ends_with_connection and self._has_body
 
     def _is_request_sent(self) -> bool:
         """Whether the endpoint has acknowledged the whole request."""
--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -13,6 +13,8 @@
 __all__ = ["PeerMonitor", "WatchedConnection"]
 
 _CHECK_INTERVAL_S = 0.25
+# Far above the time between an end of a response and the reset behind it.
+_RESET_DELAY_S = 0.02
 # How long sent bytes may stay unacknowledged. Network latency is a few
 # milliseconds and a lost packet is sent again after 0.2 s, then 0.4 s, so a
 # connection survives two losses in a row.
@@ -61,6 +63,7 @@
         self._are_probes_bounded = False
         self._is_suspicious = False
         self._on_delivered: Callable[[bool], None] | None = None
+        self._delivery_timer: IDelayedCall | None = None
 
     def record_write(self) -> None:
         """Checks the connection until all has been acknowledged."""
@@ -69,24 +72,34 @@
     def await_delivery(self, done: Callable[[bool], None]) -> None:
         """Tells once whether the peer acknowledges all bytes, or resets.
 
+        The first check follows soon, the others at the monitor's interval.
+
         Args:
           done: called with whether it has acknowledged them. It is not called
             if the connection is forgotten before.
         """
+        self._cancel_delivery_check()
         self._on_delivered = done
         self.record_write()
+        self._delivery_timer = self._monitor.call_later(
+            _RESET_DELAY_S, self._check_delivery
+        )
 
     def leave_to_kernel(self) -> None:
         """Lets a slow peer read on when the process has closed its end."""
+        self._cancel_delivery_check()
         self._set_timeout(_NO_TIMEOUT_MS)
 
     def forget(self) -> None:
         """Ends the checks; the connection is closed."""
+        self._cancel_delivery_check()
         self._on_delivered = None
         self._monitor.discard(self)
 
     def check(self, now: float) -> None:
         """Adjusts the time-out; closes the connection if its peer is gone."""
+        if self._delivery_timer is not None:
+            return
         state = read_send_state(self._sock)
         if state is None or state.is_reset:
             self._set_timeout(_SILENCE_MS)
@@ -99,6 +112,22 @@
         else:
             self._check_undelivered(state, now)
 
+    def _check_delivery(self) -> None:
+        """Ends the checks if the state of the connection is final.
+
+        It does not judge a peer that is silent: such judgements compare states
+        that are a whole interval apart.
+        """
+        self._delivery_timer = None
+        state = read_send_state(self._sock)
+        if state is None or state.is_reset or state.is_delivered:
+            self._end_checks(state is not None and state.is_delivered)
+
+    def _cancel_delivery_check(self) -> None:
+        timer, self._delivery_timer = self._delivery_timer, None
+        if timer is not None:
+            timer.cancel()
+
     def _end_checks(self, delivered: bool) -> None:
         on_delivered = self._on_delivered
         self.forget()
@@ -172,6 +201,7 @@
 
     Attributes:
       guard: makes the checks, and counts those that failed.
+      call_later: calls a function after a delay in seconds.
 
     Args:
       clock: returns the time in seconds.
@@ -184,7 +214,7 @@
         call_later: Callable[..., IDelayedCall],
     ):
         self._clock = clock
-        self._call_later = call_later
+        self.call_later = call_later
         self.guard = Guard(clock)
         self._watched: set[WatchedConnection] = set()
         self._timer: IDelayedCall | None = None
@@ -206,7 +236,7 @@
         """Checks a connection from now on."""
         self._watched.add(conn)
         if self._timer is None:
-            self._timer = self._call_later(_CHECK_INTERVAL_S, self._check_all)
+            self._timer = self.call_later(_CHECK_INTERVAL_S, self._check_all)
 
     def discard(self, conn: WatchedConnection) -> None:
         """Checks a connection no longer."""
@@ -218,4 +248,4 @@
         for conn in list(self._watched):
             self.guard.call("peer check", conn.check, now)
         if self._watched and self._timer is None:
-            self._timer = self._call_later(_CHECK_INTERVAL_S, self._check_all)
+            self._timer = self.call_later(_CHECK_INTERVAL_S, self._check_all)
