Connections: the stop of the checks ends exchanges that wait for them

Cause: none seen by callers. Where a client is closed while a response has ended under its upload, nothing told the exchange any more whether the rest was read: it stayed open until its call's time-out, and with a receiver that has none, for ever. Change: PeerMonitor.stop ends such waits as not delivered. Before/after: test_stop_of_the_checks_ends_an_exchange_that_waits_for_them failed before (no end), passes. Conclusion: an unknown delivery is not a whole answer.

--- a/magnolialug/carrier/peermonitor.py
+++ b/magnolialug/carrier/peermonitor.py
@@ -87,9 +87,13 @@
 
     def leave_to_kernel(self) -> None:
         """Lets a slow peer read on when the process has closed its end."""
-        self._cancel_delivery_check()
         self._set_timeout(_NO_TIMEOUT_MS)
 
+    def stop(self) -> None:
+        """Ends the checks; a delivery that is awaited stays unknown."""
+        self.leave_to_kernel()
+        self._end_checks(False)
+
     def forget(self) -> None:
         """Ends the checks; the connection is closed."""
         self._cancel_delivery_check()
@@ -225,12 +229,13 @@
 
     def stop(self) -> None:
         """Ends the checks; the kernel delivers what has been written."""
-        for conn in list(self._watched):
-            conn.leave_to_kernel()
+        watched = list(self._watched)
         self._watched.clear()
         timer, self._timer = self._timer, None
         if timer is not None:
             timer.cancel()
+        for conn in watched:
+            conn.stop()
 
     def add(self, conn: WatchedConnection) -> None:
         """Checks a connection from now on."""
--- a/tests/carrier/test_unread_requests.py
+++ b/tests/carrier/test_unread_requests.py
@@ -68,14 +68,14 @@
         super().setUp()
         self.clock = Clock()
         self.peer, sock = self.connected()
-        monitor = PeerMonitor(self.clock.seconds, self.clock.callLater)
+        self.monitor = PeerMonitor(self.clock.seconds, self.clock.callLater)
         states = []
         self.conn = Connection(
             self.clock.seconds,
             states.append,
             states.append,
             states.append,
-            monitor,
+            self.monitor,
         )
         self.transport = _Transport(sock, self.conn)
         self.conn.makeConnection(self.transport)
@@ -153,3 +153,9 @@
         self.begin(_BODY)
         self.conn.drop()
         self.assert_ended(End.DROPPED)
+
+    def test_stop_of_the_checks_ends_an_exchange_that_waits_for_them(self):
+        """Guards against an exchange that stays open behind a stop."""
+        self.begin(_BODY)
+        self.monitor.stop()
+        self.assert_ended(End.RESET)
